--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -65,7 +65,6 @@
     pub fn round<W: Writer>(&mut self, now: Duration, arrivals: impl FnOnce(&mut Self, &mut W), out: &mut W) {
         self.now = now;
         arrivals(self, out);
-        self.note_asked();
         if self.ask_list_at.take_if(|at| *at <= now).is_some() {
             out.observe(true);
         }
@@ -201,14 +200,13 @@
         }
         (s.zone, s.kind, s.cell, s.health, s.weight, s.came_up) = (zone, kind, cell, health, weight, came_up);
         s.listed = true;
-        self.pipes.entry(Pipe::Link(id)).or_default();
-        self.pipes.entry(self.uplink(id)).or_default();
     }
 
     pub fn list_ends(&mut self, how: Listing) {
         if matches!(how, Listing::Complete | Listing::Cached) {
             self.streamers.values_mut().filter(|s| !s.listed).for_each(|s| s.health = Health::Gone);
         }
+        self.sort_racks();
         self.sum_up();
         if how == Listing::Failed && self.told.text("/discovery") == "subscribe" {
             // Asked again after a second and a random part, well inside `askWithinUs`.
@@ -230,32 +228,35 @@
     /// Share of its capacity that a streamer has warmed to. How it grows is not told: the square lies under
     /// a straight line, so it errs to the safe side.
     fn warmth(&self, s: &Streamer) -> f64 {
-        let from = self.told.figure("/obligations/coldFrom", 1.0);
-        let whole = self.told.span("/obligations/coldUs", Duration::ZERO).as_secs_f64();
-        let age = self.now.saturating_sub(s.came_up).as_secs_f64();
-        if s.came_up.is_zero() || age >= whole {
+        let whole = self.told.warm_up.as_secs_f64();
+        if s.came_up.is_zero() || self.now >= s.came_up + self.told.warm_up {
             return 1.0;
         }
-        from + (1.0 - from) * (age / whole).powi(2)
+        let age = self.now.saturating_sub(s.came_up).as_secs_f64();
+        self.told.cold_from + (1.0 - self.told.cold_from) * (age / whole).powi(2)
     }
 
-    /// A streamer's stated link: by weight, or where weights say nothing by its kind's share of all links.
-    fn stated_link(&self, s: &Streamer) -> f64 {
-        if self.told.text("/weights") != "none" {
-            return self.told.figure("/familyInfo/linkUnitKb", 1.0) * s.weight.max(0.01);
-        }
-        let places = |s: &Streamer| self.told.nth("/familyInfo/kindStreams", s.kind, 1.0);
+    /// Notes what pipes there are, their stated sizes, and who is behind each uplink.
+    fn sort_racks(&mut self) {
         let ready = self.streamers.values().filter(|s| s.health == Health::Ready);
-        let all: f64 = ready.map(places).sum();
-        self.told.figure("/familyInfo/linksKb", 1.0) * places(s) / all.max(places(s))
+        let all: f64 = ready.map(|s| self.told.places(s.kind)).sum();
+        self.pipes.values_mut().for_each(|g| g.rack.clear());
+        for (id, s) in &self.streamers {
+            let stated = self.told.stated_link(s.weight, s.kind, all);
+            self.pipes.entry(Pipe::Link(*id)).or_default().stated = stated;
+            let rack = self.pipes.entry(Pipe::Uplink(s.cell % self.told.racks)).or_default();
+            rack.stated = self.told.figure("/familyInfo/uplinkKb", 1e12);
+            rack.rack.push(*id);
+        }
     }
 
     fn size(&self, pipe: Pipe) -> f64 {
-        let stated = match pipe {
-            Pipe::Link(id) => self.streamers.get(&id).map_or(1.0, |s| self.stated_link(s) * self.warmth(s)),
-            Pipe::Uplink(_) => self.told.figure("/familyInfo/uplinkKb", 1e12),
+        let warmth = match pipe {
+            Pipe::Link(id) => self.streamers.get(&id).map_or(1.0, |s| self.warmth(s)),
+            Pipe::Uplink(_) => 1.0,
         };
-        (stated * self.gauge(pipe).stretch).max(1.0)
+        let g = self.gauge(pipe);
+        (g.stated * warmth * g.stretch).max(1.0)
     }
 
     fn gauge(&self, pipe: Pipe) -> &Gauge {
@@ -263,16 +264,11 @@
     }
 
     fn uplink(&self, id: StreamerId) -> Pipe {
-        let racks = self.told.figure("/familyInfo/groups", 1.0).max(1.0);
-        Pipe::Uplink(self.streamers.get(&id).map_or(0, |s| s.cell % racks as u32))
-    }
-
-    fn uplinks(&self) -> impl Iterator<Item = Pipe> + '_ {
-        self.pipes.keys().copied().filter(|pipe| matches!(pipe, Pipe::Uplink(_)))
+        Pipe::Uplink(self.streamers.get(&id).map_or(0, |s| s.cell % self.told.racks))
     }
 
     fn in_rack(&self, uplink: Pipe) -> impl Iterator<Item = StreamerId> + '_ {
-        self.streamers.keys().copied().filter(move |id| self.uplink(*id) == uplink)
+        self.gauge(uplink).rack.iter().copied()
     }
 
     /// What others ask of a pipe: as measured, or for an uplink the sum of what they ask of its links.
@@ -300,10 +296,15 @@
     fn settle(&mut self, job: JobId, at: Option<StreamerId>, rung: u8) {
         let Some(sub) = self.subs.get(&job) else { return };
         let (was, less, more) = (sub.at, self.rate(&sub.asked, sub.rung), self.rate(&sub.asked, rung));
+        let now = self.now;
         for (id, rate) in [(was, -less), (at, more)] {
             let Some(id) = id else { continue };
             for pipe in [Pipe::Link(id), self.uplink(id)] {
-                self.pipes.entry(pipe).and_modify(|g| g.asks += rate);
+                if let Some(g) = self.pipes.get_mut(&pipe) {
+                    g.asks += rate;
+                    // What was asked is kept longer than any measure is late.
+                    g.note(now, Duration::from_secs(10));
+                }
             }
         }
         self.subs.entry(job).and_modify(|sub| (sub.at, sub.rung) = (at, rung));
@@ -323,11 +324,6 @@
         self.subs.remove(&job)
     }
 
-    /// Keeps what this instance asks of each pipe over time, longer than any measure is late.
-    fn note_asked(&mut self) {
-        self.pipes.values_mut().for_each(|g| g.note(self.now, Duration::from_secs(10)));
-    }
-
     /// Sets a late measure against what this instance asked at that time; the rest is others'.
     fn measure(&mut self, pipe: Pipe, ratio: f64, late: Duration) {
         let (size, then) = (self.size(pipe), self.now.saturating_sub(late));
@@ -361,7 +357,7 @@
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
         const BAND: f64 = 0.1;
         let (size, mark, late) = (self.size(pipe), self.mark(pipe), self.told.late());
-        let (total, share) = (self.use_of(pipe) * size, self.told.balancers());
+        let (total, share) = (self.use_of(pipe) * size, self.told.balancers);
         let Some(g) = self.pipes.get_mut(&pipe) else { return };
         let room = mark * size - total;
         if total > (mark + BAND) * size {
@@ -487,17 +483,15 @@
     /// Rule 4: whether one more join may go to a streamer that is, or may be, cold. This controller's part is
     /// 1/`balancers` of what the window allows at the warmth of now, the join included; no burst.
     fn cold_allows(&self, s: &Streamer) -> bool {
-        let whole = self.told.span("/obligations/coldUs", Duration::ZERO);
-        let window = self.told.span("/obligations/tipAfterUs", Duration::ZERO);
+        let (whole, window) = (self.told.warm_up, self.told.window);
         if whole.is_zero() || window.is_zero() {
             return true;
         }
         let sent_within = |span: Duration| s.sent.iter().filter(|t| **t + span > self.now).count() as f64;
         let age = self.now.saturating_sub(s.came_up);
         if !s.came_up.is_zero() && age < whole {
-            let places = self.told.nth("/familyInfo/kindStreams", s.kind, 1.0);
-            let pace = self.told.figure("/obligations/tipMultiple", 1.0) * places / whole.as_secs_f64();
-            let part = pace * window.min(age).as_secs_f64() * self.warmth(s) / self.told.balancers();
+            let pace = self.told.multiple * self.told.places(s.kind) / whole.as_secs_f64();
+            let part = pace * window.min(age).as_secs_f64() * self.warmth(s) / self.told.balancers;
             return sent_within(window) + 1.0 <= part && self.now >= self.born + window;
         }
         // A start may have gone unseen: after trouble, or before this instance's birth. One join at a time.
@@ -509,7 +503,7 @@
     // ---- placing ----
 
     fn holds(&self, asked: &Asked, s: &Streamer) -> bool {
-        asked.held_by(s.cell, self.told.figure("/familyInfo/positions", 1.0) as u32)
+        asked.held_by(s.cell, self.told.cells)
     }
 
     /// The design's load: remaining work over capacity. An uplink binds like a link.
@@ -561,6 +555,9 @@
 
     /// Rule 2 for room types that must not be set up twice.
     fn effect_allows(&self, sub: &Subscription, id: StreamerId) -> bool {
+        if sub.ran.is_empty() {
+            return true;
+        }
         let same_group = |a: StreamerId| match (self.streamers.get(&a), self.streamers.get(&id)) {
             (Some(a), Some(b)) => match self.text_of(sub, "group") {
                 "all" => true,
@@ -679,7 +676,7 @@
         let g = self.gauge(pipe);
         let room = self.mark(pipe) * self.size(pipe) - self.others(pipe);
         if joining {
-            g.allowance.max(g.asks + (room - g.asks) / self.told.balancers())
+            g.allowance.max(g.asks + (room - g.asks) / self.told.balancers)
         } else if g.asks <= room {
             g.allowance.max(g.asks)
         } else {
@@ -704,8 +701,9 @@
     fn fleet_price(&self) -> f64 {
         let ready = self.streamers.iter().filter(|(_, s)| s.health == Health::Ready);
         let links: f64 = ready.map(|(id, _)| self.size(Pipe::Link(*id))).sum();
-        let uplinks: f64 = self.uplinks().map(|uplink| self.size(uplink)).sum();
-        let mut left = MARK * links.min(uplinks) / self.told.balancers();
+        let racks = self.pipes.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
+        let uplinks: f64 = racks.map(|uplink| self.size(*uplink)).sum();
+        let mut left = MARK * links.min(uplinks) / self.told.balancers;
         let mut steps = Vec::new();
         for sub in self.subs.values().filter(|s| s.at.is_some()) {
             let fresh = Subscription { asked: sub.asked, ..Default::default() };
@@ -723,13 +721,13 @@
     /// Fills a rack's links and its uplink with this instance's subscriptions: from their floors up, always
     /// the step that earns most for its rate, while link and uplink have room.
     fn fill(&self, uplink: Pipe, joining: Option<StreamerId>) -> BTreeMap<JobId, u8> {
-        let link_budget = |id| (id, self.budget(Pipe::Link(id), joining == Some(id)));
-        let mut links: BTreeMap<StreamerId, f64> = self.in_rack(uplink).map(link_budget).collect();
+        let mut links: BTreeMap<StreamerId, f64> = BTreeMap::new();
         let mut left = self.budget(uplink, joining.is_some());
         let next = |sub, rung| self.step(sub, rung).filter(|step| step.0 >= self.price);
         let mut open = Vec::new();
         for (job, sub) in &self.subs {
-            let Some((id, link)) = sub.at.and_then(|id| Some((id, links.get_mut(&id)?))) else { continue };
+            let Some(id) = sub.at.filter(|id| self.uplink(*id) == uplink) else { continue };
+            let link = links.entry(id).or_insert_with(|| self.budget(Pipe::Link(id), joining == Some(id)));
             let floor = self.told.floor(&sub.asked);
             *link -= self.rate(&sub.asked, floor);
             left -= self.rate(&sub.asked, floor);
@@ -757,7 +755,8 @@
         let quiet = |g: &&mut Gauge| g.short_at.is_none_or(|at| self.now > at + Duration::from_secs(7));
         let fade = beat.as_secs_f64() / 20.0;
         self.pipes.values_mut().filter(quiet).for_each(|g| g.stretch += (1.0 - g.stretch) * fade);
-        for uplink in self.uplinks().collect::<Vec<_>>() {
+        let own = self.subs.values().filter_map(|s| Some(self.uplink(s.at?)));
+        for uplink in own.collect::<BTreeSet<_>>() {
             let over = |c: &Self, pipe| c.gauge(pipe).asks > c.budget(pipe, false) + 1e-6;
             let over_uplink = over(self, uplink);
             for (job, rung) in self.fill(uplink, None) {
@@ -771,7 +770,6 @@
                 }
             }
         }
-        self.note_asked();
     }
 
     // ---- moves ----
@@ -782,11 +780,16 @@
         // The design's cap of two a tick.
         for _ in 0..2 {
             let mut best: Option<(f64, JobId)> = None;
+            let fit = self.streamers.iter().filter(|(_, s)| s.away_until <= self.now);
+            let fit: Vec<_> = fit.map(|(y, s)| (*y, s, self.load(*y))).collect();
             for (job, sub) in self.subs.iter().filter(|(_, s)| s.plays && !s.asked.moved) {
                 let Some(a) = sub.at else { continue };
-                for (y, s) in self.streamers.iter().filter(|(y, s)| **y != a && self.usable(sub, **y, s)) {
-                    let gain = self.move_gain(sub, a, *y);
-                    if s.away_until <= self.now && gain > best.map_or(0.0, |b| b.0) {
+                // What delivers short is at least that full, whatever the reports say.
+                let delivered = self.delivered(a);
+                let la = self.load(a).max(if delivered < 0.98 { 1.0 / delivered } else { 0.0 });
+                for (y, s, lb) in fit.iter().filter(|(y, _, lb)| *y != a && la - lb > 0.1) {
+                    let gain = self.move_gain(sub, (a, la, delivered), (*y, *lb));
+                    if gain > best.map_or(0.0, |b| b.0) && self.usable(sub, *y, s) {
                         best = Some((gain, *job));
                     }
                 }
@@ -798,13 +801,11 @@
     }
 
     /// What a move would earn, in seconds of benefit, less its price; nothing where the design forbids it.
-    fn move_gain(&self, sub: &Subscription, a: StreamerId, y: StreamerId) -> f64 {
+    fn move_gain(
+        &self, sub: &Subscription, (a, la, delivered): (StreamerId, f64, f64), (y, lb): (StreamerId, f64),
+    ) -> f64 {
         let rate = |rung| self.rate(&sub.asked, rung);
         let x = rate(sub.rung) * self.hint_factor(sub) / self.size(Pipe::Link(y));
-        // What delivers short is at least that full, whatever the reports say.
-        let delivered = self.delivered(a);
-        let short = if 1.0 / delivered > 1.02 { 1.0 / delivered } else { 0.0 };
-        let (la, lb) = (self.load(a).max(short), self.load(y));
         let (link, uplink) = (Pipe::Link(y), self.uplink(y));
         let fits = |pipe, rung| self.use_of(pipe) + rate(rung) / self.size(pipe) < self.mark(pipe);
         let room = |rung: &u8| fits(link, *rung) && (self.uplink(a) == uplink || fits(uplink, *rung));
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -30,6 +30,9 @@
     pub short_at: Option<Duration>,
     /// Its size over the stated one, as learned.
     pub stretch: f64,
+    /// Its size as stated, before any warmth; and for an uplink the streamers behind it.
+    pub stated: f64,
+    pub rack: Vec<StreamerId>,
 }
 
 /// What stands for a pipe that was never named.
@@ -46,13 +49,16 @@
             cut_until: Duration::ZERO,
             short_at: None,
             stretch: 1.0,
+            stated: 1.0,
+            rack: Vec::new(),
         }
     }
 
     /// Notes what this instance asks from now on, and forgets what is older than `keep`.
     pub fn note(&mut self, now: Duration, keep: Duration) {
-        if self.asked.back().is_none_or(|(_, last)| *last != self.asks) {
-            self.asked.push_back((now, self.asks));
+        match self.asked.back_mut() {
+            Some((at, last)) if *at == now => *last = self.asks,
+            _ => self.asked.push_back((now, self.asks)),
         }
         while self.asked.get(1).is_some_and(|(at, _)| *at + keep < now) {
             self.asked.pop_front();
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -11,12 +11,28 @@
     options: Value,
     /// For each room type, what each rung asks and what a second at it earns.
     ladders: Vec<Vec<(f64, f64)>>,
+    /// Picked once, since they are wanted for each streamer: controllers, racks, cells, and of a cold streamer
+    /// its warm-up, the share it starts from, the window and the multiple of its budget.
+    pub balancers: f64,
+    pub racks: u32,
+    pub cells: u32,
+    pub warm_up: Duration,
+    pub cold_from: f64,
+    pub window: Duration,
+    pub multiple: f64,
 }
 
 impl Told {
     pub fn new(options: Map<String, Value>) -> Self {
-        let mut told = Self { options: Value::Object(options), ladders: Vec::new() };
+        let mut told = Self { options: Value::Object(options), ..Self::default() };
         told.ladders = told.ladders();
+        told.balancers = told.figure("/balancers", 1.0).max(1.0);
+        told.racks = told.figure("/familyInfo/groups", 1.0).max(1.0) as u32;
+        told.cells = told.figure("/familyInfo/positions", 1.0).max(1.0) as u32;
+        told.warm_up = told.span("/obligations/coldUs", Duration::ZERO);
+        told.cold_from = told.figure("/obligations/coldFrom", 1.0);
+        told.window = told.span("/obligations/tipAfterUs", Duration::ZERO);
+        told.multiple = told.figure("/obligations/tipMultiple", 1.0);
         told
     }
 
@@ -74,8 +90,17 @@
         (0..self.length("/profiles")).map(of_type).collect()
     }
 
-    pub fn balancers(&self) -> f64 {
-        self.figure("/balancers", 1.0).max(1.0)
+    /// Streams that a kind of streamer runs at most.
+    pub fn places(&self, kind: usize) -> f64 {
+        self.nth("/familyInfo/kindStreams", kind, 1.0)
+    }
+
+    /// A link as stated: by weight, or where weights say nothing by its kind's share of all links.
+    pub fn stated_link(&self, weight: f64, kind: usize, all_places: f64) -> f64 {
+        if self.text("/weights") != "none" {
+            return self.figure("/familyInfo/linkUnitKb", 1.0) * weight.max(0.01);
+        }
+        self.figure("/familyInfo/linksKb", 1.0) * self.places(kind) / all_places.max(self.places(kind))
     }
 
     /// How late notes are.
