Parts of a pipe by who plays there, part-steps taken by chance

Cause: at full size 1/balancers of a link's room is less than a step, so all played at the lowest rung. A part of room or excess is now what this instance asks over what all ask there, a part of a step is a whole step by chance, and a joiner shares with the joins expected since the last measure. The sums of what is asked went to state.rs as plain records.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -12,7 +12,7 @@
 
 use crate::chance::Chance;
 use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
-use crate::state::{Gauge, Pipe, Streamer, Subscription, UNKNOWN};
+use crate::state::{Gauge, Pipe, Pipes, Streamer, Subscription};
 use crate::told::Told;
 
 /// Share of a pipe that rungs may fill. The design has 0.9; delivery is whole up to 0.98, and 0.95 to 1.0 did
@@ -34,7 +34,7 @@
     told: Told,
     chance: Chance,
     streamers: BTreeMap<StreamerId, Streamer>,
-    pipes: BTreeMap<Pipe, Gauge>,
+    pipes: Pipes,
     subs: BTreeMap<JobId, Subscription>,
     /// Subscriptions that wait for something, by when to look at them again.
     due: BTreeSet<(Duration, JobId)>,
@@ -44,6 +44,8 @@
     /// Subscriptions were handed over: the day began with this instance.
     handed_over: bool,
     ask_list_at: Option<Duration>,
+    /// Subscriptions taken in all; and those in the window of the join budget.
+    taken: f64,
     knocks: VecDeque<Duration>,
     further: VecDeque<Duration>,
     /// Sum and count of the lives seen, and of the hints.
@@ -51,6 +53,8 @@
     hints: (f64, f64),
     /// What the fleet's last step earns for its rate.
     price: f64,
+    /// One throw a round decides all steps by chance, so that a link and its uplink agree.
+    dice: f64,
 }
 
 impl Controller {
@@ -63,7 +67,7 @@
 
     /// One round: all that came in, then all that is due.
     pub fn round<W: Writer>(&mut self, now: Duration, arrivals: impl FnOnce(&mut Self, &mut W), out: &mut W) {
-        self.now = now;
+        (self.now, self.dice) = (now, self.chance.share());
         arrivals(self, out);
         if self.ask_list_at.take_if(|at| *at <= now).is_some() {
             out.observe(true);
@@ -108,6 +112,7 @@
 
     pub fn knock(&mut self, job: JobId, asked: Asked) {
         self.knocks.push_back(self.now);
+        self.taken += 1.0;
         if let Some(hint) = asked.hinted {
             self.hints = (self.hints.0 + hint.as_secs_f64(), self.hints.1 + 1.0);
         }
@@ -206,7 +211,7 @@
         if matches!(how, Listing::Complete | Listing::Cached) {
             self.streamers.values_mut().filter(|s| !s.listed).for_each(|s| s.health = Health::Gone);
         }
-        self.sort_racks();
+        self.pipes.lay(&self.streamers, &self.told);
         self.sum_up();
         if how == Listing::Failed && self.told.text("/discovery") == "subscribe" {
             // Asked again after a second and a random part, well inside `askWithinUs`.
@@ -215,14 +220,6 @@
         }
     }
 
-    fn rate(&self, asked: &Asked, rung: u8) -> f64 {
-        self.told.rung(asked.room_type, rung).0
-    }
-
-    fn earns(&self, asked: &Asked, rung: u8) -> f64 {
-        self.told.rung(asked.room_type, rung).1
-    }
-
     // ---- pipes: what is asked of links and uplinks ----
 
     /// Share of its capacity that a streamer has warmed to. How it grows is not told: the square lies under
@@ -236,75 +233,53 @@
         self.told.cold_from + (1.0 - self.told.cold_from) * (age / whole).powi(2)
     }
 
-    /// Notes what pipes there are, their stated sizes, and who is behind each uplink.
-    fn sort_racks(&mut self) {
-        let ready = self.streamers.values().filter(|s| s.health == Health::Ready);
-        let all: f64 = ready.map(|s| self.told.places(s.kind)).sum();
-        self.pipes.values_mut().for_each(|g| g.rack.clear());
-        for (id, s) in &self.streamers {
-            let stated = self.told.stated_link(s.weight, s.kind, all);
-            self.pipes.entry(Pipe::Link(*id)).or_default().stated = stated;
-            let rack = self.pipes.entry(Pipe::Uplink(s.cell % self.told.racks)).or_default();
-            rack.stated = self.told.figure("/familyInfo/uplinkKb", 1e12);
-            rack.rack.push(*id);
-        }
-    }
-
     fn size(&self, pipe: Pipe) -> f64 {
         let warmth = match pipe {
             Pipe::Link(id) => self.streamers.get(&id).map_or(1.0, |s| self.warmth(s)),
             Pipe::Uplink(_) => 1.0,
         };
-        let g = self.gauge(pipe);
+        let g = self.pipes.of(pipe);
         (g.stated * warmth * g.stretch).max(1.0)
     }
 
-    fn gauge(&self, pipe: Pipe) -> &Gauge {
-        self.pipes.get(&pipe).unwrap_or(&UNKNOWN)
-    }
-
     fn uplink(&self, id: StreamerId) -> Pipe {
         Pipe::Uplink(self.streamers.get(&id).map_or(0, |s| s.cell % self.told.racks))
     }
 
     fn in_rack(&self, uplink: Pipe) -> impl Iterator<Item = StreamerId> + '_ {
-        self.gauge(uplink).rack.iter().copied()
+        self.pipes.of(uplink).rack.iter().copied()
     }
 
     /// What others ask of a pipe: as measured, or for an uplink the sum of what they ask of its links.
     fn others(&self, pipe: Pipe) -> f64 {
         match pipe {
-            Pipe::Uplink(_) if !self.gauge(pipe).measured => {
-                self.in_rack(pipe).map(|id| self.gauge(Pipe::Link(id)).others).sum()
+            Pipe::Uplink(_) if !self.pipes.of(pipe).measured => {
+                self.in_rack(pipe).map(|id| self.pipes.of(Pipe::Link(id)).others).sum()
             }
-            _ => self.gauge(pipe).others,
+            _ => self.pipes.of(pipe).others,
         }
     }
 
     fn use_of(&self, pipe: Pipe) -> f64 {
-        (self.others(pipe) + self.gauge(pipe).asks) / self.size(pipe)
+        (self.others(pipe) + self.pipes.of(pipe).asks) / self.size(pipe)
     }
 
     /// The mark is lowered for a while after short delivery, by less and for a shorter time than the design
     /// has it (0.1 for 60 s): most causes are gone within half a usual life.
     fn mark(&self, pipe: Pipe) -> f64 {
-        let lowered = self.gauge(pipe).short_at.is_some_and(|at| self.now < at + Duration::from_secs(15));
+        let lowered = self.pipes.of(pipe).short_at.is_some_and(|at| self.now < at + Duration::from_secs(15));
         MARK - if lowered { 0.05 } else { 0.0 }
     }
 
     /// Sets where a subscription is and at which rung; all sums of what is asked are kept here.
     fn settle(&mut self, job: JobId, at: Option<StreamerId>, rung: u8) {
         let Some(sub) = self.subs.get(&job) else { return };
-        let (was, less, more) = (sub.at, self.rate(&sub.asked, sub.rung), self.rate(&sub.asked, rung));
-        let now = self.now;
+        let (was, less, more) =
+            (sub.at, self.told.rate(&sub.asked, sub.rung), self.told.rate(&sub.asked, rung));
         for (id, rate) in [(was, -less), (at, more)] {
             let Some(id) = id else { continue };
             for pipe in [Pipe::Link(id), self.uplink(id)] {
-                if let Some(g) = self.pipes.get_mut(&pipe) {
-                    g.asks += rate;
-                    // What was asked is kept longer than any measure is late.
-                    g.note(now, Duration::from_secs(10));
-                }
+                self.pipes.ask(pipe, rate, self.now);
             }
         }
         self.subs.entry(job).and_modify(|sub| (sub.at, sub.rung) = (at, rung));
@@ -312,7 +287,7 @@
 
     /// Sums anew what is asked: streamers may have come onto the list after their subscriptions.
     fn sum_up(&mut self) {
-        self.pipes.values_mut().for_each(|g| g.asks = 0.0);
+        self.pipes.all.values_mut().for_each(|g| g.asks = 0.0);
         let held = self.subs.iter_mut().filter_map(|(job, s)| Some((*job, s.at.take()?, s.rung)));
         for (job, at, rung) in held.collect::<Vec<_>>() {
             self.settle(job, Some(at), rung);
@@ -327,13 +302,13 @@
     /// Sets a late measure against what this instance asked at that time; the rest is others'.
     fn measure(&mut self, pipe: Pipe, ratio: f64, late: Duration) {
         let (size, then) = (self.size(pipe), self.now.saturating_sub(late));
-        let Some(g) = self.pipes.get_mut(&pipe) else { return };
+        let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
         g.others = (ratio * size - g.asked_at(then)).max(0.0);
-        g.measured = true;
+        (g.measured, g.measured_at) = (true, self.now);
         self.allow(pipe);
         let Pipe::Link(id) = pipe else { return };
         let uplink = self.uplink(id);
-        if !self.gauge(uplink).measured {
+        if !self.pipes.of(uplink).measured {
             self.learn_larger(uplink);
             self.allow(uplink);
         }
@@ -342,7 +317,7 @@
     /// Much asked of an unseen uplink and no word of short delivery in its time: it gives more than thought.
     fn learn_larger(&mut self, uplink: Pipe) {
         let (late, size, others) = (self.told.late(), self.size(uplink), self.others(uplink));
-        let Some(g) = self.pipes.get_mut(&uplink) else { return };
+        let Some(g) = self.pipes.all.get_mut(&uplink) else { return };
         let asked = g.asked_at(self.now.saturating_sub(late)) + others;
         let quiet = g.short_at.is_none_or(|at| self.now > at + late + Duration::from_secs(1));
         if asked > 0.97 * size && quiet {
@@ -350,24 +325,40 @@
         }
     }
 
-    /// What this instance may ask until the next measure. Over the mark every controller gives back its part
-    /// of the excess, then waits until a measure can show what all gave back; under it each takes its part
-    /// of the room, since all see the same measure at once.
+    /// What one step of this instance's subscriptions on a pipe is, on the mean.
+    fn usual_step(&self, pipe: Pipe, up: bool) -> f64 {
+        let on = |id| pipe == Pipe::Link(id) || pipe == self.uplink(id);
+        let rate = |sub: &Subscription, rung| self.told.rate(&sub.asked, rung);
+        let step = |sub: &Subscription| match up {
+            true => rate(sub, sub.rung + 1) - rate(sub, sub.rung),
+            false => rate(sub, sub.rung) - rate(sub, sub.rung.saturating_sub(1)),
+        };
+        let own = self.subs.values().filter(|s| s.plays && s.at.is_some_and(on));
+        let (sum, count) = own.fold((0.0, 0.0), |(sum, count), sub| (sum + step(sub).max(0.0), count + 1.0));
+        sum / f64::max(count, 1.0)
+    }
+
+    /// What this instance may ask until the next measure. All who play there see the same measure at once: over
+    /// the mark each gives back its part of the excess, by what it asks, then waits until a measure can show
+    /// what all gave back; under it each takes its part of the room. A part smaller than a step is a whole
+    /// step by chance, so that few steps are taken in all, be there three controllers or hundreds.
     fn allow(&mut self, pipe: Pipe) {
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
         const BAND: f64 = 0.1;
         let (size, mark, late) = (self.size(pipe), self.mark(pipe), self.told.late());
-        let (total, share) = (self.use_of(pipe) * size, self.told.balancers);
-        let Some(g) = self.pipes.get_mut(&pipe) else { return };
+        let total = self.use_of(pipe) * size;
         let room = mark * size - total;
-        if total > (mark + BAND) * size {
+        let chance = self.dice * self.usual_step(pipe, room > 0.0);
+        let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
+        let part = g.asks / total.max(1.0);
+        if room < -BAND * size {
             if self.now >= g.cut_until {
-                g.allowance = g.asks + room * g.asks / total;
+                g.allowance = (g.asks + room * part + chance).min(g.asks);
                 g.cut_until = self.now + late + Duration::from_millis(1500);
             }
-        } else if total < (mark - BAND) * size {
+        } else if room > BAND * size {
             // A raise leaves a twentieth free: true rates lie above the ladder's as often as below.
-            g.allowance = g.asks + (room - 0.05 * size) / share;
+            g.allowance = g.asks + (room - 0.05 * size) * part + chance;
         } else {
             g.allowance = g.asks;
         }
@@ -393,7 +384,7 @@
         if self.use_of(link) > 0.9 {
             return self.fell_short(link, delivered);
         }
-        let heard = self.in_rack(uplink).filter(|peer| self.gauge(Pipe::Link(*peer)).asks > 0.0);
+        let heard = self.in_rack(uplink).filter(|peer| self.pipes.of(Pipe::Link(*peer)).asks > 0.0);
         let best = heard.map(|peer| self.delivered(peer)).fold(delivered, f64::max);
         if best >= 0.98 || self.use_of(uplink) < 0.6 {
             return self.set_aside(id);
@@ -405,7 +396,7 @@
     /// reports may be late or stay out. An uplink that nobody measures is learned to be that small.
     fn fell_short(&mut self, pipe: Pipe, delivered: f64) {
         let (late, size, others) = (self.told.late(), self.size(pipe), self.others(pipe));
-        let Some(g) = self.pipes.get_mut(&pipe) else { return };
+        let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
         g.short_at = Some(self.now);
         let asked = others + g.asked_at(self.now.saturating_sub(late));
         if !g.measured {
@@ -510,7 +501,7 @@
     fn load(&self, id: StreamerId) -> f64 {
         let (link, uplink) = (Pipe::Link(id), self.use_of(self.uplink(id)));
         let here = self.subs.values().filter(|x| x.at == Some(id) && x.asked.hinted.is_some());
-        let work = here.map(|x| self.rate(&x.asked, x.rung) * (self.hint_factor(x) - 1.0)).sum::<f64>();
+        let work = here.map(|x| self.told.rate(&x.asked, x.rung) * (self.hint_factor(x) - 1.0)).sum::<f64>();
         let link = self.use_of(link) + work / self.size(link);
         // A little of the lesser, so that streamers of one full rack still differ.
         link.max(uplink) + 0.2 * link.min(uplink)
@@ -549,24 +540,20 @@
         found.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|f| f.2)
     }
 
-    fn text_of(&self, sub: &Subscription, key: &str) -> &str {
-        self.told.of(sub.asked.room_type, key).and_then(Value::as_str).unwrap_or("")
-    }
-
     /// Rule 2 for room types that must not be set up twice.
     fn effect_allows(&self, sub: &Subscription, id: StreamerId) -> bool {
         if sub.ran.is_empty() {
             return true;
         }
         let same_group = |a: StreamerId| match (self.streamers.get(&a), self.streamers.get(&id)) {
-            (Some(a), Some(b)) => match self.text_of(sub, "group") {
+            (Some(a), Some(b)) => match self.told.word(&sub.asked, "group") {
                 "all" => true,
                 "zone" => a.zone == b.zone,
                 _ => a.cell == b.cell,
             },
             _ => false,
         };
-        match self.text_of(sub, "effect") {
+        match self.told.word(&sub.asked, "effect") {
             "single_shot" => sub.ran.is_empty(),
             "guarded" => {
                 let window =
@@ -580,9 +567,9 @@
 
     /// Rule 2 again: whether a final answer may say that a further try does no harm.
     fn may_throttle(&self, sub: &Subscription) -> bool {
-        match self.text_of(sub, "effect") {
+        match self.told.word(&sub.asked, "effect") {
             "single_shot" => sub.ran.is_empty(),
-            "guarded" => sub.ran.is_empty() || self.text_of(sub, "group") == "all",
+            "guarded" => sub.ran.is_empty() || self.told.word(&sub.asked, "group") == "all",
             _ => true,
         }
     }
@@ -670,13 +657,14 @@
 
     // ---- rungs ----
 
-    /// What this instance may ask of a pipe between measures: its allowance, its part of the room for a join
-    /// (others join on the same measure), and never less than it asks while that stays under the mark.
+    /// What this instance may ask of a pipe between measures: its allowance, for a join its part of the room
+    /// among all that may have joined on the same measure, and never less than it asks while that stays
+    /// under the mark.
     fn budget(&self, pipe: Pipe, joining: bool) -> f64 {
-        let g = self.gauge(pipe);
+        let g = self.pipes.of(pipe);
         let room = self.mark(pipe) * self.size(pipe) - self.others(pipe);
         if joining {
-            g.allowance.max(g.asks + (room - g.asks) / self.told.balancers)
+            g.allowance.max(g.asks + (room - g.asks) / (1.0 + self.rivals(pipe)))
         } else if g.asks <= room {
             g.allowance.max(g.asks)
         } else {
@@ -684,6 +672,15 @@
         }
     }
 
+    /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
+    fn rivals(&self, pipe: Pipe) -> f64 {
+        let g = self.pipes.of(pipe);
+        let since = g.measured_at.max(self.now.saturating_sub(Duration::from_secs(10)));
+        let pace = self.taken / (self.now - self.born).as_secs_f64().max(1.0);
+        let joins = pace * (self.told.balancers - 1.0) * (self.now - since).as_secs_f64();
+        joins * g.rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
+    }
+
     /// What the next rung would earn for its rate, and that rate; nothing at the top.
     fn step(&self, sub: &Subscription, rung: u8) -> Option<(f64, f64)> {
         if rung >= self.told.top(&sub.asked) {
@@ -701,13 +698,13 @@
     fn fleet_price(&self) -> f64 {
         let ready = self.streamers.iter().filter(|(_, s)| s.health == Health::Ready);
         let links: f64 = ready.map(|(id, _)| self.size(Pipe::Link(*id))).sum();
-        let racks = self.pipes.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
+        let racks = self.pipes.all.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
         let uplinks: f64 = racks.map(|uplink| self.size(*uplink)).sum();
         let mut left = MARK * links.min(uplinks) / self.told.balancers;
         let mut steps = Vec::new();
         for sub in self.subs.values().filter(|s| s.at.is_some()) {
             let fresh = Subscription { asked: sub.asked, ..Default::default() };
-            left -= self.rate(&sub.asked, self.told.floor(&sub.asked));
+            left -= self.told.rate(&sub.asked, self.told.floor(&sub.asked));
             steps.extend((self.told.floor(&sub.asked)..).map_while(|rung| self.step(&fresh, rung)));
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -729,8 +726,8 @@
             let Some(id) = sub.at.filter(|id| self.uplink(*id) == uplink) else { continue };
             let link = links.entry(id).or_insert_with(|| self.budget(Pipe::Link(id), joining == Some(id)));
             let floor = self.told.floor(&sub.asked);
-            *link -= self.rate(&sub.asked, floor);
-            left -= self.rate(&sub.asked, floor);
+            *link -= self.told.rate(&sub.asked, floor);
+            left -= self.told.rate(&sub.asked, floor);
             open.push((*job, sub, id, floor, next(sub, floor)));
         }
         loop {
@@ -754,10 +751,10 @@
         // What was learned from short delivery fades in some 20 s: the cause may be over.
         let quiet = |g: &&mut Gauge| g.short_at.is_none_or(|at| self.now > at + Duration::from_secs(7));
         let fade = beat.as_secs_f64() / 20.0;
-        self.pipes.values_mut().filter(quiet).for_each(|g| g.stretch += (1.0 - g.stretch) * fade);
+        self.pipes.all.values_mut().filter(quiet).for_each(|g| g.stretch += (1.0 - g.stretch) * fade);
         let own = self.subs.values().filter_map(|s| Some(self.uplink(s.at?)));
         for uplink in own.collect::<BTreeSet<_>>() {
-            let over = |c: &Self, pipe| c.gauge(pipe).asks > c.budget(pipe, false) + 1e-6;
+            let over = |c: &Self, pipe| c.pipes.of(pipe).asks > c.budget(pipe, false) + 1e-6;
             let over_uplink = over(self, uplink);
             for (job, rung) in self.fill(uplink, None) {
                 let Some(sub) = self.subs.get_mut(&job) else { continue };
@@ -804,7 +801,7 @@
     fn move_gain(
         &self, sub: &Subscription, (a, la, delivered): (StreamerId, f64, f64), (y, lb): (StreamerId, f64),
     ) -> f64 {
-        let rate = |rung| self.rate(&sub.asked, rung);
+        let rate = |rung| self.told.rate(&sub.asked, rung);
         let x = rate(sub.rung) * self.hint_factor(sub) / self.size(Pipe::Link(y));
         let (link, uplink) = (Pipe::Link(y), self.uplink(y));
         let fits = |pipe, rung| self.use_of(pipe) + rate(rung) / self.size(pipe) < self.mark(pipe);
@@ -814,8 +811,8 @@
         }
         let best = (sub.rung..=self.told.top(&sub.asked)).rev().find(room).unwrap_or(sub.rung);
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
-        let kept = self.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
-        let higher = self.earns(&sub.asked, best) - kept;
+        let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
+        let higher = self.told.earns(&sub.asked, best) - kept;
         // The mean life so far; half a minute is taken for it before some have ended.
         let life = if self.lived.1 > 4.0 { self.lived.0 / self.lived.1 } else { 30.0 };
         let age = self.now - sub.taken;
@@ -826,6 +823,6 @@
         };
         let price = self.told.figure("/prices/moves", 0.0) * self.told.usual_benefit() * life;
         // Gains are reckoned from rough figures; and a second is lost on the way.
-        0.7 * higher * left - price - self.earns(&sub.asked, sub.rung)
+        0.7 * higher * left - price - self.told.earns(&sub.asked, sub.rung)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,9 +1,10 @@
 //! Plain records that the decisions keep. Nothing is decided here.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::interface::{Asked, Health, StreamerId};
+use crate::told::Told;
 
 /// What can be asked for more than it gives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +18,7 @@
 pub struct Gauge {
     /// What all others ask of it, as last worked out.
     pub others: f64,
+    pub measured_at: Duration,
     /// Whether its use was ever measured.
     pub measured: bool,
     /// What this instance asks of it now, and what it asked from when on.
@@ -36,12 +38,47 @@
 }
 
 /// What stands for a pipe that was never named.
-pub static UNKNOWN: Gauge = Gauge::new();
+static UNKNOWN: Gauge = Gauge::new();
+
+/// All pipes.
+#[derive(Default)]
+pub struct Pipes {
+    pub all: BTreeMap<Pipe, Gauge>,
+}
+
+impl Pipes {
+    pub fn of(&self, pipe: Pipe) -> &Gauge {
+        self.all.get(&pipe).unwrap_or(&UNKNOWN)
+    }
+
+    /// Notes a change of what this instance asks of a pipe.
+    pub fn ask(&mut self, pipe: Pipe, more: f64, now: Duration) {
+        if let Some(g) = self.all.get_mut(&pipe) {
+            g.asks += more;
+            g.note(now, Duration::from_secs(10));
+        }
+    }
+
+    /// Notes anew what pipes there are, their stated sizes, and who is behind each uplink.
+    pub fn lay(&mut self, streamers: &BTreeMap<StreamerId, Streamer>, told: &Told) {
+        let ready = streamers.values().filter(|s| s.health == Health::Ready);
+        let places: f64 = ready.map(|s| told.places(s.kind)).sum();
+        self.all.values_mut().for_each(|g| g.rack.clear());
+        for (id, s) in streamers {
+            let link = told.stated_link(s.weight, s.kind, places);
+            self.all.entry(Pipe::Link(*id)).or_default().stated = link;
+            let uplink = self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default();
+            uplink.stated = told.figure("/familyInfo/uplinkKb", 1e12);
+            uplink.rack.push(*id);
+        }
+    }
+}
 
 impl Gauge {
     pub const fn new() -> Self {
         Self {
             others: 0.0,
+            measured_at: Duration::ZERO,
             measured: false,
             asks: 0.0,
             asked: VecDeque::new(),
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -59,6 +59,11 @@
         self.options.pointer("/profiles")?.get(room_type)?.get(key)
     }
 
+    /// One word of a room type's entry.
+    pub fn word(&self, asked: &Asked, key: &str) -> &str {
+        self.of(asked.room_type, key).and_then(Value::as_str).unwrap_or("")
+    }
+
     pub fn text(&self, path: &str) -> &str {
         self.options.pointer(path).and_then(Value::as_str).unwrap_or("")
     }
@@ -131,6 +136,14 @@
         ladder.copied().unwrap_or((1.0, 1.0))
     }
 
+    pub fn rate(&self, asked: &Asked, rung: u8) -> f64 {
+        self.rung(asked.room_type, rung).0
+    }
+
+    pub fn earns(&self, asked: &Asked, rung: u8) -> f64 {
+        self.rung(asked.room_type, rung).1
+    }
+
     /// What a second at the highest rung earns, over all room types.
     pub fn usual_benefit(&self) -> f64 {
         let tops = self.ladders.iter().filter_map(|l| l.last()).map(|top| top.1);
