Rule 4 by turns of whole joins; what is not heard of is as full as what is

Cause: a 1/balancers part of a cold streamer's budget is under one join at a hundred controllers, so cold streamers stayed unused; and links without a note counted as empty, so that all went there. Turns: each balancers-th whole join of half the budget is one instance's, good for a window (test with 120 controllers side by side).

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -12,7 +12,7 @@
 
 use crate::chance::Chance;
 use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
-use crate::state::{Gauge, Pipe, Pipes, Streamer, Subscription};
+use crate::state::{mean, Gauge, Pipe, Pipes, Streamer, Subscription};
 use crate::told::Told;
 
 /// Share of a pipe that rungs may fill. The design has 0.9; delivery is whole up to 0.98, and 0.95 to 1.0 did
@@ -30,7 +30,6 @@
 pub struct Controller {
     now: Duration,
     born: Duration,
-    /// The settings, as they came.
     told: Told,
     chance: Chance,
     streamers: BTreeMap<StreamerId, Streamer>,
@@ -53,6 +52,8 @@
     hints: (f64, f64),
     /// What the fleet's last step earns for its rate.
     price: f64,
+    /// How full others make the usual uplink and the usual link.
+    usual_use: [f64; 2],
     /// One throw a round decides all steps by chance, so that a link and its uplink agree.
     dice: f64,
 }
@@ -93,6 +94,7 @@
         let beat = Duration::from_millis(200);
         self.beat_at = self.now + beat;
         out.remind(beat, TOKEN_BEAT);
+        self.note_usual_use();
         self.price = self.fleet_price();
         self.shape(beat, out);
         if self.now >= self.move_at {
@@ -126,8 +128,7 @@
         let every = self.told.span("/familyInfo/toldEveryUs", Duration::from_secs(3));
         let stepped = (self.now + every + self.told.late()).saturating_sub(REST);
         let (taken, plays, noted) = (self.now, true, true);
-        let sub = Subscription { asked, taken, stepped, plays, noted, ..Default::default() };
-        self.subs.insert(job, sub);
+        self.subs.insert(job, Subscription { asked, taken, stepped, plays, noted, ..Default::default() });
         self.settle(job, Some(streamer), self.told.floor(&asked));
     }
 
@@ -202,6 +203,7 @@
         if came_up > s.came_up {
             // A fresh start: what was held against the old process is void.
             (s.served, s.terminated, s.away_until, s.broke) = (0.0, 0.0, Duration::ZERO, None);
+            self.pipes.all.entry(Pipe::Link(id)).or_default().measured = false;
         }
         (s.zone, s.kind, s.cell, s.health, s.weight, s.came_up) = (zone, kind, cell, health, weight, came_up);
         s.listed = true;
@@ -222,24 +224,21 @@
 
     // ---- pipes: what is asked of links and uplinks ----
 
-    /// Share of its capacity that a streamer has warmed to. How it grows is not told: the square lies under
-    /// a straight line, so it errs to the safe side.
-    fn warmth(&self, s: &Streamer) -> f64 {
-        let whole = self.told.warm_up.as_secs_f64();
-        if s.came_up.is_zero() || self.now >= s.came_up + self.told.warm_up {
+    /// Share of its capacity that a link has warmed to. How it grows is not told: the square lies under a
+    /// straight line, so it errs to the safe side.
+    fn warmth(&self, pipe: Pipe) -> f64 {
+        let Pipe::Link(id) = pipe else { return 1.0 };
+        let came_up = self.streamers.get(&id).map_or(Duration::ZERO, |s| s.came_up);
+        if came_up.is_zero() || self.now >= came_up + self.told.warm_up {
             return 1.0;
         }
-        let age = self.now.saturating_sub(s.came_up).as_secs_f64();
-        self.told.cold_from + (1.0 - self.told.cold_from) * (age / whole).powi(2)
+        let grown = self.now.saturating_sub(came_up).as_secs_f64() / self.told.warm_up.as_secs_f64();
+        self.told.cold_from + (1.0 - self.told.cold_from) * grown.powi(2)
     }
 
     fn size(&self, pipe: Pipe) -> f64 {
-        let warmth = match pipe {
-            Pipe::Link(id) => self.streamers.get(&id).map_or(1.0, |s| self.warmth(s)),
-            Pipe::Uplink(_) => 1.0,
-        };
         let g = self.pipes.of(pipe);
-        (g.stated * warmth * g.stretch).max(1.0)
+        (g.stated * self.warmth(pipe) * g.stretch).max(1.0)
     }
 
     fn uplink(&self, id: StreamerId) -> Pipe {
@@ -250,22 +249,34 @@
         self.pipes.of(uplink).rack.iter().copied()
     }
 
-    /// What others ask of a pipe: as measured, or for an uplink the sum of what they ask of its links.
+    /// What others ask of a pipe: as measured, or for an uplink the sum over its links. A measure counts for
+    /// 10 s, some notes' time, and is gone after 20: what is not heard of is taken to be as full as what is,
+    /// and a cold link to have filled as it warmed.
     fn others(&self, pipe: Pipe) -> f64 {
-        match pipe {
-            Pipe::Uplink(_) if !self.pipes.of(pipe).measured => {
-                self.in_rack(pipe).map(|id| self.pipes.of(Pipe::Link(id)).others).sum()
-            }
-            _ => self.pipes.of(pipe).others,
-        }
+        let (g, link) = (self.pipes.of(pipe), matches!(pipe, Pipe::Link(_)));
+        if !link && !g.measured {
+            return self.in_rack(pipe).map(|id| self.others(Pipe::Link(id))).sum();
+        }
+        let age = self.now.saturating_sub(g.measured_at).as_secs_f64();
+        let fresh = if g.measured { (2.0 - age / 10.0).clamp(0.0, 1.0) } else { 0.0 };
+        let usual = self.usual_use[usize::from(link)] * self.warmth(pipe);
+        fresh * g.others + (1.0 - fresh) * usual * self.size(pipe)
+    }
+
+    /// What others ask of uplinks and of links, on the mean of those measured in the last 10 s.
+    fn note_usual_use(&mut self) {
+        let fresh = |g: &Gauge| g.measured && self.now < g.measured_at + Duration::from_secs(10);
+        self.usual_use = [false, true].map(|link| {
+            let kind = self.pipes.all.iter().filter(|(p, g)| matches!(p, Pipe::Link(_)) == link && fresh(g));
+            mean(kind.map(|(p, g)| g.others / self.size(*p))).unwrap_or(self.usual_use[usize::from(link)])
+        });
     }
 
     fn use_of(&self, pipe: Pipe) -> f64 {
         (self.others(pipe) + self.pipes.of(pipe).asks) / self.size(pipe)
     }
 
-    /// The mark is lowered for a while after short delivery, by less and for a shorter time than the design
-    /// has it (0.1 for 60 s): most causes are gone within half a usual life.
+    /// Lowered after short delivery by less than the design's 0.1 for 60 s: most causes are gone sooner.
     fn mark(&self, pipe: Pipe) -> f64 {
         let lowered = self.pipes.of(pipe).short_at.is_some_and(|at| self.now < at + Duration::from_secs(15));
         MARK - if lowered { 0.05 } else { 0.0 }
@@ -274,13 +285,10 @@
     /// Sets where a subscription is and at which rung; all sums of what is asked are kept here.
     fn settle(&mut self, job: JobId, at: Option<StreamerId>, rung: u8) {
         let Some(sub) = self.subs.get(&job) else { return };
-        let (was, less, more) =
-            (sub.at, self.told.rate(&sub.asked, sub.rung), self.told.rate(&sub.asked, rung));
-        for (id, rate) in [(was, -less), (at, more)] {
-            let Some(id) = id else { continue };
-            for pipe in [Pipe::Link(id), self.uplink(id)] {
-                self.pipes.ask(pipe, rate, self.now);
-            }
+        let rate = |rung| self.told.rate(&sub.asked, rung);
+        for (id, more) in [(sub.at, -rate(sub.rung)), (at, rate(rung))] {
+            let pipes = id.map(|id| [Pipe::Link(id), self.uplink(id)]);
+            pipes.into_iter().flatten().for_each(|pipe| self.pipes.ask(pipe, more, self.now));
         }
         self.subs.entry(job).and_modify(|sub| (sub.at, sub.rung) = (at, rung));
     }
@@ -306,42 +314,36 @@
         g.others = (ratio * size - g.asked_at(then)).max(0.0);
         (g.measured, g.measured_at) = (true, self.now);
         self.allow(pipe);
-        let Pipe::Link(id) = pipe else { return };
-        let uplink = self.uplink(id);
-        if !self.pipes.of(uplink).measured {
-            self.learn_larger(uplink);
-            self.allow(uplink);
+        if let Pipe::Link(id) = pipe {
+            self.learn_larger(self.uplink(id));
         }
     }
 
     /// Much asked of an unseen uplink and no word of short delivery in its time: it gives more than thought.
     fn learn_larger(&mut self, uplink: Pipe) {
         let (late, size, others) = (self.told.late(), self.size(uplink), self.others(uplink));
-        let Some(g) = self.pipes.all.get_mut(&uplink) else { return };
+        let Some(g) = self.pipes.all.get_mut(&uplink).filter(|g| !g.measured) else { return };
         let asked = g.asked_at(self.now.saturating_sub(late)) + others;
         let quiet = g.short_at.is_none_or(|at| self.now > at + late + Duration::from_secs(1));
         if asked > 0.97 * size && quiet {
             g.stretch *= 0.5 * (1.0 + asked / (0.97 * size));
         }
+        self.allow(uplink);
     }
 
     /// What one step of this instance's subscriptions on a pipe is, on the mean.
     fn usual_step(&self, pipe: Pipe, up: bool) -> f64 {
         let on = |id| pipe == Pipe::Link(id) || pipe == self.uplink(id);
-        let rate = |sub: &Subscription, rung| self.told.rate(&sub.asked, rung);
-        let step = |sub: &Subscription| match up {
-            true => rate(sub, sub.rung + 1) - rate(sub, sub.rung),
-            false => rate(sub, sub.rung) - rate(sub, sub.rung.saturating_sub(1)),
-        };
+        let (top, under) = (|s: &Subscription| self.told.top(&s.asked), |s: &Subscription| s.rung.max(1) - 1);
+        let next = |s: &Subscription| if up { top(s).min(s.rung + 1) } else { under(s) };
+        let step = |s: &Subscription| self.told.rate(&s.asked, next(s)) - self.told.rate(&s.asked, s.rung);
         let own = self.subs.values().filter(|s| s.plays && s.at.is_some_and(on));
-        let (sum, count) = own.fold((0.0, 0.0), |(sum, count), sub| (sum + step(sub).max(0.0), count + 1.0));
-        sum / f64::max(count, 1.0)
+        mean(own.map(|s| step(s).abs())).unwrap_or(0.0)
     }
 
-    /// What this instance may ask until the next measure. All who play there see the same measure at once: over
-    /// the mark each gives back its part of the excess, by what it asks, then waits until a measure can show
-    /// what all gave back; under it each takes its part of the room. A part smaller than a step is a whole
-    /// step by chance, so that few steps are taken in all, be there three controllers or hundreds.
+    /// What this instance may ask until the next measure, which all who play there see at once: each gives back
+    /// its part of an excess, then waits until that can show, or takes its part of the room. A part smaller
+    /// than a step is a whole step by chance, be there three controllers or hundreds.
     fn allow(&mut self, pipe: Pipe) {
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
         const BAND: f64 = 0.1;
@@ -370,10 +372,9 @@
         noted.filter(|(at, _)| self.now < *at + Duration::from_millis(1500)).map_or(1.0, |(_, share)| share)
     }
 
-    /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that
-    /// this instance hears of deliver short. Else the streamer itself ails, whatever the cause: it is set
-    /// aside, and what plays there may move; lower rungs would not help. Harm: a lone streamer in a rack is
-    /// blamed for its uplink for some seconds.
+    /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that this
+    /// instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays there
+    /// may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink for seconds.
     fn short(&mut self, id: StreamerId, delivered: f64) {
         let delivered = delivered.max(0.01);
         self.streamers.entry(id).and_modify(|s| s.delivered = (self.now, delivered));
@@ -392,8 +393,8 @@
         self.fell_short(uplink, best);
     }
 
-    /// A pipe that delivers this share was asked for so much more than it gives, whatever was last measured:
-    /// reports may be late or stay out. An uplink that nobody measures is learned to be that small.
+    /// A pipe that delivers this share was asked for so much more, whatever was last measured: reports may be
+    /// late or stay out. An uplink that nobody measures is learned to be that small.
     fn fell_short(&mut self, pipe: Pipe, delivered: f64) {
         let (late, size, others) = (self.told.late(), self.size(pipe), self.others(pipe));
         let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
@@ -464,31 +465,37 @@
         }
     }
 
-    /// It comes back after a fixed time with a random part: short, since a try at a dead streamer costs
-    /// little, and random, so that controllers do not come back as one.
+    /// It comes back after a fixed time, short since a try at a dead streamer costs little, with a random part.
     fn set_aside(&mut self, id: StreamerId) {
         let until = self.now + Duration::from_secs(4) + self.chance.span(Duration::from_secs(3));
         self.streamers.entry(id).and_modify(|s| s.away_until = s.away_until.max(until));
     }
 
-    /// Rule 4: whether one more join may go to a streamer that is, or may be, cold. This controller's part is
-    /// 1/`balancers` of what the window allows at the warmth of now, the join included; no burst.
-    fn cold_allows(&self, s: &Streamer) -> bool {
-        let (whole, window) = (self.told.warm_up, self.told.window);
-        if whole.is_zero() || window.is_zero() {
-            return true;
-        }
+    /// Rule 4: whether one more join may go to a streamer that is, or may be, cold. What all may send is counted
+    /// in whole joins from the start on, and each `balancers`th is this instance's turn, its first by streamer
+    /// and instance. A turn is good for one window, so half the budget is dealt: all together stay under it.
+    fn cold_allows(&self, id: StreamerId, s: &Streamer) -> bool {
+        let (whole, window) = (self.told.warm_up.as_secs_f64(), self.told.window);
         let sent_within = |span: Duration| s.sent.iter().filter(|t| **t + span > self.now).count() as f64;
-        let age = self.now.saturating_sub(s.came_up);
-        if !s.came_up.is_zero() && age < whole {
-            let pace = self.told.multiple * self.told.places(s.kind) / whole.as_secs_f64();
-            let part = pace * window.min(age).as_secs_f64() * self.warmth(s) / self.told.balancers;
-            return sent_within(window) + 1.0 <= part && self.now >= self.born + window;
-        }
-        // A start may have gone unseen: after trouble, or before this instance's birth. One join at a time.
-        let unsure = s.broke.is_some_and(|broke| self.now < broke + whole + whole)
-            || (!self.handed_over && self.now < self.born + whole);
-        !unsure || sent_within(window + window) < 1.0
+        let cold = !s.came_up.is_zero() && self.now < s.came_up + self.told.warm_up;
+        // Trouble may mean a start that the list has not told yet.
+        let broke = s.broke.is_some_and(|broke| self.now < broke + self.told.warm_up * 2);
+        if whole <= 0.0 || window.is_zero() || !cold && !broke {
+            // So may a time before this instance's birth; who knows nothing spreads its joins by itself.
+            let late_born = !self.handed_over && self.now < self.born + self.told.warm_up;
+            return !late_born || sent_within(window + window) < 1.0;
+        }
+        let (from, since) = (self.told.cold_from, if cold { s.came_up } else { Duration::ZERO });
+        let grows = if cold { (1.0 - from) / (3.0 * whole * whole) } else { 0.0 };
+        let pace = 0.5 * self.told.multiple * self.told.places(s.kind) / whole;
+        let ip = u32::from(*id.ip()).rotate_left(7) ^ u32::from(id.port()) ^ s.came_up.as_micros() as u32;
+        let first = f64::from(ip.wrapping_mul(2_654_435_769) >> 12) + self.told.figure("/me", 0.0);
+        let turns = |at: Duration| {
+            let age = at.saturating_sub(since).as_secs_f64();
+            ((pace * (from * age + grows * age.powi(3)) + first) / self.told.balancers).floor()
+        };
+        let own = turns(self.now) - turns(self.now.saturating_sub(window));
+        own > sent_within(window) && self.now >= self.born + window
     }
 
     // ---- placing ----
@@ -520,7 +527,7 @@
             && s.full_until <= self.now
             && self.holds(&sub.asked, s)
             && self.effect_allows(sub, id)
-            && self.cold_allows(s)
+            && self.cold_allows(id, s)
     }
 
     /// The least loaded holder that may be used; one that is set aside only when there is no other.
@@ -554,12 +561,11 @@
             _ => false,
         };
         match self.told.word(&sub.asked, "effect") {
-            "single_shot" => sub.ran.is_empty(),
+            "single_shot" => false,
             "guarded" => {
                 let window =
-                    self.told.of(sub.asked.room_type, "windowUs").and_then(Value::as_u64).unwrap_or(0);
-                let until = |sent: Duration| sent + Duration::from_micros(window);
-                sub.ran.iter().all(|(at, sent)| same_group(*at) && self.now <= until(*sent))
+                    self.told.span(&format!("/profiles/{}/windowUs", sub.asked.room_type), Duration::ZERO);
+                sub.ran.iter().all(|(at, sent)| same_group(*at) && self.now <= *sent + window)
             }
             _ => true,
         }
@@ -658,18 +664,15 @@
     // ---- rungs ----
 
     /// What this instance may ask of a pipe between measures: its allowance, for a join its part of the room
-    /// among all that may have joined on the same measure, and never less than it asks while that stays
-    /// under the mark.
+    /// among all that may have joined since, and never less than it asks while that is under the mark.
     fn budget(&self, pipe: Pipe, joining: bool) -> f64 {
         let g = self.pipes.of(pipe);
         let room = self.mark(pipe) * self.size(pipe) - self.others(pipe);
-        if joining {
-            g.allowance.max(g.asks + (room - g.asks) / (1.0 + self.rivals(pipe)))
-        } else if g.asks <= room {
-            g.allowance.max(g.asks)
-        } else {
-            g.allowance
-        }
+        g.allowance.max(match joining {
+            true => g.asks + (room - g.asks) / (1.0 + self.rivals(pipe)),
+            false if g.asks <= room => g.asks,
+            false => 0.0,
+        })
     }
 
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
@@ -738,9 +741,7 @@
                 *step = None;
                 continue;
             };
-            *link -= rate;
-            left -= rate;
-            *rung += 1;
+            (*link, left, *rung) = (*link - rate, left - rate, *rung + 1);
             *step = next(sub, *rung);
         }
         open.into_iter().map(|o| (o.0, o.3)).collect()
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -67,9 +67,16 @@
         for (id, s) in streamers {
             let link = told.stated_link(s.weight, s.kind, places);
             self.all.entry(Pipe::Link(*id)).or_default().stated = link;
-            let uplink = self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default();
-            uplink.stated = told.figure("/familyInfo/uplinkKb", 1e12);
-            uplink.rack.push(*id);
+            self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default().rack.push(*id);
+        }
+        // Only the mean uplink is told: a rack's goes by its links.
+        let links = |g: &Gauge| g.rack.iter().map(|id| self.of(Pipe::Link(*id)).stated).sum::<f64>();
+        let racks: Vec<_> =
+            self.all.iter().filter(|(_, g)| !g.rack.is_empty()).map(|(p, g)| (*p, links(g))).collect();
+        let usual = mean(racks.iter().map(|rack| rack.1)).unwrap_or(1.0);
+        for (pipe, links) in racks {
+            let stated = told.figure("/familyInfo/uplinkKb", 1e12) * links / usual;
+            self.all.entry(pipe).and_modify(|g| g.stated = stated);
         }
     }
 }
@@ -177,3 +184,8 @@
     pub ran: Vec<(StreamerId, Duration)>,
     pub tried: Vec<StreamerId>,
 }
+
+pub fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    (count > 0.0).then(|| sum / count)
+}
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -360,8 +360,8 @@
 fn a_holder_set_aside_is_used_where_there_is_no_other() {
     let mut day = Day::new(settings("free", "all"));
     day.all_listed();
-    let lost = day.take(asked(1, 0, 1), Some(streamer(0)));
-    day.round(|c, _| c.outcome(lost, streamer(0), 0, Ending::Reset, true, ms(1000), &[]));
+    let short = day.take(asked(1, 0, 1), Some(streamer(0)));
+    day.round(|c, _| c.progress(short, streamer(0), 1, 0.5));
     let job = day.take(asked(1, 0, 1), None);
     assert_eq!(day.out(job), Some(streamer(0)));
 }
@@ -418,3 +418,31 @@
     day.pass(ms(400));
     assert!(day.model.steps > 0, "rungs fall by what was delivered");
 }
+
+#[test]
+fn a_cold_streamer_is_neither_pushed_nor_left_unused_by_many_controllers() {
+    let many = 120;
+    let day = |me: usize| {
+        let mut told = settings("free", "all");
+        (told["balancers"], told["me"]) = (json!(many), json!(me));
+        Day::new(told)
+    };
+    let mut days: Vec<Day> = (0..many).map(day).collect();
+    let start = ms(103_000);
+    for day in &mut days {
+        day.pass(ms(3000));
+        day.list(0, Health::Ready, start);
+        for _ in 0..10 {
+            let job = day.take(asked(1, 0, 1), None);
+            day.pass(ms(1000));
+            day.ends(job, Ending::Served);
+        }
+    }
+    let sends: Vec<Duration> = days.iter().flat_map(|d| &d.model.sends).map(|s| s.0).collect();
+    assert!(sends.len() >= 10, "only {} joins in a whole warm-up", sends.len());
+    for to in sends.iter().filter(|t| **t < start + ms(10_000)) {
+        let warm = 0.4 + 0.6 * ((*to - start).as_secs_f64() / 10.0).powi(2);
+        let within = sends.iter().filter(|t| *t <= to && **t + ms(2000) > *to).count();
+        assert!(within as f64 <= 2.5 * 20.0 / 10.0 * warm * 2.0 + 1.0, "{within} joins in a window");
+    }
+}
