Placing and moving among streamers heard of and some three drawn from the rest

And a first note made guesses of all other pipes, by which rungs were cut at the start: a guess now lowers none. A cold streamer's part is in whole joins again where it is one or more, by turns below that. Each has its test, seen failing without it.

--- a/crates/core/src/chance.rs
+++ b/crates/core/src/chance.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::interface::StreamerId;
+
 #[derive(Default)]
 pub struct Chance(pub u64);
 
@@ -18,3 +20,9 @@
         most.mul_f64(self.share())
     }
 }
+
+/// A whole number that differs by streamer and start, the same for every instance.
+pub fn scattered(id: StreamerId, came_up: Duration) -> f64 {
+    let mix = u32::from(*id.ip()).rotate_left(7) ^ u32::from(id.port()) ^ came_up.as_micros() as u32;
+    f64::from(mix.wrapping_mul(2_654_435_769) >> 12)
+}
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -10,13 +10,12 @@
 
 use serde_json::{Map, Value};
 
-use crate::chance::Chance;
+use crate::chance::{scattered, Chance};
 use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
 use crate::state::{mean, Gauge, Pipe, Pipes, Streamer, Subscription};
 use crate::told::Told;
 
-/// Share of a pipe that rungs may fill. The design has 0.9; delivery is whole up to 0.98, and 0.95 to 1.0 did
-/// better on all deployments than 0.84, 0.9 or 1.05.
+/// Share of a pipe that rungs may fill: 0.95 to 1.0 did better on all than 0.84, the design's 0.9 and 1.05.
 const MARK: f64 = 0.97;
 /// The design's tick.
 const MOVE_TICK: Duration = Duration::from_secs(5);
@@ -115,9 +114,8 @@
     pub fn knock(&mut self, job: JobId, asked: Asked) {
         self.knocks.push_back(self.now);
         self.taken += 1.0;
-        if let Some(hint) = asked.hinted {
-            self.hints = (self.hints.0 + hint.as_secs_f64(), self.hints.1 + 1.0);
-        }
+        let hint = asked.hinted.map_or((0.0, 0.0), |hint| (hint.as_secs_f64(), 1.0));
+        self.hints = (self.hints.0 + hint.0, self.hints.1 + hint.1);
         self.subs.insert(job, Subscription { asked, taken: self.now, ..Default::default() });
         self.due.insert((self.now, job));
     }
@@ -201,7 +199,7 @@
     ) {
         let s = self.streamers.entry(id).or_insert_with(|| Streamer::new(health, self.now));
         if came_up > s.came_up {
-            // A fresh start: what was held against the old process is void.
+            // What was held against the old process is void.
             (s.served, s.terminated, s.away_until, s.broke) = (0.0, 0.0, Duration::ZERO, None);
             self.pipes.all.entry(Pipe::Link(id)).or_default().measured = false;
         }
@@ -224,8 +222,7 @@
 
     // ---- pipes: what is asked of links and uplinks ----
 
-    /// Share of its capacity that a link has warmed to. How it grows is not told: the square lies under a
-    /// straight line, so it errs to the safe side.
+    /// Share of its capacity that a link has warmed to: how is not told, and the square errs to the safe side.
     fn warmth(&self, pipe: Pipe) -> f64 {
         let Pipe::Link(id) = pipe else { return 1.0 };
         let came_up = self.streamers.get(&id).map_or(Duration::ZERO, |s| s.came_up);
@@ -245,17 +242,12 @@
         Pipe::Uplink(self.streamers.get(&id).map_or(0, |s| s.cell % self.told.racks))
     }
 
-    fn in_rack(&self, uplink: Pipe) -> impl Iterator<Item = StreamerId> + '_ {
-        self.pipes.of(uplink).rack.iter().copied()
-    }
-
     /// What others ask of a pipe: as measured, or for an uplink the sum over its links. A measure counts for
-    /// 10 s, some notes' time, and is gone after 20: what is not heard of is taken to be as full as what is,
-    /// and a cold link to have filled as it warmed.
+    /// 10 s, some notes' time, and is gone after 20: what is not heard of is taken to be as full as what is.
     fn others(&self, pipe: Pipe) -> f64 {
         let (g, link) = (self.pipes.of(pipe), matches!(pipe, Pipe::Link(_)));
         if !link && !g.measured {
-            return self.in_rack(pipe).map(|id| self.others(Pipe::Link(id))).sum();
+            return g.rack.iter().map(|id| self.others(Pipe::Link(*id))).sum();
         }
         let age = self.now.saturating_sub(g.measured_at).as_secs_f64();
         let fresh = if g.measured { (2.0 - age / 10.0).clamp(0.0, 1.0) } else { 0.0 };
@@ -334,8 +326,8 @@
     /// What one step of this instance's subscriptions on a pipe is, on the mean.
     fn usual_step(&self, pipe: Pipe, up: bool) -> f64 {
         let on = |id| pipe == Pipe::Link(id) || pipe == self.uplink(id);
-        let (top, under) = (|s: &Subscription| self.told.top(&s.asked), |s: &Subscription| s.rung.max(1) - 1);
-        let next = |s: &Subscription| if up { top(s).min(s.rung + 1) } else { under(s) };
+        let next =
+            |s: &Subscription| if up { self.told.top(&s.asked).min(s.rung + 1) } else { s.rung.max(1) - 1 };
         let step = |s: &Subscription| self.told.rate(&s.asked, next(s)) - self.told.rate(&s.asked, s.rung);
         let own = self.subs.values().filter(|s| s.plays && s.at.is_some_and(on));
         mean(own.map(|s| step(s).abs())).unwrap_or(0.0)
@@ -385,8 +377,9 @@
         if self.use_of(link) > 0.9 {
             return self.fell_short(link, delivered);
         }
-        let heard = self.in_rack(uplink).filter(|peer| self.pipes.of(Pipe::Link(*peer)).asks > 0.0);
-        let best = heard.map(|peer| self.delivered(peer)).fold(delivered, f64::max);
+        let rack = self.pipes.of(uplink).rack.iter();
+        let heard = rack.filter(|peer| self.pipes.of(Pipe::Link(**peer)).asks > 0.0);
+        let best = heard.map(|peer| self.delivered(*peer)).fold(delivered, f64::max);
         if best >= 0.98 || self.use_of(uplink) < 0.6 {
             return self.set_aside(id);
         }
@@ -471,9 +464,10 @@
         self.streamers.entry(id).and_modify(|s| s.away_until = s.away_until.max(until));
     }
 
-    /// Rule 4: whether one more join may go to a streamer that is, or may be, cold. What all may send is counted
-    /// in whole joins from the start on, and each `balancers`th is this instance's turn, its first by streamer
-    /// and instance. A turn is good for one window, so half the budget is dealt: all together stay under it.
+    /// Rule 4: whether one more join may go to a streamer that is, or may be, cold. This instance's part is
+    /// 1/`balancers` of what the window allows. A part under one whole join comes by turns: half of what all
+    /// may send is counted in whole joins from the start on, and each `balancers`th is this instance's, good
+    /// for one window. Either way all together stay under the budget, each keeping it alone.
     fn cold_allows(&self, id: StreamerId, s: &Streamer) -> bool {
         let (whole, window) = (self.told.warm_up.as_secs_f64(), self.told.window);
         let sent_within = |span: Duration| s.sent.iter().filter(|t| **t + span > self.now).count() as f64;
@@ -487,23 +481,20 @@
         }
         let (from, since) = (self.told.cold_from, if cold { s.came_up } else { Duration::ZERO });
         let grows = if cold { (1.0 - from) / (3.0 * whole * whole) } else { 0.0 };
-        let pace = 0.5 * self.told.multiple * self.told.places(s.kind) / whole;
-        let ip = u32::from(*id.ip()).rotate_left(7) ^ u32::from(id.port()) ^ s.came_up.as_micros() as u32;
-        let first = f64::from(ip.wrapping_mul(2_654_435_769) >> 12) + self.told.figure("/me", 0.0);
-        let turns = |at: Duration| {
+        let pace = self.told.multiple * self.told.places(s.kind) / whole;
+        let sendable = |at: Duration| {
             let age = at.saturating_sub(since).as_secs_f64();
-            ((pace * (from * age + grows * age.powi(3)) + first) / self.told.balancers).floor()
+            pace * (from * age + grows * age.powi(3)) / self.told.balancers
         };
-        let own = turns(self.now) - turns(self.now.saturating_sub(window));
-        own > sent_within(window) && self.now >= self.born + window
+        let before = self.now.saturating_sub(window);
+        let first = (scattered(id, s.came_up) + self.told.figure("/me", 0.0)) / self.told.balancers;
+        let turns = |at: Duration| (0.5 * sendable(at) + first).floor();
+        let part = f64::max(sendable(self.now) - sendable(before), turns(self.now) - turns(before));
+        sent_within(window) + 1.0 <= part && self.now >= self.born + window
     }
 
     // ---- placing ----
 
-    fn holds(&self, asked: &Asked, s: &Streamer) -> bool {
-        asked.held_by(s.cell, self.told.cells)
-    }
-
     /// The design's load: remaining work over capacity. An uplink binds like a link.
     fn load(&self, id: StreamerId) -> f64 {
         let (link, uplink) = (Pipe::Link(id), self.use_of(self.uplink(id)));
@@ -525,26 +516,42 @@
         s.health == Health::Ready
             && s.listed
             && s.full_until <= self.now
-            && self.holds(&sub.asked, s)
+            && sub.asked.held_by(s.cell, self.told.cells)
             && self.effect_allows(sub, id)
             && self.cold_allows(id, s)
     }
 
+    /// Whether a streamer's link was lately measured; a cold one's joins come by turns, which spreads them too.
+    fn heard_of(&self, id: StreamerId) -> bool {
+        let g = self.pipes.of(Pipe::Link(id));
+        g.measured && self.now < g.measured_at + Duration::from_secs(10) || self.warmth(Pipe::Link(id)) < 1.0
+    }
+
+    /// Of these, all that this instance hears of and some three drawn from the rest. What it only guesses, all
+    /// others guess alike: were the least loaded taken, hundreds would go to one streamer or rack at once.
+    fn drawn(&mut self, ids: &[StreamerId]) -> BTreeSet<StreamerId> {
+        let unheard = ids.iter().filter(|id| !self.heard_of(**id)).count() as f64;
+        ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || self.heard_of(*id)).collect()
+    }
+
     /// The least loaded holder that may be used; one that is set aside only when there is no other.
     fn holder(&mut self, job: JobId) -> Option<StreamerId> {
-        let sub = self.subs.get(&job)?;
+        let sub = self.subs.get(&job)?.clone();
         let zone = self.told.figure("/zone", 0.0) as u16;
         let crossing = self.told.figure("/prices/crossZone", 0.0);
-        let usable = self.streamers.iter().filter(|(id, s)| self.usable(sub, **id, s));
-        let mut found: Vec<_> = usable
-            .map(|(id, s)| {
-                let far = if s.zone == zone { 0.0 } else { crossing };
-                (s.away_until > self.now || sub.tried.contains(id), self.load(*id) + far, *id)
-            })
-            .collect();
-        // All controllers see the same reports: a small random part keeps them from one choice.
-        found.iter_mut().for_each(|f| f.1 += 0.04 * self.chance.share());
-        found.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|f| f.2)
+        let usable = self.streamers.iter().filter(|(id, s)| self.usable(&sub, **id, s));
+        let ids: Vec<_> = usable.map(|(id, _)| *id).collect();
+        let drawn = self.drawn(&ids);
+        let mut best = None;
+        for id in ids {
+            let s = &self.streamers[&id];
+            let far = if s.zone == zone { 0.0 } else { crossing };
+            let last = (s.away_until > self.now || sub.tried.contains(&id), !drawn.contains(&id));
+            // All controllers see the same reports: a small random part keeps them from one choice.
+            let found = (last, self.load(id) + far + 0.04 * self.chance.share(), id);
+            best = best.filter(|best| *best <= found).or(Some(found));
+        }
+        best.map(|found| found.2)
     }
 
     /// Rule 2 for room types that must not be set up twice.
@@ -608,7 +615,7 @@
             return self.give_up(job, out);
         }
         let free = self.seat_free(&sub.asked) && (sub.joins == 0 || self.budget_allows());
-        let hope = |s: &Streamer| s.health == Health::Ready && self.holds(&sub.asked, s);
+        let hope = |s: &Streamer| s.health == Health::Ready && sub.asked.held_by(s.cell, self.told.cells);
         let hope = self.streamers.is_empty() || self.streamers.values().any(hope);
         match if free { self.holder(job) } else { None } {
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
@@ -626,14 +633,8 @@
         (sub.sent, sub.noted) = (now, false);
         sub.joins += 1;
         let sub = sub.clone();
-        if sub.joins > 1 {
-            self.further.push_back(now);
-        }
-        if let Some(s) = self.streamers.get_mut(&id) {
-            s.sent.push_back(now);
-            // Kept far past any window that is counted over.
-            s.sent.retain(|t| *t + Duration::from_secs(30) > now);
-        }
+        self.further.extend((sub.joins > 1).then_some(now));
+        self.streamers.entry(id).and_modify(|s| s.note_sent(now));
         let floor = self.told.floor(&sub.asked);
         self.settle(job, Some(id), floor);
         // The highest rung under the mark, shared with this instance's others there by what a step earns.
@@ -670,18 +671,17 @@
         let room = self.mark(pipe) * self.size(pipe) - self.others(pipe);
         g.allowance.max(match joining {
             true => g.asks + (room - g.asks) / (1.0 + self.rivals(pipe)),
-            false if g.asks <= room => g.asks,
+            // Nor before any measure: a guess lowers nothing.
+            false if g.asks <= room || g.allowance == 0.0 => g.asks,
             false => 0.0,
         })
     }
 
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
     fn rivals(&self, pipe: Pipe) -> f64 {
-        let g = self.pipes.of(pipe);
-        let since = g.measured_at.max(self.now.saturating_sub(Duration::from_secs(10)));
-        let pace = self.taken / (self.now - self.born).as_secs_f64().max(1.0);
-        let joins = pace * (self.told.balancers - 1.0) * (self.now - since).as_secs_f64();
-        joins * g.rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
+        let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).as_secs_f64().min(10.0);
+        let pace = self.taken / (self.now - self.born).as_secs_f64().max(1.0) * (self.told.balancers - 1.0);
+        pace * since * self.pipes.of(pipe).rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
     }
 
     /// What the next rung would earn for its rate, and that rate; nothing at the top.
@@ -702,8 +702,7 @@
         let ready = self.streamers.iter().filter(|(_, s)| s.health == Health::Ready);
         let links: f64 = ready.map(|(id, _)| self.size(Pipe::Link(*id))).sum();
         let racks = self.pipes.all.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
-        let uplinks: f64 = racks.map(|uplink| self.size(*uplink)).sum();
-        let mut left = MARK * links.min(uplinks) / self.told.balancers;
+        let mut left = MARK * links.min(racks.map(|rack| self.size(*rack)).sum()) / self.told.balancers;
         let mut steps = Vec::new();
         for sub in self.subs.values().filter(|s| s.at.is_some()) {
             let fresh = Subscription { asked: sub.asked, ..Default::default() };
@@ -778,8 +777,9 @@
         // The design's cap of two a tick.
         for _ in 0..2 {
             let mut best: Option<(f64, JobId)> = None;
-            let fit = self.streamers.iter().filter(|(_, s)| s.away_until <= self.now);
-            let fit: Vec<_> = fit.map(|(y, s)| (*y, s, self.load(*y))).collect();
+            let well = self.streamers.iter().filter(|(_, s)| s.away_until <= self.now);
+            let drawn = self.drawn(&well.map(|(y, _)| *y).collect::<Vec<_>>());
+            let fit: Vec<_> = drawn.iter().map(|y| (*y, &self.streamers[y], self.load(*y))).collect();
             for (job, sub) in self.subs.iter().filter(|(_, s)| s.plays && !s.asked.moved) {
                 let Some(a) = sub.at else { continue };
                 // What delivers short is at least that full, whatever the reports say.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -64,16 +64,22 @@
         let ready = streamers.values().filter(|s| s.health == Health::Ready);
         let places: f64 = ready.map(|s| told.places(s.kind)).sum();
         self.all.values_mut().for_each(|g| g.rack.clear());
+        let mut cells: BTreeMap<u32, f64> = BTreeMap::new();
         for (id, s) in streamers {
             let link = told.stated_link(s.weight, s.kind, places);
             self.all.entry(Pipe::Link(*id)).or_default().stated = link;
-            self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default().rack.push(*id);
+            cells.insert(s.cell, link);
+            let uplink = self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default();
+            if s.health != Health::Gone {
+                uplink.rack.push(*id);
+            }
         }
-        // Only the mean uplink is told: a rack's goes by its links.
-        let links = |g: &Gauge| g.rack.iter().map(|id| self.of(Pipe::Link(*id)).stated).sum::<f64>();
-        let racks: Vec<_> =
-            self.all.iter().filter(|(_, g)| !g.rack.is_empty()).map(|(p, g)| (*p, links(g))).collect();
-        let usual = mean(racks.iter().map(|rack| rack.1)).unwrap_or(1.0);
+        // Only the mean uplink is told: a rack's goes by the links that its cells have had.
+        let mut racks: BTreeMap<Pipe, f64> = BTreeMap::new();
+        cells
+            .iter()
+            .for_each(|(cell, link)| *racks.entry(Pipe::Uplink(cell % told.racks)).or_default() += link);
+        let usual = mean(racks.values().copied()).unwrap_or(1.0);
         for (pipe, links) in racks {
             let stated = told.figure("/familyInfo/uplinkKb", 1e12) * links / usual;
             self.all.entry(pipe).and_modify(|g| g.stated = stated);
@@ -166,6 +172,14 @@
     }
 }
 
+impl Streamer {
+    /// Keeps when a join was sent, far past any window that is counted over.
+    pub fn note_sent(&mut self, now: Duration) {
+        self.sent.push_back(now);
+        self.sent.retain(|t| *t + Duration::from_secs(30) > now);
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Subscription {
     pub asked: Asked,
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -196,6 +196,7 @@
 impl Day {
     fn new(told: Value) -> Self {
         let now = ms(100_000);
+        let seed = 7 + told["me"].as_u64().unwrap_or(0);
         let Value::Object(options) = told.clone() else { panic!("settings are an object") };
         let model = Model {
             now,
@@ -209,7 +210,7 @@
             steps: 0,
             shifted: Vec::new(),
         };
-        Self { controller: Controller::new(now, 7, options), model, next: 0 }
+        Self { controller: Controller::new(now, seed, options), model, next: 0 }
     }
 
     fn round(&mut self, arrivals: impl FnOnce(&mut Controller, &mut Model)) {
@@ -446,3 +447,39 @@
         assert!(within as f64 <= 2.5 * 20.0 / 10.0 * warm * 2.0 + 1.0, "{within} joins in a window");
     }
 }
+
+#[test]
+fn a_guess_lowers_no_rung() {
+    let mut day = Day::new(settings("free", "all"));
+    day.all_listed();
+    let jobs: Vec<_> = [0, 1, 1].iter().map(|n| day.take(asked(0, 0, 3), Some(streamer(*n)))).collect();
+    for (job, n) in jobs.iter().zip([0, 1, 1]) {
+        day.round(|c, _| c.progress(*job, streamer(n), 2, 2.0));
+    }
+    day.pass(ms(600));
+    day.round(|c, _| c.progress(jobs[0], streamer(0), 3, 0.95));
+    day.pass(ms(1000));
+    assert_eq!(day.model.steps, 0, "nobody measured the streamer with two");
+}
+
+#[test]
+fn controllers_that_guess_alike_do_not_choose_alike() {
+    let chosen = |me: u32| {
+        let mut told = settings("free", "all");
+        (told["balancers"], told["me"]) = (json!(40), json!(me));
+        (told["familyInfo"]["positions"], told["familyInfo"]["groups"]) = (json!(60), json!(6));
+        let mut day = Day::new(told);
+        for cell in 0..60 {
+            // Two started just now leave the first rack emptier than all others, and the list tells everybody.
+            let came_up = if cell == 0 || cell == 6 { ms(99_000) } else { Duration::ZERO };
+            day.list(cell, Health::Ready, came_up);
+        }
+        let heard = day.take(asked(1, 0, 60), Some(streamer(1)));
+        day.round(|c, _| c.progress(heard, streamer(1), 3, 0.5));
+        day.pass(ms(600));
+        let job = day.take(asked(1, 0, 60), None);
+        u32::from(day.out(job).expect("it is placed").port())
+    };
+    let in_first_rack = (0..40).filter(|me| chosen(*me) % 6 == 0).count();
+    assert!(in_first_rack < 20, "{in_first_rack} of 40 went to one rack");
+}
