One probe of a chosen holder that is not heard of, where permitted and not all are full

Cause: at full size a join goes blind: a controller hears of a handful of streamers, so that a tenth of the links stands under 0.15 and a tenth over 1.0. A first join to a streamer not heard of for 10 s waits 40 ms for one probe to tell its load; no answer means it is used last (also against silent streamers).

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -42,14 +42,12 @@
     /// Subscriptions were handed over: the day began with this instance.
     handed_over: bool,
     ask_list_at: Option<Duration>,
-    /// Subscriptions taken in all; and those in the window of the join budget.
     taken: f64,
     knocks: VecDeque<Duration>,
     further: VecDeque<Duration>,
     /// Sum and count of the lives seen, and of the hints.
     lived: (f64, f64),
     hints: (f64, f64),
-    /// What the fleet's last step earns for its rate.
     price: f64,
     /// How full others make the usual uplink and the usual link.
     usual_use: [f64; 2],
@@ -81,8 +79,8 @@
         if now >= self.beat_at {
             self.beat(out);
         }
-        let next = self.due.first().map(|due| due.0);
-        if let Some(at) = next.filter(|at| self.reminded.is_none_or(|set| *at < set)) {
+        let reminded = self.reminded.unwrap_or(Duration::MAX);
+        if let Some(at) = self.due.first().map(|due| due.0).filter(|at| *at < reminded) {
             self.reminded = Some(at);
             out.remind(at - now, TOKEN_DUE);
         }
@@ -103,8 +101,6 @@
         }
     }
 
-    // ---- what comes in ----
-
     pub fn fired(&mut self, token: u64) {
         if token == TOKEN_DUE {
             self.reminded = None;
@@ -181,7 +177,9 @@
         self.drop_sub(job);
     }
 
-    pub fn echo(&mut self, streamer: StreamerId, _ending: Ending, _latency: Duration, usage: &[f64]) {
+    pub fn echo(&mut self, streamer: StreamerId, ending: Ending, _latency: Duration, usage: &[f64]) {
+        let echoed = (ending == Ending::Served).then_some(self.now);
+        self.streamers.entry(streamer).and_modify(|s| s.echoed = echoed.unwrap_or(s.echoed));
         self.take_report(streamer, usage);
     }
 
@@ -220,8 +218,6 @@
         }
     }
 
-    // ---- pipes: what is asked of links and uplinks ----
-
     /// Share of its capacity that a link has warmed to: how is not told, and the square errs to the safe side.
     fn warmth(&self, pipe: Pipe) -> f64 {
         let Pipe::Link(id) = pipe else { return 1.0 };
@@ -415,8 +411,6 @@
         }
     }
 
-    // ---- health ----
-
     fn note_ending(&mut self, id: StreamerId, ending: Ending, played: bool) {
         let full_for = Duration::from_millis(600) + self.chance.span(Duration::from_millis(800));
         let Some(s) = self.streamers.get_mut(&id) else { return };
@@ -428,10 +422,9 @@
             Ending::Timeout | Ending::ConnectFailed | Ending::Reset => s.broke = Some(self.now),
         }
         // A stream is lost only with its streamer.
-        if played {
-            self.set_aside(id)
-        } else {
-            self.judge(id, false)
+        match played {
+            true => self.set_aside(id),
+            false => self.judge(id, false),
         }
     }
 
@@ -493,8 +486,6 @@
         sent_within(window) + 1.0 <= part && self.now >= self.born + window
     }
 
-    // ---- placing ----
-
     /// The design's load: remaining work over capacity. An uplink binds like a link.
     fn load(&self, id: StreamerId) -> f64 {
         let (link, uplink) = (Pipe::Link(id), self.use_of(self.uplink(id)));
@@ -521,7 +512,7 @@
             && self.cold_allows(id, s)
     }
 
-    /// Whether a streamer's link was lately measured; a cold one's joins come by turns, which spreads them too.
+    /// Whether a streamer's link was lately measured; a cold one's joins are spread by their turns.
     fn heard_of(&self, id: StreamerId) -> bool {
         let g = self.pipes.of(Pipe::Link(id));
         g.measured && self.now < g.measured_at + Duration::from_secs(10) || self.warmth(Pipe::Link(id)) < 1.0
@@ -546,7 +537,8 @@
         for id in ids {
             let s = &self.streamers[&id];
             let far = if s.zone == zone { 0.0 } else { crossing };
-            let last = (s.away_until > self.now || sub.tried.contains(&id), !drawn.contains(&id));
+            let silent = sub.looked.is_some_and(|(at, when)| at == id && s.echoed < when);
+            let last = (s.away_until > self.now || sub.tried.contains(&id) || silent, !drawn.contains(&id));
             // All controllers see the same reports: a small random part keeps them from one choice.
             let found = (last, self.load(id) + far + 0.04 * self.chance.share(), id);
             best = best.filter(|best| *best <= found).or(Some(found));
@@ -556,9 +548,6 @@
 
     /// Rule 2 for room types that must not be set up twice.
     fn effect_allows(&self, sub: &Subscription, id: StreamerId) -> bool {
-        if sub.ran.is_empty() {
-            return true;
-        }
         let same_group = |a: StreamerId| match (self.streamers.get(&a), self.streamers.get(&id)) {
             (Some(a), Some(b)) => match self.told.word(&sub.asked, "group") {
                 "all" => true,
@@ -568,7 +557,7 @@
             _ => false,
         };
         match self.told.word(&sub.asked, "effect") {
-            "single_shot" => false,
+            "single_shot" => sub.ran.is_empty(),
             "guarded" => {
                 let window =
                     self.told.span(&format!("/profiles/{}/windowUs", sub.asked.room_type), Duration::ZERO);
@@ -618,6 +607,11 @@
         let hope = |s: &Streamer| s.health == Health::Ready && sub.asked.held_by(s.cell, self.told.cells);
         let hope = self.streamers.is_empty() || self.streamers.values().any(hope);
         match if free { self.holder(job) } else { None } {
+            Some(id) if self.worth_a_look(&sub, id) => {
+                self.subs.entry(job).and_modify(|s| s.looked = Some((id, self.now)));
+                self.due.insert((self.now + Duration::from_millis(40), job));
+                out.health_check(id);
+            }
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
             // Waiting helps while the join objective can still be met: a place, a seat or the list may come.
             None if hope && self.now < sub.taken + self.told.join_objective(&sub.asked) => {
@@ -627,6 +621,13 @@
         }
     }
 
+    /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to tell
+    /// its load, unless all are full. One that does not answer is used last: it may be silent.
+    fn worth_a_look(&self, sub: &Subscription, id: StreamerId) -> bool {
+        let full = self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5);
+        sub.looked.is_none() && sub.joins == 0 && self.told.probes_tell && !self.heard_of(id) && full < MARK
+    }
+
     fn join<W: Writer>(&mut self, job: JobId, id: StreamerId, last: bool, out: &mut W) {
         let now = self.now;
         let Some(sub) = self.subs.get_mut(&job) else { return };
@@ -662,8 +663,6 @@
         out.shed(job, if named { wait.min(most) } else { Duration::ZERO });
     }
 
-    // ---- rungs ----
-
     /// What this instance may ask of a pipe between measures: its allowance, for a join its part of the room
     /// among all that may have joined since, and never less than it asks while that is under the mark.
     fn budget(&self, pipe: Pipe, joining: bool) -> f64 {
@@ -686,14 +685,12 @@
 
     /// What the next rung would earn for its rate, and that rate; nothing at the top.
     fn step(&self, sub: &Subscription, rung: u8) -> Option<(f64, f64)> {
-        if rung >= self.told.top(&sub.asked) {
-            return None;
-        }
-        let [now, next] = [rung, rung + 1].map(|rung| self.told.rung(sub.asked.room_type, rung));
+        let [now, next] =
+            [rung, rung.saturating_add(1)].map(|rung| self.told.rung(sub.asked.room_type, rung));
         let rate = (next.0 - now.0).max(1e-9);
         // What plays keeps its rung unless another earns far more with it: a switch costs, twice here.
         let held = if sub.plays && rung < sub.rung { 4.0 } else { 1.0 };
-        Some((held * (next.1 - now.1) / rate, rate))
+        (rung < self.told.top(&sub.asked)).then_some((held * (next.1 - now.1) / rate, rate))
     }
 
     /// The least that a step earns for its rate, were this instance's part of all links and uplinks given
@@ -769,8 +766,6 @@
         }
     }
 
-    // ---- moves ----
-
     /// The design's tick: own subscriptions go from A to a holder y when LB + x <= LA - x with its margin,
     /// y has room under the mark, and the move earns more than its price.
     fn move_some<W: Writer>(&mut self, out: &mut W) {
@@ -782,7 +777,7 @@
             let fit: Vec<_> = drawn.iter().map(|y| (*y, &self.streamers[y], self.load(*y))).collect();
             for (job, sub) in self.subs.iter().filter(|(_, s)| s.plays && !s.asked.moved) {
                 let Some(a) = sub.at else { continue };
-                // What delivers short is at least that full, whatever the reports say.
+                // What delivers short is at least that full.
                 let delivered = self.delivered(a);
                 let la = self.load(a).max(if delivered < 0.98 { 1.0 / delivered } else { 0.0 });
                 for (y, s, lb) in fit.iter().filter(|(y, _, lb)| *y != a && la - lb > 0.1) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -145,6 +145,8 @@
     pub delivered: (Duration, f64),
     /// When it was last seen to break; a restart may have followed unseen.
     pub broke: Option<Duration>,
+    /// When it last answered a probe.
+    pub echoed: Duration,
     /// When joins were sent of late.
     pub sent: VecDeque<Duration>,
     pub listed: bool,
@@ -166,6 +168,7 @@
             full_until: Duration::ZERO,
             delivered: (Duration::ZERO, 1.0),
             broke: None,
+            echoed: Duration::ZERO,
             sent: VecDeque::new(),
             listed: true,
         }
@@ -186,6 +189,8 @@
     pub taken: Duration,
     /// Joins sent so far.
     pub joins: u32,
+    /// The streamer that was probed for it, and when.
+    pub looked: Option<(StreamerId, Duration)>,
     /// The streamer of the join that is out, or that it plays on.
     pub at: Option<StreamerId>,
     pub sent: Duration,
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -77,6 +77,7 @@
     reminders: BTreeSet<(Duration, u64)>,
     steps: usize,
     shifted: Vec<JobId>,
+    probed: Vec<StreamerId>,
 }
 
 impl Model {
@@ -177,7 +178,10 @@
     }
 
     fn cancel(&mut self, _job: JobId, _join: u16) {}
-    fn health_check(&mut self, _streamer: StreamerId) {}
+    fn health_check(&mut self, id: StreamerId) {
+        assert!(self.told["permissions"]["probing"] == true && self.list.contains_key(&id));
+        self.probed.push(id);
+    }
     fn close(&mut self, _streamer: StreamerId) {}
     fn signal(&mut self, _peer: Option<u16>, _bytes: &[u8]) {}
     fn observe(&mut self, _want: bool) {}
@@ -209,6 +213,7 @@
             reminders: BTreeSet::new(),
             steps: 0,
             shifted: Vec::new(),
+            probed: Vec::new(),
         };
         Self { controller: Controller::new(now, seed, options), model, next: 0 }
     }
@@ -300,7 +305,9 @@
 fn play(moments: &[(u8, u8)], effect: &str, group: &str) {
     let endings = [Ending::Served, Ending::Served, Ending::Error, Ending::Full, Ending::ConnectFailed];
     let healths = [Health::Ready, Health::Draining, Health::Gone];
-    let mut day = Day::new(settings(effect, group));
+    let mut told = settings(effect, group);
+    told["permissions"]["probing"] = json!(true);
+    let mut day = Day::new(told);
     day.all_listed();
     for &(what, which) in moments {
         let n = u32::from(which);
@@ -483,3 +490,25 @@
     let in_first_rack = (0..40).filter(|me| chosen(*me) % 6 == 0).count();
     assert!(in_first_rack < 20, "{in_first_rack} of 40 went to one rack");
 }
+
+#[test]
+fn a_streamer_that_answers_no_probe_is_passed_over() {
+    for answers in [true, false] {
+        let mut told = settings("free", "all");
+        told["permissions"]["probing"] = json!(true);
+        let mut day = Day::new(told);
+        day.all_listed();
+        for n in 1..3 {
+            day.take(asked(1, 0, 3), Some(streamer(n)));
+        }
+        let job = day.take(asked(1, 0, 3), None);
+        let probed = *day.model.probed.first().expect("nothing is heard of yet");
+        assert_eq!(day.out(job), None, "the join waits for the answer");
+        if answers {
+            day.round(|c, _| c.echo(probed, Ending::Served, ms(3), &[0.0]));
+        }
+        day.pass(ms(60));
+        assert_eq!(day.out(job).expect("it is placed") == probed, answers);
+        assert_eq!(day.model.probed.len(), 1);
+    }
+}
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -20,6 +20,8 @@
     pub cold_from: f64,
     pub window: Duration,
     pub multiple: f64,
+    /// Probes are permitted and tell what is asked of a link.
+    pub probes_tell: bool,
 }
 
 impl Told {
@@ -32,6 +34,7 @@
         told.warm_up = told.span("/obligations/coldUs", Duration::ZERO);
         told.cold_from = told.figure("/obligations/coldFrom", 1.0);
         told.window = told.span("/obligations/tipAfterUs", Duration::ZERO);
+        told.probes_tell = told.allowed("/permissions/probing") && told.lists("/report/fields", "x0");
         told.multiple = told.figure("/obligations/tipMultiple", 1.0);
         told
     }
