--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -518,8 +518,8 @@
         g.measured && self.now < g.measured_at + Duration::from_secs(10) || self.warmth(Pipe::Link(id)) < 1.0
     }
 
-    /// Of these, all that this instance hears of and some three drawn from the rest. What it only guesses, all
-    /// others guess alike: were the least loaded taken, hundreds would go to one streamer or rack at once.
+    /// Of these, all that this instance hears of and some three drawn from the rest (1.5 or 6: no better). All
+    /// guess alike: the least loaded by guess would draw hundreds to one streamer or rack at once.
     fn drawn(&mut self, ids: &[StreamerId]) -> BTreeSet<StreamerId> {
         let unheard = ids.iter().filter(|id| !self.heard_of(**id)).count() as f64;
         ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || self.heard_of(*id)).collect()
