Tidy: one test of freshness, one place for a cell's uplink, no line over 110 characters

The ten seconds that a measure counts stood in four places; drawing asked twice what is heard of; the mean and a cell's uplink were written again; seven comment lines were too long.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -21,6 +21,7 @@
 const MOVE_TICK: Duration = Duration::from_secs(5);
 /// Between two steps of one subscription: well over what a step costs, under the claim of 3 a minute.
 const REST: Duration = Duration::from_secs(20);
+const FRESH: Duration = Duration::from_secs(10); // A measure counts this long, some notes' time.
 /// Tokens of the reminders: the one periodic timer, and the earliest of all else that is due.
 const TOKEN_BEAT: u64 = 1;
 const TOKEN_DUE: u64 = 2;
@@ -218,7 +219,7 @@
         }
     }
 
-    /// Share of its capacity that a link has warmed to: how is not told, and the square errs to the safe side.
+    /// Share of its capacity that a link has warmed to: how is not told; the square errs to the safe side.
     fn warmth(&self, pipe: Pipe) -> f64 {
         let Pipe::Link(id) = pipe else { return 1.0 };
         let came_up = self.streamers.get(&id).map_or(Duration::ZERO, |s| s.came_up);
@@ -235,27 +236,27 @@
     }
 
     fn uplink(&self, id: StreamerId) -> Pipe {
-        Pipe::Uplink(self.streamers.get(&id).map_or(0, |s| s.cell % self.told.racks))
+        Pipe::uplink(self.streamers.get(&id).map_or(0, |s| s.cell), &self.told)
     }
 
-    /// What others ask of a pipe: as measured, or for an uplink the sum over its links. A measure counts for
-    /// 10 s, some notes' time, and is gone after 20: what is not heard of is taken to be as full as what is.
+    /// What others ask of a pipe: as measured, or for an uplink the sum over its links. A measure fades as
+    /// long as it counts: what is not heard of is taken to be as full as what is.
     fn others(&self, pipe: Pipe) -> f64 {
         let (g, link) = (self.pipes.of(pipe), matches!(pipe, Pipe::Link(_)));
         if !link && !g.measured {
             return g.rack.iter().map(|id| self.others(Pipe::Link(*id))).sum();
         }
         let age = self.now.saturating_sub(g.measured_at).as_secs_f64();
-        let fresh = if g.measured { (2.0 - age / 10.0).clamp(0.0, 1.0) } else { 0.0 };
+        let fresh = if g.measured { (2.0 - age / FRESH.as_secs_f64()).clamp(0.0, 1.0) } else { 0.0 };
         let usual = self.usual_use[usize::from(link)] * self.warmth(pipe);
         fresh * g.others + (1.0 - fresh) * usual * self.size(pipe)
     }
 
-    /// What others ask of uplinks and of links, on the mean of those measured in the last 10 s.
+    /// What others ask of uplinks and of links, on the mean of those lately measured.
     fn note_usual_use(&mut self) {
-        let fresh = |g: &Gauge| g.measured && self.now < g.measured_at + Duration::from_secs(10);
         self.usual_use = [false, true].map(|link| {
-            let kind = self.pipes.all.iter().filter(|(p, g)| matches!(p, Pipe::Link(_)) == link && fresh(g));
+            let fresh = self.pipes.all.iter().filter(|(_, g)| g.fresh(self.now, FRESH));
+            let kind = fresh.filter(|(p, _)| matches!(p, Pipe::Link(_)) == link);
             mean(kind.map(|(p, g)| g.others / self.size(*p))).unwrap_or(self.usual_use[usize::from(link)])
         });
     }
@@ -329,8 +330,8 @@
         mean(own.map(|s| step(s).abs())).unwrap_or(0.0)
     }
 
-    /// What this instance may ask until the next measure, which all who play there see at once: each gives back
-    /// its part of an excess, then waits until that can show, or takes its part of the room. A part smaller
+    /// What this instance may ask until the next measure, which all who play there see at once: each gives
+    /// back its part of an excess, then waits until that can show, or takes its part of the room. A part smaller
     /// than a step is a whole step by chance, be there three controllers or hundreds.
     fn allow(&mut self, pipe: Pipe) {
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
@@ -360,8 +361,8 @@
         noted.filter(|(at, _)| self.now < *at + Duration::from_millis(1500)).map_or(1.0, |(_, share)| share)
     }
 
-    /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that this
-    /// instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays there
+    /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that
+    /// this instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays there
     /// may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink for seconds.
     fn short(&mut self, id: StreamerId, delivered: f64) {
         let delivered = delivered.max(0.01);
@@ -451,7 +452,7 @@
         }
     }
 
-    /// It comes back after a fixed time, short since a try at a dead streamer costs little, with a random part.
+    /// It comes back after a fixed time, short since a try at a dead one costs little, with a random part.
     fn set_aside(&mut self, id: StreamerId) {
         let until = self.now + Duration::from_secs(4) + self.chance.span(Duration::from_secs(3));
         self.streamers.entry(id).and_modify(|s| s.away_until = s.away_until.max(until));
@@ -514,15 +515,15 @@
 
     /// Whether a streamer's link was lately measured; a cold one's joins are spread by their turns.
     fn heard_of(&self, id: StreamerId) -> bool {
-        let g = self.pipes.of(Pipe::Link(id));
-        g.measured && self.now < g.measured_at + Duration::from_secs(10) || self.warmth(Pipe::Link(id)) < 1.0
+        self.pipes.of(Pipe::Link(id)).fresh(self.now, FRESH) || self.warmth(Pipe::Link(id)) < 1.0
     }
 
-    /// Of these, all that this instance hears of and some three drawn from the rest (1.5 or 6: no better). All
-    /// guess alike: the least loaded by guess would draw hundreds to one streamer or rack at once.
+    /// Of these, all that this instance hears of and some three drawn from the rest (1.5 or 6: no better).
+    /// All guess alike: the least loaded by guess would draw hundreds to one streamer or rack at once.
     fn drawn(&mut self, ids: &[StreamerId]) -> BTreeSet<StreamerId> {
-        let unheard = ids.iter().filter(|id| !self.heard_of(**id)).count() as f64;
-        ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || self.heard_of(*id)).collect()
+        let heard: BTreeSet<_> = ids.iter().copied().filter(|id| self.heard_of(*id)).collect();
+        let unheard = (ids.len() - heard.len()) as f64;
+        ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || heard.contains(id)).collect()
     }
 
     /// The least loaded holder that may be used; one that is set aside only when there is no other.
@@ -621,8 +622,8 @@
         }
     }
 
-    /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to tell
-    /// its load, unless all are full. One that does not answer is used last: it may be silent.
+    /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to
+    /// tell its load, unless all are full. One that does not answer is used last: it may be silent.
     fn worth_a_look(&self, sub: &Subscription, id: StreamerId) -> bool {
         let full = self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5);
         sub.looked.is_none() && sub.joins == 0 && self.told.probes_tell && !self.heard_of(id) && full < MARK
@@ -678,7 +679,7 @@
 
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
     fn rivals(&self, pipe: Pipe) -> f64 {
-        let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).as_secs_f64().min(10.0);
+        let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).min(FRESH).as_secs_f64();
         let pace = self.taken / (self.now - self.born).as_secs_f64().max(1.0) * (self.told.balancers - 1.0);
         pace * since * self.pipes.of(pipe).rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
     }
@@ -767,9 +768,8 @@
     }
 
     /// The design's tick: own subscriptions go from A to a holder y when LB + x <= LA - x with its margin,
-    /// y has room under the mark, and the move earns more than its price.
+    /// y has room under the mark, and the move earns more than its price. The design's cap of two a tick.
     fn move_some<W: Writer>(&mut self, out: &mut W) {
-        // The design's cap of two a tick.
         for _ in 0..2 {
             let mut best: Option<(f64, JobId)> = None;
             let well = self.streamers.iter().filter(|(_, s)| s.away_until <= self.now);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -13,6 +13,13 @@
     Uplink(u32),
 }
 
+impl Pipe {
+    /// The uplink of a cell's rack.
+    pub fn uplink(cell: u32, told: &Told) -> Self {
+        Pipe::Uplink(cell % told.racks)
+    }
+}
+
 /// What is known of one pipe. Rates in kB a second.
 #[derive(Debug)]
 pub struct Gauge {
@@ -69,16 +76,16 @@
             let link = told.stated_link(s.weight, s.kind, places);
             self.all.entry(Pipe::Link(*id)).or_default().stated = link;
             cells.insert(s.cell, link);
-            let uplink = self.all.entry(Pipe::Uplink(s.cell % told.racks)).or_default();
+            let uplink = self.all.entry(Pipe::uplink(s.cell, told)).or_default();
             if s.health != Health::Gone {
                 uplink.rack.push(*id);
             }
         }
         // Only the mean uplink is told: a rack's goes by the links that its cells have had.
         let mut racks: BTreeMap<Pipe, f64> = BTreeMap::new();
-        cells
-            .iter()
-            .for_each(|(cell, link)| *racks.entry(Pipe::Uplink(cell % told.racks)).or_default() += link);
+        for (cell, link) in cells {
+            *racks.entry(Pipe::uplink(cell, told)).or_default() += link;
+        }
         let usual = mean(racks.values().copied()).unwrap_or(1.0);
         for (pipe, links) in racks {
             let stated = told.figure("/familyInfo/uplinkKb", 1e12) * links / usual;
@@ -104,6 +111,11 @@
         }
     }
 
+    /// Whether its use was measured within that span.
+    pub fn fresh(&self, now: Duration, span: Duration) -> bool {
+        self.measured && now < self.measured_at + span
+    }
+
     /// Notes what this instance asks from now on, and forgets what is older than `keep`.
     pub fn note(&mut self, now: Duration, keep: Duration) {
         match self.asked.back_mut() {
@@ -173,9 +185,7 @@
             listed: true,
         }
     }
-}
 
-impl Streamer {
     /// Keeps when a join was sent, far past any window that is counted over.
     pub fn note_sent(&mut self, now: Duration) {
         self.sent.push_back(now);
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -5,6 +5,7 @@
 use serde_json::{Map, Value};
 
 use crate::interface::Asked;
+use crate::state::mean;
 
 #[derive(Default)]
 pub struct Told {
@@ -150,6 +151,6 @@
     /// What a second at the highest rung earns, over all room types.
     pub fn usual_benefit(&self) -> f64 {
         let tops = self.ladders.iter().filter_map(|l| l.last()).map(|top| top.1);
-        tops.sum::<f64>() / self.ladders.len().max(1) as f64
+        mean(tops).unwrap_or(0.0)
     }
 }
