--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -331,8 +331,8 @@
     }
 
     /// What this instance may ask until the next measure, which all who play there see at once: each gives
-    /// back its part of an excess, then waits until that can show, or takes its part of the room. A part smaller
-    /// than a step is a whole step by chance, be there three controllers or hundreds.
+    /// back its part of an excess, then waits until that can show, or takes its part of the room. A part
+    /// smaller than a step is a whole step by chance, be there three controllers or hundreds.
     fn allow(&mut self, pipe: Pipe) {
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
         const BAND: f64 = 0.1;
@@ -362,8 +362,8 @@
     }
 
     /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that
-    /// this instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays there
-    /// may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink for seconds.
+    /// this instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays
+    /// there may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink for seconds.
     fn short(&mut self, id: StreamerId, delivered: f64) {
         let delivered = delivered.max(0.01);
         self.streamers.entry(id).and_modify(|s| s.delivered = (self.now, delivered));
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -477,7 +477,7 @@
         (told["familyInfo"]["positions"], told["familyInfo"]["groups"]) = (json!(60), json!(6));
         let mut day = Day::new(told);
         for cell in 0..60 {
-            // Two started just now leave the first rack emptier than all others, and the list tells everybody.
+            // Two started just now leave the first rack emptier than others, and the list tells everybody.
             let came_up = if cell == 0 || cell == 6 { ms(99_000) } else { Duration::ZERO };
             day.list(cell, Health::Ready, came_up);
         }
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -12,7 +12,7 @@
     options: Value,
     /// For each room type, what each rung asks and what a second at it earns.
     ladders: Vec<Vec<(f64, f64)>>,
-    /// Picked once, since they are wanted for each streamer: controllers, racks, cells, and of a cold streamer
+    /// Picked once, since they are wanted for each streamer: controllers, racks, cells, and of a cold one
     /// its warm-up, the share it starts from, the window and the multiple of its budget.
     pub balancers: f64,
     pub racks: u32,
