--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -363,8 +363,8 @@
 
     /// Short delivery. A link known to be full explains it; so does the uplink where all of the rack that
     /// this instance hears of deliver short. Else the streamer itself ails: it is set aside, and what plays
-    /// there may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink for
-    /// seconds. hort(&mut self, id: StreamerId, delivered: f64) {
+    /// there may move; lower rungs would not help. Harm: a lone streamer is blamed for its uplink a while.
+    fn short(&mut self, id: StreamerId, delivered: f64) {
         let delivered = delivered.max(0.01);
         self.streamers.entry(id).and_modify(|s| s.delivered = (self.now, delivered));
         if delivered >= 0.98 {
