Exchanges of subscriptions without I/O, settings read and checked, the list as a controller holds it

Need: the controller program must pass every call of the module and every decision through one place that a test can drive in any order, and be told its settings with faults that name file, line, key, value and range. Change: crates/exchange (records, carrying out of decisions, admission with places in a queue to come back, a last call so that an answer is given in time), crates/settings (INI by rust-ini, checked by garde), crates/deployment (the controller's file and the module's map), crates/catalogue, crates/discovery (whole lists, changes, gaps, the stored copy, back-off).

--- /dev/null
+++ b/crates/catalogue/src/lib.rs
@@ -0,0 +1,103 @@
+//! Which titles there are, of which room type, and which cells of the fleet hold them.
+//!
+//! A catalogue is an INI file with a section `[title ID]` for each title, ID in hexadecimal. A title lies on
+//! `copies` cells in a row from `first_cell` on, counted round.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use badgerledge_settings::{within, Faults, Sheet};
+use garde::Validate;
+use serde::Deserialize;
+
+/// Where one title lies.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Title {
+    /// The room type of viewers that name none.
+    #[garde(length(min = 1))]
+    pub room_type: String,
+    #[garde(custom(within(0, 65_535)))]
+    pub first_cell: u32,
+    #[garde(custom(within(1, 65_535)))]
+    pub copies: u32,
+}
+
+/// All titles.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalogue {
+    titles: BTreeMap<u64, Title>,
+}
+
+impl Catalogue {
+    pub fn read(path: &Path) -> Result<Self, Faults> {
+        Self::of(&Sheet::read(path)?)
+    }
+
+    pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
+        sheet.only(&["title"])?;
+        let (mut titles, mut faults) = (BTreeMap::new(), Vec::new());
+        for name in sheet.named("title") {
+            let section = format!("title {name}");
+            let id = u64::from_str_radix(name, 16);
+            match (id, sheet.section::<Title>(&section)) {
+                (Ok(id), Ok(title)) => {
+                    if titles.insert(id, title).is_some() {
+                        faults.push(sheet.fault(&section, "", "", "this title is given twice"));
+                    }
+                }
+                (Err(_), _) => {
+                    let why = "a title's id has 1 to 16 hexadecimal digits";
+                    faults.push(sheet.fault(&section, "", "", why));
+                }
+                (_, Err(found)) => faults.extend(found.0),
+            }
+        }
+        if faults.is_empty() {
+            Ok(Self { titles })
+        } else {
+            Err(Faults(faults))
+        }
+    }
+
+    pub fn title(&self, id: u64) -> Option<&Title> {
+        self.titles.get(&id)
+    }
+
+    pub fn titles(&self) -> impl Iterator<Item = (u64, &Title)> {
+        self.titles.iter().map(|(id, title)| (*id, title))
+    }
+
+    pub fn len(&self) -> usize {
+        self.titles.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.titles.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn titles_are_read_and_faults_placed() {
+        let read = |text: &str| Sheet::parse("c.ini", text).and_then(|sheet| Catalogue::of(&sheet));
+        let good = read("[title 2a]\nroom_type = clip\nfirst_cell = 3\ncopies = 2\n").unwrap();
+        assert_eq!(good.title(42).map(|title| (title.first_cell, title.copies)), Some((3, 2)));
+        let faults =
+            read("[title 2a]\nroom_type = clip\nfirst_cell = 3\ncopies = 0\n[title x]\n").unwrap_err();
+        assert_eq!(
+            faults.to_string(),
+            "c.ini:4: [title 2a] copies = 0: 1 to 65535 is taken\n\
+             c.ini:5: [title x]: a title's id has 1 to 16 hexadecimal digits"
+        );
+        let twice = "[title 2a]\nroom_type = a\nfirst_cell = 3\ncopies = 1\n[title 02a]\nroom_type = a\n\
+                     first_cell = 3\ncopies = 1\n";
+        assert!(read(twice)
+            .unwrap_err()
+            .to_string()
+            .contains("c.ini:5: [title 02a]: this title is given twice"));
+    }
+}
--- /dev/null
+++ b/crates/deployment/src/lib.rs
@@ -0,0 +1,128 @@
+//! What a controller is told in INI.
+//!
+//! [`Deployment`] is a checked file: the controller's own place in the network, and what it is told of fleet, room
+//! types, rules and permissions. [`Deployment::told`] makes the plain map of names to values that the module takes,
+//! under the names that the module knows.
+
+mod sections;
+mod told;
+
+use std::path::Path;
+
+use badgerledge_settings::{Fault, Faults, Sheet};
+
+pub use sections::{ControllerPlace, Fleet, Ladder, Permissions, Prices, RoomType, Rules};
+
+/// All kinds of section that a controller's file may have.
+pub const SECTIONS: [&str; 7] =
+    ["controller", "fleet", "ladder", "room_type", "rules", "permissions", "prices"];
+/// Those that say nothing of one controller: a day hands them to all of its controllers as they are.
+pub const SHARED_SECTIONS: [&str; 6] = ["fleet", "ladder", "room_type", "rules", "permissions", "prices"];
+
+/// A controller's file, checked.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub place: ControllerPlace,
+    pub shared: Shared,
+}
+
+/// What all controllers of a deployment are told alike.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    pub fleet: Fleet,
+    pub ladder: Ladder,
+    /// In the order of the file: a room type's number is its place here.
+    pub room_types: Vec<(String, RoomType)>,
+    pub rules: Rules,
+    pub permissions: Permissions,
+    pub prices: Prices,
+}
+
+impl Deployment {
+    pub fn read(path: &Path) -> Result<Self, Faults> {
+        Self::of(&Sheet::read(path)?)
+    }
+
+    pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
+        sheet.only(&SECTIONS)?;
+        let (place, shared) =
+            Faults::both(sheet.section::<ControllerPlace>("controller"), Shared::of(sheet))?;
+        let wrong = |key: &str, value: &str, why: String| sheet.fault("controller", key, value, &why).into();
+        if place.number >= place.controllers {
+            let why = format!("0 to {} is taken, for there are {}", place.controllers - 1, place.controllers);
+            return Err(wrong("number", &place.number.to_string(), why));
+        }
+        if !shared.fleet.zones.contains(&place.zone) {
+            let why = format!("one of {} is taken", shared.fleet.zones.join(", "));
+            return Err(wrong("zone", &place.zone, why));
+        }
+        if !place.peers.is_empty() && place.peers.len() != place.controllers as usize {
+            let why = format!("{} addresses are taken, one for each controller", place.controllers);
+            return Err(wrong("peers", "", why));
+        }
+        Ok(Self { place, shared })
+    }
+}
+
+impl Shared {
+    /// Reads the sections that all controllers share; others are passed over.
+    pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
+        let (fleet, ladder) =
+            Faults::both(sheet.section::<Fleet>("fleet"), sheet.section::<Ladder>("ladder"))?;
+        let (rules, permissions) = Faults::both(
+            sheet.section_or_default::<Rules>("rules"),
+            sheet.section_or_default::<Permissions>("permissions"),
+        )?;
+        let prices = sheet.section_or_default::<Prices>("prices")?;
+        let mut room_types = Vec::new();
+        for name in sheet.named("room_type") {
+            room_types.push((name.to_owned(), sheet.section::<RoomType>(&format!("room_type {name}"))?));
+        }
+        let shared = Self { fleet, ladder, room_types, rules, permissions, prices };
+        let faults = shared.contradictions(sheet);
+        if faults.is_empty() {
+            Ok(shared)
+        } else {
+            Err(Faults(faults))
+        }
+    }
+
+    /// What each section allows by itself, but not beside the others.
+    fn contradictions(&self, sheet: &Sheet) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut check = |good: bool, section: &str, key: &str, why: &str| {
+            if !good {
+                faults.push(sheet.fault(section, key, "", why));
+            }
+        };
+        let Self { fleet, ladder, room_types, .. } = self;
+        check(
+            fleet.kinds.len() == fleet.kind_streams.len(),
+            "fleet",
+            "kind_streams",
+            "one number for each kind",
+        );
+        let rungs = ladder.rates_kb.len();
+        check(ladder.rates_kb.is_sorted_by(|a, b| a < b), "ladder", "rates_kb", "rates that rise are taken");
+        check(ladder.benefit.len() == rungs, "ladder", "benefit", "one number for each rate");
+        check(!room_types.is_empty(), "room_type", "", "at least one section [room_type NAME] is wanted");
+        for (name, room_type) in room_types {
+            let section = format!("room_type {name}");
+            let top = usize::from(room_type.top.unwrap_or(0));
+            check(top < rungs, &section, "top", "a rung of the ladder is taken");
+            let floor_fits = room_type.floor <= room_type.top.unwrap_or(rungs as u8 - 1);
+            check(floor_fits, &section, "floor", "no rung over the room type's top is taken");
+            let waits = room_type.client_timeout_ms >= room_type.join_objective_ms;
+            check(waits, &section, "client_timeout_ms", "no less than join_objective_ms is taken");
+        }
+        faults
+    }
+
+    /// The number of a room type.
+    pub fn room_type(&self, name: &str) -> Option<usize> {
+        self.room_types.iter().position(|(known, _)| known == name)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/deployment/src/tests.rs
@@ -0,0 +1,102 @@
+//! A whole file is read and handed on; what contradicts itself is placed.
+
+use badgerledge_settings::Sheet;
+
+use crate::Deployment;
+
+const WHOLE: &str = "\
+[controller]
+number = 1
+controllers = 2
+zone = south
+listen = 127.0.0.1:5540
+catalogue = titles.ini
+[fleet]
+zones = north, south
+kinds = small
+kind_streams = 20
+cells = 12
+racks = 4
+link_unit_kb = 1000
+links_kb = 12000
+uplink_kb = 3000
+report = x0, x1
+[ladder]
+rates_kb = 100, 200, 400
+benefit = 0.3, 0.6, 1
+[room_type clip]
+join_objective_ms = 1500
+client_timeout_ms = 4000
+benefit = 1
+[room_type lesson]
+join_objective_ms = 1500
+client_timeout_ms = 4000
+benefit = 3
+floor = 1
+top = 1
+seats = 5
+set_up_again = single_shot
+[rules]
+budget_window_ms = 5000
+budget_few = 3
+budget_share = 0.2
+";
+
+fn read(text: &str) -> Result<Deployment, String> {
+    Sheet::parse("d.ini", text).and_then(|sheet| Deployment::of(&sheet)).map_err(|faults| faults.to_string())
+}
+
+#[test]
+fn the_module_is_told_what_the_file_says() {
+    let told = serde_json::Value::Object(read(WHOLE).unwrap().told());
+    let at = |path: &str| told.pointer(path).unwrap_or_else(|| panic!("{path} is not told")).to_string();
+    assert_eq!((at("/zone"), at("/me"), at("/balancers")), ("1".into(), "1".into(), "2".into()));
+    assert_eq!(at("/profiles/1/effect"), "\"single_shot\"");
+    assert_eq!(at("/profiles/0/aimUs"), "1500000");
+    assert_eq!(
+        (at("/familyInfo/classTop"), at("/familyInfo/floorByClass")),
+        ("[2,1]".into(), "[0,1]".into())
+    );
+    assert_eq!(
+        (at("/familyInfo/licenceCap"), at("/report/fields")),
+        ("[0,5]".into(), "[\"x0\",\"x1\"]".into())
+    );
+    assert_eq!(
+        (at("/obligations/countedOverUs"), at("/obligations/budgetFree")),
+        ("5000000".into(), "3".into())
+    );
+    assert_eq!(at("/obligations/drainGraceUs"), "500000");
+}
+
+#[test]
+fn contradictions_are_placed() {
+    let fault = |from: &str, to: &str| read(&WHOLE.replacen(from, to, 1)).unwrap_err();
+    assert_eq!(
+        fault("number = 1", "number = 2"),
+        "d.ini:2: [controller] number = 2: 0 to 1 is taken, for there are 2"
+    );
+    assert_eq!(
+        fault("zone = south", "zone = west"),
+        "d.ini:4: [controller] zone = west: one of north, south is taken"
+    );
+    assert_eq!(
+        fault("100, 200, 400", "100, 50, 400"),
+        "d.ini:18: [ladder] rates_kb: rates that rise are taken"
+    );
+    assert_eq!(
+        fault("floor = 1", "floor = 2"),
+        "d.ini:28: [room_type lesson] floor: no rung over the room type's top is taken"
+    );
+    assert_eq!(
+        fault("top = 1", "top = 3"),
+        "d.ini:29: [room_type lesson] top: a rung of the ladder is taken"
+    );
+    assert_eq!(
+        fault("client_timeout_ms = 4000", "client_timeout_ms = 400"),
+        "d.ini:22: [room_type clip] client_timeout_ms: no less than join_objective_ms is taken"
+    );
+    assert_eq!(
+        fault("listen = 127.0.0.1:5540", "listen = here"),
+        "d.ini:5: [controller] listen = here: invalid socket address syntax"
+    );
+}
--- /dev/null
+++ b/crates/exchange/src/desk.rs
@@ -0,0 +1,157 @@
+//! Carries out what the module decides.
+
+use std::time::Duration;
+
+use badgerledge_core::interface::{Asked, Ending, JobId, StreamerId, Writer};
+
+use crate::book::Book;
+use crate::{Admission, Line};
+
+/// What the exchange has done at the ends of connections. All of it is done at once or queued; nothing is
+/// answered through here.
+pub trait Carrier {
+    /// Answers all SETUPs that wait on a line: the subscription plays.
+    fn grant(&mut self, viewer: Line, job: JobId);
+    /// Answers all SETUPs that wait on a line: 503, and when to come back, where a time is named.
+    fn throttle(&mut self, viewer: Line, cool_down: Duration);
+    /// Answers all SETUPs that wait on a line: 504 where no answer came in time, 500 otherwise.
+    fn terminate(&mut self, viewer: Line, late: bool);
+    /// Begins a join: connects, and tells [`crate::Floor::join_opened`].
+    fn open_join(&mut self, job: JobId, number: u16, streamer: StreamerId);
+    /// Sends SETUP on a join that has opened.
+    fn set_up(&mut self, job: JobId, number: u16, asked: &Asked, rung: Option<u8>);
+    /// Sends PLAY on a join that was set up.
+    fn play(&mut self, job: JobId, number: u16);
+    /// Sends a new rung on a join that plays.
+    fn step(&mut self, job: JobId, number: u16, rung: u8);
+    /// Ends a join at once: TEARDOWN where it was set up, and the connection closed before anything else goes.
+    fn end_join(&mut self, job: JobId, number: u16);
+    /// Sends a viewer back to this controller: REDIRECT.
+    fn redirect(&mut self, viewer: Line);
+    /// Tells a viewer that its stream has ended: BYE, and the connection closed.
+    fn farewell(&mut self, viewer: Line);
+    fn remind(&mut self, from_now: Duration, token: u64);
+    fn probe(&mut self, streamer: StreamerId);
+    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]);
+    fn observe(&mut self, want: bool);
+    fn list_all(&mut self);
+}
+
+/// The module's writer: the book and the carrier together.
+pub(crate) struct Desk<'a, C> {
+    pub book: &'a mut Book,
+    pub admission: &'a mut Admission,
+    pub carrier: &'a mut C,
+    pub now: Duration,
+    /// Outcomes that carrying out a decision brought, told to the module in the next round.
+    pub owed: &'a mut Vec<(JobId, u16, StreamerId, Ending, bool, Duration)>,
+}
+
+impl<C: Carrier> Desk<'_, C> {
+    /// Ends a subscription's record, with whatever join is out, and gives back its place.
+    pub fn close(&mut self, job: JobId) -> Option<crate::book::Held> {
+        let held = self.book.close(job)?;
+        self.admission.leave(self.now);
+        if let Some(join) = &held.join {
+            self.carrier.end_join(job, join.number);
+        }
+        Some(held)
+    }
+
+    fn answer(&mut self, job: JobId, mut answer: impl FnMut(&mut C, Line)) {
+        // One that the module ends after its stream has started has had its answer.
+        if self.book.get(job).is_none_or(|held| held.plays_to.is_some()) {
+            return;
+        }
+        let Some(held) = self.close(job) else { return };
+        if let Some(join) = held.join {
+            self.owed.push((job, join.number, join.streamer, Ending::Cancelled, true, self.now - join.sent));
+        }
+        held.waiting.iter().for_each(|line| answer(self.carrier, *line));
+    }
+}
+
+impl<C: Carrier> Writer for Desk<'_, C> {
+    fn pass_on(&mut self, job: JobId, streamer: StreamerId, try_until: Duration) {
+        let Some(number) = self.book.join(job, streamer, self.now, try_until) else {
+            // It has a join out, plays, or is over: the bench's `moot`.
+            self.owed.push((job, u16::MAX, streamer, Ending::Moot, true, Duration::ZERO));
+            return;
+        };
+        if let Some(held) = self.book.get(job) {
+            held.span.in_scope(|| tracing::debug!(%streamer, number, rung = held.rung, "join"));
+        }
+        self.carrier.open_join(job, number, streamer);
+    }
+
+    fn shed(&mut self, job: JobId, cool_down: Duration) {
+        if let Some(held) = self.book.get(job) {
+            held.span.in_scope(|| tracing::info!(cool_down_ms = cool_down.as_millis() as u64, "throttled"));
+        }
+        self.answer(job, |carrier, line| carrier.throttle(line, cool_down));
+    }
+
+    fn respond_error(&mut self, job: JobId) {
+        let Some(held) = self.book.get(job) else { return };
+        let late = self.now >= held.taken + held.asked.client_timeout;
+        held.span.in_scope(|| tracing::info!(late, "terminated"));
+        self.answer(job, |carrier, line| carrier.terminate(line, late));
+    }
+
+    fn step_to(&mut self, job: JobId, rung: u8) {
+        let Some(held) = self.book.set_rung(job, rung) else { return };
+        if let Some(join) = held.join.as_ref().filter(|join| join.flows()) {
+            held.span.in_scope(|| tracing::debug!(rung, "step"));
+            self.carrier.step(job, join.number, rung);
+        }
+    }
+
+    fn shift(&mut self, job: JobId) {
+        let Some(held) = self.close(job) else { return };
+        held.span.in_scope(|| tracing::info!("moved"));
+        if let Some(join) = &held.join {
+            self.owed.push((job, join.number, join.streamer, Ending::Cancelled, true, self.now - join.sent));
+        }
+        held.waiting.iter().chain(&held.plays_to).for_each(|line| self.carrier.redirect(*line));
+    }
+
+    fn cancel(&mut self, job: JobId, join: u16) {
+        // A join whose stream has started is not withdrawn.
+        let flows = self.book.current(job, join).is_none_or(|join| join.flows());
+        if let Some(ended) = (!flows).then(|| self.book.end_join(job, join)).flatten() {
+            self.carrier.end_join(job, join);
+            self.owed.push((job, join, ended.streamer, Ending::Cancelled, false, self.now - ended.sent));
+        }
+    }
+
+    fn remind(&mut self, from_now: Duration, token: u64) {
+        self.carrier.remind(from_now, token);
+    }
+
+    fn health_check(&mut self, streamer: StreamerId) {
+        self.carrier.probe(streamer);
+    }
+
+    // Each join has a connection of its own, closed with it: none is idle.
+    fn close(&mut self, _streamer: StreamerId) {}
+
+    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]) {
+        self.carrier.signal(peer, bytes);
+    }
+
+    fn observe(&mut self, want: bool) {
+        self.carrier.observe(want);
+    }
+
+    fn list_all(&mut self) {
+        self.carrier.list_all();
+    }
+
+    fn emit(&mut self, line: &str) {
+        tracing::info!(target: "module", "{line}");
+    }
+
+    fn give_in(&mut self, line: &str) {
+        tracing::error!(target: "module", "{line}");
+    }
+}
