--- /dev/null
+++ b/crates/controller/src/main.rs
@@ -0,0 +1,7 @@
+//! The controller program's entry.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    badgerledge_controller::main_with(std::env::args_os())
+}
--- /dev/null
+++ b/crates/controller/src/serve.rs
@@ -0,0 +1,250 @@
+//! The program's loop: what a wake brought in goes to the ends at once, and once a tick to a round.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use badgerledge_catalogue::Catalogue;
+use badgerledge_core::interface::{Ending, Listing};
+use badgerledge_deployment::Deployment;
+use badgerledge_exchange::Exchange;
+use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::PrometheusHandle;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+
+use crate::ends::{peer_at, Ends, CROWD};
+use crate::list::{ListLine, ToFloor};
+use crate::watch;
+
+/// The clock begins here, so that a streamer's start long before the process has a time.
+const ORIGIN: Duration = Duration::from_secs(30 * 24 * 3600);
+/// Tokens of the loop's own due times; the module's are over them.
+const SWEEP: u64 = 0;
+const MODULE: u64 = 1;
+/// Viewers' connections are looked at, and gauges set, this often: well under every time-out there is.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Descriptors that are neither viewers' nor joins': list, log, metrics, probes, files.
+const SPARE: usize = 128;
+/// Idle connections that are held beside those with a subscription, as a share of those: players connect before
+/// they ask.
+const IDLE_SHARE: usize = 4;
+/// Connections for metrics at a time.
+const READERS: usize = 16;
+
+pub struct Service {
+    ends: Ends,
+    list: ListLine,
+    exchange: Exchange,
+    listener: Line,
+    readers: Vec<Line>,
+    page: PrometheusHandle,
+    next_round: Duration,
+    tick: Duration,
+    /// The list held before the restart is told in the first round.
+    born: bool,
+    ending: bool,
+}
+
+impl Service {
+    pub fn new(deployment: Deployment, catalogue: Catalogue) -> Result<Self> {
+        let page = watch::start()?;
+        let place = deployment.place.clone();
+        let mut reactor = Reactor::new(ORIGIN).context("event loop")?;
+        for signal in [SIGTERM, SIGINT, SIGHUP] {
+            reactor.signal(signal).context("signals")?;
+        }
+        let seed = place.seed.unwrap_or_else(seed_of_the_day);
+        let descriptors = raise_descriptors();
+        // Each subscription has a line to its viewer and one to its streamer.
+        let room = descriptors.saturating_sub(SPARE + CROWD) * IDLE_SHARE / (2 * IDLE_SHARE + 1);
+        let most = place.subscriptions.min(room).max(1);
+        if most < place.subscriptions {
+            let wanted = place.subscriptions;
+            tracing::warn!(wanted, most, descriptors, "subscriptions are bounded by the descriptors");
+        }
+        if let Some(state) = &place.state {
+            std::fs::create_dir_all(state).with_context(|| format!("state folder {}", state.display()))?;
+        }
+        let (listener, at) = reactor
+            .listen(place.listen, Ends::viewer_bounds())
+            .with_context(|| format!("listening at {}", place.listen))?;
+        if let Some(at) = place.metrics {
+            let bounds = Bounds { input: 8192, output: 1024 * 1024 };
+            reactor.listen(at, bounds).with_context(|| format!("metrics at {at}"))?;
+        }
+        let own = place.peers.get(place.number as usize);
+        let datagrams = own.map(|at| reactor.datagrams(*at).with_context(|| format!("peers at {at}")));
+        let datagrams = datagrams.transpose()?.map(|(line, _)| line);
+        let automatic = deployment.shared.fleet.discovery == "automatic";
+        let list = ListLine::new(&place, automatic, ORIGIN, seed ^ 1);
+        let exchange = Exchange::new(reactor.now(), seed, deployment.told(), most);
+        let mut ends = Ends::new(reactor, deployment, catalogue, seed);
+        (ends.listen, ends.datagrams, ends.most_viewers) = (at, datagrams, most + most / IDLE_SHARE);
+        let number = place.number;
+        tracing::info!(number, %at, most, descriptors, "badgerledge-controller serves");
+        let tick = Duration::from_millis(place.tick_ms);
+        let (readers, next_round) = (Vec::new(), ORIGIN);
+        Ok(Self {
+            ends,
+            list,
+            exchange,
+            listener,
+            readers,
+            page,
+            next_round,
+            tick,
+            born: false,
+            ending: false,
+        })
+    }
+
+    /// Serves until a signal ends it.
+    pub fn run(mut self) -> Result<()> {
+        let mut told = Vec::new();
+        self.ends.reactor.due(ORIGIN + SWEEP_EVERY, SWEEP);
+        while !self.ending {
+            let until = self.next_wake();
+            self.ends.reactor.wait(until, &mut told).context("event loop")?;
+            self.ends.now = self.ends.reactor.now();
+            told.drain(..).for_each(|happening| self.take(happening));
+            let now = self.ends.now;
+            self.list.tend(&mut self.ends.reactor, now);
+            for line in self.ends.probes.late(now) {
+                self.ends.probe_ends(line, Ending::Timeout, &[]);
+            }
+            if now >= self.next_round && self.has_work(now) {
+                self.round();
+            }
+            self.ends.reactor.flush();
+        }
+        tracing::info!(held = self.exchange.book().len(), "badgerledge-controller ends");
+        Ok(())
+    }
+
+    fn has_work(&self, now: Duration) -> bool {
+        let list = &self.list;
+        let came = !self.ends.arrivals.is_empty() || !list.came.is_empty() || list.lost || !self.born;
+        came || self.exchange.next_due().is_some_and(|at| at <= now)
+    }
+
+    /// When to wake at the latest.
+    fn next_wake(&self) -> Option<Duration> {
+        let round = match self.has_work(Duration::ZERO) {
+            true => Some(self.next_round),
+            false => self.exchange.next_due().map(|at| at.max(self.next_round)),
+        };
+        [round, self.list.next_due(), self.ends.probes.next_late()].into_iter().flatten().min()
+    }
+
+    fn take(&mut self, happening: Happening) {
+        match happening {
+            Happening::Accepted { line, listener, .. } if listener == self.listener => {
+                self.ends.accepted(line)
+            }
+            Happening::Accepted { line, .. } if self.readers.len() < READERS => self.readers.push(line),
+            Happening::Accepted { line, .. } => self.ends.reactor.close(line),
+            Happening::Readable(line) if self.readers.contains(&line) => self.show_metrics(line),
+            Happening::Closed(line, _) if self.readers.contains(&line) => {
+                self.readers.retain(|reader| *reader != line);
+            }
+            Happening::Readable(line) if self.list.is(line) => {
+                self.list.read(&mut self.ends.reactor, self.ends.now)
+            }
+            Happening::Opened(line) if self.list.is(line) => self.list.opened(&mut self.ends.reactor),
+            Happening::Closed(line, _) if self.list.is(line) => self.list.closed(self.ends.now),
+            Happening::Readable(line) => self.ends.readable(line),
+            Happening::Opened(line) => self.ends.opened(line),
+            Happening::Closed(line, why) => self.ends.closed(line, why),
+            // Media that did not fit was dropped; there is nothing to go on with.
+            Happening::Drained(_) => {}
+            Happening::Datagram { from, bytes, .. } => {
+                if let Some(peer) = peer_at(&self.ends.deployment, from) {
+                    self.ends.arrivals.push(Box::new(move |floor| floor.peer(peer, &bytes)));
+                }
+            }
+            Happening::Due(SWEEP) => self.sweep(),
+            Happening::Due(token) => {
+                self.ends.arrivals.push(Box::new(move |floor| floor.fired(token - MODULE)));
+            }
+            Happening::Signal(SIGHUP) => self.read_catalogue(),
+            Happening::Signal(signal) => {
+                tracing::info!(signal, "told to end");
+                self.ending = true;
+            }
+        }
+    }
+
+    fn round(&mut self) {
+        let begun = Instant::now();
+        let now = self.ends.now;
+        self.next_round = now + self.tick;
+        let arrivals = std::mem::take(&mut self.ends.arrivals);
+        let lines = std::mem::take(&mut self.list.came);
+        let lost = std::mem::take(&mut self.list.lost);
+        let born = std::mem::replace(&mut self.born, true);
+        let list = &mut self.list;
+        let mut whole = false;
+        self.exchange.round(now, &mut self.ends, |floor| {
+            if !born {
+                list.book.tell_cached(&mut ToFloor { floor, known: Vec::new() });
+            }
+            // The list first: what goes out in this round knows of it.
+            for line in &lines {
+                whole |= list.take(line, now, floor);
+            }
+            if lost {
+                floor.list_begins(Listing::Failed, std::iter::empty());
+                floor.list_ends(Listing::Failed);
+            }
+            arrivals.into_iter().for_each(|arrival| arrival(floor));
+        });
+        let mut wants = std::mem::take(&mut self.ends.list_wants);
+        wants.1 |= whole;
+        self.list.ask(&mut self.ends.reactor, wants);
+        for (at, token) in std::mem::take(&mut self.ends.reminders) {
+            // In the next round at the earliest: a reminder never fires in the round that set it.
+            self.ends.reactor.due(at.max(now + Duration::from_micros(1)), token + MODULE);
+        }
+        histogram!(watch::ROUND_TIME).record(begun.elapsed().as_secs_f64());
+    }
+
+    /// Reads the catalogue anew. One that is not in order changes nothing.
+    fn read_catalogue(&mut self) {
+        let path = &self.ends.deployment.place.catalogue;
+        match Catalogue::read(path) {
+            Ok(catalogue) => {
+                tracing::info!(titles = catalogue.len(), "the catalogue was read anew");
+                self.ends.catalogue = catalogue;
+            }
+            Err(faults) => tracing::warn!("{faults}; the catalogue read before goes on counting"),
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.ends.now;
+        self.ends.reactor.due(now + SWEEP_EVERY, SWEEP);
+        self.ends.sweep();
+        self.list.store(now);
+        gauge!(watch::HELD).set(self.exchange.book().len() as f64);
+        gauge!(watch::PLAYING).set(self.exchange.book().playing() as f64);
+        gauge!(watch::CONNECTIONS).set(self.ends.reactor.connections() as f64);
+        gauge!(watch::STREAMERS).set(self.list.book.entries().count() as f64);
+        let media = std::mem::take(&mut self.ends.media);
+        counter!(watch::MEDIA_PACKETS).increment(media.packets);
+        counter!(watch::MEDIA_BYTES).increment(media.bytes);
+        counter!(watch::LOST_PACKETS).increment(media.lost);
+    }
+
+    /// Any request is answered with the page once its head has come.
+    fn show_metrics(&mut self, line: Line) {
+        if self.ends.reactor.input(line).windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            self.ends.reactor.send(line, &[&watch::page(&self.page)]);
+            self.ends.reactor.finish(line);
+        }
+    }
+}
+
+fn seed_of_the_day() -> u64 {
+    let day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    day.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(32)
+}
--- /dev/null
+++ b/crates/controller/src/watch.rs
@@ -0,0 +1,58 @@
+//! Metrics: what is counted, and the page that shows it.
+
+use anyhow::{Context, Result};
+use metrics::{describe_counter, describe_gauge, describe_histogram, Unit};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+pub const ASKED: &str = "badgerledge_subscriptions_asked_total";
+pub const ANSWERS: &str = "badgerledge_answers_total";
+pub const ANSWER_TIME: &str = "badgerledge_answer_seconds";
+pub const JOINS: &str = "badgerledge_joins_total";
+pub const HELD: &str = "badgerledge_subscriptions_held";
+pub const PLAYING: &str = "badgerledge_subscriptions_playing";
+pub const CONNECTIONS: &str = "badgerledge_connections";
+pub const STREAMERS: &str = "badgerledge_streamers_listed";
+pub const MEDIA_BYTES: &str = "badgerledge_media_bytes_total";
+pub const MEDIA_PACKETS: &str = "badgerledge_media_packets_total";
+pub const LOST_PACKETS: &str = "badgerledge_media_packets_lost_total";
+pub const FAULTS: &str = "badgerledge_input_faults_total";
+pub const MOVES: &str = "badgerledge_moves_total";
+pub const ROUND_TIME: &str = "badgerledge_round_seconds";
+
+/// Starts the counting, and gives what renders the page.
+pub fn start() -> Result<PrometheusHandle> {
+    let buckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+    let recorder = PrometheusBuilder::new().set_buckets(&buckets).context("metrics")?.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).context("metrics")?;
+    describe_counter!(ASKED, "Requests for a subscription");
+    describe_counter!(ANSWERS, "Final answers, by kind: plays, throttled, terminated");
+    describe_histogram!(ANSWER_TIME, Unit::Seconds, "From a SETUP to its answer that it plays");
+    describe_counter!(JOINS, "Joins sent to streamers");
+    describe_gauge!(HELD, "Subscriptions taken and not over");
+    describe_gauge!(PLAYING, "Subscriptions that play");
+    describe_gauge!(CONNECTIONS, "Connections held, of viewers and to streamers");
+    describe_gauge!(STREAMERS, "Streamers on the list, gone ones not counted");
+    describe_counter!(MEDIA_BYTES, Unit::Bytes, "Media relayed to viewers");
+    describe_counter!(MEDIA_PACKETS, "Media packets relayed to viewers");
+    describe_counter!(LOST_PACKETS, "Media packets dropped before a viewer that reads too slowly");
+    describe_counter!(FAULTS, "Input that could not be understood or went over a bound");
+    describe_counter!(MOVES, "Subscriptions sent back to be placed elsewhere");
+    describe_histogram!(
+        ROUND_TIME,
+        Unit::Seconds,
+        "A round of the module with the carrying out of its decisions"
+    );
+    Ok(handle)
+}
+
+/// The answer to any request at the metrics address (RFC 9112): the page, and the connection's end.
+pub fn page(handle: &PrometheusHandle) -> Vec<u8> {
+    handle.run_upkeep();
+    let text = handle.render();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        text.len()
+    );
+    [head.into_bytes(), text.into_bytes()].concat()
+}
--- a/crates/discovery/src/book.rs
+++ b/crates/discovery/src/book.rs
@@ -72,14 +72,19 @@
         self.entries.keys().copied().collect()
     }
 
-    /// The line that asks for changes from what is held on, or for no more of them.
-    pub fn ask_changes(&self, want: bool) -> String {
-        format!("{}\n", json!({"observe": want, "epoch": self.epoch, "revision": self.revision}))
+    /// The line that asks for changes from what is held on, or for no more of them. It names the controller by
+    /// its number, for the service's own records.
+    pub fn ask_changes(&self, want: bool, controller: u32) -> String {
+        let Self { epoch, revision, .. } = self;
+        format!(
+            "{}\n",
+            json!({"observe": want, "controller": controller, "epoch": epoch, "revision": revision})
+        )
     }
 
     /// The line that asks for the whole list once.
-    pub fn ask_whole() -> String {
-        format!("{}\n", json!({"list": true}))
+    pub fn ask_whole(controller: u32) -> String {
+        format!("{}\n", json!({"list": true, "controller": controller}))
     }
 
     /// Takes a line of the service and passes on what it brings. Ages are counted back from `now`.
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -275,6 +275,19 @@
         self.tune(line);
     }
 
+    /// Takes a line's input away, so that it can be read while other lines are sent to; to be laid back.
+    pub fn lift(&mut self, line: Line) -> Buffer {
+        self.conn_mut(line).map_or_else(Buffer::default, |conn| std::mem::take(&mut conn.input))
+    }
+
+    /// Lays back what was lifted, less what was consumed of it.
+    pub fn lay_back(&mut self, line: Line, input: Buffer) {
+        if let Some(conn) = self.conn_mut(line) {
+            conn.input = input;
+            self.tune(line);
+        }
+    }
+
     /// Bytes that a line's output can still take; none for a line that is gone or finishing.
     pub fn room(&self, line: Line) -> usize {
         let open = self.conn(line).filter(|conn| conn.ended.is_none() && !conn.finishing);
@@ -305,6 +318,11 @@
         }
     }
 
+    /// Writes what was given to one line, now.
+    pub fn flush_line(&mut self, line: Line) {
+        self.write_out(line);
+    }
+
     /// Writes what was given since the last flush.
     pub fn flush(&mut self) {
         for line in std::mem::take(&mut self.dirty) {
--- /dev/null
+++ b/crates/replay/src/controllers.rs
@@ -0,0 +1,195 @@
+//! The controllers of a day: a process each, started, killed outright, stopped and started anew.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use anyhow::{bail, Context, Result};
+use rustix::process::{kill_process, Pid, Signal};
+
+use crate::day::Day;
+
+/// One controller of the day.
+struct One {
+    listen: SocketAddr,
+    zone: usize,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    starts: u32,
+}
+
+pub struct Controllers {
+    program: PathBuf,
+    log_level: String,
+    all: Vec<One>,
+}
+
+/// How long a controller may take to listen: a debug build on a busy machine takes well under a second.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+impl Controllers {
+    /// Writes the settings of all controllers. `peers` are the addresses at which each is reached by the others,
+    /// and its own.
+    pub fn new(
+        day: &Day, program: &Path, folder: &Path, log_level: &str, list: SocketAddr, own: &[SocketAddr],
+        reached: &[SocketAddr],
+    ) -> Result<Self> {
+        let mut all = Vec::new();
+        for (number, own_at) in own.iter().enumerate() {
+            let listen = free_port()?;
+            let zone = number % day.shared.fleet.zones.len();
+            let mut peers = reached.to_vec();
+            peers[number] = *own_at;
+            let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+            let text = format!(
+                "[controller]\nnumber = {number}\ncontrollers = {}\nzone = {}\nlisten = {listen}\nlist = {list}\n\
+                 peers = {}\ncatalogue = {}\nstate = {}\nseed = {}\n{}",
+                own.len(),
+                day.shared.fleet.zones[zone],
+                peers.join(", "),
+                folder.join("catalogue.ini").display(),
+                folder.join(format!("state-{number}")).display(),
+                day.course.seed.wrapping_mul(1000) + number as u64,
+                day.shared_text,
+            );
+            let settings = folder.join(format!("controller-{number}.ini"));
+            std::fs::write(&settings, text).with_context(|| settings.display().to_string())?;
+            let log = folder.join(format!("controller-{number}.log"));
+            all.push(One { listen, zone, settings, log, child: None, starts: 0 });
+        }
+        Ok(Self { program: program.to_owned(), log_level: log_level.to_owned(), all })
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Where viewers reach each, and its building.
+    pub fn places(&self) -> Vec<(SocketAddr, usize)> {
+        self.all.iter().map(|one| (one.listen, one.zone)).collect()
+    }
+
+    pub fn in_zone(&self, zone: usize) -> Vec<usize> {
+        (0..self.all.len()).filter(|number| self.all[*number].zone == zone).collect()
+    }
+
+    /// How often each was started.
+    pub fn starts(&self) -> Vec<u32> {
+        self.all.iter().map(|one| one.starts).collect()
+    }
+
+    pub fn start(&mut self, number: usize) -> Result<()> {
+        let one = &mut self.all[number];
+        let log = File::options().create(true).append(true).open(&one.log);
+        let log = log.with_context(|| one.log.display().to_string())?;
+        let child = Command::new(&self.program)
+            .args(["controller", "run", "--log-level", &self.log_level])
+            .arg(&one.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("starting {}", self.program.display()))?;
+        one.child = Some(child);
+        one.starts += 1;
+        Ok(())
+    }
+
+    /// Waits until all of them listen.
+    pub fn wait_ready(&mut self) -> Result<()> {
+        let begun = std::time::Instant::now();
+        for one in &mut self.all {
+            while TcpStream::connect_timeout(&one.listen, Duration::from_millis(200)).is_err() {
+                let ended = one.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
+                if ended || begun.elapsed() > PATIENCE {
+                    let log = std::fs::read_to_string(&one.log).unwrap_or_default();
+                    bail!("a controller does not serve at {}; its log:\n{log}", one.listen);
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+
+    /// Kills a controller outright.
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.all[number].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn runs(&self, number: usize) -> bool {
+        self.all[number].child.is_some()
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        let pid = self.all[number].child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Stops a controller, as a machine does that hangs.
+    pub fn stop(&self, number: usize) {
+        self.signal(number, Signal::STOP);
+    }
+
+    pub fn go_on(&self, number: usize) {
+        self.signal(number, Signal::CONT);
+    }
+
+    /// Controllers that ended by themselves: none should.
+    pub fn ended(&mut self) -> Vec<usize> {
+        let mut ended = Vec::new();
+        for (number, one) in self.all.iter_mut().enumerate() {
+            if one.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                one.child = None;
+                ended.push(number);
+            }
+        }
+        ended
+    }
+
+    /// Ends all in order: SIGTERM, and those that take too long are killed.
+    pub fn finish(&mut self) -> Vec<bool> {
+        (0..self.len()).for_each(|number| {
+            self.go_on(number);
+            self.signal(number, Signal::TERM);
+        });
+        let begun = std::time::Instant::now();
+        let mut orderly = Vec::new();
+        for one in &mut self.all {
+            let Some(mut child) = one.child.take() else { continue };
+            let mut ended = None;
+            while ended.is_none() && begun.elapsed() < Duration::from_secs(5) {
+                ended = child.try_wait().ok().flatten();
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            orderly.push(ended.is_some_and(|status| status.success()));
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        orderly
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        (0..self.len()).for_each(|number| self.kill(number));
+    }
+}
+
+fn free_port() -> Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?;
+    Ok(listener.local_addr()?)
+}
+
+/// A free address for datagrams.
+pub fn free_datagram_port() -> Result<SocketAddr> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?;
+    Ok(socket.local_addr()?)
+}
--- /dev/null
+++ b/crates/replay/src/day.rs
@@ -0,0 +1,201 @@
+//! A day file.
+
+use std::path::Path;
+use std::time::Duration;
+
+use badgerledge_deployment::{Shared, SHARED_SECTIONS};
+use badgerledge_settings::{one_of, within, Faults, Sheet};
+use garde::Validate;
+use serde::Deserialize;
+
+/// The kinds of trouble that can be played.
+pub const TROUBLES: [&str; 15] = [
+    "crash",
+    "vanish",
+    "report_late",
+    "burst",
+    "hot_key",
+    "zone_loss",
+    "deploy",
+    "discovery_stale",
+    "balancer_crash",
+    "balancer_roll",
+    "balancer_stall",
+    "shared_slow",
+    "origin_slow",
+    "ageing",
+    "peer_down",
+];
+
+/// `[day]`.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Course {
+    /// Viewers arrive for so long.
+    #[garde(custom(within(1.0, 3600.0)))]
+    pub length_s: f64,
+    #[garde(skip)]
+    pub seed: u64,
+    #[garde(custom(within(1, 64)))]
+    pub controllers: u32,
+    #[garde(custom(within(1, 1000)))]
+    pub streamers: usize,
+    /// Weights of streamers, in turn.
+    #[garde(length(min = 1))]
+    #[serde(default = "ones")]
+    pub weights: Vec<f64>,
+    /// Titles, the cells that hold each (least and most), and how unevenly they are wanted (Zipf's exponent).
+    #[garde(custom(within(1, 100_000)))]
+    pub titles: u64,
+    #[garde(length(equal = 2))]
+    pub copies: Vec<u32>,
+    #[garde(custom(within(0.0, 3.0)))]
+    #[serde(default)]
+    pub zipf: f64,
+    /// The list's lag behind a process that ends, behind one that falls silent, and behind one that starts, each
+    /// least and most.
+    #[garde(length(equal = 2))]
+    pub list_lag_ms: Vec<u64>,
+    #[garde(length(equal = 2))]
+    pub silent_lag_ms: Vec<u64>,
+    #[garde(length(equal = 2))]
+    pub start_lag_ms: Vec<u64>,
+}
+
+fn ones() -> Vec<f64> {
+    vec![1.0]
+}
+
+/// `[arrivals]`.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Arrivals {
+    #[garde(custom(within(0.1, 10_000.0)))]
+    pub per_s: f64,
+    /// `steady`, `ramp` (from half to one and a half) or `wave` (one period, half more and half less).
+    #[garde(custom(one_of(&["steady", "ramp", "wave"])))]
+    #[serde(default = "steady")]
+    pub shape: String,
+    /// The part of viewers that can't use the upper half of the ladder.
+    #[garde(custom(within(0.0, 1.0)))]
+    #[serde(default)]
+    pub small_screens: f64,
+    /// Whether viewers tell how long they will watch.
+    #[garde(skip)]
+    #[serde(default)]
+    pub hints: bool,
+    /// The part that comes again after a break, that honours a time to come back, that asks twice.
+    #[garde(custom(within(0.0, 1.0)))]
+    #[serde(default = "nine_tenths")]
+    pub returns: f64,
+    #[garde(custom(within(0.0, 1.0)))]
+    #[serde(default = "seven_tenths")]
+    pub honour: f64,
+    #[garde(custom(within(0.0, 1.0)))]
+    #[serde(default)]
+    pub impatient: f64,
+}
+
+fn steady() -> String {
+    "steady".to_owned()
+}
+
+fn nine_tenths() -> f64 {
+    0.9
+}
+
+fn seven_tenths() -> f64 {
+    0.7
+}
+
+/// `[viewers NAME]`: those of one room type.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    #[garde(custom(within(0.0, 1.0)))]
+    pub share: f64,
+    #[garde(length(equal = 2))]
+    pub life_s: Vec<f64>,
+}
+
+/// `[trouble NAME]`.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    #[garde(custom(one_of(&TROUBLES)))]
+    pub kind: String,
+    #[garde(custom(within(0.0, 3600.0)))]
+    pub at_s: f64,
+    #[garde(custom(within(0.0, 3600.0)))]
+    pub for_s: f64,
+    /// The part of what it strikes: streamers, racks or controllers. For a building, which: 0 is the first.
+    #[garde(custom(within(0.0, 1.0)))]
+    #[serde(default = "whole")]
+    pub part: f64,
+    /// How strong: a factor, a share of the traffic, or seconds.
+    #[garde(custom(within(0.0, 1000.0)))]
+    #[serde(default = "whole")]
+    pub size: f64,
+    /// A second figure where the kind has one: seconds of drain or of being down, or titles of a crowd.
+    #[garde(custom(within(0.0, 1000.0)))]
+    #[serde(default = "whole")]
+    pub extra: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+impl Trouble {
+    pub fn at(&self) -> Duration {
+        Duration::from_secs_f64(self.at_s)
+    }
+
+    pub fn span(&self) -> Duration {
+        Duration::from_secs_f64(self.for_s)
+    }
+}
+
+/// A day, checked.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub course: Course,
+    pub arrivals: Arrivals,
+    /// By room type, in their order.
+    pub kinds: Vec<Kind>,
+    pub troubles: Vec<(String, Trouble)>,
+    pub shared: Shared,
+    /// The sections that controllers are told, as text.
+    pub shared_text: String,
+}
+
+impl Day {
+    pub fn read(path: &Path) -> Result<Self, Faults> {
+        Self::of(&Sheet::read(path)?)
+    }
+
+    pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
+        sheet.only(&[&["day", "arrivals", "viewers", "trouble"][..], &SHARED_SECTIONS].concat())?;
+        let shared = Shared::of(sheet)?;
+        let (course, arrivals) =
+            Faults::both(sheet.section::<Course>("day"), sheet.section::<Arrivals>("arrivals"))?;
+        let mut kinds = Vec::new();
+        for (name, _) in &shared.room_types {
+            kinds.push(sheet.section::<Kind>(&format!("viewers {name}"))?);
+        }
+        if let Some(name) = sheet.named("viewers").find(|name| shared.room_type(name).is_none()) {
+            let why = "there is no room type of this name";
+            return Err(sheet.fault(&format!("viewers {name}"), "", "", why).into());
+        }
+        let mut troubles = Vec::new();
+        for name in sheet.named("trouble") {
+            troubles.push((name.to_owned(), sheet.section::<Trouble>(&format!("trouble {name}"))?));
+        }
+        let shared_text = sheet.copy(&SHARED_SECTIONS);
+        Ok(Self { course, arrivals, kinds, troubles, shared, shared_text })
+    }
+
+    pub fn length(&self) -> Duration {
+        Duration::from_secs_f64(self.course.length_s)
+    }
+}
--- /dev/null
+++ b/crates/replay/src/play.rs
@@ -0,0 +1,262 @@
+//! Plays a day.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use badgerledge_core::interface::Health;
+use badgerledge_reactor::{raise_descriptors, Happening, Reactor};
+use badgerledge_standins::{Condition, Habits, ListService, Streamers, Told, Viewers};
+use badgerledge_witness::Witness;
+
+use crate::controllers::Controllers;
+use crate::day::Day;
+use crate::messages::Messages;
+use crate::plan::{self, Draw};
+use crate::report::Report;
+use crate::troubles::{Strike, Strikes};
+
+/// What a day is played with.
+pub struct Options {
+    /// The program that runs a controller when it is called with `controller run FILE`.
+    pub program: PathBuf,
+    /// Settings, state and logs of the controllers.
+    pub folder: PathBuf,
+    pub log_level: String,
+}
+
+/// The clock shows this at the start: streamers may have started before.
+const ORIGIN: Duration = Duration::from_secs(3600);
+/// After the last arrival a day goes on so long, that every answer can come.
+const RUNS_ON: Duration = Duration::from_secs(1);
+
+/// All that a day consists of.
+struct Stage<'a> {
+    day: &'a Day,
+    reactor: Reactor,
+    streamers: Streamers,
+    list: ListService,
+    viewers: Viewers,
+    controllers: Controllers,
+    messages: Messages,
+    witness: Witness,
+    draw: Draw,
+    /// Which streamer holds a place, after replacements.
+    holds: Vec<usize>,
+}
+
+/// Plays a day to its end, and says what came of it.
+pub fn play(day: &Day, options: &Options) -> Result<Report> {
+    raise_descriptors();
+    std::fs::create_dir_all(&options.folder).with_context(|| options.folder.display().to_string())?;
+    let mut draw = Draw::new(day.course.seed);
+    let mut reactor = Reactor::new(ORIGIN).context("event loop")?;
+    let titles = plan::titles(day, &mut draw);
+    let catalogue = options.folder.join("catalogue.ini");
+    std::fs::write(&catalogue, plan::catalogue(day, &titles))
+        .with_context(|| catalogue.display().to_string())?;
+    let mut witness = Witness::new(day.shared.clone());
+    let mut streamers = Streamers::new(day.shared.clone(), day.course.seed ^ 0x5717);
+    let mut list = ListService::new(&mut reactor, SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    for number in 0..day.course.streamers {
+        streamers.add(&mut reactor, told(day, number), None)?;
+    }
+    for number in 0..streamers.len() {
+        learn(&mut list, &streamers, number, Health::Ready, ORIGIN, Duration::ZERO);
+    }
+    list.tend(&mut reactor, ORIGIN, &mut witness);
+    let messages = Messages::new(&mut reactor, day.course.controllers as usize, day.course.seed ^ 0x3e55)?;
+    let (own, reached) = messages.places();
+    let Options { program, folder, log_level } = options;
+    let mut controllers = Controllers::new(day, program, folder, log_level, list.at(), &own, &reached)?;
+    for number in 0..controllers.len() {
+        controllers.start(number)?;
+        witness.controller_up(number as u32);
+    }
+    controllers.wait_ready()?;
+    let plans = plan::plans(day, &titles, &mut draw);
+    // The first list is on its way to all of them before the first viewer comes.
+    let start = reactor.clock() + Duration::from_secs(1);
+    let habits = Habits {
+        returns: day.arrivals.returns,
+        honour: day.arrivals.honour,
+        impatient: day.arrivals.impatient,
+        ..Habits::default()
+    };
+    let viewers = Viewers::new(
+        day.shared.clone(),
+        habits,
+        controllers.places(),
+        plans,
+        start,
+        day.course.seed ^ 0x71e3,
+    );
+    let strikes = Strikes::new(day, start, &streamers, &controllers, &mut draw);
+    let holds = (0..streamers.len()).collect();
+    let stage = Stage { day, reactor, streamers, list, viewers, controllers, messages, witness, draw, holds };
+    stage.play(start, strikes)
+}
+
+fn told(day: &Day, number: usize) -> Told {
+    let (zones, kinds) = (day.shared.fleet.zones.len(), day.shared.fleet.kinds.len());
+    let cell = number as u32 % day.shared.fleet.cells;
+    // Racks do not span buildings: a cell's rack tells its building.
+    let zone = (cell % day.shared.fleet.racks) as usize % zones;
+    let weight = day.course.weights[number % day.course.weights.len()];
+    Told { zone: zone as u16, kind: number % kinds, cell, weight }
+}
+
+fn learn(
+    list: &mut ListService, streamers: &Streamers, number: usize, health: Health, now: Duration,
+    lag: Duration,
+) {
+    let Told { zone, kind, cell, weight } = streamers.told(number);
+    let (start, came_up) = streamers.start(number);
+    list.learn(now, lag, streamers.at(number), zone, kind, cell, health, weight, start, came_up);
+}
+
+impl Stage<'_> {
+    fn play(mut self, start: Duration, mut strikes: Strikes) -> Result<Report> {
+        let timeouts = self.day.shared.room_types.iter().map(|(_, told)| told.client_timeout_ms);
+        let last = Duration::from_millis(timeouts.max().unwrap_or(0)) + RUNS_ON;
+        let end = start + self.day.length() + last;
+        let mut told = Vec::new();
+        let mut crashed = Vec::new();
+        let mut peak = 0;
+        while self.reactor.now() < end {
+            let due = [
+                strikes.next_due(),
+                self.list.next_due(),
+                self.viewers.next_due(),
+                self.streamers.next_due(),
+                self.messages.next_due(),
+                Some(end),
+            ];
+            self.reactor.wait(due.into_iter().flatten().min(), &mut told)?;
+            let now = self.reactor.now();
+            for happening in told.drain(..) {
+                self.take(now, &happening);
+            }
+            while let Some(strike) = strikes.pop(now) {
+                self.strike(strike, now)?;
+            }
+            self.list.tend(&mut self.reactor, now, &mut self.witness);
+            self.streamers.tend(&mut self.reactor, now);
+            self.viewers.tend(&mut self.reactor, now, &mut self.witness);
+            self.messages.tend(&self.reactor, now);
+            self.reactor.flush();
+            peak = peak.max(self.viewers.playing());
+            crashed.extend(self.controllers.ended());
+        }
+        let orderly = self.controllers.finish();
+        Ok(Report {
+            seed: self.day.course.seed,
+            rules: self.witness.verdict(),
+            tally: self.viewers.tally,
+            viewers: self.viewers.counts,
+            streamers: self.streamers.counts,
+            peak,
+            controller_starts: self.controllers.starts(),
+            controllers_crashed: crashed,
+            orderly_ends: orderly.iter().all(|orderly| *orderly),
+            list_lines: self.list.lines_sent(),
+            messages: (self.messages.passed, self.messages.lost),
+        })
+    }
+
+    fn take(&mut self, now: Duration, happening: &Happening) {
+        let (reactor, witness) = (&mut self.reactor, &mut self.witness);
+        let taken = self.streamers.take(reactor, now, happening, witness)
+            || self.viewers.take(reactor, now, happening, witness)
+            || self.list.take(reactor, now, happening, witness)
+            || self.messages.take(now, happening);
+        // A connection that came in at a listener that was closed meanwhile is nobody's.
+        if let Happening::Accepted { line, .. } = happening {
+            if !taken {
+                self.reactor.close(*line);
+            }
+        }
+    }
+
+    /// The list hears of it, some time later.
+    fn learn(&mut self, number: usize, health: Health, now: Duration, lag: &[u64]) {
+        let lag = self.draw.span(lag);
+        learn(&mut self.list, &self.streamers, number, health, now, lag);
+    }
+
+    fn strike(&mut self, strike: Strike, now: Duration) -> Result<()> {
+        let course = &self.day.course;
+        let (ended, silent, started) = (&course.list_lag_ms, &course.silent_lag_ms, &course.start_lag_ms);
+        match strike {
+            Strike::Crash(place) => {
+                let number = self.holds[place];
+                self.streamers.crash(&mut self.reactor, number, &mut self.witness);
+                self.learn(number, Health::Gone, now, ended);
+            }
+            Strike::Silence(place) => {
+                let number = self.holds[place];
+                self.streamers.silence(number);
+                self.learn(number, Health::Gone, now, silent);
+            }
+            Strike::Restart(place) => {
+                let number = self.holds[place];
+                // One that fell over while cold stays down; one that is up again has been replaced meanwhile.
+                let up = self.streamers.condition(number) == Condition::Up;
+                if !up && !self.streamers.fell(number) {
+                    self.streamers.restart(&mut self.reactor, number, now, &mut self.witness)?;
+                    self.learn(number, Health::Ready, now, started);
+                }
+            }
+            Strike::Drain(place) => {
+                let number = self.holds[place];
+                if self.streamers.condition(number) == Condition::Up {
+                    self.streamers.drain(number);
+                    // A drain is announced: the list hears of it as of a start.
+                    self.learn(number, Health::Draining, now, started);
+                }
+            }
+            Strike::Replace(place) => self.replace(place, now)?,
+            Strike::SlowLink(place, left) => self.streamers.slow_link(self.holds[place], left),
+            Strike::SlowUplink(rack, left) => self.streamers.slow_uplink(rack, left),
+            Strike::Age(place, times) => self.streamers.age(self.holds[place], times),
+            Strike::ReportsLate(by) => self.streamers.run_late(by),
+            Strike::ListBehind(by) => self.list.run_behind(by),
+            Strike::Kill(number) => {
+                self.witness.controller_down(number as u32);
+                self.controllers.kill(number);
+            }
+            Strike::Start(number) if !self.controllers.runs(number) => {
+                self.witness.controller_up(number as u32);
+                self.controllers.start(number)?;
+            }
+            Strike::Start(_) => {}
+            Strike::Stop(number) => {
+                self.witness.controller_down(number as u32);
+                self.controllers.stop(number);
+            }
+            Strike::GoOn(number) => {
+                self.controllers.go_on(number);
+                if self.controllers.runs(number) {
+                    self.witness.controller_goes_on(number as u32);
+                }
+            }
+            Strike::CutMessages(cut) => self.messages.cut = cut,
+        }
+        Ok(())
+    }
+
+    /// A drained streamer ends; a successor at a new address takes its cell, cold.
+    fn replace(&mut self, place: usize, now: Duration) -> Result<()> {
+        let (number, lag) = (self.holds[place], &self.day.course.list_lag_ms);
+        self.streamers.crash(&mut self.reactor, number, &mut self.witness);
+        self.learn(number, Health::Gone, now, lag);
+        let told = self.streamers.told(number);
+        let successor = self.streamers.add(&mut self.reactor, told, Some(now))?;
+        self.holds[place] = successor;
+        let places = self.day.shared.fleet.kind_streams[told.kind];
+        self.witness.started(now, self.streamers.at(successor), places);
+        self.learn(successor, Health::Ready, now, &self.day.course.start_lag_ms);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,108 @@
+//! What came of a day.
+
+use std::fmt;
+
+use badgerledge_standins::Tally;
+use badgerledge_witness::{Judged, RULES};
+use serde_json::{json, Value};
+
+pub struct Report {
+    pub seed: u64,
+    pub rules: [Judged; 6],
+    pub tally: Tally,
+    pub viewers: badgerledge_standins::ViewerCounts,
+    pub streamers: badgerledge_standins::StreamerCounts,
+    /// Subscriptions that played at one time, at most.
+    pub peak: usize,
+    pub controller_starts: Vec<u32>,
+    /// Controllers that ended by themselves.
+    pub controllers_crashed: Vec<usize>,
+    /// All ended with success when they were told to.
+    pub orderly_ends: bool,
+    pub list_lines: u64,
+    /// Messages between controllers, handed on and lost.
+    pub messages: (u64, u64),
+}
+
+impl Report {
+    /// Whether every rule was put to the test, but for those named, and all were kept.
+    pub fn kept(&self, untested: &[usize]) -> bool {
+        let good = |(n, rule): (usize, &Judged)| {
+            rule.broken == 0 && (rule.tested > 0 || untested.contains(&(n + 1)))
+        };
+        self.rules.iter().enumerate().all(good) && self.controllers_crashed.is_empty() && self.orderly_ends
+    }
+
+    /// All figures.
+    pub fn json(&self) -> Value {
+        let rules = self.rules.iter().zip(RULES).map(|(rule, name)| {
+            json!({"rule": name, "tested": rule.tested, "broken": rule.broken, "examples": rule.examples})
+        });
+        let (worst_type, worst_name) = self.tally.worst_room_type();
+        let room_types =
+            self.tally.room_types().map(|(name, service)| json!({"name": name, "service": service}));
+        let (v, s) = (&self.viewers, &self.streamers);
+        json!({
+            "version": env!("CARGO_PKG_VERSION"),
+            "seed": self.seed,
+            "rules": rules.collect::<Vec<_>>(),
+            "service": {"whole": self.tally.whole(), "worst_10_s": self.tally.worst_window(),
+                "worst_room_type": worst_type, "worst_room_type_name": worst_name,
+                "room_types": room_types.collect::<Vec<_>>(),
+                "seconds": self.tally.seconds()},
+            "viewers": {"asks": v.asks, "plays": v.plays, "throttled": v.throttled, "terminated": v.terminated,
+                "no_answer": v.no_answer, "moved": v.moved, "breaks": v.breaks, "gave_up": v.gave_up,
+                "media_bytes": v.media_bytes, "peak_playing": self.peak},
+            "streamers": {"set_ups": s.set_ups, "turned_away": s.turned_away, "fell": s.fell,
+                "media_bytes": s.media_bytes},
+            "controllers": {"starts": self.controller_starts, "crashed": self.controllers_crashed,
+                "orderly_ends": self.orderly_ends},
+            "list_lines": self.list_lines,
+            "messages": {"passed": self.messages.0, "lost": self.messages.1},
+        })
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, (rule, name)) in self.rules.iter().zip(RULES).enumerate() {
+            let word = match (rule.broken, rule.tested) {
+                (0, 0) => "not put to the test",
+                (0, _) => "kept",
+                _ => "BROKEN",
+            };
+            let (tested, broken) = (rule.tested, rule.broken);
+            writeln!(f, "rule {}  {name:<62} {word}: tested {tested}, broken {broken}", n + 1)?;
+            for example in &rule.examples {
+                writeln!(f, "        {example}")?;
+            }
+        }
+        let (worst, name) = self.tally.worst_room_type();
+        let (whole, window) = (self.tally.whole(), self.tally.worst_window());
+        writeln!(
+            f,
+            "service  whole day {whole:.3}, worst 10 s {window:.3}, worst room type {worst:.3} ({name})"
+        )?;
+        let v = &self.viewers;
+        writeln!(
+            f,
+            "viewers  {} asks: {} play, {} throttled, {} terminated, {} without an answer; {} moved, {} breaks, \
+             {} gave up; {} played at once at most",
+            v.asks, v.plays, v.throttled, v.terminated, v.no_answer, v.moved, v.breaks, v.gave_up, self.peak
+        )?;
+        let s = &self.streamers;
+        writeln!(
+            f,
+            "streamers  {} set-ups, {} turned away, {} fell over, {:.1} MB of media; controllers started {:?} times",
+            s.set_ups,
+            s.turned_away,
+            s.fell,
+            s.media_bytes as f64 / 1e6,
+            self.controller_starts
+        )?;
+        if !self.controllers_crashed.is_empty() || !self.orderly_ends {
+            writeln!(f, "controllers that ended by themselves: {:?}", self.controllers_crashed)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/list_service.rs
@@ -0,0 +1,216 @@
+//! A list service: knows which streamers run, drain or are gone, and tells controllers of it late.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use badgerledge_core::interface::{Health, StreamerId};
+use badgerledge_discovery::{health_word, LONGEST_LINE};
+use badgerledge_reactor::{Bounds, Happening, Line, Reactor};
+use badgerledge_witness::Witness;
+use serde_json::{json, Value};
+
+/// One streamer as the service lists it.
+#[derive(Clone, Debug)]
+struct Listed {
+    zone: u16,
+    kind: usize,
+    cell: u32,
+    health: Health,
+    weight: f64,
+    start: u64,
+    /// None is long past.
+    came_up: Option<Duration>,
+    /// The revision that changed it last.
+    revision: u64,
+}
+
+/// A change on its way: told only once its lag is over.
+#[derive(Debug)]
+struct Change {
+    at: Duration,
+    streamer: StreamerId,
+    listed: Listed,
+}
+
+/// A controller's connection.
+#[derive(Debug, Default)]
+struct Reader {
+    controller: Option<u32>,
+    observes: bool,
+    /// What it holds, as far as was sent.
+    revision: u64,
+}
+
+pub struct ListService {
+    listener: Line,
+    at: SocketAddr,
+    epoch: u64,
+    revision: u64,
+    listed: BTreeMap<StreamerId, Listed>,
+    coming: Vec<Change>,
+    readers: BTreeMap<Line, Reader>,
+    /// Added to every lag while it runs behind.
+    behind: Duration,
+    lines_sent: u64,
+}
+
+const BOUNDS: Bounds = Bounds { input: 64 * 1024, output: LONGEST_LINE };
+
+impl ListService {
+    pub fn new(reactor: &mut Reactor, at: SocketAddr) -> Result<Self> {
+        let (listener, at) = reactor.listen(at, BOUNDS).with_context(|| format!("list service at {at}"))?;
+        let epoch = 1;
+        Ok(Self {
+            listener,
+            at,
+            epoch,
+            revision: 0,
+            listed: BTreeMap::new(),
+            coming: Vec::new(),
+            readers: BTreeMap::new(),
+            behind: Duration::ZERO,
+            lines_sent: 0,
+        })
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    pub fn lines_sent(&self) -> u64 {
+        self.lines_sent
+    }
+
+    /// Runs further behind from now on, or no more.
+    pub fn run_behind(&mut self, by: Duration) {
+        self.behind = by;
+    }
+
+    /// Something becomes known of a streamer, after `lag`.
+    #[allow(clippy::too_many_arguments)]
+    pub fn learn(
+        &mut self, now: Duration, lag: Duration, streamer: StreamerId, zone: u16, kind: usize, cell: u32,
+        health: Health, weight: f64, start: u64, came_up: Option<Duration>,
+    ) {
+        let listed = Listed { zone, kind, cell, health, weight, start, came_up, revision: 0 };
+        let at = if lag.is_zero() { now } else { now + lag + self.behind };
+        self.coming.push(Change { at, streamer, listed });
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.coming.iter().map(|change| change.at).min()
+    }
+
+    /// Tells what has become due.
+    pub fn tend(&mut self, reactor: &mut Reactor, now: Duration, witness: &mut Witness) {
+        let (mut due, coming): (Vec<Change>, Vec<Change>) =
+            std::mem::take(&mut self.coming).into_iter().partition(|change| change.at <= now);
+        self.coming = coming;
+        due.sort_by_key(|change| change.at);
+        if due.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for Change { streamer, listed, .. } in due {
+            // An old word that was held up must not undo a newer start.
+            let newer = self.listed.get(&streamer).is_some_and(|known| known.start > listed.start);
+            if !newer {
+                self.listed.insert(streamer, Listed { revision: self.revision, ..listed });
+            }
+        }
+        let observers: Vec<Line> =
+            self.readers.iter().filter(|(_, reader)| reader.observes).map(|(line, _)| *line).collect();
+        observers.into_iter().for_each(|line| self.send_changes(reactor, now, line, witness));
+    }
+
+    /// Takes what is its own; tells whether it was.
+    pub fn take(
+        &mut self, reactor: &mut Reactor, now: Duration, happening: &Happening, witness: &mut Witness,
+    ) -> bool {
+        match happening {
+            Happening::Accepted { line, listener, .. } if *listener == self.listener => {
+                self.readers.insert(*line, Reader::default());
+            }
+            Happening::Readable(line) if self.readers.contains_key(line) => {
+                self.read(reactor, now, *line, witness);
+            }
+            Happening::Closed(line, _) if self.readers.contains_key(line) => {
+                self.readers.remove(line);
+            }
+            Happening::Drained(line) => return self.readers.contains_key(line),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Breaks all connections: controllers come again.
+    pub fn break_off(&mut self, reactor: &mut Reactor) {
+        std::mem::take(&mut self.readers).into_keys().for_each(|line| reactor.close(line));
+    }
+
+    fn read(&mut self, reactor: &mut Reactor, now: Duration, line: Line, witness: &mut Witness) {
+        while let Some(end) = reactor.input(line).iter().position(|byte| *byte == b'\n') {
+            let asked: Value = serde_json::from_slice(&reactor.input(line)[..end]).unwrap_or_default();
+            reactor.consume(line, end + 1);
+            let Some(reader) = self.readers.get_mut(&line) else { return };
+            reader.controller = asked["controller"].as_u64().map(|controller| controller as u32);
+            if asked["list"] == json!(true) {
+                self.send_whole(reactor, now, line, witness);
+                continue;
+            }
+            reader.observes = asked["observe"] == json!(true);
+            let known = asked["epoch"] == json!(self.epoch);
+            reader.revision = asked["revision"].as_u64().filter(|_| known).unwrap_or(0);
+            if reader.observes && reader.revision == 0 {
+                self.send_whole(reactor, now, line, witness);
+            } else if reader.observes {
+                self.send_changes(reactor, now, line, witness);
+            }
+        }
+    }
+
+    fn send_whole(&mut self, reactor: &mut Reactor, now: Duration, line: Line, witness: &mut Witness) {
+        let there = self.listed.iter().filter(|(_, listed)| listed.health != Health::Gone);
+        let entries: Vec<Value> = there.map(|(id, listed)| entry(*id, listed, now)).collect();
+        let text =
+            json!({"how": "complete", "epoch": self.epoch, "revision": self.revision, "entries": entries});
+        self.send(reactor, now, line, &text, 0, witness);
+    }
+
+    fn send_changes(&mut self, reactor: &mut Reactor, now: Duration, line: Line, witness: &mut Witness) {
+        let Some(from) = self.readers.get(&line).map(|reader| reader.revision) else { return };
+        let fresh = self.listed.iter().filter(|(_, listed)| listed.revision > from);
+        let entries: Vec<Value> = fresh.map(|(id, listed)| entry(*id, listed, now)).collect();
+        let text = json!({"how": "changes", "epoch": self.epoch, "from": from, "revision": self.revision,
+            "entries": entries});
+        self.send(reactor, now, line, &text, from, witness);
+    }
+
+    fn send(
+        &mut self, reactor: &mut Reactor, now: Duration, line: Line, text: &Value, from: u64,
+        witness: &mut Witness,
+    ) {
+        let Some(reader) = self.readers.get_mut(&line) else { return };
+        if !reactor.send(line, &[text.to_string().as_bytes(), b"\n"]) {
+            // It reads too slowly to be kept up with; it comes again and gets the whole list.
+            reactor.close(line);
+            self.readers.remove(&line);
+            return;
+        }
+        reader.revision = self.revision;
+        self.lines_sent += text["entries"].as_array().map_or(0, Vec::len) as u64;
+        let Some(controller) = reader.controller else { return };
+        for (streamer, listed) in self.listed.iter().filter(|(_, listed)| from == 0 || listed.revision > from)
+        {
+            witness.told(now, controller, *streamer, listed.health != Health::Ready);
+        }
+    }
+}
+
+fn entry(id: StreamerId, listed: &Listed, now: Duration) -> Value {
+    let age = listed.came_up.map(|came_up| now.saturating_sub(came_up).as_millis() as u64);
+    let health = health_word(listed.health);
+    json!([id.to_string(), listed.zone, listed.kind, listed.cell, health, listed.weight, listed.start, age])
+}
