--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -35,7 +35,8 @@
 /// What a join's connection holds at most: the relay empties its input on every wake.
 const JOIN: Bounds = Bounds { input: 128 * 1024, output: 16 * 1024 };
 const PROBE: Bounds = Bounds { input: 72 * 1024, output: 1024 };
-/// Viewers taken in over the bound of connections, for as long as it takes to throttle them; more are closed.
+/// Viewers taken in over the bound of connections: a SETUP is judged as any other, so that a retry finds its first
+/// try, and the connection ends unless it is granted; any other request is throttled. More viewers are closed.
 pub const CROWD: usize = 256;
 /// Frames on channels that nobody set up, before a viewer's connection ends.
 const STRAY_FRAMES: u32 = 64;
@@ -223,7 +224,7 @@
 
     fn request(&mut self, line: Line, request: Request) {
         let Some(viewer) = self.viewers.get_mut(&line) else { return };
-        if viewer.crowd {
+        if viewer.crowd && *request.method() != Method::Setup {
             let answer = viewer.server.answer(&request, StatusCode::ServiceUnavailable);
             // At the bound of connections there is no place in a queue to name: one to three seconds.
             let wait = Duration::from_millis(1000 + u64::from(self.chance.next_u32() % 2000));
@@ -561,7 +562,7 @@
     if !wait.is_zero() {
         let seconds = wait.as_millis().div_ceil(1000);
         answer.insert_header(headers::RETRY_AFTER, seconds.to_string());
-        answer.insert_header(words::name(words::RETRY_AFTER_MS), wait.as_millis().to_string());
+        answer.insert_header(words::name(words::COME_BACK_MS), wait.as_millis().to_string());
     }
     answer
 }
@@ -575,7 +576,7 @@
         }
         if let Some(seen) = self.viewers.get_mut(&viewer) {
             histogram!(watch::ANSWER_TIME).record((self.now - seen.asked_at).as_secs_f64());
-            seen.job = Some(job);
+            (seen.job, seen.crowd) = (Some(job), false);
             seen.server.set_up(session, timeout, seen.channels);
             // The time-out runs from the answer on.
             seen.heard = self.now;
@@ -589,6 +590,9 @@
         self.answer_waiting(viewer, |viewer, cseq| {
             retry_after(viewer.server.answer_to(cseq, StatusCode::ServiceUnavailable), cool_down)
         });
+        if self.viewers.get(&viewer).is_some_and(|viewer| viewer.crowd) {
+            self.finish_viewer(viewer);
+        }
     }
 
     fn terminate(&mut self, viewer: Line, late: bool) {
--- a/crates/controller/src/viewer.rs
+++ b/crates/controller/src/viewer.rs
@@ -33,7 +33,7 @@
     pub part_since: Option<Duration>,
     /// Since when its output is too full for media.
     pub stuck_since: Option<Duration>,
-    /// It came when there was no room: its first request is throttled.
+    /// It came over the bound of connections, and stays only if its first SETUP is granted.
     pub crowd: bool,
     /// It was sent away and is to go by then.
     pub leaves_by: Option<Duration>,
--- /dev/null
+++ b/crates/controller/tests/it/main.rs
@@ -0,0 +1,6 @@
+//! The controller as a process on loopback: hard cases, bad input, bounds, and a client library of others.
+
+mod bad_input;
+mod hard_cases;
+mod other_client;
+mod rig;
--- a/crates/exchange/src/book.rs
+++ b/crates/exchange/src/book.rs
@@ -45,8 +45,8 @@
     pub span: Span,
 }
 
-/// Lines that may wait for one answer: a viewer that retries on more connections than this is told to come back,
-/// on the newest.
+/// Lines that may wait for one answer: a viewer that retries on more connections than this is terminated on the
+/// newest.
 pub const WAITING: usize = 4;
 
 /// All subscriptions of a controller.
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -30,7 +30,7 @@
             if !plays {
                 // The same viewer for the same title while its first try is out: one subscription, one join.
                 if !self.desk.book.wait_too(job, line, last_call) {
-                    self.desk.carrier.throttle(line, Duration::from_secs(1));
+                    self.desk.carrier.terminate(line, false);
                 }
                 return;
             }
@@ -131,8 +131,9 @@
         }
         self.module.flowing(job, number, streamer, latency);
         self.desk.carrier.grant(viewer, job);
-        // Lines that the viewer gave up for a newer one; if it is there still, it may ask again at once.
-        others.iter().for_each(|line| self.desk.carrier.throttle(*line, Duration::ZERO));
+        // Lines that the viewer gave up for a newer one. Not throttled: that would say that a further try does no
+        // harm, and for a room type that must not be set up twice it does.
+        others.iter().for_each(|line| self.desk.carrier.terminate(*line, false));
     }
 
     /// A note of a streamer in band.
--- a/crates/exchange/src/tests.rs
+++ b/crates/exchange/src/tests.rs
@@ -80,6 +80,7 @@
     redirected: Vec<Line>,
     reminders: BTreeSet<(Duration, u64)>,
     granted: BTreeMap<Line, JobId>,
+    throttled: Vec<Line>,
 }
 
 impl Ends {
@@ -109,6 +110,7 @@
     }
 
     fn throttle(&mut self, viewer: Line, _cool_down: Duration) {
+        self.throttled.push(viewer);
         self.answer(viewer);
     }
 
@@ -492,6 +494,17 @@
     assert_eq!(rig.ends.granted.keys().collect::<Vec<_>>(), [&2], "the newest line gets the stream");
 }
 
+/// Found by a bad day: the line given up was throttled, which says that a further try does no harm.
+#[test]
+fn a_line_given_up_for_a_newer_one_is_terminated_not_throttled() {
+    let mut rig = Rig::new();
+    rig.ask(1, 1);
+    let first = only_out(&rig);
+    rig.ask(1, 2);
+    flow(&mut rig, first);
+    assert_eq!((rig.ends.throttled.len(), rig.ends.lines[&1].answers), (0, 1));
+}
+
 #[test]
 fn a_viewer_that_asks_again_while_it_plays_gives_up_its_old_stream_first() {
     let mut rig = Rig::new();
--- /dev/null
+++ b/crates/replay/tests/short_days.rs
@@ -0,0 +1,146 @@
+//! A short day for each kind of trouble, through real controllers: the rules are asserted, and that the trouble
+//! was felt; service is not.
+
+use badgerledge_replay::{play, Day, Options, Report};
+use badgerledge_settings::Sheet;
+
+const BASE: &str = "\
+[day]
+length_s = 7
+seed = 5
+controllers = 2
+streamers = 8
+titles = 12
+copies = 3, 5
+list_lag_ms = 100, 600
+silent_lag_ms = 800, 1500
+start_lag_ms = 100, 400
+[arrivals]
+per_s = 8
+small_screens = 0.2
+impatient = 0.1
+[fleet]
+zones = north, south
+kinds = small
+kind_streams = 12
+cells = 8
+racks = 2
+link_unit_kb = 150
+links_kb = 1200
+uplink_kb = 500
+report = x0, x1
+told_late_ms = 300
+told_every_ms = 1000
+[ladder]
+rates_kb = 10, 20, 40
+benefit = 0.3, 0.6, 1
+[room_type clip]
+join_objective_ms = 1000
+client_timeout_ms = 2500
+benefit = 1
+[room_type paid]
+join_objective_ms = 1000
+client_timeout_ms = 2500
+benefit = 3
+set_up_again = single_shot
+floor = 1
+seats = 4
+[viewers clip]
+share = 0.6
+life_s = 2, 6
+[viewers paid]
+share = 0.4
+life_s = 2, 6
+[rules]
+warm_up_ms = 4000
+cold_from = 0.4
+tip_after_ms = 1000
+budget_window_ms = 5000
+budget_few = 3
+budget_share = 0.2
+[permissions]
+probes = true
+peers = true
+joins = 4
+[trouble it]
+";
+
+/// Plays the base day with one trouble, and asserts that no rule is broken.
+fn kept(trouble: &str) -> Report {
+    let sheet = Sheet::parse("short day", &format!("{BASE}{trouble}")).unwrap();
+    let day = Day::of(&sheet).unwrap_or_else(|faults| panic!("{faults}"));
+    let folder = tempfile::tempdir().unwrap();
+    let options = Options {
+        program: env!("CARGO_BIN_EXE_badgerledge-replay").into(),
+        folder: folder.path().to_owned(),
+        log_level: "info".to_owned(),
+    };
+    let report = play(&day, &options).unwrap();
+    for (n, rule) in report.rules.iter().enumerate() {
+        assert_eq!(rule.broken, 0, "rule {}: {:?}", n + 1, rule.examples);
+    }
+    assert!(report.rules[0].tested > 20 && report.viewers.plays > 10, "{report}");
+    assert!(report.controllers_crashed.is_empty() && report.orderly_ends, "{report}");
+    report
+}
+
+#[test]
+fn streamers_crash_and_come_back_cold() {
+    let report = kept("kind = crash\nat_s = 2\nfor_s = 1.5\npart = 0.4");
+    assert!(report.viewers.breaks > 0 && report.rules[3].tested > 0, "{report}");
+}
+
+#[test]
+fn streamers_fall_silent() {
+    kept("kind = vanish\nat_s = 2\nfor_s = 2.5\npart = 0.4");
+}
+
+#[test]
+fn streamers_drain_and_are_replaced() {
+    let report = kept("kind = deploy\nat_s = 1\nfor_s = 5\npart = 0.6\nsize = 0.4\nextra = 1");
+    assert!(report.rules[2].tested > 0 && report.rules[3].tested > 0, "{report}");
+}
+
+#[test]
+fn a_building_is_lost_with_its_controller() {
+    let report = kept("kind = zone_loss\nat_s = 2\nfor_s = 2\npart = 0\nsize = 1");
+    assert_eq!(report.controller_starts, [2, 1], "{report}");
+}
+
+#[test]
+fn controllers_are_killed_rolled_and_stopped() {
+    let report = kept(
+        "kind = balancer_crash\nat_s = 2\nfor_s = 1\npart = 0.5\n[trouble stop]\nkind = balancer_stall\n\
+                       at_s = 4.5\nfor_s = 1\npart = 0.5",
+    );
+    assert_eq!(report.controller_starts.iter().sum::<u32>(), 3, "{report}");
+    let report = kept("kind = balancer_roll\nat_s = 1\nfor_s = 4\npart = 1\nextra = 0.3");
+    assert_eq!(report.controller_starts, [2, 2], "{report}");
+}
+
+#[test]
+fn the_list_and_the_reports_run_behind() {
+    let report = kept("kind = discovery_stale\nat_s = 0\nfor_s = 7\nsize = 1.5\n[trouble late]\nkind = report_late\n\
+                       at_s = 1\nfor_s = 4\nsize = 1\n[trouble crash]\nkind = crash\nat_s = 2\nfor_s = 1.5\npart = 0.4");
+    assert!(report.viewers.breaks > 0, "{report}");
+}
+
+#[test]
+fn a_burst_and_a_crowd_on_thin_titles() {
+    let report = kept(
+        "kind = burst\nat_s = 1\nfor_s = 3\nsize = 2.5\n[trouble crowd]\nkind = hot_key\nat_s = 2\n\
+                       for_s = 4\nsize = 0.8\nextra = 1",
+    );
+    assert!(report.rules[4].tested > 0, "{report}");
+}
+
+#[test]
+fn links_and_uplinks_give_less_and_streamers_age() {
+    kept("kind = shared_slow\nat_s = 1\nfor_s = 2\nsize = 2\n[trouble racks]\nkind = origin_slow\nat_s = 3\nfor_s = 3\n\
+          part = 0.5\nsize = 3\n[trouble old]\nkind = ageing\nat_s = 2\nfor_s = 4\npart = 0.3\nsize = 4");
+}
+
+#[test]
+fn messages_between_controllers_are_lost() {
+    kept("kind = peer_down\nat_s = 1\nfor_s = 5");
+}
--- a/crates/rtsp/src/words.rs
+++ b/crates/rtsp/src/words.rs
@@ -21,8 +21,9 @@
 pub const RUNG: &str = "Rung";
 /// A streamer's load report: values in the order of `report.fields`.
 pub const LOAD: &str = "Load";
-/// The exact time that Retry-After rounds up to whole seconds, in milliseconds.
-pub const RETRY_AFTER_MS: &str = "Retry-After-Ms";
+/// The exact time that Retry-After rounds up to whole seconds, in milliseconds. Its name does not begin with that
+/// one's, since `rtsp-types` 0.1 takes a name and a longer one that begins with it for the same header.
+pub const COME_BACK_MS: &str = "Come-Back-Ms";
 /// Which controller sent a SETUP, by its number, and which of the subscription's joins it is.
 pub const JOIN: &str = "Join";
 
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -395,7 +395,13 @@
         witness: &mut Witness,
     ) {
         let Some(conn) = self.conns.get_mut(&line) else { return };
-        if conn.client.answered(response) != Some(Method::Setup) {
+        let method = conn.client.answered(response);
+        if method != Some(Method::Setup) {
+            // SETUP is the first request of every connection: a second answer to it is one too many.
+            let again = response.header(&headers::CSEQ).is_some_and(|cseq| cseq.as_str() == "1");
+            if let Some(ask) = conn.ask.filter(|_| again && method.is_none()) {
+                witness.answered(now, ask, u16::from(response.status()));
+            }
             return;
         }
         let (n, controller, asked_at) = (conn.viewer, conn.controller, conn.asked_at);
@@ -429,11 +435,16 @@
                 reactor.close(line);
                 // Those of unsafe room types stay away after an end that may have run.
                 let told = &self.shared.room_types[self.viewers[n].plan.room_type].1;
-                if status != StatusCode::ServiceUnavailable && told.set_up_again == "single_shot" {
+                let elsewhere =
+                    self.viewers[n].plays.is_some() || self.conns.values().any(|conn| conn.viewer == n);
+                if status != StatusCode::ServiceUnavailable
+                    && told.set_up_again == "single_shot"
+                    && !elsewhere
+                {
                     self.viewers[n].gone = true;
                 }
                 self.viewers[n].moved = None;
-                self.come_again(now, n, response.span(words::RETRY_AFTER_MS));
+                self.come_again(now, n, response.span(words::COME_BACK_MS));
             }
         }
     }
