--- /dev/null
+++ b/crates/controller/src/accounting.rs
@@ -0,0 +1,114 @@
+//! This controller's accounts of what crosses between buildings, and their copies on disk.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use badgerledge_accounts::{open, seal, Accounts, Amount, Key, Source, WINDOW};
+
+/// Accounts are stored this often, and a kill loses no more than what came since: the stated second, halved.
+pub const STORE_EVERY: Duration = Duration::from_millis(500);
+/// The files of the last sums, written in turn: a torn one leaves the one before.
+const TURNS: [&str; 2] = ["accounts-a", "accounts-b"];
+/// All windows, written once for each window.
+const WINDOWS: &str = "accounts-windows";
+/// There after an orderly end, so that nothing is estimated for it.
+const ENDED: &str = "accounts-ended";
+/// Windows in the files of the last sums: the one that is on, and the one that closed last.
+const LAST: usize = 2;
+
+pub struct Accounting {
+    accounts: Accounts,
+    source: Source,
+    folder: Option<PathBuf>,
+    turn: usize,
+    stored_at: Duration,
+    window: u64,
+    /// What was stored last: all that is ever handed out, so that a reborn controller never says less.
+    page: String,
+}
+
+impl Accounting {
+    /// Reads what an earlier process stored, and goes on with it.
+    pub fn new(controller: u32, folder: Option<&Path>, seed: u64) -> Self {
+        let mut accounts = Accounts::default();
+        if let Some(folder) = folder {
+            TURNS.iter().chain([&WINDOWS]).filter_map(|file| read(&folder.join(file))).for_each(|stored| {
+                accounts.merge(&stored);
+            });
+        }
+        let known = accounts.source_of(controller);
+        let source = known.unwrap_or(Source { controller, account: seed });
+        let ended =
+            folder.map(|folder| folder.join(ENDED)).is_some_and(|file| std::fs::remove_file(file).is_ok());
+        if known.is_some() && !ended {
+            accounts.ledger(source).estimate_unseen(wall(), STORE_EVERY);
+        }
+        accounts.ledger(source);
+        let page = accounts.write();
+        let folder = folder.map(Path::to_owned);
+        Self { accounts, source, folder, turn: 0, stored_at: Duration::ZERO, window: 0, page }
+    }
+
+    pub fn count(&mut self, key: &Key, title: u64, more: &Amount) {
+        self.accounts.ledger(self.source).count(wall(), key, title, more);
+    }
+
+    pub fn whole(&self) -> std::collections::BTreeMap<Key, Amount> {
+        self.accounts.whole()
+    }
+
+    /// What was stored last, for whoever asks.
+    pub fn page(&self) -> &str {
+        &self.page
+    }
+
+    pub fn is_due(&self, now: Duration) -> bool {
+        now >= self.stored_at + STORE_EVERY
+    }
+
+    /// Stores what has been counted. A disk that takes nothing is told of in the log, and counting goes on.
+    pub fn store(&mut self, now: Duration, ends: bool) {
+        self.stored_at = now;
+        let Some(folder) = &self.folder else {
+            self.page = self.accounts.write();
+            return;
+        };
+        let write = |file: &str, text: &str| std::fs::write(folder.join(file), seal(text));
+        self.turn = 1 - self.turn;
+        let mut stored = write(TURNS[self.turn], &self.accounts.write_last(LAST));
+        let window = wall().as_secs() / WINDOW.as_secs();
+        if stored.is_ok() && (window != self.window || ends) {
+            self.window = window;
+            let fresh = folder.join("accounts-fresh");
+            stored = std::fs::write(&fresh, seal(&self.accounts.write()))
+                .and_then(|()| std::fs::rename(&fresh, folder.join(WINDOWS)));
+        }
+        if ends && stored.is_ok() {
+            stored = std::fs::write(folder.join(ENDED), "");
+        }
+        match stored {
+            Ok(()) => self.page = self.accounts.write(),
+            Err(e) => tracing::warn!("the accounts could not be stored: {e}; counting goes on"),
+        }
+    }
+}
+
+fn wall() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+/// One stored file; nothing where there is none, or it is torn.
+fn read(path: &Path) -> Option<Accounts> {
+    let bytes = std::fs::read(path).ok()?;
+    let read = open(&bytes).map_err(|e| e.to_string());
+    let accounts = read.and_then(|text| Accounts::read(text).map_err(|e| e.to_string()));
+    accounts.map_err(|e| tracing::warn!(path = %path.display(), "stored accounts are no use: {e}")).ok()
+}
+
+/// All accounts that controllers stored in a folder; torn files are passed over, as a reborn controller does.
+pub fn stored_in(folder: &Path) -> Accounts {
+    let mut accounts = Accounts::default();
+    let files = TURNS.iter().chain([&WINDOWS]);
+    files.filter_map(|file| read(&folder.join(file))).for_each(|stored| accounts.merge(&stored));
+    accounts
+}
--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use badgerledge_accounts::{Amount, Key};
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::{Asked, Ending, JobId, StreamerId};
 use badgerledge_deployment::Deployment;
@@ -19,6 +20,7 @@
 use rtsp_types::headers::{self, HeaderName};
 use rtsp_types::{Method, StatusCode, Url};
 
+use crate::accounting::Accounting;
 use crate::join::JoinLine;
 use crate::probes::Probes;
 use crate::viewer::{self, Viewer};
@@ -72,6 +74,9 @@
     /// Reminders that the module set: told to the loop.
     pub reminders: Vec<(Duration, u64)>,
     pub media: Relayed,
+    pub accounting: Accounting,
+    /// The building of each streamer of the list.
+    pub zones: BTreeMap<StreamerId, u16>,
 }
 
 /// Media that went through since it was last counted.
@@ -86,6 +91,8 @@
     pub fn new(reactor: Reactor, deployment: Deployment, catalogue: Catalogue, seed: u64) -> Self {
         let listen = deployment.place.listen;
         let now = reactor.now();
+        let place = &deployment.place;
+        let accounting = Accounting::new(place.number, place.state.as_deref(), seed.rotate_left(16));
         Self {
             reactor,
             deployment,
@@ -104,6 +111,8 @@
             steps: Vec::new(),
             reminders: Vec::new(),
             media: Relayed::default(),
+            accounting,
+            zones: BTreeMap::new(),
         }
     }
 
@@ -436,12 +445,14 @@
         let Some(join) = self.joins.get_mut(&id) else { return };
         match channel {
             0 => {
+                join.crossed.media_bytes += carried.len() as u64;
                 if !std::mem::replace(&mut join.media, true) {
                     self.steps.push(Box::new(move |steps| steps.join_media(id.0, id.1)));
                 }
                 self.relay(id, false, carried);
             }
             1 => {
+                join.crossed.control_bytes += carried.len() as u64;
                 let mut own = false;
                 for note in notes::notes(carried) {
                     own = true;
@@ -481,6 +492,7 @@
 
     fn streamer_answers(&mut self, id: (JobId, u16), response: &Response) {
         let Some(join) = self.joins.get_mut(&id) else { return };
+        join.crossed.control_bytes += response.write_len();
         let (status, usage) = (u16::from(response.status()), response.load());
         match join.client.answered(response) {
             Some(Method::Setup) => {
@@ -518,6 +530,17 @@
         self.arrives(move |floor| floor.probed(streamer, ending, latency, &usage));
     }
 
+    /// Counts what has crossed on all joins since it was counted last, and stores the sums.
+    pub fn settle_accounts(&mut self, ends: bool) {
+        for join in self.joins.values_mut() {
+            let crossed = join.take_crossed(self.now);
+            if let Some(key) = join.key.as_ref().filter(|_| crossed != Amount::default()) {
+                self.accounting.count(key, join.title, &crossed);
+            }
+        }
+        self.accounting.store(self.now, ends);
+    }
+
     /// The one periodic look at all viewers' connections.
     pub fn sweep(&mut self) {
         let (now, timeout) = (self.now, Duration::from_secs(self.deployment.place.session_timeout_s));
@@ -631,6 +654,11 @@
         let Some((room_type, told)) = room_types.get(asked.room_type) else { return };
         let Some(join) = self.joins.get_mut(&(job, number)) else { return };
         join.title = asked.title;
+        let fleet = &self.deployment.shared.fleet;
+        let from = self.zones.get(&join.streamer).and_then(|zone| fleet.zones.get(usize::from(*zone)));
+        let to = self.deployment.place.zone.clone();
+        join.key = from.map(|from| Key { from: from.clone(), to, room_type: room_type.clone() });
+        join.crossed.set_ups += 1;
         let headers: [(HeaderName, String); 5] = [
             (headers::TRANSPORT, "RTP/AVP/TCP;unicast;interleaved=0-1".to_owned()),
             (words::name(words::VIEWER), format!("{:x}", asked.path_key)),
@@ -664,6 +692,10 @@
     fn end_join(&mut self, job: JobId, number: u16) {
         let Some(mut join) = self.joins.remove(&(job, number)) else { return };
         self.join_lines.remove(&join.line);
+        let crossed = join.take_crossed(self.now);
+        if let Some(key) = &join.key {
+            self.accounting.count(key, join.title, &crossed);
+        }
         join.client.forget();
         let uri = words::uri(join.streamer, join.title);
         let set_up = join.client.session().is_some();
--- a/crates/controller/src/join.rs
+++ b/crates/controller/src/join.rs
@@ -1,7 +1,9 @@
 //! One join's connection to its streamer.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
+use badgerledge_accounts::{Amount, Key};
 use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::Line;
 use badgerledge_rtsp::{Bounds, Client, Framer};
@@ -23,6 +25,10 @@
     held: VecDeque<(bool, Vec<u8>)>,
     held_bytes: usize,
     pub title: u64,
+    /// What is counted together with it, and what came since that was counted last.
+    pub key: Option<Key>,
+    pub crossed: Amount,
+    pub flows_since: Option<Duration>,
 }
 
 impl JoinLine {
@@ -37,9 +43,20 @@
             held: VecDeque::new(),
             held_bytes: 0,
             title: 0,
+            key: None,
+            crossed: Amount::default(),
+            flows_since: None,
         }
     }
 
+    /// What crossed since it was last asked, with the time that it played.
+    pub fn take_crossed(&mut self, now: Duration) -> Amount {
+        if let Some(since) = self.flows_since.replace(now).filter(|_| self.media) {
+            self.crossed.subscription_ms += (now - since).as_millis() as u64;
+        }
+        std::mem::take(&mut self.crossed)
+    }
+
     /// Holds a packet; the first ones are kept, for a player starts with them. Tells whether there was room.
     pub fn hold(&mut self, control: bool, packet: &[u8]) -> bool {
         let fits = self.held_bytes + packet.len() <= HELD;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,6 +1,7 @@
 //! The controller program. It is a library too, so that other programs of the toolkit can start the very same
 //! controller as a process of their own ([`main_with`]).
 
+pub mod accounting;
 mod ends;
 mod join;
 mod list;
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -69,7 +69,7 @@
             .listen(place.listen, Ends::viewer_bounds())
             .with_context(|| format!("listening at {}", place.listen))?;
         if let Some(at) = place.metrics {
-            let bounds = Bounds { input: 8192, output: 1024 * 1024 };
+            let bounds = Bounds { input: 8192, output: 16 * 1024 * 1024 };
             reactor.listen(at, bounds).with_context(|| format!("metrics at {at}"))?;
         }
         let own = place.peers.get(place.number as usize);
@@ -119,6 +119,7 @@
             }
             self.ends.reactor.flush();
         }
+        self.ends.settle_accounts(true);
         tracing::info!(held = self.exchange.book().len(), "badgerledge-controller ends");
         Ok(())
     }
@@ -203,6 +204,9 @@
             for line in &lines {
                 whole |= list.take(line, now, floor);
             }
+            if !born || !lines.is_empty() {
+                floor.carrier().zones = list.book.entries().map(|(id, entry)| (id, entry.zone)).collect();
+            }
             if lost {
                 floor.list_begins(Listing::Failed, std::iter::empty());
                 floor.list_ends(Listing::Failed);
@@ -236,6 +240,10 @@
         self.ends.reactor.due(now + SWEEP_EVERY, SWEEP);
         self.ends.sweep();
         self.list.store(now);
+        if self.ends.accounting.is_due(now) {
+            self.ends.settle_accounts(false);
+            self.show_accounts();
+        }
         gauge!(watch::HELD).set(self.exchange.book().len() as f64);
         gauge!(watch::PLAYING).set(self.exchange.book().playing() as f64);
         gauge!(watch::CONNECTIONS).set(self.ends.reactor.connections() as f64);
@@ -249,10 +257,25 @@
         counter!(watch::COPIED_BYTES).absolute(costs.copied_bytes);
     }
 
-    /// Any request is answered with the page once its head has come.
+    /// The accounts as metrics.
+    fn show_accounts(&self) {
+        for (key, amount) in self.ends.accounting.whole() {
+            let labels = [("from", key.from), ("to", key.to), ("room_type", key.room_type)];
+            counter!(watch::CROSSED_BYTES, &labels).absolute(amount.bytes());
+            counter!(watch::CROSSED_SECONDS, &labels).absolute(amount.subscription_ms / 1000);
+            counter!(watch::CROSSED_SET_UPS, &labels).absolute(amount.set_ups);
+        }
+    }
+
+    /// Any request is answered once its head has come: with the accounts if it asks for them, else with the metrics.
     fn show_metrics(&mut self, line: Line) {
-        if self.ends.reactor.input(line).windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-            self.ends.reactor.send(line, &[&watch::page(&self.page)]);
+        let input = self.ends.reactor.input(line);
+        if input.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            let answer = match input.starts_with(b"GET /accounts ") {
+                true => watch::answer("application/json", self.ends.accounting.page()),
+                false => watch::page(&self.page),
+            };
+            self.ends.reactor.send(line, &[&answer]);
             self.ends.reactor.finish(line);
         }
     }
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -19,6 +19,9 @@
 pub const MOVES: &str = "badgerledge_moves_total";
 pub const SYSTEM_CALLS: &str = "badgerledge_system_calls_total";
 pub const COPIED_BYTES: &str = "badgerledge_copied_bytes_total";
+pub const CROSSED_BYTES: &str = "badgerledge_crossed_bytes_total";
+pub const CROSSED_SECONDS: &str = "badgerledge_crossed_subscription_seconds_total";
+pub const CROSSED_SET_UPS: &str = "badgerledge_crossed_set_ups_total";
 pub const ROUND_TIME: &str = "badgerledge_round_seconds";
 
 /// Starts the counting, and gives what renders the page.
@@ -40,6 +43,9 @@
     describe_counter!(LOST_PACKETS, "Media packets dropped before a viewer that reads too slowly");
     describe_counter!(FAULTS, "Input that could not be understood or went over a bound");
     describe_counter!(MOVES, "Subscriptions sent back to be placed elsewhere");
+    describe_counter!(CROSSED_BYTES, Unit::Bytes, "Bytes from streamers, by buildings and room type");
+    describe_counter!(CROSSED_SECONDS, Unit::Seconds, "Time played, by buildings and room type");
+    describe_counter!(CROSSED_SET_UPS, "Set-ups sent, by buildings and room type");
     describe_counter!(SYSTEM_CALLS, "System calls of the event loop");
     describe_counter!(COPIED_BYTES, Unit::Bytes, "Bytes copied between buffers of this process");
     describe_histogram!(
@@ -50,13 +56,17 @@
     Ok(handle)
 }
 
-/// The answer to any request at the metrics address (RFC 9112): the page, and the connection's end.
+/// The metrics, as an answer.
 pub fn page(handle: &PrometheusHandle) -> Vec<u8> {
     handle.run_upkeep();
-    let text = handle.render();
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
-        text.len()
-    );
-    [head.into_bytes(), text.into_bytes()].concat()
+    answer("text/plain; version=0.0.4", &handle.render())
+}
+
+/// The answer to a request at the metrics address (RFC 9112): the page, and the connection's end.
+pub fn answer(kind: &str, text: &str) -> Vec<u8> {
+    let length = text.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{text}"
+    )
+    .into_bytes()
 }
--- a/crates/exchange/src/book.rs
+++ b/crates/exchange/src/book.rs
@@ -49,6 +49,10 @@
 /// newest.
 pub const WAITING: usize = 4;
 
+/// Ends of unsafe subscriptions that are kept in mind: some thousand viewers a second would have to lose theirs for
+/// one to be forgotten too soon.
+const REMEMBERED: usize = 4096;
+
 /// All subscriptions of a controller.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -61,6 +65,8 @@
     last_job: JobId,
     /// Streamers that the list says drain or are gone.
     off: BTreeSet<StreamerId>,
+    /// Viewers and titles of unsafe room types that were terminated of late, and until when that counts.
+    ended_unsafe: BTreeMap<(u64, u64), Duration>,
 }
 
 impl Book {
@@ -193,6 +199,30 @@
         Some((viewer, others))
     }
 
+    /// Hands a subscription that plays to a newer line of its viewer, and tells which line had it.
+    pub fn hand_over(&mut self, job: JobId, line: Line) -> Option<Line> {
+        let held = self.held.get_mut(&job)?;
+        let before = held.plays_to.replace(line)?;
+        self.by_line.remove(&before);
+        self.by_line.insert(line, job);
+        Some(before)
+    }
+
+    /// Keeps in mind that a subscription that must not be set up twice has ended without a promise.
+    pub fn remember_unsafe(&mut self, asked: &Asked, until: Duration) {
+        if self.ended_unsafe.len() >= REMEMBERED {
+            let first = self.ended_unsafe.iter().min_by_key(|(_, until)| **until).map(|(viewer, _)| *viewer);
+            first.map(|viewer| self.ended_unsafe.remove(&viewer));
+        }
+        self.ended_unsafe.insert((asked.path_key, asked.title), until);
+    }
+
+    /// Whether such a one ended so lately that a request of its viewer was sent before its end was known.
+    pub fn ended_unsafe(&mut self, asked: &Asked, now: Duration) -> bool {
+        self.ended_unsafe.retain(|_, until| *until > now);
+        self.ended_unsafe.contains_key(&(asked.path_key, asked.title))
+    }
+
     /// Ends a subscription: its record is handed out, and no index knows it any more.
     pub fn close(&mut self, job: JobId) -> Option<Held> {
         let held = self.held.remove(&job)?;
--- a/crates/exchange/src/desk.rs
+++ b/crates/exchange/src/desk.rs
@@ -45,6 +45,8 @@
     pub now: Duration,
     /// What the module is still to be told, in order.
     pub owed: &'a mut Vec<Owed>,
+    /// Room types that must not be set up twice.
+    pub unsafe_types: &'a [usize],
 }
 
 /// A call that the module is owed: the end of a join, or that it flows. It is made in the next round, or in the
@@ -65,6 +67,15 @@
         Some(held)
     }
 
+    /// A subscription was terminated: for an unsafe room type that is kept in mind for as long as its viewer may have
+    /// sent another request meanwhile. Viewers of those stay away once they know. Guards rule 2 against a retry that
+    /// waited unread while this process was stopped. Harm: a viewer that comes again all the same is turned away.
+    pub fn keep_in_mind(&mut self, asked: &Asked) {
+        if self.unsafe_types.contains(&asked.room_type) {
+            self.book.remember_unsafe(asked, self.now + asked.client_timeout);
+        }
+    }
+
     fn owe_cancelled(&mut self, job: JobId, join: &Join) {
         let latency = self.now - join.sent;
         let Join { number, streamer, .. } = *join;
@@ -108,6 +119,8 @@
         let Some(held) = self.book.get(job) else { return };
         let late = self.now >= held.taken + held.asked.client_timeout;
         held.span.in_scope(|| tracing::info!(late, "terminated"));
+        let asked = held.asked;
+        self.keep_in_mind(&asked);
         self.answer(job, |carrier, line| carrier.terminate(line, late));
     }
 
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -15,16 +15,22 @@
     book: Book,
     admission: Admission,
     owed: Vec<Owed>,
+    unsafe_types: Vec<usize>,
 }
 
 impl Exchange {
     /// `told` is the plain map of the settings that the module reads; `most` bounds the subscriptions held.
     pub fn new(now: Duration, seed: u64, told: Map<String, Value>, most: usize) -> Self {
+        let profiles = told.get("profiles").and_then(Value::as_array);
+        let types = profiles.into_iter().flatten().enumerate();
+        let unsafe_types =
+            types.filter(|(_, told)| told["effect"] == "single_shot").map(|(n, _)| n).collect();
         Self {
             module: Controller::new(now, seed, told),
             book: Book::default(),
             admission: Admission::new(most, seed.rotate_left(32)),
             owed: Vec::new(),
+            unsafe_types,
         }
     }
 
@@ -45,16 +51,16 @@
     pub fn between<C: Carrier>(
         &mut self, now: Duration, carrier: &mut C, feed: impl FnOnce(&mut Steps<'_, '_, C>),
     ) {
-        let Self { book, admission, owed, .. } = self;
-        feed(&mut Steps { desk: &mut Desk { book, admission, carrier, now, owed } });
+        let Self { book, admission, owed, unsafe_types, .. } = self;
+        feed(&mut Steps { desk: &mut Desk { book, admission, carrier, now, owed, unsafe_types } });
     }
 
     /// One round at `now`: what `feed` tells of, then what is overdue, then the module's due work.
     pub fn round<C: Carrier>(
         &mut self, now: Duration, carrier: &mut C, feed: impl FnOnce(&mut Floor<'_, '_, C>),
     ) {
-        let Self { module, book, admission, owed } = self;
-        let mut desk = Desk { book, admission, carrier, now, owed };
+        let Self { module, book, admission, owed, unsafe_types } = self;
+        let mut desk = Desk { book, admission, carrier, now, owed, unsafe_types };
         let arrivals = |module: &mut Controller, desk: &mut Desk<'_, C>| {
             let mut floor = Floor { module, desk };
             floor.deliver();
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -35,8 +35,12 @@
                 }
                 return;
             }
-            // It plays to a line that the viewer has given up, though the line has not ended yet.
-            self.end_for(job, Ending::Cancelled);
+            return self.hand_over(job, line);
+        }
+        if self.desk.book.ended_unsafe(&asked, self.desk.now) {
+            // It was sent before its viewer knew the end of its first try: the answer is that end.
+            tracing::info!(viewer = asked.path_key, "terminated: its first try may have run");
+            return self.desk.carrier.terminate(line, false);
         }
         if let Some(other) = self.desk.book.of_line(line) {
             self.end_for(other, Ending::Cancelled);
@@ -53,6 +57,17 @@
         self.module.knock(job, asked);
     }
 
+    /// A subscription plays to a line that its viewer has given up, though the line has not ended yet: the new line
+    /// gets the stream, and no join is made for it.
+    fn hand_over(&mut self, job: JobId, line: Line) {
+        if let Some(before) = self.desk.book.hand_over(job, line) {
+            self.desk.carrier.grant(line, job);
+            if before != line {
+                self.desk.carrier.farewell(before);
+            }
+        }
+    }
+
     /// A viewer's line has ended, or its viewer tore down. `orderly`: it said so.
     pub fn viewer_left(&mut self, line: Line, orderly: bool) {
         self.deliver();
@@ -129,6 +144,7 @@
     /// none while the module answers in its time, which is sooner.
     fn last_call(&mut self, job: JobId) {
         let Some(held) = self.desk.close(job) else { return };
+        self.desk.keep_in_mind(&held.asked);
         held.span.in_scope(|| tracing::warn!("terminated: the last call for an answer came first"));
         self.module.expired(job);
         if let Some(join) = &held.join {
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -54,6 +54,10 @@
     pub zipf: f64,
     /// The list's lag behind a process that ends, behind one that falls silent, and behind one that starts, each
     /// least and most.
+    /// The accounts of what crossed must match the streamers' own counts within so many in 100; without it they are
+    /// only shown.
+    #[garde(custom(within_if_given(0.0, 100.0)))]
+    pub accounts_within: Option<f64>,
     #[garde(length(equal = 2))]
     pub list_lag_ms: Vec<u64>,
     #[garde(length(equal = 2))]
@@ -62,6 +66,10 @@
     pub start_lag_ms: Vec<u64>,
 }
 
+fn within_if_given(least: f64, most: f64) -> impl FnOnce(&Option<f64>, &()) -> garde::Result {
+    move |value, ()| value.as_ref().map_or(Ok(()), |value| within(least, most)(value, &()))
+}
+
 fn ones() -> Vec<f64> {
     vec![1.0]
 }
@@ -195,6 +203,16 @@
         Ok(Self { course, arrivals, kinds, troubles, shared, shared_text })
     }
 
+    /// Makes the day so many times as long, and its troubles begin and last in proportion. Viewers live as before.
+    pub fn stretch(&mut self, times: f64) {
+        let times = times.clamp(0.1, 1000.0);
+        self.course.length_s *= times;
+        for (_, trouble) in &mut self.troubles {
+            trouble.at_s *= times;
+            trouble.for_s *= times;
+        }
+    }
+
     pub fn length(&self) -> Duration {
         Duration::from_secs_f64(self.course.length_s)
     }
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -18,6 +18,9 @@
     /// Another seed than the day's own
     #[arg(long)]
     seed: Option<u64>,
+    /// Makes the day so many times as long, its troubles with it
+    #[arg(long, default_value_t = 1.0)]
+    stretch: f64,
     /// Writes all figures to this file
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -51,6 +54,7 @@
 fn carry_out(command: &Command) -> Result<bool> {
     let mut day = Day::read(&command.day)?;
     day.course.seed = command.seed.unwrap_or(day.course.seed);
+    day.stretch(command.stretch);
     let folder =
         tempfile::Builder::new().prefix("badgerledge-replay-").tempdir().context("a folder for the day")?;
     let options = Options {
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use badgerledge_accounts::Accounts;
+use badgerledge_controller::accounting::stored_in;
 use badgerledge_core::interface::Health;
 use badgerledge_reactor::{raise_descriptors, Happening, Reactor};
 use badgerledge_standins::{Condition, Habits, ListService, Streamers, Told, Viewers};
@@ -14,7 +16,7 @@
 use crate::day::Day;
 use crate::messages::Messages;
 use crate::plan::{self, Draw};
-use crate::report::Report;
+use crate::report::{Crossed, Report};
 use crate::troubles::{Strike, Strikes};
 
 /// What a day is played with.
@@ -44,6 +46,7 @@
     draw: Draw,
     /// Which streamer holds a place, after replacements.
     holds: Vec<usize>,
+    folder: PathBuf,
 }
 
 /// Plays a day to its end, and says what came of it.
@@ -94,7 +97,9 @@
     );
     let strikes = Strikes::new(day, start, &streamers, &controllers, &mut draw);
     let holds = (0..streamers.len()).collect();
-    let stage = Stage { day, reactor, streamers, list, viewers, controllers, messages, witness, draw, holds };
+    let folder = options.folder.clone();
+    let stage =
+        Stage { day, reactor, streamers, list, viewers, controllers, messages, witness, draw, holds, folder };
     stage.play(start, strikes)
 }
 
@@ -150,6 +155,7 @@
             crashed.extend(self.controllers.ended());
         }
         let orderly = self.controllers.finish();
+        let crossed = self.crossed();
         Ok(Report {
             seed: self.day.course.seed,
             rules: self.witness.verdict(),
@@ -162,9 +168,38 @@
             orderly_ends: orderly.iter().all(|orderly| *orderly),
             list_lines: self.list.lines_sent(),
             messages: (self.messages.passed, self.messages.lost),
+            crossed,
+            accounts_within: self.day.course.accounts_within,
         })
     }
 
+    /// What crossed between buildings, by room type: as the controllers' stored accounts have it, merged, and as the
+    /// streamers counted it.
+    fn crossed(&self) -> Vec<Crossed> {
+        let mut accounts = Accounts::default();
+        for number in 0..self.controllers.len() {
+            accounts.merge(&stored_in(&self.folder.join(format!("state-{number}"))));
+        }
+        let places = self.controllers.places();
+        let whole = accounts.whole();
+        let mut all = Vec::new();
+        for (number, (name, _)) in self.day.shared.room_types.iter().enumerate() {
+            let mut crossed = Crossed { room_type: name.clone(), accounts: 0, error: 0, streamers: 0 };
+            for (_, amount) in whole.iter().filter(|(key, _)| key.crosses() && key.room_type == *name) {
+                crossed.accounts += amount.media_bytes + amount.unseen_bytes;
+                crossed.error += amount.unseen_error;
+            }
+            for ((zone, controller, room_type), bytes) in self.streamers.sent() {
+                let to = places.get(controller as usize).map(|place| place.1);
+                if room_type == number && to.is_some_and(|to| to != usize::from(zone)) {
+                    crossed.streamers += bytes;
+                }
+            }
+            all.push(crossed);
+        }
+        all
+    }
+
     fn take(&mut self, now: Duration, happening: &Happening) {
         let (reactor, witness) = (&mut self.reactor, &mut self.witness);
         let taken = self.streamers.take(reactor, now, happening, witness)
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -22,6 +22,28 @@
     pub list_lines: u64,
     /// Messages between controllers, handed on and lost.
     pub messages: (u64, u64),
+    /// Media that crossed between buildings, by room type.
+    pub crossed: Vec<Crossed>,
+    /// Within how many in 100 the two counts of it must agree, if they must.
+    pub accounts_within: Option<f64>,
+}
+
+/// Media of one room type that crossed, in bytes: by the controllers' accounts, of which so much is an estimate's
+/// error, and by the streamers' own counts.
+#[derive(Clone, Debug)]
+pub struct Crossed {
+    pub room_type: String,
+    pub accounts: u64,
+    pub error: u64,
+    pub streamers: u64,
+}
+
+impl Crossed {
+    /// By how many in 100 the accounts are off.
+    pub fn off(&self) -> f64 {
+        let truth = self.streamers.max(1) as f64;
+        100.0 * (self.accounts as f64 - self.streamers as f64) / truth
+    }
 }
 
 impl Report {
@@ -30,7 +52,17 @@
         let good = |(n, rule): (usize, &Judged)| {
             rule.broken == 0 && (rule.tested > 0 || untested.contains(&(n + 1)))
         };
-        self.rules.iter().enumerate().all(good) && self.controllers_crashed.is_empty() && self.orderly_ends
+        self.accounts_match()
+            && self.rules.iter().enumerate().all(good)
+            && self.controllers_crashed.is_empty()
+            && self.orderly_ends
+    }
+
+    /// Whether the accounts agree with the streamers' counts as far as the day wants it.
+    pub fn accounts_match(&self) -> bool {
+        self.accounts_within.is_none_or(|within| {
+            self.crossed.iter().all(|crossed| crossed.streamers > 0 && crossed.off().abs() <= within)
+        })
     }
 
     /// All figures.
@@ -57,6 +89,8 @@
                 "media_bytes": s.media_bytes},
             "controllers": {"starts": self.controller_starts, "crashed": self.controllers_crashed,
                 "orderly_ends": self.orderly_ends},
+            "crossed": self.crossed.iter().map(|c| json!({"room_type": c.room_type, "accounts": c.accounts,
+                "error": c.error, "streamers": c.streamers, "off_percent": c.off()})).collect::<Vec<_>>(),
             "list_lines": self.list_lines,
             "messages": {"passed": self.messages.0, "lost": self.messages.1},
         })
@@ -100,6 +134,21 @@
             s.media_bytes as f64 / 1e6,
             self.controller_starts
         )?;
+        for crossed in &self.crossed {
+            let Crossed { room_type, accounts, error, streamers } = crossed;
+            let (accounts, error) = (*accounts as f64 / 1e6, *error as f64 / 1e6);
+            writeln!(
+                f,
+                "crossed  {room_type:<16} {accounts:.2} MB by the accounts (estimates may be off by {error:.2}), {:.2} MB by the \
+                 streamers: {:+.2}%",
+                *streamers as f64 / 1e6,
+                crossed.off()
+            )?;
+        }
+        if let Some(within) = self.accounts_within {
+            let word = if self.accounts_match() { "match" } else { "DO NOT match" };
+            writeln!(f, "accounts  {word} within {within}% for each room type")?;
+        }
         if !self.controllers_crashed.is_empty() || !self.orderly_ends {
             writeln!(f, "controllers that ended by themselves: {:?}", self.controllers_crashed)?;
         }
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -112,6 +112,8 @@
     /// Set-ups take between these.
     set_up_time: (Duration, Duration),
     report_noise: f64,
+    /// Media sent, by the streamer's building, the controller and the room type.
+    sent: BTreeMap<(u16, u32, usize), u64>,
     pub counts: Counts,
 }
 
@@ -156,6 +158,7 @@
             late: Duration::ZERO,
             set_up_time: (Duration::from_millis(15), Duration::from_millis(60)),
             report_noise: 0.08,
+            sent: BTreeMap::new(),
             counts: Counts::default(),
         }
     }
@@ -210,6 +213,11 @@
         (self.fleet[streamer].start, self.fleet[streamer].came_up)
     }
 
+    /// Bytes of media sent, by the streamer's building, the controller and the room type.
+    pub fn sent(&self) -> impl Iterator<Item = ((u16, u32, usize), u64)> + '_ {
+        self.sent.iter().map(|(from, bytes)| (*from, *bytes))
+    }
+
     pub fn fell(&self, streamer: usize) -> bool {
         self.fleet[streamer].fell
     }
@@ -593,6 +601,8 @@
             let header = frame_header(channel, bytes.len() as u16);
             if reactor.send(line, &[&header, &bytes]) {
                 self.counts.media_bytes += bytes.len() as u64;
+                let from = (self.fleet[stream.streamer].told.zone, stream.controller, stream.room_type);
+                *self.sent.entry(from).or_default() += bytes.len() as u64;
             }
         }
     }
