A budget for what crosses, shared by controllers alone and lent by messages; the module is told it as a fact

Need: installations whose buildings are joined by a costly line want no more than so much a second to cross it, though controllers may not hear of each other.

--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -75,6 +75,8 @@
     pub reminders: Vec<(Duration, u64)>,
     pub media: Relayed,
     pub accounting: Accounting,
+    /// Bytes that crossed since the budget's last plan.
+    pub crossed_bytes: u64,
     /// The building of each streamer of the list.
     pub zones: BTreeMap<StreamerId, u16>,
 }
@@ -112,6 +114,7 @@
             reminders: Vec::new(),
             media: Relayed::default(),
             accounting,
+            crossed_bytes: 0,
             zones: BTreeMap::new(),
         }
     }
@@ -443,6 +446,9 @@
     /// A packet of media or control from a streamer: channel 0 and 1 are what every join asks for.
     fn packet(&mut self, id: (JobId, u16), channel: u8, carried: &[u8]) {
         let Some(join) = self.joins.get_mut(&id) else { return };
+        if join.crosses {
+            self.crossed_bytes += carried.len() as u64;
+        }
         match channel {
             0 => {
                 join.crossed.media_bytes += carried.len() as u64;
@@ -530,6 +536,14 @@
         self.arrives(move |floor| floor.probed(streamer, ending, latency, &usage));
     }
 
+    /// Sends another controller a datagram.
+    pub fn tell(&self, peer: u32, bytes: &[u8]) {
+        let at = self.deployment.place.peers.get(peer as usize);
+        if let (Some(line), Some(at)) = (self.datagrams, at) {
+            self.reactor.send_to(line, *at, bytes);
+        }
+    }
+
     /// Counts what has crossed on all joins since it was counted last, and stores the sums.
     pub fn settle_accounts(&mut self, ends: bool) {
         for join in self.joins.values_mut() {
@@ -659,6 +673,7 @@
         let to = self.deployment.place.zone.clone();
         join.key = from.map(|from| Key { from: from.clone(), to, room_type: room_type.clone() });
         join.crossed.set_ups += 1;
+        join.crosses = join.key.as_ref().is_some_and(Key::crosses);
         let headers: [(HeaderName, String); 5] = [
             (headers::TRANSPORT, "RTP/AVP/TCP;unicast;interleaved=0-1".to_owned()),
             (words::name(words::VIEWER), format!("{:x}", asked.path_key)),
--- a/crates/controller/src/join.rs
+++ b/crates/controller/src/join.rs
@@ -28,6 +28,7 @@
     /// What is counted together with it, and what came since that was counted last.
     pub key: Option<Key>,
     pub crossed: Amount,
+    pub crosses: bool,
     pub flows_since: Option<Duration>,
 }
 
@@ -45,6 +46,7 @@
             title: 0,
             key: None,
             crossed: Amount::default(),
+            crosses: false,
             flows_since: None,
         }
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 //! controller as a process of their own ([`main_with`]).
 
 pub mod accounting;
+mod budgeting;
 mod ends;
 mod join;
 mod list;
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -12,6 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::budgeting::Budgeting;
 use crate::ends::{peer_at, Ends, CROWD};
 use crate::list::{ListLine, ToFloor};
 use crate::watch;
@@ -34,6 +35,7 @@
 pub struct Service {
     ends: Ends,
     list: ListLine,
+    budgeting: Option<Budgeting>,
     exchange: Exchange,
     listener: Line,
     readers: Vec<Line>,
@@ -77,6 +79,7 @@
         let datagrams = datagrams.transpose()?.map(|(line, _)| line);
         let automatic = deployment.shared.fleet.discovery == "automatic";
         let list = ListLine::new(&place, automatic, ORIGIN, seed ^ 1);
+        let budgeting = Budgeting::new(&deployment, reactor.now(), seed.rotate_left(48));
         let exchange = Exchange::new(reactor.now(), seed, deployment.told(), most);
         let mut ends = Ends::new(reactor, deployment, catalogue, seed);
         (ends.listen, ends.datagrams, ends.most_viewers) = (at, datagrams, most + most / IDLE_SHARE);
@@ -87,6 +90,7 @@
         Ok(Self {
             ends,
             list,
+            budgeting,
             exchange,
             listener,
             readers,
@@ -135,7 +139,9 @@
 
     fn has_work(&self, now: Duration) -> bool {
         let list = &self.list;
-        let came = !self.ends.arrivals.is_empty() || !list.came.is_empty() || list.lost || !self.born;
+        let plan_due = self.budgeting.as_ref().is_some_and(|budgeting| budgeting.next_due() <= now);
+        let came =
+            plan_due || !self.ends.arrivals.is_empty() || !list.came.is_empty() || list.lost || !self.born;
         came || self.exchange.next_due().is_some_and(|at| at <= now)
     }
 
@@ -145,7 +151,8 @@
             true => Some(self.next_round),
             false => self.exchange.next_due().map(|at| at.max(self.next_round)),
         };
-        [round, self.list.next_due(), self.ends.probes.next_late()].into_iter().flatten().min()
+        let plan = self.budgeting.as_ref().map(Budgeting::next_due);
+        [round, plan, self.list.next_due(), self.ends.probes.next_late()].into_iter().flatten().min()
     }
 
     fn take(&mut self, happening: Happening) {
@@ -170,7 +177,9 @@
             // Media that did not fit was dropped; there is nothing to go on with.
             Happening::Drained(_) => {}
             Happening::Datagram { from, bytes, .. } => {
-                if let Some(peer) = peer_at(&self.ends.deployment, from) {
+                let Some(peer) = peer_at(&self.ends.deployment, from) else { return };
+                let heard = self.budgeting.as_mut().is_some_and(|b| b.heard(&self.ends, peer, &bytes));
+                if !heard {
                     self.ends.arrivals.push(Box::new(move |floor| floor.peer(peer, &bytes)));
                 }
             }
@@ -194,6 +203,11 @@
         let lines = std::mem::take(&mut self.list.came);
         let lost = std::mem::take(&mut self.list.lost);
         let born = std::mem::replace(&mut self.born, true);
+        let mut plan = None;
+        if let Some(budgeting) = self.budgeting.as_mut().filter(|budgeting| budgeting.next_due() <= now) {
+            let made = budgeting.plan(&mut self.ends, self.exchange.book());
+            plan = Some((budgeting.caps(&made), made));
+        }
         let list = &mut self.list;
         let mut whole = false;
         self.exchange.round(now, &mut self.ends, |floor| {
@@ -211,6 +225,11 @@
                 floor.list_begins(Listing::Failed, std::iter::empty());
                 floor.list_ends(Listing::Failed);
             }
+            if let Some((caps, made)) = plan {
+                floor.crossing(Some(made.room));
+                made.home.iter().for_each(|job| floor.send_home(*job));
+                caps.into_iter().for_each(|(job, cap)| floor.cap(job, cap));
+            }
             arrivals.into_iter().for_each(|arrival| arrival(floor));
         });
         let mut wants = std::mem::take(&mut self.ends.list_wants);
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -54,6 +54,8 @@
     usual_use: [f64; 2],
     /// One throw a round decides all steps by chance, so that a link and its uplink agree.
     dice: f64,
+    /// What may still cross to this building in new joins, kB a second, where a budget is told.
+    crossing: Option<f64>,
 }
 
 impl Controller {
@@ -186,6 +188,25 @@
 
     pub fn peer(&mut self, _peer: u32, _bytes: &[u8]) {}
 
+    /// A fact told: what may cross in new joins, kB a second; without a budget nothing is told.
+    pub fn crossing(&mut self, left: Option<f64>) {
+        self.crossing = left;
+    }
+
+    /// A fact told: the highest rung for now of a subscription that crosses. It is lowered at once, since
+    /// what crosses is counted by the second.
+    pub fn cap<W: Writer>(&mut self, job: JobId, cap: Option<u8>, out: &mut W) {
+        let Some(sub) = self.subs.get_mut(&job) else { return };
+        sub.cap = cap;
+        let sub = sub.clone();
+        let top = self.top(&sub);
+        if sub.plays && sub.rung > top {
+            self.subs.entry(job).and_modify(|s| s.stepped = self.now);
+            self.settle(job, sub.at, top);
+            out.step_to(job, top);
+        }
+    }
+
     pub fn list_begins(&mut self, how: Listing) {
         if matches!(how, Listing::Complete | Listing::Cached) {
             self.streamers.values_mut().for_each(|s| s.listed = false);
@@ -323,8 +344,7 @@
     /// What one step of this instance's subscriptions on a pipe is, on the mean.
     fn usual_step(&self, pipe: Pipe, up: bool) -> f64 {
         let on = |id| pipe == Pipe::Link(id) || pipe == self.uplink(id);
-        let next =
-            |s: &Subscription| if up { self.told.top(&s.asked).min(s.rung + 1) } else { s.rung.max(1) - 1 };
+        let next = |s: &Subscription| if up { self.top(s).min(s.rung + 1) } else { s.rung.max(1) - 1 };
         let step = |s: &Subscription| self.told.rate(&s.asked, next(s)) - self.told.rate(&s.asked, s.rung);
         let own = self.subs.values().filter(|s| s.plays && s.at.is_some_and(on));
         mean(own.map(|s| step(s).abs())).unwrap_or(0.0)
@@ -511,6 +531,29 @@
             && sub.asked.held_by(s.cell, self.told.cells)
             && self.effect_allows(sub, id)
             && self.cold_allows(id, s)
+            && self.may_cross(sub, s)
+    }
+
+    /// Under a budget for crossing, whether a join at its floor fits what is left of it.
+    fn may_cross(&self, sub: &Subscription, s: &Streamer) -> bool {
+        let least = self.told.rate(&sub.asked, self.told.floor(&sub.asked));
+        s.zone == self.told.zone || self.crossing.is_none_or(|left| least <= left)
+    }
+
+    /// Under a budget for crossing, the highest rung up to this one that fits what is left, which is spent.
+    fn cross(&mut self, id: StreamerId, sub: &Subscription, rung: u8) -> u8 {
+        let home = self.streamers.get(&id).is_none_or(|s| s.zone == self.told.zone);
+        let Some(left) = self.crossing.filter(|_| !home) else { return rung };
+        let (floor, rate) = (self.told.floor(&sub.asked), |rung| self.told.rate(&sub.asked, rung));
+        let rung = (floor..=rung).rev().find(|rung| rate(*rung) <= left).unwrap_or(floor);
+        self.crossing = Some(left - rate(rung));
+        rung
+    }
+
+    /// The highest rung for now: what viewer, room type and ladder allow, and the cap where one was told.
+    fn top(&self, sub: &Subscription) -> u8 {
+        let (top, floor) = (self.told.top(&sub.asked), self.told.floor(&sub.asked));
+        sub.cap.map_or(top, |cap| top.min(cap.max(floor)))
     }
 
     /// Whether a streamer's link was lately measured; a cold one's joins are spread by their turns.
@@ -641,8 +684,9 @@
         self.settle(job, Some(id), floor);
         // The highest rung under the mark, shared with this instance's others there by what a step earns.
         let rung = self.fill(self.uplink(id), Some(id)).get(&job).copied().unwrap_or(floor);
+        let rung = self.cross(id, &sub, rung);
         self.settle(job, Some(id), rung);
-        if (rung > floor || sub.joins > 1) && rung <= self.told.top(&sub.asked) {
+        if (rung > floor || sub.joins > 1) && rung <= self.top(&sub) {
             out.step_to(job, rung);
         }
         let ends = sub.taken + sub.asked.client_timeout;
@@ -691,7 +735,7 @@
         let rate = (next.0 - now.0).max(1e-9);
         // What plays keeps its rung unless another earns far more with it: a switch costs, twice here.
         let held = if sub.plays && rung < sub.rung { 4.0 } else { 1.0 };
-        (rung < self.told.top(&sub.asked)).then_some((held * (next.1 - now.1) / rate, rate))
+        (rung < self.top(sub)).then_some((held * (next.1 - now.1) / rate, rate))
     }
 
     /// The least that a step earns for its rate, were this instance's part of all links and uplinks given
@@ -805,7 +849,7 @@
         if lb + x > la - x || la - lb <= 2.0 * x + 0.1 || !room(&sub.rung) {
             return 0.0;
         }
-        let best = (sub.rung..=self.told.top(&sub.asked)).rev().find(room).unwrap_or(sub.rung);
+        let best = (sub.rung..=self.top(sub)).rev().find(room).unwrap_or(sub.rung);
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
         let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
         let higher = self.told.earns(&sub.asked, best) - kept;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -207,6 +207,8 @@
     pub plays: bool,
     pub rung: u8,
     pub stepped: Duration,
+    /// The highest rung for now, where a budget for crossing tells one.
+    pub cap: Option<u8>,
     /// Whether the notes that come with its set-up are in.
     pub noted: bool,
     /// Joins that may have run, with their times; and all streamers tried.
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -14,6 +14,7 @@
     /// Picked once, since they are wanted for each streamer: controllers, racks, cells, and of a cold one
     /// its warm-up, the share it starts from, the window and the multiple of its budget.
     pub balancers: f64,
+    pub zone: u16,
     pub racks: u32,
     pub cells: u32,
     pub warm_up: Duration,
@@ -29,6 +30,7 @@
         let mut told = Self { options: Value::Object(options), ..Self::default() };
         told.ladders = told.ladders();
         told.balancers = told.figure("/balancers", 1.0).max(1.0);
+        told.zone = told.figure("/zone", 0.0) as u16;
         told.racks = told.figure("/familyInfo/groups", 1.0).max(1.0) as u32;
         told.cells = told.figure("/familyInfo/positions", 1.0).max(1.0) as u32;
         told.warm_up = told.span("/obligations/coldUs", Duration::ZERO);
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -11,13 +11,14 @@
 
 use badgerledge_settings::{Fault, Faults, Sheet};
 
-pub use sections::{ControllerPlace, Fleet, Ladder, Permissions, Prices, RoomType, Rules};
+pub use sections::{ControllerPlace, Crossing, Fleet, Ladder, Permissions, Prices, RoomType, Rules};
 
 /// All kinds of section that a controller's file may have.
-pub const SECTIONS: [&str; 7] =
-    ["controller", "fleet", "ladder", "room_type", "rules", "permissions", "prices"];
+pub const SECTIONS: [&str; 8] =
+    ["controller", "fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
 /// Those that say nothing of one controller: a day hands them to all of its controllers as they are.
-pub const SHARED_SECTIONS: [&str; 6] = ["fleet", "ladder", "room_type", "rules", "permissions", "prices"];
+pub const SHARED_SECTIONS: [&str; 7] =
+    ["fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
 
 /// A controller's file, checked.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     pub rules: Rules,
     pub permissions: Permissions,
     pub prices: Prices,
+    /// Without one nothing bounds what crosses.
+    pub crossing: Option<Crossing>,
 }
 
 impl Deployment {
@@ -74,11 +77,12 @@
             sheet.section_or_default::<Permissions>("permissions"),
         )?;
         let prices = sheet.section_or_default::<Prices>("prices")?;
+        let crossing = sheet.has("crossing").then(|| sheet.section::<Crossing>("crossing")).transpose()?;
         let mut room_types = Vec::new();
         for name in sheet.named("room_type") {
             room_types.push((name.to_owned(), sheet.section::<RoomType>(&format!("room_type {name}"))?));
         }
-        let shared = Self { fleet, ladder, room_types, rules, permissions, prices };
+        let shared = Self { fleet, ladder, room_types, rules, permissions, prices, crossing };
         let faults = shared.contradictions(sheet);
         if faults.is_empty() {
             Ok(shared)
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -297,3 +297,15 @@
     #[garde(custom(within(0.0, 10.0)))]
     pub crossing: f64,
 }
+
+/// `[crossing]`: a budget for what crosses between buildings, for all controllers together.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Crossing {
+    /// kB a second, over any time.
+    #[garde(custom(within(0.001, 1e12)))]
+    pub rate_kb_s: f64,
+    /// kB over that, in any window.
+    #[garde(custom(within(0.0, 1e12)))]
+    pub burst_kb: f64,
+}
--- a/crates/exchange/src/book.rs
+++ b/crates/exchange/src/book.rs
@@ -101,6 +101,18 @@
         job
     }
 
+    /// All subscriptions that play, with their joins.
+    pub fn flowing(&self) -> impl Iterator<Item = (JobId, &Held, &Join)> + '_ {
+        let joined = self.held.iter().filter(|(_, held)| held.plays_to.is_some());
+        joined.filter_map(|(job, held)| Some((*job, held, held.join.as_ref()?)))
+    }
+
+    /// All joins that are out, and not playing.
+    pub fn out(&self) -> impl Iterator<Item = (JobId, &Held, &Join)> + '_ {
+        let waiting = self.held.iter().filter(|(_, held)| held.plays_to.is_none());
+        waiting.filter_map(|(job, held)| Some((*job, held, held.join.as_ref()?)))
+    }
+
     pub fn of_line(&self, line: Line) -> Option<JobId> {
         self.by_line.get(&line).copied()
     }
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -154,6 +154,34 @@
         held.waiting.iter().for_each(|line| self.desk.carrier.terminate(*line, true));
     }
 
+    /// What a budget leaves for new joins from other buildings, kB a second; nothing where there is no budget.
+    pub fn crossing(&mut self, left: Option<f64>) {
+        self.module.crossing(left);
+    }
+
+    /// The highest rung that a subscription from another building may have for now.
+    pub fn cap(&mut self, job: JobId, cap: Option<u8>) {
+        self.deliver();
+        self.module.cap(job, cap, self.desk);
+    }
+
+    /// A subscription must not cross any more: its viewer comes back, and is placed by the module like any other.
+    pub fn send_home(&mut self, job: JobId) {
+        self.deliver();
+        let Some(held) = self.desk.close(job) else { return };
+        held.span.in_scope(|| tracing::info!("sent home: the budget for crossing is spent"));
+        match &held.join {
+            Some(join) => {
+                let latency = self.desk.now - join.sent;
+                self.module.outcome(job, join.streamer, join.number, Ending::Cancelled, true, latency, &[]);
+            }
+            None => self.module.expired(job),
+        }
+        for line in held.waiting.iter().chain(&held.plays_to) {
+            self.desk.carrier.redirect(*line);
+        }
+    }
+
     /// A probe's end.
     pub fn probed(&mut self, streamer: StreamerId, ending: Ending, latency: Duration, usage: &[f64]) {
         self.module.echo(streamer, ending, latency, usage);
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -1,5 +1,6 @@
 //! Plays a day.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -159,6 +160,7 @@
         Ok(Report {
             seed: self.day.course.seed,
             rules: self.witness.verdict(),
+            budget: self.budget(),
             tally: self.viewers.tally,
             viewers: self.viewers.counts,
             streamers: self.streamers.counts,
@@ -200,6 +202,28 @@
         all
     }
 
+    /// What crossed in the worst ten seconds by the streamers' counts, and what the budget allows in them, kB.
+    fn budget(&self) -> Option<(f64, f64)> {
+        const WINDOW: usize = 10;
+        let budget = self.day.shared.crossing.as_ref()?;
+        let places = self.controllers.places();
+        let mut seconds: BTreeMap<u64, f64> = BTreeMap::new();
+        for ((second, zone, controller), bytes) in self.streamers.sent_by_second() {
+            let to = places.get(controller as usize).map(|place| place.1);
+            if to.is_some_and(|to| to != usize::from(zone)) {
+                *seconds.entry(second).or_default() += bytes as f64 / 1000.0;
+            }
+        }
+        let last = seconds.keys().next_back().copied().unwrap_or(0);
+        let first = seconds.keys().next().copied().unwrap_or(0);
+        let each: Vec<f64> =
+            (first..=last).map(|second| seconds.get(&second).copied().unwrap_or(0.0)).collect();
+        let worst = each.windows(WINDOW.min(each.len()).max(1)).map(|window| window.iter().sum::<f64>());
+        // Over the budget and its burst, what a second brings that a plan could not know of.
+        let most = budget.rate_kb_s * (WINDOW as f64 + 1.0) + budget.burst_kb;
+        Some((worst.fold(0.0, f64::max), most))
+    }
+
     fn take(&mut self, now: Duration, happening: &Happening) {
         let (reactor, witness) = (&mut self.reactor, &mut self.witness);
         let taken = self.streamers.take(reactor, now, happening, witness)
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -24,6 +24,8 @@
     pub messages: (u64, u64),
     /// Media that crossed between buildings, by room type.
     pub crossed: Vec<Crossed>,
+    /// What crossed in the worst ten seconds, and what the budget allows in them, kB; nothing where there is none.
+    pub budget: Option<(f64, f64)>,
     /// Within how many in 100 the two counts of it must agree, if they must.
     pub accounts_within: Option<f64>,
 }
@@ -53,6 +55,7 @@
             rule.broken == 0 && (rule.tested > 0 || untested.contains(&(n + 1)))
         };
         self.accounts_match()
+            && self.budget_kept()
             && self.rules.iter().enumerate().all(good)
             && self.controllers_crashed.is_empty()
             && self.orderly_ends
@@ -65,6 +68,11 @@
         })
     }
 
+    /// Whether what crossed stayed within the budget in every ten seconds.
+    pub fn budget_kept(&self) -> bool {
+        self.budget.is_none_or(|(worst, most)| worst <= most)
+    }
+
     /// All figures.
     pub fn json(&self) -> Value {
         let rules = self.rules.iter().zip(RULES).map(|(rule, name)| {
@@ -91,6 +99,7 @@
                 "orderly_ends": self.orderly_ends},
             "crossed": self.crossed.iter().map(|c| json!({"room_type": c.room_type, "accounts": c.accounts,
                 "error": c.error, "streamers": c.streamers, "off_percent": c.off()})).collect::<Vec<_>>(),
+            "budget": self.budget.map(|(worst, most)| json!({"worst_10_s_kb": worst, "most_kb": most})),
             "list_lines": self.list_lines,
             "messages": {"passed": self.messages.0, "lost": self.messages.1},
         })
@@ -145,6 +154,10 @@
                 crossed.off()
             )?;
         }
+        if let Some((worst, most)) = self.budget {
+            let word = if self.budget_kept() { "kept" } else { "BROKEN" };
+            writeln!(f, "budget  {word}: {worst:.0} kB crossed in the worst 10 s, {most:.0} at most")?;
+        }
         if let Some(within) = self.accounts_within {
             let word = if self.accounts_match() { "match" } else { "DO NOT match" };
             writeln!(f, "accounts  {word} within {within}% for each room type")?;
--- a/crates/replay/tests/short_days.rs
+++ b/crates/replay/tests/short_days.rs
@@ -4,6 +4,9 @@
 use badgerledge_replay::{play, Day, Options, Report};
 use badgerledge_settings::Sheet;
 
+/// A budget for what crosses, beside a trouble: it binds as soon as a building is lost.
+const BUDGET: &str = "\n[crossing]\nrate_kb_s = 60\nburst_kb = 60\n";
+
 const BASE: &str = "\
 [day]
 length_s = 7
@@ -107,6 +110,24 @@
     assert_eq!(report.controller_starts, [2, 1], "{report}");
 }
 
+#[test]
+fn what_crosses_is_accounted_and_held_to_a_budget_through_a_lost_building_and_a_kill() {
+    let trouble = "kind = zone_loss\nat_s = 2\nfor_s = 3\npart = 0\nsize = 0\n[trouble kill]\nkind = balancer_crash\n\
+                   at_s = 4\nfor_s = 0.5\npart = 0.5\n[trouble late]\nkind = report_late\nat_s = 0\nfor_s = 7\nsize = 1";
+    let free = kept(trouble);
+    let held = kept(&format!("{trouble}{BUDGET}"));
+    let crossed = |report: &Report| report.crossed.iter().map(|crossed| crossed.streamers).sum::<u64>();
+    assert!(crossed(&held) < crossed(&free), "{held}{free}");
+    assert!(held.budget_kept() && held.budget.is_some_and(|(worst, _)| worst > 0.0), "{held}");
+    for report in [&free, &held] {
+        for one in &report.crossed {
+            // A kill in a day this short may cost its stated second; a count is off by no more than that.
+            let off = one.accounts.abs_diff(one.streamers);
+            assert!(off <= one.streamers / 50 + one.error + 60_000, "{one:?}");
+        }
+    }
+}
+
 #[test]
 fn controllers_are_killed_rolled_and_stopped() {
     let report = kept(
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -114,6 +114,9 @@
     report_noise: f64,
     /// Media sent, by the streamer's building, the controller and the room type.
     sent: BTreeMap<(u16, u32, usize), u64>,
+    /// The same by second, whatever the room type.
+    by_second: BTreeMap<(u64, u16, u32), u64>,
+    now: Duration,
     pub counts: Counts,
 }
 
@@ -159,6 +162,8 @@
             set_up_time: (Duration::from_millis(15), Duration::from_millis(60)),
             report_noise: 0.08,
             sent: BTreeMap::new(),
+            by_second: BTreeMap::new(),
+            now: Duration::ZERO,
             counts: Counts::default(),
         }
     }
@@ -218,6 +223,11 @@
         self.sent.iter().map(|(from, bytes)| (*from, *bytes))
     }
 
+    /// Bytes of media sent in each second of the clock, by the streamer's building and the controller.
+    pub fn sent_by_second(&self) -> impl Iterator<Item = ((u64, u16, u32), u64)> + '_ {
+        self.by_second.iter().map(|(from, bytes)| (*from, *bytes))
+    }
+
     pub fn fell(&self, streamer: usize) -> bool {
         self.fleet[streamer].fell
     }
@@ -537,6 +547,7 @@
 
     /// Does what is due: answers set-ups, sends media and notes.
     pub fn tend(&mut self, reactor: &mut Reactor, now: Duration) {
+        self.now = now;
         let granted = self.streams.iter().filter(|(_, stream)| {
             let due = stream.set_up_at.as_ref().is_some_and(|(at, _)| *at <= now);
             due && self.fleet[stream.streamer].condition != Condition::Silent
@@ -603,6 +614,8 @@
                 self.counts.media_bytes += bytes.len() as u64;
                 let from = (self.fleet[stream.streamer].told.zone, stream.controller, stream.room_type);
                 *self.sent.entry(from).or_default() += bytes.len() as u64;
+                let second = (self.now.as_secs(), from.0, from.1);
+                *self.by_second.entry(second).or_default() += bytes.len() as u64;
             }
         }
     }
