A budget for each pair of buildings; ports that no connection takes; the witness forgets what a dead process held

Change: [crossing] per = pair (words carry whose budget they are about; a controller lends its share of ways that do not end in its building); the module takes what is left by building; the rate now as a metric; GET /accounts tested on a running controller.

--- a/crates/bench/src/counted.rs
+++ b/crates/bench/src/counted.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Bytes allocated so far, not counting what was given back.
+pub fn bytes() -> u64 {
+    BYTES.load(Ordering::Relaxed)
+}
+
 /// Where a controller under measurement leaves its counts when it ends.
 pub const FILE: &str = "BADGERLEDGE_BENCH_COUNTS";
 
--- a/crates/bench/src/fixture.rs
+++ b/crates/bench/src/fixture.rs
@@ -1,13 +1,14 @@
 //! A controller process with its settings, and what it costs.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Context, Result};
 use badgerledge_deployment::Shared;
 use badgerledge_settings::Sheet;
+use badgerledge_standins::free_port;
 use rustix::process::{kill_process, Pid, Signal};
 use tempfile::TempDir;
 
@@ -45,10 +46,6 @@
     Ok(Shared::of(&Sheet::parse("bench", SHARED)?)?)
 }
 
-pub fn free_port() -> Result<SocketAddr> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
-}
-
 pub struct Controller {
     pub at: SocketAddr,
     metrics: SocketAddr,
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod round;
 mod set_ups;
+mod titles;
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -59,6 +60,11 @@
         #[arg(long, default_value_t = 600)]
         subscriptions: u32,
     },
+    /// The sketch of heaviest titles against a plain map
+    Titles {
+        #[arg(long, default_value_t = 100_000)]
+        titles: u64,
+    },
     /// All of them, one after the other
     All,
     /// The bare byte pump, as a process
@@ -86,6 +92,7 @@
     match what {
         What::Pump { listen, to } => pump::run(listen, to),
         What::Round { streamers, subscriptions } => round::measure(streamers, subscriptions),
+        What::Titles { titles } => titles::measure(titles),
         What::SetUps { seconds, viewers } => on_one_core(|| set_ups::measure(seconds, viewers)),
         What::Relay { seconds, streams } => on_one_core(|| relay::measure(seconds, streams)),
         What::Costs => on_one_core(|| {
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -9,11 +9,11 @@
 use badgerledge_core::interface::Health;
 use badgerledge_reactor::{Bounds, Happening, Line, Reactor};
 use badgerledge_rtsp::{frame_header, Framer, Server, Unit};
-use badgerledge_standins::{packet, ListService, Packet};
+use badgerledge_standins::{free_port, packet, ListService, Packet};
 use badgerledge_witness::Witness;
 use rtsp_types::{Method, StatusCode};
 
-use crate::fixture::{free_port, shared, wait_for, Controller};
+use crate::fixture::{shared, wait_for, Controller};
 use crate::load::{Load, Then};
 
 const BOUNDS: Bounds = Bounds { input: 72 * 1024, output: 256 * 1024 };
--- a/crates/controller/src/budgeting.rs
+++ b/crates/controller/src/budgeting.rs
@@ -1,6 +1,6 @@
 //! The budget of what crosses, joined to the ends: what was spent goes in, plans and words come out.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use badgerledge_core::interface::JobId;
@@ -13,12 +13,25 @@
 /// A plan is made this often: the module's own beat.
 const EVERY: Duration = Duration::from_millis(200);
 
-pub struct Budgeting {
+/// The way of a budget for what crosses in all.
+const ANY: u16 = u16::MAX;
+
+/// A budget of one way: from one building to another, or all. Of ways that do not end here a controller owns its share
+/// like everyone, and only lends it.
+struct Part {
+    /// The building it comes from; nothing where it is for all.
+    from: Option<u16>,
+    /// Whether it ends in this controller's building.
+    here: bool,
     purse: Purse,
     lending: Lending,
-    next: Duration,
-    /// What the last plan spends, and those that it capped.
     planned: f64,
+}
+
+pub struct Budgeting {
+    parts: BTreeMap<u16, Part>,
+    next: Duration,
+    /// Subscriptions that the last plans capped.
     capped: BTreeSet<JobId>,
 }
 
@@ -26,9 +39,26 @@
     /// Nothing where the deployment has no budget.
     pub fn new(deployment: &Deployment, now: Duration, seed: u64) -> Option<Self> {
         let (budget, place) = (deployment.shared.crossing.as_ref()?, &deployment.place);
-        let purse = Purse::new(budget.rate_kb_s, budget.burst_kb, place.controllers, now);
-        let lending = Lending::new(place.number, place.controllers, purse.share(), now, seed);
-        Some(Self { purse, lending, next: now, planned: 0.0, capped: BTreeSet::new() })
+        let zones = &deployment.shared.fleet.zones;
+        let part = |from: Option<u16>, here: bool, way: u16| {
+            let purse = Purse::new(budget.rate_kb_s, budget.burst_kb, place.controllers, now);
+            let seed = seed ^ u64::from(way).rotate_left(32);
+            let lending = Lending::new(place.number, place.controllers, purse.share(), now, seed);
+            Part { from, here, purse, lending, planned: 0.0 }
+        };
+        let mut parts = BTreeMap::new();
+        if budget.per == "pair" {
+            let count = zones.len() as u16;
+            for (from, to) in (0..count).flat_map(|from| (0..count).map(move |to| (from, to))) {
+                let (way, here) = (from * count + to, zones[usize::from(to)] == place.zone);
+                if from != to {
+                    parts.insert(way, part(Some(from), here, way));
+                }
+            }
+        } else {
+            parts.insert(ANY, part(None, true, ANY));
+        }
+        Some(Self { parts, next: now, capped: BTreeSet::new() })
     }
 
     pub fn next_due(&self) -> Duration {
@@ -37,50 +67,70 @@
 
     /// Takes a word of another controller. Tells whether it was one, and answers it.
     pub fn heard(&mut self, ends: &Ends, peer: u32, bytes: &[u8]) -> bool {
-        let Some(word) = Word::read(bytes) else { return false };
-        if let Some(answer) = self.lending.heard(ends.now, peer, word) {
-            ends.tell(peer, &answer.write());
+        let Some((way, word)) = Word::read(bytes) else { return false };
+        let part = self.parts.get_mut(&way);
+        if let Some(answer) = part.and_then(|part| part.lending.heard(ends.now, peer, word)) {
+            ends.tell(peer, &answer.write(way));
         }
         true
     }
 
-    /// A plan for now, from what crossed since the last one.
-    pub fn plan(&mut self, ends: &mut Ends, book: &Book) -> Plan {
+    /// Plans for now, from what crossed since the last ones: each with the building that it is for.
+    pub fn plan(&mut self, ends: &mut Ends, book: &Book) -> Vec<(Option<u16>, Plan)> {
         let now = ends.now;
         self.next = now + EVERY;
-        let spent = std::mem::take(&mut ends.crossed_bytes) as f64 / 1000.0;
-        let owned = self.lending.owned(now);
-        self.purse.spend(now, owned, spent, self.planned * EVERY.as_secs_f64());
-        let crossers: Vec<Crosser> = book.flowing().filter_map(|one| crosser(ends, one)).collect();
-        // Joins that are out will play at the rungs they were sent with: not the plan's to change yet.
-        let out: f64 = book.out().filter_map(|one| crosser(ends, one)).map(|one| rate_of(&one)).sum();
-        let made = plan(&crossers, (self.purse.may_plan(owned) - out).max(0.0));
-        self.planned = made.planned + out;
-        let wanted: f64 = crossers.iter().filter_map(|one| one.steps.last()).map(|step| step.rate).sum();
-        self.lending.tend(now, wanted + out, |peer, word| ends.tell(peer, &word.write()));
-        made
+        let spent = std::mem::take(&mut ends.crossed_bytes);
+        let mut plans = Vec::new();
+        for (way, part) in &mut self.parts {
+            let made = part.here.then(|| part.plan(ends, book, &spent));
+            let wanted = made.as_ref().map_or(0.0, |(_, wanted)| *wanted);
+            part.lending.tend(now, wanted, |peer, word| ends.tell(peer, &word.write(*way)));
+            plans.extend(made.map(|(plan, _)| (part.from, plan)));
+        }
+        plans
     }
 
-    /// The caps that a plan sets, and those of the last plan that are no more.
-    pub fn caps(&mut self, made: &Plan) -> Vec<(JobId, Option<u8>)> {
-        let now: BTreeSet<JobId> = made.tops.iter().map(|(job, _)| *job).collect();
+    /// The caps that plans set, and those of the last plans that are no more.
+    pub fn caps(&mut self, plans: &[(Option<u16>, Plan)]) -> Vec<(JobId, Option<u8>)> {
+        let tops = || plans.iter().flat_map(|(_, plan)| &plan.tops);
+        let now: BTreeSet<JobId> = tops().map(|(job, _)| *job).collect();
         let lifted = self.capped.difference(&now).map(|job| (*job, None));
-        let caps = lifted.chain(made.tops.iter().map(|(job, top)| (*job, Some(*top)))).collect();
+        let caps = lifted.chain(tops().map(|(job, top)| (*job, Some(*top)))).collect();
         self.capped = now;
         caps
     }
 }
 
+impl Part {
+    /// A plan, and what would be spent if it could.
+    fn plan(&mut self, ends: &Ends, book: &Book, spent: &BTreeMap<u16, u64>) -> (Plan, f64) {
+        let ours = |zone: u16| self.from.is_none_or(|from| from == zone);
+        let bytes: u64 = spent.iter().filter(|(zone, _)| ours(**zone)).map(|(_, bytes)| *bytes).sum();
+        let crossers: Vec<Crosser> = book.flowing().filter_map(|one| crosser(ends, one, ours)).collect();
+        // Joins that are out will play at the rungs they were sent with: not the plan's to change yet.
+        let out: f64 = book.out().filter_map(|one| crosser(ends, one, ours)).map(|one| rate_of(&one)).sum();
+        let owned = self.lending.owned(ends.now);
+        self.purse.spend(ends.now, owned, bytes as f64 / 1000.0, self.planned * EVERY.as_secs_f64());
+        let made = plan(&crossers, (self.purse.may_plan(owned) - out).max(0.0));
+        self.planned = made.planned + out;
+        let wanted: f64 = crossers.iter().filter_map(|one| one.steps.last()).map(|step| step.rate).sum();
+        (made, wanted + out)
+    }
+}
+
 fn rate_of(crosser: &Crosser) -> f64 {
     let at = usize::from(crosser.rung.saturating_sub(crosser.floor));
     crosser.steps.get(at).or(crosser.steps.last()).map_or(0.0, |step| step.rate)
 }
 
-/// A subscription as the plan sees it; nothing where it does not cross.
-fn crosser(ends: &Ends, (job, held, join): (JobId, &Held, &Join)) -> Option<Crosser> {
+/// A subscription as a plan sees it; nothing where it does not cross, or not by this plan's way.
+fn crosser(
+    ends: &Ends, (job, held, join): (JobId, &Held, &Join), ours: impl Fn(u16) -> bool,
+) -> Option<Crosser> {
     let shared = &ends.deployment.shared;
-    let zone = shared.fleet.zones.get(usize::from(*ends.zones.get(&join.streamer)?))?;
-    if *zone == ends.deployment.place.zone {
+    let from = *ends.zones.get(&join.streamer)?;
+    let zone = shared.fleet.zones.get(usize::from(from))?;
+    if *zone == ends.deployment.place.zone || !ours(from) {
         return None;
     }
     let (_, told) = shared.room_types.get(held.asked.room_type)?;
--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -75,8 +75,8 @@
     pub reminders: Vec<(Duration, u64)>,
     pub media: Relayed,
     pub accounting: Accounting,
-    /// Bytes that crossed since the budget's last plan.
-    pub crossed_bytes: u64,
+    /// Bytes that crossed since the budget's last plans, by the building they came from.
+    pub crossed_bytes: BTreeMap<u16, u64>,
     /// The building of each streamer of the list.
     pub zones: BTreeMap<StreamerId, u16>,
 }
@@ -114,7 +114,7 @@
             reminders: Vec::new(),
             media: Relayed::default(),
             accounting,
-            crossed_bytes: 0,
+            crossed_bytes: BTreeMap::new(),
             zones: BTreeMap::new(),
         }
     }
@@ -446,8 +446,8 @@
     /// A packet of media or control from a streamer: channel 0 and 1 are what every join asks for.
     fn packet(&mut self, id: (JobId, u16), channel: u8, carried: &[u8]) {
         let Some(join) = self.joins.get_mut(&id) else { return };
-        if join.crosses {
-            self.crossed_bytes += carried.len() as u64;
+        if let Some(from) = join.crosses {
+            *self.crossed_bytes.entry(from).or_default() += carried.len() as u64;
         }
         match channel {
             0 => {
@@ -673,7 +673,8 @@
         let to = self.deployment.place.zone.clone();
         join.key = from.map(|from| Key { from: from.clone(), to, room_type: room_type.clone() });
         join.crossed.set_ups += 1;
-        join.crosses = join.key.as_ref().is_some_and(Key::crosses);
+        let crosses = join.key.as_ref().is_some_and(Key::crosses);
+        join.crosses = self.zones.get(&join.streamer).copied().filter(|_| crosses);
         let headers: [(HeaderName, String); 5] = [
             (headers::TRANSPORT, "RTP/AVP/TCP;unicast;interleaved=0-1".to_owned()),
             (words::name(words::VIEWER), format!("{:x}", asked.path_key)),
--- a/crates/controller/src/join.rs
+++ b/crates/controller/src/join.rs
@@ -28,7 +28,8 @@
     /// What is counted together with it, and what came since that was counted last.
     pub key: Option<Key>,
     pub crossed: Amount,
-    pub crosses: bool,
+    /// The building that it crosses from, if it crosses.
+    pub crosses: Option<u16>,
     pub flows_since: Option<Duration>,
 }
 
@@ -46,7 +47,7 @@
             title: 0,
             key: None,
             crossed: Amount::default(),
-            crosses: false,
+            crosses: None,
             flows_since: None,
         }
     }
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -1,8 +1,10 @@
 //! The program's loop: what a wake brought in goes to the ends at once, and once a tick to a round.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
+use badgerledge_accounts::Key;
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::{Ending, Listing};
 use badgerledge_deployment::Deployment;
@@ -40,6 +42,9 @@
     listener: Line,
     readers: Vec<Line>,
     page: PrometheusHandle,
+    /// When accounts were shown last, and the bytes then, for the rates.
+    accounts_shown: Option<Duration>,
+    crossed_before: BTreeMap<Key, u64>,
     next_round: Duration,
     tick: Duration,
     /// The list held before the restart is told in the first round.
@@ -95,6 +100,8 @@
             listener,
             readers,
             page,
+            accounts_shown: None,
+            crossed_before: BTreeMap::new(),
             next_round,
             tick,
             born: false,
@@ -205,8 +212,8 @@
         let born = std::mem::replace(&mut self.born, true);
         let mut plan = None;
         if let Some(budgeting) = self.budgeting.as_mut().filter(|budgeting| budgeting.next_due() <= now) {
-            let made = budgeting.plan(&mut self.ends, self.exchange.book());
-            plan = Some((budgeting.caps(&made), made));
+            let plans = budgeting.plan(&mut self.ends, self.exchange.book());
+            plan = Some((budgeting.caps(&plans), plans));
         }
         let list = &mut self.list;
         let mut whole = false;
@@ -225,9 +232,11 @@
                 floor.list_begins(Listing::Failed, std::iter::empty());
                 floor.list_ends(Listing::Failed);
             }
-            if let Some((caps, made)) = plan {
-                floor.crossing(Some(made.room));
-                made.home.iter().for_each(|job| floor.send_home(*job));
+            if let Some((caps, plans)) = plan {
+                for (from, made) in &plans {
+                    floor.crossing(*from, made.room);
+                    made.home.iter().for_each(|job| floor.send_home(*job));
+                }
                 caps.into_iter().for_each(|(job, cap)| floor.cap(job, cap));
             }
             arrivals.into_iter().for_each(|arrival| arrival(floor));
@@ -277,9 +286,13 @@
     }
 
     /// The accounts as metrics.
-    fn show_accounts(&self) {
+    fn show_accounts(&mut self) {
+        let span = self.accounts_shown.replace(self.ends.now).map(|at| (self.ends.now - at).as_secs_f64());
         for (key, amount) in self.ends.accounting.whole() {
+            let before = self.crossed_before.insert(key.clone(), amount.bytes()).unwrap_or(0);
+            let rate = span.map_or(0.0, |span| amount.bytes().saturating_sub(before) as f64 / span.max(1e-3));
             let labels = [("from", key.from), ("to", key.to), ("room_type", key.room_type)];
+            gauge!(watch::CROSSED_RATE, &labels).set(rate);
             counter!(watch::CROSSED_BYTES, &labels).absolute(amount.bytes());
             counter!(watch::CROSSED_SECONDS, &labels).absolute(amount.subscription_ms / 1000);
             counter!(watch::CROSSED_SET_UPS, &labels).absolute(amount.set_ups);
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -20,6 +20,7 @@
 pub const SYSTEM_CALLS: &str = "badgerledge_system_calls_total";
 pub const COPIED_BYTES: &str = "badgerledge_copied_bytes_total";
 pub const CROSSED_BYTES: &str = "badgerledge_crossed_bytes_total";
+pub const CROSSED_RATE: &str = "badgerledge_crossed_bytes_per_second";
 pub const CROSSED_SECONDS: &str = "badgerledge_crossed_subscription_seconds_total";
 pub const CROSSED_SET_UPS: &str = "badgerledge_crossed_set_ups_total";
 pub const ROUND_TIME: &str = "badgerledge_round_seconds";
@@ -43,6 +44,7 @@
     describe_counter!(LOST_PACKETS, "Media packets dropped before a viewer that reads too slowly");
     describe_counter!(FAULTS, "Input that could not be understood or went over a bound");
     describe_counter!(MOVES, "Subscriptions sent back to be placed elsewhere");
+    describe_gauge!(CROSSED_RATE, "Bytes a second from streamers now, by buildings and room type");
     describe_counter!(CROSSED_BYTES, Unit::Bytes, "Bytes from streamers, by buildings and room type");
     describe_counter!(CROSSED_SECONDS, Unit::Seconds, "Time played, by buildings and room type");
     describe_counter!(CROSSED_SET_UPS, "Set-ups sent, by buildings and room type");
--- a/crates/controller/tests/it/bad_input.rs
+++ b/crates/controller/tests/it/bad_input.rs
@@ -25,6 +25,22 @@
     talk
 }
 
+/// The accounts of what came, as anybody may ask for them while it runs.
+#[test]
+fn live_accounts_say_what_was_relayed() {
+    let (_list, controller) = with_good_streamers("");
+    let mut viewer = playing(&controller, 1);
+    plays_on(&mut viewer);
+    let labels = "badgerledge_crossed_set_ups_total{from=\"a\",to=\"a\",room_type=\"clip\"}";
+    controller.wait_metric(labels, |count| count == 1.0);
+    controller.wait_accounts(|accounts| {
+        let whole = accounts.whole();
+        let one = whole.values().next();
+        whole.len() == 1
+            && one.is_some_and(|one| one.set_ups == 1 && one.media_bytes > 1000 && one.subscription_ms > 0)
+    });
+}
+
 /// Media goes on: some packets come now that were not sent before.
 fn plays_on(talk: &mut Talk) {
     for _ in 0..20 {
--- a/crates/controller/tests/it/rig.rs
+++ b/crates/controller/tests/it/rig.rs
@@ -8,11 +8,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use badgerledge_accounts::Accounts;
 use badgerledge_core::interface::Health;
 use badgerledge_deployment::Shared;
 use badgerledge_reactor::Reactor;
 use badgerledge_settings::Sheet;
-use badgerledge_standins::{ListService, Streamers, Told};
+use badgerledge_standins::{free_port, ListService, Streamers, Told};
 use badgerledge_witness::Witness;
 use tempfile::TempDir;
 
@@ -119,7 +120,7 @@
     /// `more` are further lines of its `[controller]` section.
     pub fn start(list: SocketAddr, more: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let (at, metrics) = (free_port(), free_port());
+        let (at, metrics) = (free_port().unwrap(), free_port().unwrap());
         let text = format!(
             "[controller]\ncontrollers = 1\nzone = a\nlisten = {at}\nlist = {list}\nmetrics = {metrics}\n\
              catalogue = titles.ini\nstate = {}\nseed = 3\n{more}{SHARED}",
@@ -154,11 +155,30 @@
         }
     }
 
-    pub fn metric(&self, name: &str) -> Option<f64> {
+    fn page(&self, path: &str) -> Option<String> {
         let mut page = TcpStream::connect(self.metrics).ok()?;
-        page.write_all(b"GET /metrics HTTP/1.1\r\n\r\n").ok()?;
+        page.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).ok()?;
         let mut text = String::new();
         page.read_to_string(&mut text).ok()?;
+        Some(text)
+    }
+
+    /// Waits until the accounts that it shows are as wanted.
+    pub fn wait_accounts(&self, wanted: impl Fn(&Accounts) -> bool) {
+        let begun = Instant::now();
+        loop {
+            let page = self.page("/accounts").unwrap_or_default();
+            let body = page.split_once("\r\n\r\n").map_or("", |page| page.1);
+            if Accounts::read(body).is_ok_and(|accounts| wanted(&accounts)) {
+                return;
+            }
+            assert!(begun.elapsed() < PATIENCE, "{page}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let text = self.page("/metrics")?;
         let line = text
             .lines()
             .find(|line| line.strip_prefix(name).is_some_and(|rest| rest.starts_with([' ', '{'])));
@@ -216,10 +236,6 @@
         .unwrap()
 }
 
-pub fn free_port() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
-}
-
 /// One end of a connection that a test scripts, at a viewer or at a streamer.
 pub struct Talk {
     pub stream: TcpStream,
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -54,8 +54,8 @@
     usual_use: [f64; 2],
     /// One throw a round decides all steps by chance, so that a link and its uplink agree.
     dice: f64,
-    /// What may still cross to this building in new joins, kB a second, where a budget is told.
-    crossing: Option<f64>,
+    /// What may still cross from a building, or from any, in new joins, kB a second, where a budget is told.
+    crossing: BTreeMap<Option<u16>, f64>,
 }
 
 impl Controller {
@@ -188,9 +188,10 @@
 
     pub fn peer(&mut self, _peer: u32, _bytes: &[u8]) {}
 
-    /// A fact told: what may cross in new joins, kB a second; without a budget nothing is told.
-    pub fn crossing(&mut self, left: Option<f64>) {
-        self.crossing = left;
+    /// A fact told: what may cross from a building, or from any, in new joins, kB a second. Without a budget
+    /// nothing is told.
+    pub fn crossing(&mut self, from: Option<u16>, left: f64) {
+        self.crossing.insert(from, left);
     }
 
     /// A fact told: the highest rung for now of a subscription that crosses. It is lowered at once, since
@@ -537,16 +538,23 @@
     /// Under a budget for crossing, whether a join at its floor fits what is left of it.
     fn may_cross(&self, sub: &Subscription, s: &Streamer) -> bool {
         let least = self.told.rate(&sub.asked, self.told.floor(&sub.asked));
-        s.zone == self.told.zone || self.crossing.is_none_or(|left| least <= left)
+        self.left_to_cross(s.zone).is_none_or(|(_, left)| least <= left)
+    }
+
+    /// What is left of the budget that binds between a building and this one, if any, and whose it is.
+    fn left_to_cross(&self, from: u16) -> Option<(Option<u16>, f64)> {
+        let of = |from| self.crossing.get(&from).map(|left| (from, *left));
+        of(Some(from)).or_else(|| of(None)).filter(|_| from != self.told.zone)
     }
 
     /// Under a budget for crossing, the highest rung up to this one that fits what is left, which is spent.
     fn cross(&mut self, id: StreamerId, sub: &Subscription, rung: u8) -> u8 {
-        let home = self.streamers.get(&id).is_none_or(|s| s.zone == self.told.zone);
-        let Some(left) = self.crossing.filter(|_| !home) else { return rung };
+        let from = self.streamers.get(&id).map_or(self.told.zone, |s| s.zone);
+        let Some((whose, left)) = self.left_to_cross(from) else { return rung };
         let (floor, rate) = (self.told.floor(&sub.asked), |rung| self.told.rate(&sub.asked, rung));
         let rung = (floor..=rung).rev().find(|rung| rate(*rung) <= left).unwrap_or(floor);
-        self.crossing = Some(left - rate(rung));
+        let left = left - rate(rung);
+        self.crossing.insert(whose, left);
         rung
     }
 
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -522,15 +522,16 @@
             c.list_begins(Listing::Changes);
             c.list_entry(streamer(cell), 1, 0, cell, Health::Ready, 1.0, Duration::ZERO);
             c.list_ends(Listing::Changes);
-            c.crossing(Some(150.0));
+            c.crossing(None, 1e9);
+            c.crossing(Some(1), 150.0);
         });
     }
     // The lowest rung of this room type asks 120 kB a second, the next 240.
     let (first, second) = (day.take(asked(1, 0, 3), None), day.take(asked(1, 0, 3), None));
     assert_eq!((day.out(first).is_some(), day.model.tries[&first].rung, day.out(second)), (true, 0, None));
-    day.round(|c, _| c.crossing(None));
+    day.round(|c, _| c.crossing(Some(1), 1e9));
     day.pass(ms(100));
-    assert!(day.out(second).is_some(), "without a budget nothing holds it");
+    assert!(day.out(second).is_some(), "nothing holds it any more");
     let top = day.handed_over_at_the_top(1)[0];
     let steps = day.model.steps;
     day.round(|c, out| c.cap(top, Some(1), out));
--- a/crates/crossing/src/lending.rs
+++ b/crates/crossing/src/lending.rs
@@ -25,7 +25,7 @@
 const KEPT: f64 = 1.2;
 
 /// Bytes of a word.
-pub const WORD: usize = 21;
+pub const WORD: usize = 23;
 
 /// A word between two controllers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,10 +37,11 @@
 }
 
 /// What marks a word of this kind, and its version.
-const MARK: [u8; 4] = *b"blc1";
+const MARK: [u8; 4] = *b"blc2";
 
 impl Word {
-    pub fn write(self) -> [u8; WORD] {
+    /// The word as bytes. `way` says whose budget it is about: which two buildings, or all.
+    pub fn write(self, way: u16) -> [u8; WORD] {
         let (kind, number, rate) = match self {
             Word::Ask { number, wanted } => (1, number, wanted),
             Word::Grant { number, rate } => (2, number, rate),
@@ -50,15 +51,16 @@
         bytes[4] = kind;
         bytes[5..13].copy_from_slice(&number.to_be_bytes());
         bytes[13..17].copy_from_slice(&rate.to_be_bytes());
-        let sum = bytes[..17]
+        bytes[17..19].copy_from_slice(&way.to_be_bytes());
+        let sum = bytes[..19]
             .iter()
             .fold(0x811c_9dc5u32, |sum, byte| (sum ^ u32::from(*byte)).wrapping_mul(0x0100_0193));
-        bytes[17..].copy_from_slice(&sum.to_be_bytes());
+        bytes[19..].copy_from_slice(&sum.to_be_bytes());
         bytes
     }
 
-    /// The word in these bytes; nothing where they are none, or were changed.
-    pub fn read(bytes: &[u8]) -> Option<Self> {
+    /// The word in these bytes, and its way; nothing where they are none, or were changed.
+    pub fn read(bytes: &[u8]) -> Option<(u16, Self)> {
         let bytes: &[u8; WORD] = bytes.try_into().ok()?;
         let number = u64::from_be_bytes(bytes[5..13].try_into().ok()?);
         let rate = f32::from_be_bytes(bytes[13..17].try_into().ok()?);
@@ -70,7 +72,8 @@
             2 => Word::Grant { number, rate },
             _ => return None,
         };
-        (word.write() == *bytes).then_some(word)
+        let way = u16::from_be_bytes([bytes[17], bytes[18]]);
+        (word.write(way) == *bytes).then_some((way, word))
     }
 }
 
--- a/crates/crossing/src/tests.rs
+++ b/crates/crossing/src/tests.rs
@@ -244,8 +244,8 @@
 #[test]
 fn words_come_back_as_they_went_and_changed_ones_do_not() {
     let word = Word::Grant { number: 77, rate: 12.5 };
-    let bytes = word.write();
-    assert_eq!(Word::read(&bytes), Some(word));
+    let bytes = word.write(513);
+    assert_eq!(Word::read(&bytes), Some((513, word)));
     for at in 0..bytes.len() {
         let mut changed = bytes;
         changed[at] ^= 1;
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -308,4 +308,8 @@
     /// kB over that, in any window.
     #[garde(custom(within(0.0, 1e12)))]
     pub burst_kb: f64,
+    /// `all`: for what crosses in all. `pair`: for each pair of buildings and direction by itself.
+    #[garde(custom(one_of(&["all", "pair"])))]
+    #[serde(default = "all")]
+    pub per: String,
 }
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -154,9 +154,9 @@
         held.waiting.iter().for_each(|line| self.desk.carrier.terminate(*line, true));
     }
 
-    /// What a budget leaves for new joins from other buildings, kB a second; nothing where there is no budget.
-    pub fn crossing(&mut self, left: Option<f64>) {
-        self.module.crossing(left);
+    /// What a budget leaves for new joins from a building, or from any other, kB a second.
+    pub fn crossing(&mut self, from: Option<u16>, left: f64) {
+        self.module.crossing(from, left);
     }
 
     /// The highest rung that a subscription from another building may have for now.
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -1,12 +1,13 @@
 //! The controllers of a day: a process each, started, killed outright, stopped and started anew.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use anyhow::{bail, Context, Result};
+use badgerledge_standins::free_port;
 use rustix::process::{kill_process, Pid, Signal};
 
 use crate::day::Day;
@@ -39,7 +40,7 @@
     ) -> Result<Self> {
         let mut all = Vec::new();
         for (number, own_at) in own.iter().enumerate() {
-            let listen = free_port()?;
+            let listen = free_port().context("a port for a controller")?;
             let zone = number % day.shared.fleet.zones.len();
             let mut peers = reached.to_vec();
             peers[number] = *own_at;
@@ -182,14 +183,3 @@
         (0..self.len()).for_each(|number| self.kill(number));
     }
 }
-
-fn free_port() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?;
-    Ok(listener.local_addr()?)
-}
-
-/// A free address for datagrams.
-pub fn free_datagram_port() -> Result<SocketAddr> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?;
-    Ok(socket.local_addr()?)
-}
--- a/crates/replay/src/messages.rs
+++ b/crates/replay/src/messages.rs
@@ -7,8 +7,8 @@
 
 use anyhow::Result;
 use badgerledge_reactor::{Happening, Line, Reactor};
+use badgerledge_standins::free_port;
 
-use crate::controllers::free_datagram_port;
 use crate::plan::Draw;
 
 pub struct Messages {
@@ -32,7 +32,7 @@
         let mut ways = Vec::new();
         for _ in 0..controllers {
             let (line, at) = reactor.datagrams(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-            ways.push((line, at, free_datagram_port()?));
+            ways.push((line, at, free_port()?));
         }
         Ok(Self { ways, coming: BTreeSet::new(), cut: false, draw: Draw::new(seed), passed: 0, lost: 0 })
     }
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -202,26 +202,27 @@
         all
     }
 
-    /// What crossed in the worst ten seconds by the streamers' counts, and what the budget allows in them, kB.
+    /// What crossed in the worst ten seconds by the streamers' counts, and what the budget allows in them, kB. Where
+    /// the budget is for each pair of buildings, of the worst pair.
     fn budget(&self) -> Option<(f64, f64)> {
-        const WINDOW: usize = 10;
+        const WINDOW: u64 = 10;
         let budget = self.day.shared.crossing.as_ref()?;
         let places = self.controllers.places();
-        let mut seconds: BTreeMap<u64, f64> = BTreeMap::new();
+        let mut ways: BTreeMap<(u16, usize), BTreeMap<u64, f64>> = BTreeMap::new();
         for ((second, zone, controller), bytes) in self.streamers.sent_by_second() {
-            let to = places.get(controller as usize).map(|place| place.1);
-            if to.is_some_and(|to| to != usize::from(zone)) {
-                *seconds.entry(second).or_default() += bytes as f64 / 1000.0;
+            let to = places.get(controller as usize).map_or(usize::MAX, |place| place.1);
+            if to != usize::from(zone) {
+                let way = if budget.per == "pair" { (zone, to) } else { (0, 0) };
+                *ways.entry(way).or_default().entry(second).or_default() += bytes as f64 / 1000.0;
             }
         }
-        let last = seconds.keys().next_back().copied().unwrap_or(0);
-        let first = seconds.keys().next().copied().unwrap_or(0);
-        let each: Vec<f64> =
-            (first..=last).map(|second| seconds.get(&second).copied().unwrap_or(0.0)).collect();
-        let worst = each.windows(WINDOW.min(each.len()).max(1)).map(|window| window.iter().sum::<f64>());
+        let within =
+            |seconds: &BTreeMap<u64, f64>, from: u64| seconds.range(from..from + WINDOW).map(|s| s.1).sum();
+        let windows =
+            ways.values().flat_map(|seconds| seconds.keys().map(move |from| within(seconds, *from)));
         // Over the budget and its burst, what a second brings that a plan could not know of.
         let most = budget.rate_kb_s * (WINDOW as f64 + 1.0) + budget.burst_kb;
-        Some((worst.fold(0.0, f64::max), most))
+        Some((windows.fold(0.0, f64::max), most))
     }
 
     fn take(&mut self, now: Duration, happening: &Happening) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod links;
 mod list_service;
 mod media;
+mod ports;
 mod streamers;
 mod tally;
 mod viewers;
 
 pub use list_service::ListService;
 pub use media::{packet, Packet};
+pub use ports::free_port;
 pub use streamers::{Condition, Counts as StreamerCounts, Streamers, Told};
 pub use tally::Tally;
 pub use viewers::{Counts as ViewerCounts, Habits, Plan, Viewers};
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -53,6 +53,8 @@
     client_timeout: Duration,
     answers: u32,
     excused: bool,
+    /// The process that it was sent to is dead: nobody knows of it any more.
+    void: bool,
     /// The subscription that it asks for: a retry while the first try is out asks for the same.
     subscription: u64,
 }
@@ -131,6 +133,8 @@
 
     /// A controller process runs from now on; what was seen of an earlier one is void.
     pub fn controller_up(&mut self, controller: u32) {
+        let held = self.asks.values_mut().filter(|ask| ask.controller == controller && ask.answers == 0);
+        held.for_each(|ask| (ask.excused, ask.void) = (true, true));
         self.controllers.insert(controller, Seen { up: true, ..Seen::default() });
     }
 
@@ -158,12 +162,22 @@
         seen.asks.push_back(now);
         let excused = !seen.up;
         let first = self.newest.get(&(viewer, title)).and_then(|first| self.asks.get(first));
-        let first = first.filter(|first| first.answers == 0 && first.controller == controller);
+        let first = first.filter(|first| first.answers == 0 && first.controller == controller && !first.void);
         let subscription = first.map_or(ask, |first| first.subscription);
         self.subscriptions.entry(subscription).or_default();
         let (at, answers) = (now, 0);
-        let made =
-            Ask { viewer, title, room_type, controller, at, client_timeout, answers, excused, subscription };
+        let made = Ask {
+            viewer,
+            title,
+            room_type,
+            controller,
+            at,
+            client_timeout,
+            answers,
+            excused,
+            void: false,
+            subscription,
+        };
         self.asks.insert(ask, made);
         self.newest.insert((viewer, title), ask);
     }
--- a/crates/witness/src/tests.rs
+++ b/crates/witness/src/tests.rs
@@ -79,6 +79,27 @@
     assert_eq!(w.verdict()[1].broken, 0, "{:?}", w.verdict()[1]);
 }
 
+/// Found by a short day: a reborn controller was held to what its killed one had set up.
+#[test]
+fn a_viewer_that_comes_again_to_a_reborn_controller_asks_anew_and_to_a_stopped_one_does_not() {
+    let broken = |reborn: bool| {
+        let mut w = witness();
+        w.asked(ms(0), 1, 0, 9, 5, 1, ms(2000));
+        w.set_up(ms(10), 1, streamer(1), 9, 5, 1, 1);
+        w.controller_down(0);
+        w.join_over(1);
+        if reborn {
+            w.controller_up(0)
+        } else {
+            w.controller_goes_on(0)
+        };
+        w.asked(ms(900), 2, 0, 9, 5, 1, ms(2000));
+        w.set_up(ms(910), 2, streamer(2), 9, 5, 1, 1);
+        w.verdict()[1].broken
+    };
+    assert_eq!((broken(true), broken(false)), (0, 1));
+}
+
 #[test]
 fn a_cold_streamer_falls_at_the_budget_and_not_under_it() {
     // 20 places over 10 s, at half warmth, twice that, in 2 s: 2 x 2 x (0.5 x 2 + 0.05 x 4 / 2) = 4.4 set-ups.
