--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -252,9 +252,10 @@
             self.answer(line, &retry_after(answer, wait));
             return self.finish_viewer(line);
         }
-        let again = *request.method() == Method::Setup;
+        let again = *request.method() == Method::Setup && viewer.waiting.len() < viewer::LATER;
         if !viewer.waiting.is_empty() && !again {
-            if !viewer.put_off(request) {
+            let too_many = *request.method() == Method::Setup || !viewer.put_off(request);
+            if too_many {
                 tracing::info!(line, "a viewer sends too many requests behind a SETUP: closed");
                 counter!(watch::FAULTS).increment(1);
                 self.reactor.close(line);
--- a/crates/controller/src/viewer.rs
+++ b/crates/controller/src/viewer.rs
@@ -10,7 +10,7 @@
 use rtsp_types::headers;
 
 /// Requests that may wait behind a SETUP; one more ends the connection. A viewer has no need for any.
-const LATER: usize = 8;
+pub const LATER: usize = 8;
 
 pub struct Viewer {
     pub framer: Framer,
--- a/crates/controller/tests/it/bad_input.rs
+++ b/crates/controller/tests/it/bad_input.rs
@@ -73,8 +73,12 @@
         "OPTIONS * RTSP/1.0\r\nCSeq: 2\r\n\r\n".repeat(12)
     );
     assert_eq!(bounded(behind.as_bytes()), 0);
+    // And of SETUPs, each of which would wait for the same answer.
+    let again =
+        "SETUP rtsp://h/7 RTSP/1.0\r\nCSeq: 1\r\nTransport: RTP/AVP/TCP;interleaved=0-1\r\n\r\n".repeat(20);
+    assert_eq!(bounded(again.as_bytes()), 0);
     plays_on(&mut other);
-    assert_eq!(controller.metric("badgerledge_input_faults_total"), Some(7.0));
+    assert_eq!(controller.metric("badgerledge_input_faults_total"), Some(8.0));
     assert_eq!(
         controller.log().matches("input of a viewer").count(),
         5,
