A settings check tells all that is wrong at once

Cause: found by trying it as an operator would: only the faults of the first section were told. Change: all sections are read before any fault is handed on; a test with four faults in four sections.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -70,18 +70,15 @@
 impl Shared {
     /// Reads the sections that all controllers share; others are passed over.
     pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
-        let (fleet, ladder) =
-            Faults::both(sheet.section::<Fleet>("fleet"), sheet.section::<Ladder>("ladder"))?;
-        let (rules, permissions) = Faults::both(
+        let told = Faults::both(sheet.section::<Fleet>("fleet"), sheet.section::<Ladder>("ladder"));
+        let bounds = Faults::both(
             sheet.section_or_default::<Rules>("rules"),
             sheet.section_or_default::<Permissions>("permissions"),
-        )?;
-        let prices = sheet.section_or_default::<Prices>("prices")?;
-        let crossing = sheet.has("crossing").then(|| sheet.section::<Crossing>("crossing")).transpose()?;
-        let mut room_types = Vec::new();
-        for name in sheet.named("room_type") {
-            room_types.push((name.to_owned(), sheet.section::<RoomType>(&format!("room_type {name}"))?));
-        }
+        );
+        let crossing = sheet.has("crossing").then(|| sheet.section::<Crossing>("crossing")).transpose();
+        let costs = Faults::both(sheet.section_or_default::<Prices>("prices"), crossing);
+        let all = Faults::both(Faults::both(told, bounds), Faults::both(costs, room_types(sheet)));
+        let (((fleet, ladder), (rules, permissions)), ((prices, crossing), room_types)) = all?;
         let shared = Self { fleet, ladder, room_types, rules, permissions, prices, crossing };
         let faults = shared.contradictions(sheet);
         if faults.is_empty() {
@@ -128,5 +125,21 @@
     }
 }
 
+/// All sections `[room_type NAME]`, or all that is wrong with them.
+fn room_types(sheet: &Sheet) -> Result<Vec<(String, RoomType)>, Faults> {
+    let (mut room_types, mut faults) = (Vec::new(), Vec::new());
+    for name in sheet.named("room_type") {
+        match sheet.section::<RoomType>(&format!("room_type {name}")) {
+            Ok(room_type) => room_types.push((name.to_owned(), room_type)),
+            Err(found) => faults.extend(found.0),
+        }
+    }
+    if faults.is_empty() {
+        Ok(room_types)
+    } else {
+        Err(Faults(faults))
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/deployment/src/tests.rs
+++ b/crates/deployment/src/tests.rs
@@ -100,3 +100,19 @@
         "d.ini:5: [controller] listen = here: invalid socket address syntax"
     );
 }
+
+/// Found by trying it: only the faults of the first section were told.
+#[test]
+fn all_that_is_wrong_is_told_at_once() {
+    let wrong = WHOLE
+        .replace("cells = 12", "cells = 0")
+        .replace("budget_few = 3", "budget_few = some")
+        .replace("zone = south\n", "")
+        .replace("benefit = 3\n", "benefit = -1\n");
+    let told = read(&wrong).unwrap_err();
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(lines.len(), 4, "{told}");
+    for (line, key) in lines.iter().zip(["zone", "cells", "budget_few", "benefit"]) {
+        assert!(line.contains(key), "{line}");
+    }
+}
