The accounts' page is made when asked for; steps and swings of viewers are counted

Storing wrote all windows as a page twice a second, which nobody read. The page is now made from the stored texts when it is asked for, and a disk that fails to take the windows is tried again at the next store. Viewers of a replay count steps up and down and swings (a step taken back within 5 s), to show whether a building that returns causes any. badgerledge-bench accounting times the periodic work alone. Dead parts of the stand-ins are gone.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Benchmark programs of the controller. Each prints what it measured, side by side with the plain thing that it is
 //! measured against, in one run on one core. None of it is part of CI.
 
+mod accounting;
 mod counted;
 mod fixture;
 mod load;
@@ -65,6 +66,11 @@
         #[arg(long, default_value_t = 100_000)]
         titles: u64,
     },
+    /// What the accounts of crossing traffic take of a core
+    Accounting {
+        #[arg(long, default_value_t = 500)]
+        playing: u64,
+    },
     /// All of them, one after the other
     All,
     /// The bare byte pump, as a process
@@ -93,6 +99,7 @@
         What::Pump { listen, to } => pump::run(listen, to),
         What::Round { streamers, subscriptions } => round::measure(streamers, subscriptions),
         What::Titles { titles } => titles::measure(titles),
+        What::Accounting { playing } => accounting::measure(playing),
         What::SetUps { seconds, viewers } => on_one_core(|| set_ups::measure(seconds, viewers)),
         What::Relay { seconds, streams } => on_one_core(|| relay::measure(seconds, streams)),
         What::Costs => on_one_core(|| {
@@ -106,7 +113,8 @@
             set_ups::costs()?;
             relay::costs()?;
             set_ups::memory(2000)?;
-            round::measure(300, 600)
+            round::measure(300, 600)?;
+            accounting::measure(500)
         }),
     }
 }
--- a/crates/controller/src/accounting.rs
+++ b/crates/controller/src/accounting.rs
@@ -23,8 +23,16 @@
     turn: usize,
     stored_at: Duration,
     window: u64,
-    /// What was stored last: all that is ever handed out, so that a reborn controller never says less.
-    page: String,
+    /// What was stored last, as in the files: all that is ever handed out, so that a reborn controller never says
+    /// less. The page is made of it when it is asked for, which is seldom beside storing.
+    stored: Stored,
+}
+
+/// The stored texts: all windows as they were at the last window's turn, and the last few since.
+#[derive(Default)]
+struct Stored {
+    windows: String,
+    last: String,
 }
 
 impl Accounting {
@@ -44,9 +52,9 @@
             accounts.ledger(source).estimate_unseen(wall(), STORE_EVERY);
         }
         accounts.ledger(source);
-        let page = accounts.write();
+        let stored = Stored { windows: accounts.write(), last: String::new() };
         let folder = folder.map(Path::to_owned);
-        Self { accounts, source, folder, turn: 0, stored_at: Duration::ZERO, window: 0, page }
+        Self { accounts, source, folder, turn: 0, stored_at: Duration::ZERO, window: 0, stored }
     }
 
     pub fn count(&mut self, key: &Key, title: u64, more: &Amount) {
@@ -58,8 +66,11 @@
     }
 
     /// What was stored last, for whoever asks.
-    pub fn page(&self) -> &str {
-        &self.page
+    pub fn page(&self) -> String {
+        let texts = [&self.stored.windows, &self.stored.last];
+        let mut stored = Accounts::default();
+        texts.into_iter().filter_map(|text| Accounts::read(text).ok()).for_each(|part| stored.merge(&part));
+        stored.write()
     }
 
     pub fn is_due(&self, now: Duration) -> bool {
@@ -69,27 +80,32 @@
     /// Stores what has been counted. A disk that takes nothing is told of in the log, and counting goes on.
     pub fn store(&mut self, now: Duration, ends: bool) {
         self.stored_at = now;
-        let Some(folder) = &self.folder else {
-            self.page = self.accounts.write();
-            return;
-        };
-        let write = |file: &str, text: &str| std::fs::write(folder.join(file), seal(text));
-        self.turn = 1 - self.turn;
-        let mut stored = write(TURNS[self.turn], &self.accounts.write_last(LAST));
-        let window = wall().as_secs() / WINDOW.as_secs();
-        if stored.is_ok() && (window != self.window || ends) {
-            self.window = window;
-            let fresh = folder.join("accounts-fresh");
-            stored = std::fs::write(&fresh, seal(&self.accounts.write()))
-                .and_then(|()| std::fs::rename(&fresh, folder.join(WINDOWS)));
+        if let Err(e) = self.try_store(ends) {
+            tracing::warn!("the accounts could not be stored: {e}; counting goes on");
         }
-        if ends && stored.is_ok() {
-            stored = std::fs::write(folder.join(ENDED), "");
+    }
+
+    fn try_store(&mut self, ends: bool) -> std::io::Result<()> {
+        let last = self.accounts.write_last(LAST);
+        let window = wall().as_secs() / WINDOW.as_secs();
+        let whole = (window != self.window || ends).then(|| self.accounts.write());
+        if let Some(folder) = &self.folder {
+            self.turn = 1 - self.turn;
+            std::fs::write(folder.join(TURNS[self.turn]), seal(&last))?;
+            if let Some(whole) = &whole {
+                let fresh = folder.join("accounts-fresh");
+                std::fs::write(&fresh, seal(whole))?;
+                std::fs::rename(&fresh, folder.join(WINDOWS))?;
+            }
+            if ends {
+                std::fs::write(folder.join(ENDED), "")?;
+            }
         }
-        match stored {
-            Ok(()) => self.page = self.accounts.write(),
-            Err(e) => tracing::warn!("the accounts could not be stored: {e}; counting goes on"),
+        self.stored.last = last;
+        if let Some(whole) = whole {
+            (self.stored.windows, self.window) = (whole, window);
         }
+        Ok(())
     }
 }
 
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -304,7 +304,7 @@
         let input = self.ends.reactor.input(line);
         if input.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
             let answer = match input.starts_with(b"GET /accounts ") {
-                true => watch::answer("application/json", self.ends.accounting.page()),
+                true => watch::answer("application/json", &self.ends.accounting.page()),
                 false => watch::page(&self.page),
             };
             self.ends.reactor.send(line, &[&answer]);
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -307,12 +307,6 @@
         }
     }
 
-    /// Bytes that a line's output can still take; none for a line that is gone or finishing.
-    pub fn room(&self, line: Line) -> usize {
-        let open = self.conn(line).filter(|conn| conn.ended.is_none() && !conn.finishing);
-        open.map_or(0, |conn| conn.bounds.output.saturating_sub(conn.output.len()))
-    }
-
     /// Gives bytes to a line's output, all or, where they do not fit, none. They go at the next flush.
     pub fn send(&mut self, line: Line, parts: &[&[u8]]) -> bool {
         self.send_leaving(line, 0, parts)
--- a/crates/reactor/src/tests.rs
+++ b/crates/reactor/src/tests.rs
@@ -58,9 +58,8 @@
     let (line, mut far) = pair(&mut reactor);
     assert!(reactor.send(line, &[&[1; 600], &[2; 400]]));
     assert!(!reactor.send(line, &[&[3]]), "one byte over the bound");
-    assert_eq!(reactor.room(line), 0);
     reactor.flush();
-    assert_eq!(reactor.room(line), 1000);
+    assert!(reactor.send(line, &[&[0; 1000]]), "the whole bound again once it is drained");
     let mut bytes = [0; 1000];
     far.read_exact(&mut bytes).unwrap();
     assert_eq!((bytes[599], bytes[600]), (1, 2));
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use badgerledge_standins::Tally;
+use badgerledge_standins::{Steps, Tally, SWING};
 use badgerledge_witness::{Judged, RULES};
 use serde_json::{json, Value};
 
@@ -89,7 +89,8 @@
             "service": {"whole": self.tally.whole(), "worst_10_s": self.tally.worst_window(),
                 "worst_room_type": worst_type, "worst_room_type_name": worst_name,
                 "room_types": room_types.collect::<Vec<_>>(),
-                "seconds": self.tally.seconds()},
+                "seconds": self.tally.seconds(),
+                "steps": self.tally.steps().iter().map(|s| (s.up, s.down, s.swings)).collect::<Vec<_>>()},
             "viewers": {"asks": v.asks, "plays": v.plays, "throttled": v.throttled, "terminated": v.terminated,
                 "no_answer": v.no_answer, "moved": v.moved, "breaks": v.breaks, "gave_up": v.gave_up,
                 "media_bytes": v.media_bytes, "peak_playing": self.peak},
@@ -126,6 +127,13 @@
             f,
             "service  whole day {whole:.3}, worst 10 s {window:.3}, worst room type {worst:.3} ({name})"
         )?;
+        let all = |of: fn(&Steps) -> u64| -> u64 { self.tally.steps().iter().map(of).sum() };
+        let (up, down, swings) = (all(|s| s.up), all(|s| s.down), all(|s| s.swings));
+        writeln!(
+            f,
+            "steps  {up} up, {down} down; {swings} took back one of less than {} s before",
+            SWING.as_secs()
+        )?;
         let v = &self.viewers;
         writeln!(
             f,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,5 +14,5 @@
 pub use media::{packet, Packet};
 pub use ports::free_port;
 pub use streamers::{Condition, Counts as StreamerCounts, Streamers, Told};
-pub use tally::Tally;
+pub use tally::{Steps, Tally, SWING};
 pub use viewers::{Counts as ViewerCounts, Habits, Plan, Viewers};
--- a/crates/standins/src/list_service.rs
+++ b/crates/standins/src/list_service.rs
@@ -145,11 +145,6 @@
         true
     }
 
-    /// Breaks all connections: controllers come again.
-    pub fn break_off(&mut self, reactor: &mut Reactor) {
-        std::mem::take(&mut self.readers).into_keys().for_each(|line| reactor.close(line));
-    }
-
     fn read(&mut self, reactor: &mut Reactor, now: Duration, line: Line, witness: &mut Witness) {
         while let Some(end) = reactor.input(line).iter().position(|byte| *byte == b'\n') {
             let asked: Value = serde_json::from_slice(&reactor.input(line)[..end]).unwrap_or_default();
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -12,7 +12,7 @@
 use badgerledge_core::interface::StreamerId;
 use badgerledge_deployment::Shared;
 use badgerledge_reactor::{Bounds, Happening, Line, Reactor};
-use badgerledge_rtsp::notes::{bye, note};
+use badgerledge_rtsp::notes::note;
 use badgerledge_rtsp::words::{self, Headed};
 use badgerledge_rtsp::{describe, frame_header, Framer, Request, Response, Server, State, Unit};
 use badgerledge_witness::Witness;
@@ -62,7 +62,6 @@
     plays: bool,
     credit: f64,
     sequence: u16,
-    started: Duration,
 }
 
 /// One streamer.
@@ -339,7 +338,7 @@
         match happening {
             Happening::Accepted { line, listener, .. } => {
                 let Some(streamer) = self.listeners.get(listener).copied() else { return false };
-                self.streams.insert(*line, Stream::new(streamer, now));
+                self.streams.insert(*line, Stream::new(streamer));
             }
             Happening::Readable(line) if self.streams.contains_key(line) => {
                 self.read(reactor, now, *line, witness);
@@ -674,23 +673,10 @@
         }
         self.notes.make_contiguous().sort_by_key(|note| note.at);
     }
-
-    /// Ends the stream of a title that has played out: BYE, and the connection.
-    pub fn end_stream(&mut self, reactor: &mut Reactor, line: Line, witness: &mut Witness) {
-        self.send_control(reactor, line, &bye(line as u32));
-        reactor.finish(line);
-        self.over(line, witness);
-    }
-
-    /// The lines of all streams that play, with how long they have.
-    pub fn streams(&self, now: Duration) -> impl Iterator<Item = (Line, Duration)> + '_ {
-        let playing = self.streams.iter().filter(|(_, stream)| stream.plays);
-        playing.map(move |(line, stream)| (*line, now - stream.started))
-    }
 }
 
 impl Stream {
-    fn new(streamer: usize, now: Duration) -> Self {
+    fn new(streamer: usize) -> Self {
         Self {
             streamer,
             framer: Framer::default(),
@@ -705,7 +691,6 @@
             plays: false,
             credit: 0.0,
             sequence: 0,
-            started: now,
         }
     }
 
--- a/crates/standins/src/tally.rs
+++ b/crates/standins/src/tally.rs
@@ -11,15 +11,29 @@
     /// For each second of the day, offered and earned; the same by room type.
     seconds: Vec<(f64, f64)>,
     room_types: Vec<(f64, f64)>,
+    /// Steps in each second.
+    steps: Vec<Steps>,
 }
 
+/// Changes of the rung that viewers saw while they played.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Steps {
+    pub up: u64,
+    pub down: u64,
+    /// Those of them that took back the one before, of the same subscription, within [`SWING`].
+    pub swings: u64,
+}
+
+/// A step that is taken back sooner than this is a swing: a viewer sees the picture flicker.
+pub const SWING: Duration = Duration::from_secs(5);
+
 /// The stretch whose worst the users look at.
 const WINDOW: usize = 10;
 
 impl Tally {
     pub fn new(shared: &Shared) -> Self {
         let names: Vec<String> = shared.room_types.iter().map(|(name, _)| name.clone()).collect();
-        Self { room_types: vec![(0.0, 0.0); names.len()], names, seconds: Vec::new() }
+        Self { room_types: vec![(0.0, 0.0); names.len()], names, seconds: Vec::new(), steps: Vec::new() }
     }
 
     /// Counts benefit that was offered, and what of it was earned, around a time since the day's start.
@@ -34,6 +48,22 @@
         }
     }
 
+    /// Counts a step up or down.
+    pub fn step(&mut self, at: Duration, up: bool, swing: bool) {
+        let second = at.as_secs() as usize;
+        if self.steps.len() <= second {
+            self.steps.resize(second + 1, Steps::default());
+        }
+        let steps = &mut self.steps[second];
+        *if up { &mut steps.up } else { &mut steps.down } += 1;
+        steps.swings += u64::from(swing);
+    }
+
+    /// Each second's steps, as far as there were any.
+    pub fn steps(&self) -> &[Steps] {
+        &self.steps
+    }
+
     /// Over the whole day.
     pub fn whole(&self) -> f64 {
         ratio(self.seconds.iter())
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -20,7 +20,7 @@
 
 use crate::media::Packet;
 use crate::streamers::{between, share};
-use crate::Tally;
+use crate::tally::{Tally, SWING};
 
 /// One viewer, as planned.
 #[derive(Clone, Debug)]
@@ -88,6 +88,8 @@
     returning: bool,
     gone: bool,
     rung: u8,
+    /// When it saw its last step on this line, and whether that was up.
+    stepped: Option<(Duration, bool)>,
     /// The answer came within the join objective.
     in_time: bool,
     /// Bytes of media since `counted`, and the rate they are of.
@@ -192,7 +194,7 @@
         self.viewers.iter().filter(|viewer| viewer.plays.is_some()).count()
     }
 
-    /// Bytes of media that came, by room type.
+    /// When something is due next.
     pub fn next_due(&self) -> Option<Duration> {
         let due = self.due.first().map(|due| due.0);
         [due, Some(self.counted_at + COUNT_EVERY)].into_iter().flatten().min()
@@ -370,7 +372,7 @@
                     match unit {
                         Unit::Response(response) => self.answered(reactor, now, line, &response, witness),
                         Unit::Request(request) => self.asked_of(reactor, now, line, &request),
-                        Unit::Frame(0, carried) => self.media(line, carried),
+                        Unit::Frame(0, carried) => self.media(now, line, carried),
                         Unit::Frame(1, carried) => {
                             if notes(carried).any(|note| note == Note::Bye) {
                                 self.stream_ended(reactor, now, line);
@@ -423,6 +425,8 @@
                 let viewer = &mut self.viewers[n];
                 (viewer.plays, viewer.in_time, viewer.moved) = (Some(line), in_time, None);
                 (viewer.bytes, viewer.counted, viewer.share, viewer.short_for) = (0, now, 1.0, 0);
+                // The first packet of a line says the rung that it begins with: no step.
+                (viewer.rate, viewer.stepped) = (0, None);
                 self.due.insert((ends, n, What::Leave));
             }
             status => {
@@ -474,10 +478,16 @@
         self.due.insert((now + gap, n, What::Ask));
     }
 
-    fn media(&mut self, line: Line, carried: &[u8]) {
+    fn media(&mut self, now: Duration, line: Line, carried: &[u8]) {
         let Some(conn) = self.conns.get(&line) else { return };
         let viewer = &mut self.viewers[conn.viewer];
         if let Some(packet) = Packet::read(carried) {
+            if viewer.plays == Some(line) && viewer.rate > 0 && packet.rung != viewer.rung {
+                let up = packet.rung > viewer.rung;
+                let swing = viewer.stepped.is_some_and(|(at, was_up)| was_up != up && now < at + SWING);
+                viewer.stepped = Some((now, up));
+                self.tally.step(now - self.start, up, swing);
+            }
             (viewer.rung, viewer.rate) = (packet.rung, packet.rate);
         }
         viewer.bytes += carried.len() as u64;
@@ -613,6 +623,7 @@
             returning: false,
             gone: false,
             rung: 0,
+            stepped: None,
             in_time: false,
             bytes: 0,
             rate: 0,
