--- a/crates/bench/src/round.rs
+++ b/crates/bench/src/round.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use badgerledge_core::interface::{Asked, Health, JobId, Listing, StreamerId};
+use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, StreamerId};
 use badgerledge_exchange::{Carrier, Exchange, Line};
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
@@ -28,6 +28,7 @@
     fn end_join(&mut self, _job: JobId, _number: u16) {}
     fn redirect(&mut self, _viewer: Line) {}
     fn farewell(&mut self, _viewer: Line) {}
+    fn came_to(&mut self, _streamer: StreamerId, _ending: Option<Ending>) {}
     fn remind(&mut self, _from_now: Duration, _token: u64) {}
     fn probe(&mut self, _streamer: StreamerId) {}
     fn signal(&mut self, _peer: Option<u16>, _bytes: &[u8]) {}
--- a/crates/controller/src/budgeting.rs
+++ b/crates/controller/src/budgeting.rs
@@ -66,7 +66,7 @@
     }
 
     /// Takes a word of another controller. Tells whether it was one, and answers it.
-    pub fn heard(&mut self, ends: &Ends, peer: u32, bytes: &[u8]) -> bool {
+    pub fn heard(&mut self, ends: &mut Ends, peer: u32, bytes: &[u8]) -> bool {
         let Some((way, word)) = Word::read(bytes) else { return false };
         let part = self.parts.get_mut(&way);
         if let Some(answer) = part.and_then(|part| part.lending.heard(ends.now, peer, word)) {
--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -21,6 +21,7 @@
 use rtsp_types::{Method, StatusCode, Url};
 
 use crate::accounting::Accounting;
+use crate::gossiping::Gossiping;
 use crate::join::JoinLine;
 use crate::probes::Probes;
 use crate::viewer::{self, Viewer};
@@ -68,6 +69,7 @@
     /// What the module asked of the list since the last round: to be told of changes or not, and the whole list.
     pub list_wants: (Option<bool>, bool),
     pub datagrams: Option<Line>,
+    pub gossiping: Option<Gossiping>,
     /// What came in since the last round, in order.
     pub arrivals: Vec<Arrival>,
     pub steps: Vec<Step>,
@@ -109,6 +111,7 @@
             probes: Probes::default(),
             list_wants: (None, false),
             datagrams: None,
+            gossiping: None,
             arrivals: Vec::new(),
             steps: Vec::new(),
             reminders: Vec::new(),
@@ -537,8 +540,11 @@
         self.arrives(move |floor| floor.probed(streamer, ending, latency, &usage));
     }
 
-    /// Sends another controller a datagram.
-    pub fn tell(&self, peer: u32, bytes: &[u8]) {
+    /// Sends another controller a word: signed, where there is gossip.
+    pub fn tell(&mut self, peer: u32, bytes: &[u8]) {
+        if let Some(gossiping) = &mut self.gossiping {
+            return gossiping.word(&self.reactor, self.now, peer, bytes);
+        }
         let at = self.deployment.place.peers.get(peer as usize);
         if let (Some(line), Some(at)) = (self.datagrams, at) {
             self.reactor.send_to(line, *at, bytes);
@@ -750,6 +756,14 @@
         self.viewers.remove(&viewer);
     }
 
+    fn came_to(&mut self, streamer: StreamerId, ending: Option<Ending>) {
+        let now = self.now;
+        if matches!(ending, Some(Ending::Timeout | Ending::ConnectFailed | Ending::Reset)) {
+            tracing::info!(%streamer, ?ending, "join lost");
+        }
+        self.gossiping.as_mut().into_iter().for_each(|gossiping| gossiping.seen(now, streamer, ending));
+    }
+
     fn remind(&mut self, from_now: Duration, token: u64) {
         self.reminders.push((self.now + from_now, token));
     }
--- /dev/null
+++ b/crates/controller/src/gossiping.rs
@@ -0,0 +1,305 @@
+//! Gossip among controllers, joined to the ends: keys and what outlives the process from files, datagrams through the
+//! loop, news to whom they are for.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{bail, Context, Result};
+use badgerledge_core::interface::{Ending, StreamerId};
+use badgerledge_deployment::{ControllerPlace, GossipPlace};
+use badgerledge_gossip::statement::Statement;
+use badgerledge_gossip::{Gossip, Member, News, Outside, Standing, LONGEST};
+use badgerledge_hearsay::Hearsay;
+use badgerledge_keys::{Keys, PrivateKey, Ring};
+use badgerledge_reactor::{Line, Reactor};
+use metrics::{counter, gauge};
+
+use crate::watch;
+
+/// The ring's file is looked at this often: a revocation takes hold within it.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Bulletins are made no more often: a few joins are lost in that time on a streamer that dies.
+const PUBLISH_EVERY: Duration = Duration::from_millis(400);
+/// Records are stored this often: a member seldom moves.
+const STORE_EVERY: Duration = Duration::from_secs(10);
+/// Lives count quarter seconds since 2026, or go on from the one before, whichever is later.
+const LIVES_FROM: u64 = 1_767_225_600;
+const LIFE_TICK_MS: u128 = 250;
+/// Files in the state folder.
+const LIFE: &str = "gossip-life";
+const RECORDS: &str = "gossip-records";
+/// Bytes of stored records at most.
+const LONGEST_RECORDS: u64 = 1024 * 1024;
+
+pub struct Gossiping {
+    gossip: Gossip<Keys>,
+    hearsay: Hearsay,
+    line: Line,
+    place: GossipPlace,
+    state: Option<PathBuf>,
+    ring_read: Option<SystemTime>,
+    look_at: Duration,
+    publish_at: Duration,
+    store_at: Duration,
+    /// What was published last, so that nothing is said twice.
+    published: Vec<StreamerId>,
+}
+
+/// What comes of a wake, for the other subsystems.
+#[derive(Default)]
+pub struct Came {
+    /// Another controller's word for the budget.
+    pub words: Vec<(Member, Vec<u8>)>,
+    /// Streamers that are now believed to be in trouble.
+    pub believed: Vec<StreamerId>,
+}
+
+struct Datagrams<'a> {
+    reactor: &'a Reactor,
+    line: Line,
+}
+
+impl Outside for Datagrams<'_> {
+    fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
+        debug_assert!(bytes.len() <= LONGEST);
+        self.reactor.send_to(self.line, SocketAddr::V4(to), bytes);
+    }
+}
+
+impl Gossiping {
+    /// Reads keys and what was stored, and opens the line.
+    pub fn new(
+        reactor: &mut Reactor, place: &ControllerPlace, told: &GossipPlace, seed: u64,
+    ) -> Result<Self> {
+        let keys = read_keys(told, place.number)?;
+        let ring_read = modified(&told.ring);
+        let (line, bound) =
+            reactor.datagrams(told.listen).with_context(|| format!("gossip at {}", told.listen))?;
+        let SocketAddr::V4(at) = told.advertise.unwrap_or(bound) else {
+            bail!("[gossip] listen or advertise: an IPv4 address is taken");
+        };
+        let seeds = told.seeds.iter().filter_map(|seed| match seed {
+            SocketAddr::V4(seed) => Some(*seed),
+            SocketAddr::V6(_) => None,
+        });
+        let now = reactor.now();
+        let life = next_life(place.state.as_deref());
+        let mut gossip = Gossip::new(place.number as Member, keys, life, at, seeds.collect(), now, seed);
+        let stored = place.state.as_deref().map(stored_records).unwrap_or_default();
+        gossip.recall(now, stored, &mut Vec::new());
+        tracing::info!(life, %at, known = gossip.view().taking_part(), "gossip begins");
+        Ok(Self {
+            gossip,
+            hearsay: Hearsay::default(),
+            line,
+            place: told.clone(),
+            state: place.state.clone(),
+            ring_read,
+            look_at: now + LOOK_EVERY,
+            publish_at: now,
+            store_at: now + STORE_EVERY,
+            published: Vec::new(),
+        })
+    }
+
+    pub fn is(&self, line: Line) -> bool {
+        self.line == line
+    }
+
+    pub fn next_due(&self) -> Duration {
+        self.gossip.next_due().min(self.look_at)
+    }
+
+    /// Does what is due.
+    pub fn tend(&mut self, reactor: &Reactor, now: Duration) -> Came {
+        if now < self.next_due() {
+            return Came::default();
+        }
+        let mut news = Vec::new();
+        let mut out = Datagrams { reactor, line: self.line };
+        if now >= self.gossip.next_due() {
+            self.gossip.tend(now, &mut out, &mut news);
+        }
+        if now >= self.look_at {
+            self.look_at = now + LOOK_EVERY;
+            self.look_at_ring(now);
+            self.show();
+        }
+        if now >= self.store_at {
+            self.store_at = now + STORE_EVERY;
+            self.store();
+        }
+        self.take(now, news)
+    }
+
+    pub fn heard(&mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8]) -> Came {
+        let SocketAddr::V4(from) = from else { return Came::default() };
+        let (mut news, mut out) = (Vec::new(), Datagrams { reactor, line: self.line });
+        if let Err(fault) = self.gossip.heard(now, from, bytes, &mut out, &mut news) {
+            tracing::debug!(%from, "dropped: {fault}");
+        }
+        self.take(now, news)
+    }
+
+    /// Sends a member another subsystem's word.
+    pub fn word(&mut self, reactor: &Reactor, now: Duration, to: u32, word: &[u8]) {
+        let mut out = Datagrams { reactor, line: self.line };
+        let to = Member::try_from(to).ok();
+        to.map(|to| self.gossip.word(now, to, word, &mut out));
+    }
+
+    fn take(&mut self, now: Duration, news: Vec<News>) -> Came {
+        let mut came = Came::default();
+        for one in news {
+            match one {
+                News::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
+                News::Bulletin(bulletin, age) => {
+                    let believed = self.hearsay.heard(now, bulletin.author, age, &bulletin.items);
+                    for streamer in &believed {
+                        tracing::info!(%streamer, by = bulletin.author, "believed to be in trouble");
+                    }
+                    came.believed.extend(believed);
+                }
+                News::Word(member, word) => came.words.push((member, word)),
+            }
+        }
+        came
+    }
+
+    /// What a join here came to. Cancelled and throttled ones say nothing of the streamer.
+    pub fn seen(&mut self, now: Duration, streamer: StreamerId, ending: Option<Ending>) {
+        match ending {
+            None => self.hearsay.seen(now, streamer, true),
+            Some(Ending::Timeout | Ending::ConnectFailed | Ending::Reset) => {
+                self.hearsay.seen(now, streamer, false);
+                self.publish(now);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Publishes own losses, as soon as a streamer comes to them that was not among them.
+    fn publish(&mut self, now: Duration) {
+        if now < self.publish_at {
+            return;
+        }
+        let items = self.hearsay.items(now);
+        let streamers = self.hearsay.streamers(now);
+        if streamers.iter().all(|streamer| self.published.contains(streamer))
+            && now < self.publish_at + PUBLISH_EVERY * 4
+        {
+            return;
+        }
+        self.publish_at = now + PUBLISH_EVERY;
+        self.published = streamers;
+        self.gossip.publish(now, items);
+    }
+
+    /// Reads the ring anew where its file has changed. One that is not in order changes nothing.
+    fn look_at_ring(&mut self, now: Duration) {
+        let changed = modified(&self.place.ring);
+        if changed == self.ring_read {
+            return;
+        }
+        self.ring_read = changed;
+        match read_keys(&self.place, u32::from(self.gossip.member())) {
+            Ok(keys) => {
+                tracing::info!("the ring of keys was read anew");
+                self.gossip.take_hand(keys, now);
+            }
+            Err(fault) => tracing::error!("{fault:#}; the keys read before go on holding"),
+        }
+    }
+
+    fn show(&self) {
+        let held = |standing: Standing| {
+            let all = self.gossip.view().members();
+            all.filter(|(_, known)| known.standing == standing).count() as f64
+        };
+        for (standing, name) in [
+            (Standing::Alive, "alive"),
+            (Standing::Suspect, "suspect"),
+            (Standing::Dead, "dead"),
+            (Standing::Left, "left"),
+        ] {
+            gauge!(watch::MEMBERS, "standing" => name).set(held(standing));
+        }
+        let counts = &self.gossip.counts;
+        gauge!(watch::GOSSIP_HEALTH).set(f64::from(self.gossip.health()));
+        counter!(watch::GOSSIP_SENT).absolute(counts.sent);
+        counter!(watch::GOSSIP_SENT_BYTES).absolute(counts.sent_bytes);
+        counter!(watch::GOSSIP_HELD_BACK).absolute(counts.held_back);
+        counter!(watch::GOSSIP_CHECKED).absolute(counts.checked);
+        counter!(watch::GOSSIP_REFUTATIONS).absolute(counts.refutations);
+        for (fault, count) in &counts.dropped {
+            counter!(watch::GOSSIP_DROPPED, "why" => fault.to_string()).absolute(*count);
+        }
+    }
+
+    fn store(&self) {
+        let Some(state) = &self.state else { return };
+        let mut bytes = Vec::new();
+        for record in self.gossip.records() {
+            record.write(Duration::ZERO, &mut bytes);
+        }
+        let fresh = state.join("gossip-fresh");
+        let stored =
+            std::fs::write(&fresh, bytes).and_then(|()| std::fs::rename(&fresh, state.join(RECORDS)));
+        if let Err(e) = stored {
+            tracing::warn!("members could not be stored: {e}");
+        }
+    }
+
+    /// Says good-bye.
+    pub fn leave(&mut self, reactor: &Reactor, now: Duration) {
+        self.store();
+        self.gossip.leave(now, &mut Datagrams { reactor, line: self.line });
+    }
+}
+
+fn read_keys(told: &GossipPlace, number: u32) -> Result<Keys> {
+    let private = PrivateKey::read(&told.key)?;
+    if u32::from(private.member()) != number {
+        bail!(
+            "{}: the key of member {}, not of this controller, {number}",
+            told.key.display(),
+            private.member()
+        );
+    }
+    let ring = Ring::read(&told.ring)?;
+    let keys = Keys::new(private, ring);
+    keys.with_context(|| format!("{}: this controller's key does not hold there", told.ring.display()))
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+}
+
+/// A life later than all before it, as far as a store or the clock can tell; stored before anything is said in it.
+fn next_life(state: Option<&Path>) -> u32 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let wall = wall.saturating_sub(Duration::from_secs(LIVES_FROM)).as_millis() / LIFE_TICK_MS;
+    let file = state.map(|state| state.join(LIFE));
+    let stored =
+        file.as_ref().and_then(|file| std::fs::read_to_string(file).ok()?.trim().parse::<u32>().ok());
+    let life =
+        stored.map_or(0, |stored| stored.saturating_add(1)).max(wall.min(u32::MAX.into()) as u32).max(1);
+    if let Some(Err(e)) = file.map(|file| std::fs::write(file, format!("{life}\n"))) {
+        tracing::warn!("this life could not be stored: {e}; the next one is told by the clock");
+    }
+    life
+}
+
+/// Stored records, up to the first that is torn; their signatures are checked when they are taken.
+fn stored_records(state: &Path) -> Vec<Statement> {
+    let file = state.join(RECORDS);
+    let fits = std::fs::metadata(&file).is_ok_and(|data| data.len() <= LONGEST_RECORDS);
+    let bytes = if fits { std::fs::read(&file).unwrap_or_default() } else { Vec::new() };
+    let (mut rest, mut stored) = (bytes.as_slice(), Vec::new());
+    while let Some((statement, _, used)) = Statement::read(rest) {
+        stored.push(statement);
+        rest = &rest[used..];
+    }
+    stored
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accounting;
 mod budgeting;
 mod ends;
+mod gossiping;
 mod join;
 mod list;
 mod probes;
@@ -89,6 +90,11 @@
         let folder = settings.parent().unwrap_or(Path::new(""));
         deployment.place.catalogue = folder.join(&deployment.place.catalogue);
     }
+    if let Some(gossip) = &mut deployment.gossip {
+        for path in [&mut gossip.ring, &mut gossip.key].into_iter().filter(|path| path.is_relative()) {
+            *path = settings.parent().unwrap_or(Path::new("")).join(&*path);
+        }
+    }
     let catalogue = Catalogue::read(&deployment.place.catalogue)?;
     for (id, title) in catalogue.titles() {
         if deployment.shared.room_type(&title.room_type).is_none() {
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -16,6 +16,7 @@
 
 use crate::budgeting::Budgeting;
 use crate::ends::{peer_at, Ends, CROWD};
+use crate::gossiping::{Came, Gossiping};
 use crate::list::{ListLine, ToFloor};
 use crate::watch;
 
@@ -80,6 +81,8 @@
             reactor.listen(at, bounds).with_context(|| format!("metrics at {at}"))?;
         }
         let own = place.peers.get(place.number as usize);
+        let gossip_place = deployment.gossip.clone();
+        let own = own.filter(|_| gossip_place.is_none());
         let datagrams = own.map(|at| reactor.datagrams(*at).with_context(|| format!("peers at {at}")));
         let datagrams = datagrams.transpose()?.map(|(line, _)| line);
         let automatic = deployment.shared.fleet.discovery == "automatic";
@@ -88,6 +91,10 @@
         let exchange = Exchange::new(reactor.now(), seed, deployment.told(), most);
         let mut ends = Ends::new(reactor, deployment, catalogue, seed);
         (ends.listen, ends.datagrams, ends.most_viewers) = (at, datagrams, most + most / IDLE_SHARE);
+        if let Some(told) = &gossip_place {
+            let gossiping = Gossiping::new(&mut ends.reactor, &place, told, seed.rotate_left(7))?;
+            ends.gossiping = Some(gossiping);
+        }
         let number = place.number;
         tracing::info!(number, %at, most, descriptors, "badgerledge-controller serves");
         let tick = Duration::from_millis(place.tick_ms);
@@ -120,6 +127,9 @@
             told.drain(..).for_each(|happening| self.take(happening));
             let now = self.ends.now;
             self.list.tend(&mut self.ends.reactor, now);
+            let ends = &mut self.ends;
+            let came = ends.gossiping.as_mut().map(|gossiping| gossiping.tend(&ends.reactor, now));
+            self.gossip_came(came);
             for line in self.ends.probes.late(now) {
                 self.ends.probe_ends(line, Ending::Timeout, &[]);
             }
@@ -130,6 +140,10 @@
             }
             self.ends.reactor.flush();
         }
+        let ends = &mut self.ends;
+        if let Some(gossiping) = &mut ends.gossiping {
+            gossiping.leave(&ends.reactor, ends.now);
+        }
         self.ends.settle_accounts(true);
         tracing::info!(held = self.exchange.book().len(), "badgerledge-controller ends");
         Ok(())
@@ -159,7 +173,8 @@
             false => self.exchange.next_due().map(|at| at.max(self.next_round)),
         };
         let plan = self.budgeting.as_ref().map(Budgeting::next_due);
-        [round, plan, self.list.next_due(), self.ends.probes.next_late()].into_iter().flatten().min()
+        let gossip = self.ends.gossiping.as_ref().map(Gossiping::next_due);
+        [round, plan, gossip, self.list.next_due(), self.ends.probes.next_late()].into_iter().flatten().min()
     }
 
     fn take(&mut self, happening: Happening) {
@@ -183,9 +198,17 @@
             Happening::Closed(line, why) => self.ends.closed(line, why),
             // Media that did not fit was dropped; there is nothing to go on with.
             Happening::Drained(_) => {}
+            Happening::Datagram { line, from, bytes }
+                if self.ends.gossiping.as_ref().is_some_and(|g| g.is(line)) =>
+            {
+                let ends = &mut self.ends;
+                let now = ends.now;
+                let came = ends.gossiping.as_mut().map(|g| g.heard(&ends.reactor, now, from, &bytes));
+                self.gossip_came(came);
+            }
             Happening::Datagram { from, bytes, .. } => {
                 let Some(peer) = peer_at(&self.ends.deployment, from) else { return };
-                let heard = self.budgeting.as_mut().is_some_and(|b| b.heard(&self.ends, peer, &bytes));
+                let heard = self.budgeting.as_mut().is_some_and(|b| b.heard(&mut self.ends, peer, &bytes));
                 if !heard {
                     self.ends.arrivals.push(Box::new(move |floor| floor.peer(peer, &bytes)));
                 }
@@ -202,6 +225,20 @@
         }
     }
 
+    /// What gossip brought, to whom it is for.
+    fn gossip_came(&mut self, came: Option<Came>) {
+        let Some(came) = came else { return };
+        for (peer, word) in came.words {
+            if let Some(budgeting) = &mut self.budgeting {
+                budgeting.heard(&mut self.ends, u32::from(peer), &word);
+            }
+        }
+        for streamer in came.believed {
+            counter!(watch::BELIEVED).increment(1);
+            self.ends.arrivals.push(Box::new(move |floor| floor.hearsay(streamer)));
+        }
+    }
+
     fn round(&mut self) {
         let begun = Instant::now();
         let now = self.ends.now;
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -23,6 +23,15 @@
 pub const CROSSED_RATE: &str = "badgerledge_crossed_bytes_per_second";
 pub const CROSSED_SECONDS: &str = "badgerledge_crossed_subscription_seconds_total";
 pub const CROSSED_SET_UPS: &str = "badgerledge_crossed_set_ups_total";
+pub const MEMBERS: &str = "badgerledge_members";
+pub const GOSSIP_SENT: &str = "badgerledge_gossip_datagrams_total";
+pub const GOSSIP_SENT_BYTES: &str = "badgerledge_gossip_bytes_total";
+pub const GOSSIP_HELD_BACK: &str = "badgerledge_gossip_held_back_total";
+pub const GOSSIP_DROPPED: &str = "badgerledge_gossip_dropped_total";
+pub const GOSSIP_CHECKED: &str = "badgerledge_gossip_signatures_checked_total";
+pub const GOSSIP_REFUTATIONS: &str = "badgerledge_gossip_refutations_total";
+pub const GOSSIP_HEALTH: &str = "badgerledge_gossip_health";
+pub const BELIEVED: &str = "badgerledge_hearsay_believed_total";
 pub const ROUND_TIME: &str = "badgerledge_round_seconds";
 
 /// Starts the counting, and gives what renders the page.
@@ -48,6 +57,15 @@
     describe_counter!(CROSSED_BYTES, Unit::Bytes, "Bytes from streamers, by buildings and room type");
     describe_counter!(CROSSED_SECONDS, Unit::Seconds, "Time played, by buildings and room type");
     describe_counter!(CROSSED_SET_UPS, "Set-ups sent, by buildings and room type");
+    describe_gauge!(MEMBERS, "Other controllers and this one, by how they stand here");
+    describe_counter!(GOSSIP_SENT, "Gossip datagrams sent");
+    describe_counter!(GOSSIP_SENT_BYTES, Unit::Bytes, "Payload of gossip datagrams sent");
+    describe_counter!(GOSSIP_HELD_BACK, "Gossip datagrams that did not go, for the ceiling");
+    describe_counter!(GOSSIP_DROPPED, "Gossip datagrams and statements dropped, by why");
+    describe_counter!(GOSSIP_CHECKED, "Signatures checked");
+    describe_counter!(GOSSIP_REFUTATIONS, "Times that this controller said against others that it is alive");
+    describe_gauge!(GOSSIP_HEALTH, "How little this controller trusts its own view: 0 is well, 8 the worst");
+    describe_counter!(BELIEVED, "Times that a streamer was set aside by what others said");
     describe_counter!(SYSTEM_CALLS, "System calls of the event loop");
     describe_counter!(COPIED_BYTES, Unit::Bytes, "Bytes copied between buffers of this process");
     describe_histogram!(
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -11,11 +11,13 @@
 
 use badgerledge_settings::{Fault, Faults, Sheet};
 
-pub use sections::{ControllerPlace, Crossing, Fleet, Ladder, Permissions, Prices, RoomType, Rules};
+pub use sections::{
+    ControllerPlace, Crossing, Fleet, GossipPlace, Ladder, Permissions, Prices, RoomType, Rules,
+};
 
 /// All kinds of section that a controller's file may have.
-pub const SECTIONS: [&str; 8] =
-    ["controller", "fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
+pub const SECTIONS: [&str; 9] =
+    ["controller", "gossip", "fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
 /// Those that say nothing of one controller: a day hands them to all of its controllers as they are.
 pub const SHARED_SECTIONS: [&str; 7] =
     ["fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
@@ -24,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub place: ControllerPlace,
+    /// Without it controllers know each other by `peers` alone, and sign nothing.
+    pub gossip: Option<GossipPlace>,
     pub shared: Shared,
 }
 
@@ -50,6 +54,7 @@
         sheet.only(&SECTIONS)?;
         let (place, shared) =
             Faults::both(sheet.section::<ControllerPlace>("controller"), Shared::of(sheet))?;
+        let gossip = sheet.has("gossip").then(|| sheet.section::<GossipPlace>("gossip")).transpose()?;
         let wrong = |key: &str, value: &str, why: String| sheet.fault("controller", key, value, &why).into();
         if place.number >= place.controllers {
             let why = format!("0 to {} is taken, for there are {}", place.controllers - 1, place.controllers);
@@ -63,7 +68,7 @@
             let why = format!("{} addresses are taken, one for each controller", place.controllers);
             return Err(wrong("peers", "", why));
         }
-        Ok(Self { place, shared })
+        Ok(Self { place, gossip, shared })
     }
 }
 
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -70,6 +70,28 @@
     10
 }
 
+/// `[gossip]`: this controller among the members.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct GossipPlace {
+    /// Where its datagrams come in.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// Where the others reach it, if that is another address: IPv4.
+    #[garde(skip)]
+    pub advertise: Option<SocketAddr>,
+    /// Addresses of some members, of which one at least should be there when this one starts for the first time.
+    #[garde(skip)]
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The file of all members' public keys, the same everywhere.
+    #[garde(skip)]
+    pub ring: PathBuf,
+    /// The file of this member's private key, which nobody else may read.
+    #[garde(skip)]
+    pub key: PathBuf,
+}
+
 /// `[fleet]`: what is told of the streamers.
 #[derive(Clone, Debug, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
--- a/crates/deployment/src/told.rs
+++ b/crates/deployment/src/told.rs
@@ -7,7 +7,7 @@
 impl Deployment {
     /// Names to values, plainly; spans in microseconds.
     pub fn told(&self) -> Map<String, Value> {
-        let Self { place, shared } = self;
+        let Self { place, shared, .. } = self;
         let (fleet, ladder, rules) = (&shared.fleet, &shared.ladder, &shared.rules);
         let of_types = |field: fn(&crate::RoomType) -> Value| -> Vec<Value> {
             shared.room_types.iter().map(|(_, room_type)| field(room_type)).collect()
--- a/crates/exchange/src/desk.rs
+++ b/crates/exchange/src/desk.rs
@@ -30,6 +30,8 @@
     fn redirect(&mut self, viewer: Line);
     /// Tells a viewer that its stream has ended: BYE, and the connection closed.
     fn farewell(&mut self, viewer: Line);
+    /// What a join came to: it plays, or ended so before or after.
+    fn came_to(&mut self, streamer: StreamerId, ending: Option<Ending>);
     fn remind(&mut self, from_now: Duration, token: u64);
     fn probe(&mut self, streamer: StreamerId);
     fn signal(&mut self, peer: Option<u16>, bytes: &[u8]);
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -109,9 +109,11 @@
         for owed in std::mem::take(self.desk.owed) {
             match owed {
                 Owed::Flowing(job, number, streamer, latency) => {
+                    self.desk.carrier.came_to(streamer, None);
                     self.module.flowing(job, number, streamer, latency);
                 }
                 Owed::Outcome(job, number, streamer, ending, over, latency, usage) => {
+                    self.desk.carrier.came_to(streamer, Some(ending));
                     self.module.outcome(job, streamer, number, ending, over, latency, &usage);
                 }
             }
@@ -165,6 +167,11 @@
         self.module.cap(job, cap, self.desk);
     }
 
+    /// Several other controllers lost joins on a streamer.
+    pub fn hearsay(&mut self, streamer: StreamerId) {
+        self.module.hearsay(streamer);
+    }
+
     /// A subscription must not cross any more: its viewer comes back, and is placed by the module like any other.
     pub fn send_home(&mut self, job: JobId) {
         self.deliver();
--- a/crates/exchange/src/tests.rs
+++ b/crates/exchange/src/tests.rs
@@ -170,6 +170,7 @@
         }
     }
 
+    fn came_to(&mut self, _streamer: StreamerId, _ending: Option<Ending>) {}
     fn remind(&mut self, from_now: Duration, token: u64) {
         self.reminders.insert((self.now + from_now.max(ms(1)), token));
     }
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -153,6 +153,10 @@
         &self.hand
     }
 
+    pub fn member(&self) -> Member {
+        self.me
+    }
+
     pub fn life(&self) -> u32 {
         life_of(self.incarnation)
     }
--- a/crates/gossip/src/tests.rs
+++ b/crates/gossip/src/tests.rs
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn any_bytes_are_taken_apart_or_refused_without_harm() {
+fn any_bytes_are_taken_apart_or_dropped_without_harm() {
     fn harmless(bytes: Vec<u8>, marked: bool) -> bool {
         let bytes = if marked { [b"bg\x01\x01", &bytes[..]].concat() } else { bytes };
         if let Ok((_, body, signed, _)) = envelope::open(&bytes) {
--- /dev/null
+++ b/crates/hearsay/src/lib.rs
@@ -0,0 +1,234 @@
+//! What other controllers say of streamers, weighed against what was seen here. No I/O, no clock, no wire.
+//!
+//! A controller publishes what it saw itself: joins lost on a streamer, with how many and how long ago
+//! ([`Hearsay::items`]). What others publish is weighed by how many say it, how their earlier words agreed with what
+//! was then seen here, and how old it is. One member's word alone never sets a streamer aside; a join that works
+//! here clears all that was said before it. The only thing that comes of it is that others are asked first for a
+//! while, which breaks no rule whoever lies: see `docs/gossip.md` for what a majority of liars can do.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use badgerledge_core::interface::StreamerId;
+use badgerledge_gossip::statement::{ITEMS, ITEM_BYTES};
+use badgerledge_gossip::Member;
+
+#[cfg(test)]
+mod tests;
+
+/// The kind of an item: joins were lost on this streamer, in silence or by its end.
+const LOST: u8 = 1;
+/// A word fades to nothing within this: a streamer that was silent for longer is on the list as gone, or works.
+const FADES: Duration = Duration::from_secs(8);
+/// Own losses are published for this long after the last of them.
+const FRESH: Duration = Duration::from_secs(4);
+/// What it takes to believe: two members of good credit, both fresh, or more that are older or of less.
+const BELIEVED: f64 = 1.2;
+/// Weight of a member whose words were not yet put to the test, and what each agreement or contradiction counts.
+const FIRST_CREDIT: (f64, f64) = (3.0, 1.0);
+/// Agreements and contradictions are halved after so many, so that a member that turns to lies loses credit soon,
+/// and one that was behind a bad link gets it back.
+const REMEMBERED: f64 = 16.0;
+/// Under this a member's word counts nothing at all.
+const LEAST_CREDIT: f64 = 0.35;
+/// Streamers of which something is held at most; of more, what is oldest goes.
+const STREAMERS: usize = 4096;
+/// Members whose word is held of one streamer: more would add nothing.
+const VOICES: usize = 8;
+
+/// What was seen here of one streamer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    lost: u32,
+    last_lost: Option<Duration>,
+    last_good: Option<Duration>,
+}
+
+/// One member's word on one streamer.
+#[derive(Clone, Copy, Debug)]
+struct Voice {
+    author: Member,
+    seen: Duration,
+    /// It has already counted for or against its author.
+    judged: bool,
+}
+
+/// How a member's words agreed with what was seen here.
+#[derive(Clone, Copy, Debug)]
+struct Credit {
+    agreed: f64,
+    contradicted: f64,
+}
+
+impl Default for Credit {
+    fn default() -> Self {
+        Self { agreed: FIRST_CREDIT.0, contradicted: FIRST_CREDIT.1 }
+    }
+}
+
+impl Credit {
+    fn count(&mut self, agreed: bool) {
+        *if agreed { &mut self.agreed } else { &mut self.contradicted } += 1.0;
+        if self.agreed + self.contradicted > REMEMBERED {
+            (self.agreed, self.contradicted) = (self.agreed / 2.0, self.contradicted / 2.0);
+        }
+    }
+
+    fn weight(self) -> f64 {
+        let share = self.agreed / (self.agreed + self.contradicted);
+        if share < LEAST_CREDIT {
+            0.0
+        } else {
+            share
+        }
+    }
+}
+
+/// All that is held of what was seen and said.
+#[derive(Clone, Debug, Default)]
+pub struct Hearsay {
+    own: BTreeMap<StreamerId, Own>,
+    told: BTreeMap<StreamerId, Vec<Voice>>,
+    credits: BTreeMap<Member, Credit>,
+}
+
+impl Hearsay {
+    /// A join here came to something: it plays, or was lost in silence or by its streamer's end.
+    pub fn seen(&mut self, now: Duration, streamer: StreamerId, well: bool) {
+        make_room(&mut self.own, |own| own.last_lost.max(own.last_good));
+        let own = self.own.entry(streamer).or_default();
+        if well {
+            *own = Own { last_good: Some(now), ..Own::default() };
+        } else {
+            (own.lost, own.last_lost) = (own.lost.saturating_add(1), Some(now));
+        }
+        for voice in self.told.get_mut(&streamer).into_iter().flatten() {
+            // A word is put to the test once, by what is seen while it holds.
+            if !voice.judged && now < voice.seen + FADES {
+                voice.judged = true;
+                self.credits.entry(voice.author).or_default().count(!well);
+            }
+        }
+        if well {
+            self.told.remove(&streamer);
+        }
+    }
+
+    /// Takes a member's bulletin, so and so old. Tells which streamers are believed to be in trouble by it.
+    pub fn heard(
+        &mut self, now: Duration, author: Member, age: Duration, items: &[[u8; ITEM_BYTES]],
+    ) -> Vec<StreamerId> {
+        let mut believed = Vec::new();
+        for item in items {
+            let Some((streamer, since)) = read(item) else { continue };
+            let seen = now.saturating_sub(age + since);
+            if now >= seen + FADES || self.cleared(streamer, seen) {
+                continue;
+            }
+            let before = self.believes(now, streamer);
+            self.note(streamer, Voice { author, seen, judged: false });
+            if !before && self.believes(now, streamer) {
+                believed.push(streamer);
+            }
+        }
+        believed
+    }
+
+    /// Whether a join worked here after that time.
+    fn cleared(&self, streamer: StreamerId, seen: Duration) -> bool {
+        self.own.get(&streamer).and_then(|own| own.last_good).is_some_and(|good| good >= seen)
+    }
+
+    fn note(&mut self, streamer: StreamerId, voice: Voice) {
+        make_room(&mut self.told, |voices| voices.iter().map(|voice| voice.seen).max());
+        let voices = self.told.entry(streamer).or_default();
+        if let Some(held) = voices.iter_mut().find(|held| held.author == voice.author) {
+            // Said again it is the same word, unless what it tells of is later.
+            held.judged &= voice.seen <= held.seen + FADES;
+            held.seen = held.seen.max(voice.seen);
+        } else if voices.len() < VOICES {
+            voices.push(voice);
+        } else if let Some(oldest) = voices.iter_mut().min_by_key(|held| held.seen) {
+            if oldest.seen < voice.seen {
+                *oldest = voice;
+            }
+        }
+    }
+
+    /// Whether a streamer is believed to be in trouble. Never by one member's word alone; what was seen here counts
+    /// as one more.
+    pub fn believes(&self, now: Duration, streamer: StreamerId) -> bool {
+        let fresh = |seen: Duration| 1.0 - now.saturating_sub(seen).as_secs_f64() / FADES.as_secs_f64();
+        let voices = self.told.get(&streamer).into_iter().flatten();
+        let weighed = voices.map(|voice| self.credit(voice.author).weight() * fresh(voice.seen));
+        let own = self.own.get(&streamer).and_then(|own| own.last_lost).map(fresh);
+        let all: Vec<f64> = weighed.chain(own).filter(|weight| *weight > 0.0).collect();
+        all.len() >= 2 && all.iter().sum::<f64>() >= BELIEVED
+    }
+
+    fn credit(&self, member: Member) -> Credit {
+        self.credits.get(&member).copied().unwrap_or_default()
+    }
+
+    /// What a member's word weighs here, of 1.
+    pub fn weight(&self, member: Member) -> f64 {
+        self.credit(member).weight()
+    }
+
+    /// A member is gone from the ring: nothing that it said counts.
+    pub fn forget(&mut self, member: Member) {
+        self.credits.remove(&member);
+        self.told.values_mut().for_each(|voices| voices.retain(|voice| voice.author != member));
+        self.told.retain(|_, voices| !voices.is_empty());
+    }
+
+    /// The streamers that [`Hearsay::items`] names.
+    pub fn streamers(&self, now: Duration) -> Vec<StreamerId> {
+        self.losses(now).into_iter().map(|(_, streamer, _)| streamer).collect()
+    }
+
+    /// What to publish: the streamers on which joins were lost here of late and none has worked since, the gravest
+    /// first. Nobody else's words are repeated as one's own.
+    pub fn items(&self, now: Duration) -> Vec<[u8; ITEM_BYTES]> {
+        self.losses(now).into_iter().map(|(_, streamer, since)| write(streamer, since)).collect()
+    }
+
+    fn losses(&self, now: Duration) -> Vec<(u32, StreamerId, Duration)> {
+        let lost = |(streamer, own): (&StreamerId, &Own)| {
+            let since = now.saturating_sub(own.last_lost?);
+            (since < FRESH).then_some((own.lost, *streamer, since))
+        };
+        let mut all: Vec<(u32, StreamerId, Duration)> = self.own.iter().filter_map(lost).collect();
+        all.sort_by(|a, b| b.cmp(a));
+        all.truncate(ITEMS);
+        all
+    }
+}
+
+/// Makes room in a table that is full: what is oldest goes.
+fn make_room<T>(table: &mut BTreeMap<StreamerId, T>, last: impl Fn(&T) -> Option<Duration>) {
+    if table.len() >= STREAMERS {
+        let oldest = table.iter().min_by_key(|(_, held)| last(held)).map(|(streamer, _)| *streamer);
+        oldest.map(|streamer| table.remove(&streamer));
+    }
+}
+
+/// An item: address (4), port (2), kind (1), tenths of a second since the last loss (1).
+fn write(streamer: StreamerId, since: Duration) -> [u8; ITEM_BYTES] {
+    let mut item = [0; ITEM_BYTES];
+    item[..4].copy_from_slice(&streamer.ip().octets());
+    item[4..6].copy_from_slice(&streamer.port().to_be_bytes());
+    item[6] = LOST;
+    item[7] = (since.as_millis() / 100).min(255) as u8;
+    item
+}
+
+/// The streamer of an item and how long ago it was lost on; nothing for kinds that are not known.
+fn read(item: &[u8; ITEM_BYTES]) -> Option<(StreamerId, Duration)> {
+    let at = SocketAddrV4::new(
+        Ipv4Addr::new(item[0], item[1], item[2], item[3]),
+        u16::from_be_bytes([item[4], item[5]]),
+    );
+    (item[6] == LOST).then(|| (at, Duration::from_millis(100) * u32::from(item[7])))
+}
--- /dev/null
+++ b/crates/hearsay/src/tests.rs
@@ -0,0 +1,133 @@
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use quickcheck::{Gen, QuickCheck};
+
+use crate::{write, Hearsay, FADES, LEAST_CREDIT};
+
+const T0: Duration = Duration::from_secs(1000);
+const A: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+const B: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 2);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn one_members_word_never_sets_a_streamer_aside_however_often_it_is_said() {
+    let mut hearsay = Hearsay::default();
+    for n in 0..1000 {
+        let now = T0 + ms(n * 100);
+        // In new words each time: fresher, and of other streamers too.
+        let said = [write(A, ms(n % 3 * 100)), write(B, Duration::ZERO), write(A, Duration::ZERO)];
+        assert!(hearsay.heard(now, 7, ms(n % 400), &said).is_empty());
+        assert!(!hearsay.believes(now, A) && !hearsay.believes(now, B));
+    }
+}
+
+#[test]
+fn two_members_are_believed_until_their_words_fade() {
+    let mut hearsay = Hearsay::default();
+    assert!(hearsay.heard(T0, 1, ms(200), &[write(A, ms(300))]).is_empty());
+    assert_eq!(hearsay.heard(T0, 2, ms(200), &[write(A, ms(100))]), [A]);
+    assert!(hearsay.believes(T0 + ms(500), A));
+    assert!(!hearsay.believes(T0 + FADES, A));
+    // Told late, it is as old as it is.
+    let mut late = Hearsay::default();
+    late.heard(T0, 1, ms(5000), &[write(A, ms(3000))]);
+    assert!(late.heard(T0, 2, ms(5000), &[write(A, ms(3000))]).is_empty());
+}
+
+#[test]
+fn ones_own_loss_and_one_word_are_believed() {
+    let mut hearsay = Hearsay::default();
+    hearsay.seen(T0, A, false);
+    assert!(!hearsay.believes(T0, A));
+    assert_eq!(hearsay.heard(T0, 1, Duration::ZERO, &[write(A, Duration::ZERO)]), [A]);
+}
+
+#[test]
+fn a_join_that_works_clears_what_was_said_before_it_at_once() {
+    let mut hearsay = Hearsay::default();
+    for member in 1..9 {
+        hearsay.heard(T0, member, Duration::ZERO, &[write(A, Duration::ZERO)]);
+    }
+    assert!(hearsay.believes(T0, A));
+    hearsay.seen(T0 + ms(100), A, true);
+    assert!(!hearsay.believes(T0 + ms(100), A));
+    // The same words again, on their way since before it.
+    for member in 1..9 {
+        assert!(hearsay.heard(T0 + ms(300), member, ms(300), &[write(A, Duration::ZERO)]).is_empty());
+    }
+}
+
+#[test]
+fn members_whose_words_are_contradicted_are_no_longer_heard_and_come_back_by_agreeing() {
+    let mut hearsay = Hearsay::default();
+    for n in 0..12 {
+        let now = T0 + Duration::from_secs(20 * n);
+        hearsay.heard(now, 1, Duration::ZERO, &[write(A, Duration::ZERO)]);
+        hearsay.seen(now + ms(200), A, true);
+    }
+    assert_eq!(hearsay.weight(1), 0.0);
+    let now = T0 + Duration::from_secs(1000);
+    hearsay.heard(now, 1, Duration::ZERO, &[write(B, Duration::ZERO)]);
+    assert!(hearsay.heard(now, 2, Duration::ZERO, &[write(B, Duration::ZERO)]).is_empty());
+    for n in 0..12 {
+        let now = now + Duration::from_secs(20 * n);
+        hearsay.heard(now, 1, Duration::ZERO, &[write(A, Duration::ZERO)]);
+        hearsay.seen(now + ms(200), A, false);
+    }
+    assert!(hearsay.weight(1) > LEAST_CREDIT);
+}
+
+#[test]
+fn one_word_is_put_to_the_test_once() {
+    let mut hearsay = Hearsay::default();
+    hearsay.heard(T0, 1, Duration::ZERO, &[write(A, Duration::ZERO)]);
+    let first = hearsay.weight(1);
+    hearsay.seen(T0 + ms(100), A, false);
+    let agreed = hearsay.weight(1);
+    assert!(agreed > first);
+    (0..50).for_each(|n| hearsay.seen(T0 + ms(200 + n), A, false));
+    assert_eq!(hearsay.weight(1), agreed);
+}
+
+#[test]
+fn only_own_losses_are_published_and_only_while_fresh() {
+    let mut hearsay = Hearsay::default();
+    hearsay.heard(T0, 1, Duration::ZERO, &[write(A, Duration::ZERO)]);
+    assert!(hearsay.items(T0).is_empty());
+    hearsay.seen(T0, B, false);
+    assert_eq!(hearsay.items(T0 + ms(500)), [write(B, ms(500))]);
+    assert!(hearsay.items(T0 + Duration::from_secs(5)).is_empty());
+    hearsay.seen(T0 + ms(600), B, true);
+    assert!(hearsay.items(T0 + ms(700)).is_empty());
+}
+
+/// Whatever one liar says, with however many words, and whatever honest members say of other streamers: a streamer of
+/// which only the liar speaks is never believed to be in trouble.
+#[test]
+fn a_liar_alone_does_no_harm_on_generated_runs() {
+    fn harmless(steps: Vec<(u8, u16, bool)>) -> bool {
+        let (mut hearsay, mut now) = (Hearsay::default(), T0);
+        steps.iter().all(|(member, wait, liar)| {
+            now += ms(u64::from(wait % 700));
+            if *liar {
+                hearsay.heard(
+                    now,
+                    99,
+                    ms(u64::from(*member)),
+                    &[write(A, Duration::ZERO), write(B, Duration::ZERO)],
+                );
+            } else if member % 3 == 0 {
+                hearsay.seen(now, if wait % 2 == 0 { A } else { B }, *member % 2 == 0 || wait % 2 == 0);
+            } else {
+                hearsay.heard(now, u16::from(*member), Duration::ZERO, &[write(B, Duration::ZERO)]);
+            }
+            !hearsay.believes(now, A)
+        })
+    }
+    let gen = Gen::from_size_and_seed(200, 5);
+    QuickCheck::new().rng(gen).tests(500).quickcheck(harmless as fn(Vec<(u8, u16, bool)>) -> bool);
+}
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -11,6 +11,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 
 use crate::day::Day;
+use crate::gossip::KeyFolder;
 
 /// One controller of the day.
 struct One {
@@ -28,6 +29,20 @@
     all: Vec<One>,
 }
 
+/// Seeds that each controller is told of.
+const SEEDS: usize = 3;
+
+fn gossip_section(keys: &KeyFolder, number: usize, own: SocketAddr, reached: &[SocketAddr]) -> String {
+    let seeds: Vec<String> = reached.iter().take(SEEDS).map(SocketAddr::to_string).collect();
+    format!(
+        "[gossip]\nlisten = {own}\nadvertise = {}\nseeds = {}\nring = {}\nkey = {}\n",
+        reached[number],
+        seeds.join(", "),
+        keys.ring().display(),
+        keys.key(number as u32).display()
+    )
+}
+
 /// How long a controller may take to listen: a debug build on a busy machine takes well under a second.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -36,7 +51,7 @@
     /// and its own.
     pub fn new(
         day: &Day, program: &Path, folder: &Path, log_level: &str, list: SocketAddr, own: &[SocketAddr],
-        reached: &[SocketAddr],
+        reached: &[SocketAddr], keys: Option<&KeyFolder>,
     ) -> Result<Self> {
         let mut all = Vec::new();
         for (number, own_at) in own.iter().enumerate() {
@@ -45,12 +60,14 @@
             let mut peers = reached.to_vec();
             peers[number] = *own_at;
             let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+            let peers =
+                if keys.is_some() { String::new() } else { format!("peers = {}\n", peers.join(", ")) };
+            let gossip = keys.map(|keys| gossip_section(keys, number, *own_at, reached)).unwrap_or_default();
             let text = format!(
                 "[controller]\nnumber = {number}\ncontrollers = {}\nzone = {}\nlisten = {listen}\nlist = {list}\n\
-                 peers = {}\ncatalogue = {}\nstate = {}\nseed = {}\n{}",
+                 {peers}catalogue = {}\nstate = {}\nseed = {}\n{gossip}{}",
                 own.len(),
                 day.shared.fleet.zones[zone],
-                peers.join(", "),
                 folder.join("catalogue.ini").display(),
                 folder.join(format!("state-{number}")).display(),
                 day.course.seed.wrapping_mul(1000) + number as u64,
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -8,6 +8,8 @@
 use garde::Validate;
 use serde::Deserialize;
 
+use crate::gossip::GossipDay;
+
 /// The kinds of trouble that can be played.
 pub const TROUBLES: [&str; 15] = [
     "crash",
@@ -36,7 +38,7 @@
     pub length_s: f64,
     #[garde(skip)]
     pub seed: u64,
-    #[garde(custom(within(1, 64)))]
+    #[garde(custom(within(1, 512)))]
     pub controllers: u32,
     #[garde(custom(within(1, 1000)))]
     pub streamers: usize,
@@ -172,6 +174,8 @@
     /// By room type, in their order.
     pub kinds: Vec<Kind>,
     pub troubles: Vec<(String, Trouble)>,
+    /// Without it controllers know each other by their settings alone.
+    pub gossip: Option<GossipDay>,
     pub shared: Shared,
     /// The sections that controllers are told, as text.
     pub shared_text: String,
@@ -183,7 +187,7 @@
     }
 
     pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
-        sheet.only(&[&["day", "arrivals", "viewers", "trouble"][..], &SHARED_SECTIONS].concat())?;
+        sheet.only(&[&["day", "gossip", "arrivals", "viewers", "trouble"][..], &SHARED_SECTIONS].concat())?;
         let shared = Shared::of(sheet)?;
         let (course, arrivals) =
             Faults::both(sheet.section::<Course>("day"), sheet.section::<Arrivals>("arrivals"))?;
@@ -199,8 +203,9 @@
         for name in sheet.named("trouble") {
             troubles.push((name.to_owned(), sheet.section::<Trouble>(&format!("trouble {name}"))?));
         }
+        let gossip = sheet.has("gossip").then(|| sheet.section::<GossipDay>("gossip")).transpose()?;
         let shared_text = sheet.copy(&SHARED_SECTIONS);
-        Ok(Self { course, arrivals, kinds, troubles, shared, shared_text })
+        Ok(Self { course, arrivals, kinds, troubles, gossip, shared, shared_text })
     }
 
     /// Makes the day so many times as long, and its troubles begin and last in proportion. Viewers live as before.
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod controllers;
 mod day;
+mod gossip;
 mod messages;
 mod plan;
 mod play;
@@ -9,5 +10,6 @@
 mod troubles;
 
 pub use day::{Day, Trouble, TROUBLES};
+pub use gossip::{GossipDay, Membership};
 pub use play::{play, Options};
 pub use report::Report;
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -6,6 +6,8 @@
 use badgerledge_witness::{Judged, RULES};
 use serde_json::{json, Value};
 
+use crate::gossip::{GossipDay, Membership};
+
 pub struct Report {
     pub seed: u64,
     pub rules: [Judged; 6],
@@ -26,10 +28,70 @@
     pub crossed: Vec<Crossed>,
     /// What crossed in the worst ten seconds, and what the budget allows in them, kB; nothing where there is none.
     pub budget: Option<(f64, f64)>,
+    pub gossip: Option<Gossiped>,
+    /// Joins that controllers lost by a streamer's silence or end, by their logs.
+    pub joins_lost: usize,
     /// Within how many in 100 the two counts of it must agree, if they must.
     pub accounts_within: Option<f64>,
 }
 
+/// What the controllers' gossip came to.
+#[derive(Clone, Debug)]
+pub struct Gossiped {
+    pub told: GossipDay,
+    pub membership: Membership,
+    /// Controllers that were killed for good.
+    pub killed: usize,
+    /// The most payload bytes that any controller sent in any second, from the sockets, and the mean in a second.
+    pub worst_second: usize,
+    pub mean: f64,
+    /// Set-ups that came to the streamer that was lied about, and to each other one on average.
+    pub lied_of: Option<(u64, f64)>,
+}
+
+/// A streamer that is lied about gets at least this part of what the others get on average: what chance and the
+/// titles' places leave at least, with room.
+const LEAST_USE: f64 = 0.5;
+
+impl Gossiped {
+    /// Whether the ceiling was kept, the dead were known for dead in time, and lies had no effect.
+    pub fn good(&self) -> bool {
+        let settled = |s: f64| s <= self.told.settled_within_s;
+        self.worst_second <= self.told.ceiling_bytes
+            && (self.killed == 0 || self.membership.settled_s.is_some_and(settled))
+            && self.membership.false_deaths == 0
+            && self.membership.lies_believed == 0
+            && self.lied_of.is_none_or(|(its, others)| its as f64 >= LEAST_USE * others)
+    }
+}
+
+impl fmt::Display for Gossiped {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (word, m) = (if self.good() { "in order" } else { "NOT in order" }, &self.membership);
+        writeln!(
+            f,
+            "gossip  {word}: {} bytes at most in a second of a controller ({} allowed), {:.0} in the mean; {} killed for good, \
+             known to all others after {} s ({} allowed); {} false deaths; {} times a streamer set aside by hearsay",
+            self.worst_second,
+            self.told.ceiling_bytes,
+            self.mean,
+            self.killed,
+            m.settled_s.map_or("-".to_owned(), |s| format!("{s:.1}")),
+            self.told.settled_within_s,
+            m.false_deaths,
+            m.believed
+        )?;
+        if let Some((its, others)) = self.lied_of {
+            writeln!(
+                f,
+                "liars  {}: the streamer they spoke of got {its} set-ups, the others {others:.1} on average; believed {} times",
+                self.told.liars, m.lies_believed
+            )?;
+        }
+        Ok(())
+    }
+}
+
 /// Media of one room type that crossed, in bytes: by the controllers' accounts, of which so much is an estimate's
 /// error, and by the streamers' own counts.
 #[derive(Clone, Debug)]
@@ -55,6 +117,7 @@
             rule.broken == 0 && (rule.tested > 0 || untested.contains(&(n + 1)))
         };
         self.accounts_match()
+            && self.gossip.as_ref().is_none_or(Gossiped::good)
             && self.budget_kept()
             && self.rules.iter().enumerate().all(good)
             && self.controllers_crashed.is_empty()
@@ -101,6 +164,11 @@
             "crossed": self.crossed.iter().map(|c| json!({"room_type": c.room_type, "accounts": c.accounts,
                 "error": c.error, "streamers": c.streamers, "off_percent": c.off()})).collect::<Vec<_>>(),
             "budget": self.budget.map(|(worst, most)| json!({"worst_10_s_kb": worst, "most_kb": most})),
+            "gossip": self.gossip.as_ref().map(|g| json!({"worst_second_bytes": g.worst_second,
+                "mean_bytes": g.mean, "killed": g.killed, "settled_s": g.membership.settled_s,
+                "false_deaths": g.membership.false_deaths, "believed": g.membership.believed,
+                "lies_believed": g.membership.lies_believed, "lied_of": g.lied_of})),
+            "joins_lost": self.joins_lost,
             "list_lines": self.list_lines,
             "messages": {"passed": self.messages.0, "lost": self.messages.1},
         })
@@ -144,12 +212,15 @@
         let s = &self.streamers;
         writeln!(
             f,
-            "streamers  {} set-ups, {} turned away, {} fell over, {:.1} MB of media; controllers started {:?} times",
+            "streamers  {} set-ups, {} turned away, {} fell over, {:.1} MB of media; {} joins lost by their silence or end; \
+             {} starts of {} controllers",
             s.set_ups,
             s.turned_away,
             s.fell,
             s.media_bytes as f64 / 1e6,
-            self.controller_starts
+            self.joins_lost,
+            self.controller_starts.iter().sum::<u32>(),
+            self.controller_starts.len()
         )?;
         for crossed in &self.crossed {
             let Crossed { room_type, accounts, error, streamers } = crossed;
@@ -162,6 +233,9 @@
                 crossed.off()
             )?;
         }
+        if let Some(gossip) = &self.gossip {
+            write!(f, "{gossip}")?;
+        }
         if let Some((worst, most)) = self.budget {
             let word = if self.budget_kept() { "kept" } else { "BROKEN" };
             writeln!(f, "budget  {word}: {worst:.0} kB crossed in the worst 10 s, {most:.0} at most")?;
--- a/crates/settings/src/sheet.rs
+++ b/crates/settings/src/sheet.rs
@@ -69,6 +69,11 @@
         self.sections().filter_map(move |section| Some(section.strip_prefix(kind)?.strip_prefix(' ')?.trim()))
     }
 
+    /// A key's value as it stands.
+    pub fn value(&self, section: &str, key: &str) -> Option<&str> {
+        self.ini.section(Some(section))?.get(key)
+    }
+
     pub fn has(&self, section: &str) -> bool {
         self.ini.section(Some(section)).is_some()
     }
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -82,6 +82,7 @@
     report: Vec<f64>,
     report_at: Duration,
     fell: bool,
+    set_ups: u64,
 }
 
 /// A note on its way to a stream.
@@ -186,6 +187,7 @@
             report: Vec::new(),
             report_at: Duration::ZERO,
             fell: false,
+            set_ups: 0,
         });
         self.next_start += 1;
         self.was_short.push(false);
@@ -227,6 +229,11 @@
         self.by_second.iter().map(|(from, bytes)| (*from, *bytes))
     }
 
+    /// Set-ups that came to each.
+    pub fn set_ups(&self) -> Vec<u64> {
+        self.fleet.iter().map(|one| one.set_ups).collect()
+    }
+
     pub fn fell(&self, streamer: usize) -> bool {
         self.fleet[streamer].fell
     }
@@ -457,6 +464,7 @@
         let at = self.fleet[streamer].at;
         let fell = witness.set_up(now, line, at, viewer, title, room_type, rung);
         self.counts.set_ups += 1;
+        self.fleet[streamer].set_ups += 1;
         if fell {
             self.counts.fell += 1;
             self.crash(reactor, streamer, witness);
