Gossip: refutations at most one a second, suspicions by the ring's size, and what was measured

A liar that accuses without end made its victim refute without bound: now once a second. Where many start at once each knows few members, and a suspicion was too short for a refutation: it goes by the size of the ring.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod round;
 mod set_ups;
+mod signatures;
 mod titles;
 
 use std::ffi::OsString;
@@ -66,6 +67,8 @@
         #[arg(long, default_value_t = 100_000)]
         titles: u64,
     },
+    /// Signing and checking of the gossip
+    Signatures,
     /// What the accounts of crossing traffic take of a core
     Accounting {
         #[arg(long, default_value_t = 500)]
@@ -99,6 +102,7 @@
         What::Pump { listen, to } => pump::run(listen, to),
         What::Round { streamers, subscriptions } => round::measure(streamers, subscriptions),
         What::Titles { titles } => titles::measure(titles),
+        What::Signatures => on_one_core(signatures::measure),
         What::Accounting { playing } => accounting::measure(playing),
         What::SetUps { seconds, viewers } => on_one_core(|| set_ups::measure(seconds, viewers)),
         What::Relay { seconds, streams } => on_one_core(|| relay::measure(seconds, streams)),
@@ -114,7 +118,8 @@
             relay::costs()?;
             set_ups::memory(2000)?;
             round::measure(300, 600)?;
-            accounting::measure(500)
+            accounting::measure(500)?;
+            signatures::measure()
         }),
     }
 }
--- a/crates/gossip/src/budget.rs
+++ b/crates/gossip/src/budget.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Payload bytes a second in the long run: some 21 full datagrams, enough to tell 42 statements a second, and some
+/// Payload bytes a second in the long run: some 19 full datagrams, enough to tell 39 statements a second, and some
 /// four in a hundred thousand of what a controller with 2,000 subscriptions relays.
-const RATE: f64 = 5500.0;
+const RATE: f64 = 5000.0;
 /// What may go at once beyond that: eight full datagrams, a probe with its helpers.
 const BURST: f64 = 2000.0;
 /// Payload bytes that a member never sends more of in any second, whatever the number of members.
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -13,7 +13,8 @@
 use crate::probe::{shuffle, Errand, Probe, Probes};
 use crate::ration::Ration;
 use crate::statement::{
-    incarnation, life_of, Accusation, Bulletin, Hand, Record, Said, Statement, ITEMS, ITEM_BYTES, SIGNATURE,
+    incarnation, life_of, Accusation, Bulletin, Hand, Record, Said, Statement, ITEMS, ITEM_BYTES,
+    LAST_INCARNATION, SIGNATURE,
 };
 use crate::view::{Change, Known, Standing, View, PERIOD};
 use crate::window::Window;
@@ -43,6 +44,10 @@
 /// A member of a stale life is told so, so often in a second at most for all of them.
 const TOLD_STALE: f64 = 8.0;
 
+/// A member refutes no more often: far sooner than any suspicion ends, and a liar that accuses without end makes it
+/// say no more than that.
+const REFUTES_EVERY: Duration = Duration::from_secs(1);
+
 /// What a member does to the world.
 pub trait Outside {
     fn send(&mut self, to: SocketAddrV4, bytes: &[u8]);
@@ -99,6 +104,8 @@
     compared_to: usize,
     next_gone: Duration,
     next_seeds: Duration,
+    refuted: Duration,
+    refute_at: Option<Duration>,
     told_stale: (f64, Duration),
     /// When `tend` asked to be called.
     due: Duration,
@@ -137,10 +144,13 @@
             compared_to: 0,
             next_gone: first + TRY_GONE_EVERY,
             next_seeds: now,
+            refuted: Duration::ZERO,
+            refute_at: None,
             told_stale: (TOLD_STALE, now),
             due: now,
             counts: Counts::default(),
         };
+        gossip.view.expect(gossip.hand.ring().len());
         gossip.say_alive(now, false);
         gossip
     }
@@ -168,6 +178,7 @@
     /// Takes another ring and key: members whose keys are gone are forgotten, with all that they said.
     pub fn take_hand(&mut self, hand: H, now: Duration) {
         self.hand = hand;
+        self.view.expect(self.hand.ring().len());
         let gone: Vec<Member> =
             self.view.members().map(|(member, _)| member).filter(|m| !self.hand.knows(*m)).collect();
         for member in gone {
@@ -195,15 +206,25 @@
         self.outbox.put(statement, Rank::Refutation, now);
     }
 
+    /// Answers an accusation, at once or when the last answer is [`REFUTES_EVERY`] old.
+    fn accused(&mut self, now: Duration) {
+        let at = self.refuted + REFUTES_EVERY;
+        if now >= at {
+            return self.refute(now);
+        }
+        self.refute_at = Some(at);
+    }
+
     fn refute(&mut self, now: Duration) {
-        self.incarnation += 1;
+        (self.refuted, self.refute_at) = (now, None);
+        self.incarnation = (self.incarnation + 1).min(LAST_INCARNATION);
         self.counts.refutations += 1;
         self.say_alive(now, false);
     }
 
     /// Says good-bye to some members, who pass it on.
     pub fn leave(&mut self, now: Duration, out: &mut impl Outside) {
-        self.incarnation += 1;
+        self.incarnation = (self.incarnation + 1).min(LAST_INCARNATION);
         self.say_alive(now, true);
         for to in self.some_members(HELPERS * 2, None) {
             self.send(now, NEWS, to, &[], true, out);
@@ -249,6 +270,7 @@
         let news = (!self.outbox.is_empty()).then_some(self.next_news);
         let alone = self.is_alone().then_some(self.next_seeds);
         [
+            self.refute_at,
             Some(self.next_period),
             Some(self.next_compare),
             Some(self.next_gone),
@@ -272,6 +294,9 @@
         if let Some(late) = Health::stalled(self.due, now) {
             self.stood_still(late);
         }
+        if self.refute_at.is_some_and(|at| at <= now) {
+            self.refute(now);
+        }
         self.probe_steps(now, out);
         self.errands_over(now, out);
         for member in self.view.end_suspicions(now) {
@@ -739,7 +764,8 @@
     fn take_record(&mut self, now: Duration, record: Record, statement: Statement, news: &mut Vec<News>) {
         if record.subject == self.me {
             // Said in an earlier life, of which nothing was stored: this life has to be later.
-            self.incarnation = self.incarnation.max(incarnation(life_of(record.incarnation) + 1, 0));
+            let next = incarnation(life_of(record.incarnation).saturating_add(1), 0);
+            self.incarnation = self.incarnation.max(next).max(record.incarnation);
             self.counter = 0;
             return self.say_alive(now, false);
         }
@@ -774,7 +800,7 @@
             Change::Accused => {
                 // Others miss this member's answers: perhaps it is slow itself.
                 self.health.worse(1);
-                self.refute(now);
+                self.accused(now);
             }
             Change::Suspected => {
                 news.push(News::Standing(accusation.subject, Standing::Suspect));
--- a/crates/gossip/src/statement.rs
+++ b/crates/gossip/src/statement.rs
@@ -88,6 +88,9 @@
     u64::from(life) << 16 | u64::from(refutations)
 }
 
+/// The highest incarnation that a statement holds.
+pub const LAST_INCARNATION: u64 = (1 << 48) - 1;
+
 pub fn life_of(incarnation: u64) -> u32 {
     (incarnation >> 16) as u32
 }
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -90,11 +90,19 @@
     me: Member,
     known: BTreeMap<Member, Known>,
     mistakes: BTreeMap<Member, Mistakes>,
+    /// Members of the ring.
+    expected: usize,
 }
 
 impl View {
     pub fn new(me: Member) -> Self {
-        Self { me, known: BTreeMap::new(), mistakes: BTreeMap::new() }
+        Self { me, known: BTreeMap::new(), mistakes: BTreeMap::new(), expected: 1 }
+    }
+
+    /// How many members the ring has: where many start at once each knows few of them at first, and a refutation
+    /// takes the time of all.
+    pub fn expect(&mut self, members: usize) {
+        self.expected = members.max(1);
     }
 
     pub fn get(&self, member: Member) -> Option<&Known> {
@@ -210,9 +218,9 @@
         now < mistakes.last + UNHEARD * (1 << over.min(DOUBLINGS))
     }
 
-    /// The shortest suspicion among so many members.
+    /// The shortest suspicion in a ring of this size.
     fn least(&self) -> Duration {
-        PERIOD.mul_f64(LEAST * (self.taking_part() as f64).log10().max(1.0))
+        PERIOD.mul_f64(LEAST * (self.expected as f64).log10().max(1.0))
     }
 
     /// When the next suspicion ends.
--- a/crates/gossip_lab/src/main.rs
+++ b/crates/gossip_lab/src/main.rs
@@ -143,20 +143,33 @@
     println!("{line}");
 }
 
+/// Signatures made and checked by all members that live.
+fn total(net: &Net) -> u64 {
+    net.live().map(|(_, gossip)| gossip.counts.signed + gossip.counts.checked).sum()
+}
+
+/// The same for each of them in a second, since there were so many.
+fn work(net: &Net, before: u64, seconds: f64) -> f64 {
+    (total(net) - before) as f64 / net.live().count().max(1) as f64 / seconds
+}
+
 fn show_masses(size: Member, seed: u64) {
     let mut net = Net::new(size, seed);
     net.start_all(Duration::from_secs(1));
     net.run(Duration::from_secs(1));
     let all = |net: &Net| settled(net).is();
     let known = net.run_until(Duration::from_secs(300), all).map(|span| span.as_secs_f64() + 1.0);
+    let busy = work(&net, 0, known.unwrap_or(301.0));
     net.run(Duration::from_secs(20));
-    let quiet_from = net.now;
+    let (quiet_from, before) = (net.now, total(&net));
     net.run(Duration::from_secs(10));
+    let quiet_work = work(&net, before, 10.0);
     let quiet = net.mean_rate(quiet_from);
     (0..size).filter(|member| member % 2 == 1).for_each(|member| net.kill(member));
     let dead = net.run_until(Duration::from_secs(300), all).map(|span| span.as_secs_f64());
     let line = json!({"seed": seed, "members": size, "all_known_s": known, "half_dead_settled_s": dead,
-        "quiet_bytes_per_s": quiet, "worst_second_bytes": net.worst_second().0});
+        "quiet_bytes_per_s": quiet,
+        "signatures_per_s": {"starting": busy, "quiet": quiet_work}, "worst_second_bytes": net.worst_second().0});
     println!("{line}");
 }
 
