Hearsay is told to the module again while words go on coming

Told once, all controllers came back to a silent streamer at about the same time, found it the least loaded and lost a join each. A belief that words go on backing is now told again every three seconds.

--- a/crates/hearsay/src/lib.rs
+++ b/crates/hearsay/src/lib.rs
@@ -32,6 +32,8 @@
 const REMEMBERED: f64 = 16.0;
 /// Under this a member's word counts nothing at all.
 const LEAST_CREDIT: f64 = 0.35;
+/// A belief that words go on backing is told again after this: within the time that the module sets a streamer aside.
+const TOLD_AGAIN: Duration = Duration::from_secs(3);
 /// Streamers of which something is held at most; of more, what is oldest goes.
 const STREAMERS: usize = 4096;
 /// Members whose word is held of one streamer: more would add nothing.
@@ -91,6 +93,8 @@
     own: BTreeMap<StreamerId, Own>,
     told: BTreeMap<StreamerId, Vec<Voice>>,
     credits: BTreeMap<Member, Credit>,
+    /// When a streamer was told to be believed in trouble last, and how many times in a row.
+    last_told: BTreeMap<StreamerId, (Duration, u32)>,
 }
 
 impl Hearsay {
@@ -112,6 +116,7 @@
         }
         if well {
             self.told.remove(&streamer);
+            self.last_told.remove(&streamer);
         }
     }
 
@@ -126,15 +131,25 @@
             if now >= seen + FADES || self.cleared(streamer, seen) {
                 continue;
             }
-            let before = self.believes(now, streamer);
             self.note(streamer, Voice { author, seen, judged: false });
-            if !before && self.believes(now, streamer) {
+            if self.believes(now, streamer) && self.tell(now, streamer) {
                 believed.push(streamer);
             }
         }
         believed
     }
 
+    /// Whether a belief is to be told now: when it begins, and again while words go on coming.
+    fn tell(&mut self, now: Duration, streamer: StreamerId) -> bool {
+        make_room(&mut self.last_told, |told| Some(told.0));
+        let told = self.last_told.entry(streamer).or_insert((Duration::ZERO, 0));
+        let due = told.1 == 0 || now >= told.0 + TOLD_AGAIN;
+        if due {
+            *told = (now, told.1 + 1);
+        }
+        due
+    }
+
     /// Whether a join worked here after that time.
     fn cleared(&self, streamer: StreamerId, seen: Duration) -> bool {
         self.own.get(&streamer).and_then(|own| own.last_good).is_some_and(|good| good >= seen)
--- a/crates/hearsay/src/tests.rs
+++ b/crates/hearsay/src/tests.rs
@@ -38,6 +38,21 @@
     assert!(late.heard(T0, 2, ms(5000), &[write(A, ms(3000))]).is_empty());
 }
 
+#[test]
+fn a_belief_is_told_again_while_words_go_on_coming_but_not_with_each() {
+    let mut hearsay = Hearsay::default();
+    let mut told = Vec::new();
+    for n in 0..100u64 {
+        let now = T0 + ms(n * 100);
+        let author = 1 + (n % 4) as u16;
+        told.extend(
+            hearsay.heard(now, author, Duration::ZERO, &[write(A, Duration::ZERO)]).iter().map(|_| n),
+        );
+    }
+    // With the second word, and then every three seconds.
+    assert_eq!(told, [1, 31, 61, 91]);
+}
+
 #[test]
 fn ones_own_loss_and_one_word_are_believed() {
     let mut hearsay = Hearsay::default();
