--- a/crates/controller/src/accounting.rs
+++ b/crates/controller/src/accounting.rs
@@ -1,10 +1,12 @@
 //! This controller's accounts of what crosses between buildings, and their copies on disk.
 
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use badgerledge_accounts::{open, seal, Accounts, Amount, Key, Source, WINDOW};
 
+use crate::files::{self, wall};
+
 /// Accounts are stored this often, and a kill loses no more than what came since: the stated second, halved.
 pub const STORE_EVERY: Duration = Duration::from_millis(500);
 /// The files of the last sums, written in turn: a torn one leaves the one before.
@@ -93,9 +95,7 @@
             self.turn = 1 - self.turn;
             std::fs::write(folder.join(TURNS[self.turn]), seal(&last))?;
             if let Some(whole) = &whole {
-                let fresh = folder.join("accounts-fresh");
-                std::fs::write(&fresh, seal(whole))?;
-                std::fs::rename(&fresh, folder.join(WINDOWS))?;
+                files::replace(&folder.join(WINDOWS), &seal(whole))?;
             }
             if ends {
                 std::fs::write(folder.join(ENDED), "")?;
@@ -109,10 +109,6 @@
     }
 }
 
-fn wall() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 /// One stored file; nothing where there is none, or it is torn.
 fn read(path: &Path) -> Option<Accounts> {
     let bytes = std::fs::read(path).ok()?;
--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -169,13 +169,12 @@
 
     /// A line has ended.
     pub fn closed(&mut self, line: Line, why: Closing) {
+        let ending = if why == Closing::NotMade { Ending::ConnectFailed } else { Ending::Reset };
         if self.viewers.contains_key(&line) {
             self.drop_viewer(line);
         } else if let Some((job, number)) = self.join_lines.get(&line).copied() {
-            let ending = if why == Closing::NotMade { Ending::ConnectFailed } else { Ending::Reset };
             self.steps_on(move |steps| steps.join_ends(job, number, ending, &[]));
         } else {
-            let ending = if why == Closing::NotMade { Ending::ConnectFailed } else { Ending::Reset };
             self.probe_ends(line, ending, &[]);
         }
     }
@@ -758,7 +757,7 @@
 
     fn came_to(&mut self, streamer: StreamerId, ending: Option<Ending>) {
         let now = self.now;
-        if matches!(ending, Some(Ending::Timeout | Ending::ConnectFailed | Ending::Reset)) {
+        if ending.is_some_and(Ending::is_lost) {
             tracing::info!(%streamer, ?ending, "join lost");
         }
         self.gossiping.as_mut().into_iter().for_each(|gossiping| gossiping.seen(now, streamer, ending));
--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -3,7 +3,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use anyhow::{bail, Context, Result};
 use badgerledge_core::interface::{Ending, StreamerId};
@@ -15,7 +15,7 @@
 use badgerledge_reactor::{Line, Reactor};
 use metrics::{counter, gauge};
 
-use crate::watch;
+use crate::{files, watch};
 
 /// The ring's file is looked at this often: a revocation takes hold within it.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
@@ -55,15 +55,11 @@
     pub believed: Vec<StreamerId>,
 }
 
-struct Datagrams<'a> {
-    reactor: &'a Reactor,
-    line: Line,
-}
-
-impl Outside for Datagrams<'_> {
-    fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
+/// Sends what gossip says on its line.
+fn outside(reactor: &Reactor, line: Line) -> impl Outside + '_ {
+    move |to: SocketAddrV4, bytes: &[u8]| {
         debug_assert!(bytes.len() <= LONGEST);
-        self.reactor.send_to(self.line, SocketAddr::V4(to), bytes);
+        reactor.send_to(line, SocketAddr::V4(to), bytes);
     }
 }
 
@@ -117,7 +113,7 @@
             return Came::default();
         }
         let mut news = Vec::new();
-        let mut out = Datagrams { reactor, line: self.line };
+        let mut out = outside(reactor, self.line);
         if now >= self.gossip.next_due() {
             self.gossip.tend(now, &mut out, &mut news);
         }
@@ -135,7 +131,7 @@
 
     pub fn heard(&mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8]) -> Came {
         let SocketAddr::V4(from) = from else { return Came::default() };
-        let (mut news, mut out) = (Vec::new(), Datagrams { reactor, line: self.line });
+        let (mut news, mut out) = (Vec::new(), outside(reactor, self.line));
         if let Err(fault) = self.gossip.heard(now, from, bytes, &mut out, &mut news) {
             tracing::debug!(%from, "dropped: {fault}");
         }
@@ -144,7 +140,7 @@
 
     /// Sends a member another subsystem's word.
     pub fn word(&mut self, reactor: &Reactor, now: Duration, to: u32, word: &[u8]) {
-        let mut out = Datagrams { reactor, line: self.line };
+        let mut out = outside(reactor, self.line);
         let to = Member::try_from(to).ok();
         to.map(|to| self.gossip.word(now, to, word, &mut out));
     }
@@ -171,7 +167,7 @@
     pub fn seen(&mut self, now: Duration, streamer: StreamerId, ending: Option<Ending>) {
         match ending {
             None => self.hearsay.seen(now, streamer, true),
-            Some(Ending::Timeout | Ending::ConnectFailed | Ending::Reset) => {
+            Some(ending) if ending.is_lost() => {
                 self.hearsay.seen(now, streamer, false);
                 self.publish(now);
             }
@@ -184,7 +180,6 @@
         if now < self.publish_at {
             return;
         }
-        let items = self.hearsay.items(now);
         let streamers = self.hearsay.streamers(now);
         if streamers.iter().all(|streamer| self.published.contains(streamer))
             && now < self.publish_at + PUBLISH_EVERY * 4
@@ -193,7 +188,7 @@
         }
         self.publish_at = now + PUBLISH_EVERY;
         self.published = streamers;
-        self.gossip.publish(now, items);
+        self.gossip.publish(now, self.hearsay.items(now));
     }
 
     /// Reads the ring anew where its file has changed. One that is not in order changes nothing.
@@ -243,10 +238,7 @@
         for record in self.gossip.records() {
             record.write(Duration::ZERO, &mut bytes);
         }
-        let fresh = state.join("gossip-fresh");
-        let stored =
-            std::fs::write(&fresh, bytes).and_then(|()| std::fs::rename(&fresh, state.join(RECORDS)));
-        if let Err(e) = stored {
+        if let Err(e) = files::replace(&state.join(RECORDS), &bytes) {
             tracing::warn!("members could not be stored: {e}");
         }
     }
@@ -254,7 +246,7 @@
     /// Says good-bye.
     pub fn leave(&mut self, reactor: &Reactor, now: Duration) {
         self.store();
-        self.gossip.leave(now, &mut Datagrams { reactor, line: self.line });
+        self.gossip.leave(now, &mut outside(reactor, self.line));
     }
 }
 
@@ -278,8 +270,7 @@
 
 /// A life later than all before it, as far as a store or the clock can tell; stored before anything is said in it.
 fn next_life(state: Option<&Path>) -> u32 {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let wall = wall.saturating_sub(Duration::from_secs(LIVES_FROM)).as_millis() / LIFE_TICK_MS;
+    let wall = files::wall().saturating_sub(Duration::from_secs(LIVES_FROM)).as_millis() / LIFE_TICK_MS;
     let file = state.map(|state| state.join(LIFE));
     let stored =
         file.as_ref().and_then(|file| std::fs::read_to_string(file).ok()?.trim().parse::<u32>().ok());
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accounting;
 mod budgeting;
 mod ends;
+mod files;
 mod gossiping;
 mod join;
 mod list;
--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use badgerledge_core::interface::{Health, Listing, StreamerId};
 use badgerledge_deployment::ControllerPlace;
@@ -10,6 +10,8 @@
 use badgerledge_exchange::{Carrier, Floor};
 use badgerledge_reactor::{Line, Reactor};
 
+use crate::files::{self, wall};
+
 /// The wait before the first try to come back to the list service, and the longest: a list that is some seconds
 /// old does little harm, hundreds of controllers that ask it in step do.
 const FIRST: Duration = Duration::from_millis(200);
@@ -164,19 +166,12 @@
             return;
         }
         (self.stored_at, self.unstored) = (now, false);
-        let fresh = path.with_extension("fresh");
-        let written =
-            std::fs::write(&fresh, self.book.store(now, wall())).and_then(|()| std::fs::rename(&fresh, path));
-        if let Err(e) = written {
+        if let Err(e) = files::replace(path, self.book.store(now, wall()).as_ref()) {
             tracing::warn!(path = %path.display(), "the list could not be stored: {e}; serving on without");
         }
     }
 }
 
-fn wall() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 fn restored(path: &Path, now: Duration) -> Option<ListBook> {
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -208,9 +208,9 @@
         }
     }
 
-    /// A fact told: several others lost joins on a streamer lately. It does what a streak of own losses does, and a
-    /// join that works here undoes it. Guards against finding out by losing joins oneself; harm: a good streamer that
-    /// others wrongly hold for ill gets less for some seconds, where there are others.
+    /// A fact told: several others lost joins on a streamer lately. It does what a streak of own losses does,
+    /// and a join that works here undoes it. Guards against finding out by losing joins oneself; harm: a good
+    /// streamer that others wrongly hold for ill gets less for some seconds, where there are others.
     pub fn hearsay(&mut self, streamer: StreamerId) {
         self.set_aside(streamer);
     }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -22,6 +22,11 @@
 }
 
 impl Ending {
+    /// Whether a join was lost by its streamer's silence or end.
+    pub fn is_lost(self) -> bool {
+        matches!(self, Ending::Timeout | Ending::ConnectFailed | Ending::Reset)
+    }
+
     /// The wire's promise that a join with this ending never ran.
     pub fn proves_it_never_ran(self) -> bool {
         matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot)
--- /dev/null
+++ b/crates/gossip/src/bucket.rs
@@ -0,0 +1,34 @@
+//! A bucket of tokens that fills at a rate up to a most.
+
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    /// Tokens a second.
+    rate: f64,
+    most: f64,
+    tokens: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// A full one.
+    pub fn new(rate: f64, most: f64, now: Duration) -> Self {
+        Self { rate, most, tokens: most, at: now }
+    }
+
+    /// What is in it now.
+    pub fn holds(&mut self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate).min(self.most);
+        self.at = self.at.max(now);
+        self.tokens
+    }
+
+    /// Takes so much, if it is there.
+    pub fn take(&mut self, now: Duration, cost: f64) -> bool {
+        let may = self.holds(now) >= cost;
+        self.tokens -= if may { cost } else { 0.0 };
+        may
+    }
+}
--- a/crates/gossip/src/budget.rs
+++ b/crates/gossip/src/budget.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::bucket::Bucket;
+
 /// Payload bytes a second in the long run: some 19 full datagrams, enough to tell 39 statements a second, and some
 /// four in a hundred thousand of what a controller with 2,000 subscriptions relays.
 const RATE: f64 = 5000.0;
@@ -12,35 +14,22 @@
 /// What is left for probes and their answers: a member that does not answer is held for dead.
 const KEPT_FOR_PROBES: f64 = 1000.0;
 
-/// A bucket of tokens, one for each payload byte.
+/// A bucket with a token for each payload byte.
 #[derive(Clone, Debug)]
-pub struct Budget {
-    tokens: f64,
-    at: Duration,
-}
+pub struct Budget(Bucket);
 
 impl Budget {
     pub fn new(now: Duration) -> Self {
-        Self { tokens: BURST, at: now }
-    }
-
-    fn fill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.tokens = (self.tokens + passed * RATE).min(BURST);
-        self.at = self.at.max(now);
+        Self(Bucket::new(RATE, BURST, now))
     }
 
     /// Takes so many bytes for a probe or its answer, if they may go now.
     pub fn take(&mut self, now: Duration, bytes: usize) -> bool {
-        self.fill(now);
-        let may = self.tokens >= bytes as f64;
-        self.tokens -= if may { bytes as f64 } else { 0.0 };
-        may
+        self.0.take(now, bytes as f64)
     }
 
     /// Whether news may go: so much is left that probes are not held up by it.
     pub fn spares(&mut self, now: Duration, bytes: usize) -> bool {
-        self.fill(now);
-        self.tokens >= KEPT_FOR_PROBES.max(bytes as f64)
+        self.0.holds(now) >= KEPT_FOR_PROBES.max(bytes as f64)
     }
 }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -6,6 +6,7 @@
 //! member may lie: what is passed on is a *statement* signed by the member that made it (see [`statement`]), each
 //! member decides alone that another is dead ([`View`]), and only a member itself raises its incarnation.
 
+mod bucket;
 mod budget;
 pub mod envelope;
 mod health;
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -6,6 +6,7 @@
 
 use badgerledge_core::chance::Chance;
 
+use crate::bucket::Bucket;
 use crate::budget::Budget;
 use crate::envelope::{self, Fault, Head, ACK, ANYONE, ASK, BODY, DIGEST, LONGEST, NACK, NEWS, PING, WORD};
 use crate::health::Health;
@@ -53,6 +54,12 @@
     fn send(&mut self, to: SocketAddrV4, bytes: &[u8]);
 }
 
+impl<F: FnMut(SocketAddrV4, &[u8])> Outside for F {
+    fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
+        self(to, bytes);
+    }
+}
+
 /// What a member learned, for those who use it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
@@ -106,7 +113,7 @@
     next_seeds: Duration,
     refuted: Duration,
     refute_at: Option<Duration>,
-    told_stale: (f64, Duration),
+    told_stale: Bucket,
     /// When `tend` asked to be called.
     due: Duration,
     pub counts: Counts,
@@ -146,7 +153,7 @@
             next_seeds: now,
             refuted: Duration::ZERO,
             refute_at: None,
-            told_stale: (TOLD_STALE, now),
+            told_stale: Bucket::new(TOLD_STALE, TOLD_STALE, now),
             due: now,
             counts: Counts::default(),
         };
@@ -518,7 +525,7 @@
         let own = (to == ANYONE || kind == PING && accused).then(|| self.view.statements(self.me));
         let theirs = accused.then(|| self.view.statements(to));
         for statement in theirs.into_iter().flatten().rev().chain(own.into_iter().flatten()) {
-            if statement.len() <= room(bytes) {
+            if statement.size() <= room(bytes) {
                 statement.write(Duration::ZERO, bytes);
             }
         }
@@ -577,13 +584,9 @@
 
     /// A member that was born with an old life learns from its own words that it had a later one.
     fn tell_stale(&mut self, now: Duration, member: Member, at: SocketAddrV4, out: &mut impl Outside) {
-        let (tokens, last) = self.told_stale;
-        let tokens = (tokens + now.saturating_sub(last).as_secs_f64() * TOLD_STALE).min(TOLD_STALE);
-        self.told_stale = (tokens, now);
-        if tokens < 1.0 {
+        if !self.told_stale.take(now, 1.0) {
             return;
         }
-        self.told_stale.0 -= 1.0;
         let mut body = Vec::new();
         self.view
             .statements(member)
@@ -697,7 +700,7 @@
         let statements: Vec<Statement> = statements.take(ANSWERED).collect();
         let mut body = Vec::new();
         for statement in &statements {
-            if body.len() + statement.len() > BODY {
+            if body.len() + statement.size() > BODY {
                 self.answer(now, head.from, &mut body, out);
             }
             statement.write(Duration::ZERO, &mut body);
@@ -828,5 +831,5 @@
 }
 
 fn takes_part(known: Option<&Known>) -> bool {
-    known.is_some_and(|known| matches!(known.standing, Standing::Alive | Standing::Suspect))
+    known.is_some_and(|known| known.standing.takes_part())
 }
--- a/crates/gossip/src/outbox.rs
+++ b/crates/gossip/src/outbox.rs
@@ -91,7 +91,7 @@
         let mut put: Vec<usize> = Vec::new();
         while end.saturating_sub(out.len()) >= SHORTEST {
             let left = end - out.len();
-            let fits = |at: &usize| self.waiting[*at].statement.len() <= left && !put.contains(at);
+            let fits = |at: &usize| self.waiting[*at].statement.size() <= left && !put.contains(at);
             let first = |at: &usize| (self.waiting[*at].rank, self.waiting[*at].sent);
             let Some(at) = (0..self.waiting.len()).filter(fits).min_by_key(first) else { break };
             let waiting = &mut self.waiting[at];
--- a/crates/gossip/src/ration.rs
+++ b/crates/gossip/src/ration.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::bucket::Bucket;
 use crate::Member;
 
 /// Signatures checked a second for a source that is a member's address: three for each datagram of a member that
@@ -13,22 +14,6 @@
 /// For all together: at 0.1 ms each a tenth of a core.
 const ALL: f64 = 1000.0;
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    tokens: f64,
-    at: Duration,
-}
-
-impl Bucket {
-    fn take(&mut self, now: Duration, rate: f64, cost: f64) -> bool {
-        self.tokens = (self.tokens + now.saturating_sub(self.at).as_secs_f64() * rate).min(rate);
-        self.at = self.at.max(now);
-        let may = self.tokens >= cost;
-        self.tokens -= if may { cost } else { 0.0 };
-        may
-    }
-}
-
 /// What a member may have answered in a second: a probe of its own, helps for others and a comparison, some times
 /// over. A liar that asks without end does not use up the ceiling of whom it asks.
 const ANSWERS: f64 = 10.0;
@@ -44,7 +29,7 @@
 
 impl Ration {
     pub fn new(now: Duration) -> Self {
-        let full = |tokens: f64| Bucket { tokens, at: now };
+        let full = |rate: f64| Bucket::new(rate, rate, now);
         Self {
             members: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -59,18 +44,18 @@
         let cost = f64::from(signatures);
         let own = match source {
             Some(member) => {
-                let bucket = self.members.entry(member).or_insert(Bucket { tokens: MEMBERS, at: now });
-                bucket.take(now, MEMBERS, cost)
+                let full = || Bucket::new(MEMBERS, MEMBERS, now);
+                self.members.entry(member).or_insert_with(full).take(now, cost)
             }
-            None => self.strangers.take(now, STRANGERS, cost),
+            None => self.strangers.take(now, cost),
         };
-        own && self.all.take(now, ALL, cost)
+        own && self.all.take(now, cost)
     }
 
     /// Whether a member is answered now, where the answer costs so many datagrams.
     pub fn answers(&mut self, now: Duration, member: Member, cost: f64) -> bool {
-        let bucket = self.answers.entry(member).or_insert(Bucket { tokens: ANSWERS, at: now });
-        bucket.take(now, ANSWERS, cost)
+        let full = || Bucket::new(ANSWERS, ANSWERS, now);
+        self.answers.entry(member).or_insert_with(full).take(now, cost)
     }
 
     pub fn forget(&mut self, member: Member) {
--- a/crates/gossip/src/statement.rs
+++ b/crates/gossip/src/statement.rs
@@ -141,7 +141,7 @@
 
 impl Statement {
     /// Bytes on the wire.
-    pub fn len(&self) -> usize {
+    pub fn size(&self) -> usize {
         SIGNATURE
             + match &self.said {
                 Said::Record(_) => RECORD_BYTES,
@@ -150,10 +150,6 @@
             }
     }
 
-    pub fn is_empty(&self) -> bool {
-        false
-    }
-
     pub fn is_signed(&self, hand: &impl Hand) -> bool {
         hand.signed(self.said.author(), &self.said.bytes(), &self.signature)
     }
--- a/crates/gossip/src/tests.rs
+++ b/crates/gossip/src/tests.rs
@@ -91,7 +91,7 @@
         let statement = Statement { said, signature: [7; SIGNATURE] };
         let mut bytes = Vec::new();
         statement.write(Duration::from_millis(600), &mut bytes);
-        assert_eq!(bytes.len(), statement.len());
+        assert_eq!(bytes.len(), statement.size());
         let (read, age, used) = Statement::read(&bytes).unwrap();
         let aged =
             if matches!(read.said, Said::Bulletin(_)) { Duration::from_millis(600) } else { Duration::ZERO };
@@ -111,7 +111,7 @@
             assert!(bytes.len() <= LONGEST && signed.len() + SIGNATURE == bytes.len());
             let mut rest = body;
             while let Some((statement, _, used)) = Statement::read(rest) {
-                assert_eq!(used, statement.len());
+                assert_eq!(used, statement.size());
                 rest = &rest[used..];
             }
         }
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::statement::{Accusation, Record, Said, Statement};
+use crate::statement::{life_of, Accusation, Record, Said, Signature, Statement};
 use crate::Member;
 
 /// How a member stands.
@@ -16,6 +16,13 @@
     Left,
 }
 
+impl Standing {
+    /// Whether it is probed and told of things.
+    pub fn takes_part(self) -> bool {
+        matches!(self, Standing::Alive | Standing::Suspect)
+    }
+}
+
 /// A suspicion lasts so many probe periods for each factor of ten in the number of members, when enough have
 /// accused: the time in which a refutation reaches all of them several times over (Lifeguard, section 4.2).
 const LEAST: f64 = 4.0;
@@ -40,10 +47,10 @@
 pub struct Known {
     pub record: Record,
     /// Signatures are kept with what they sign, for passing it on.
-    signature: Vec<u8>,
+    signature: Signature,
     pub standing: Standing,
     /// Who accuses it at this incarnation, the first one's statement first.
-    accusations: Vec<(Accusation, Vec<u8>)>,
+    accusations: Vec<(Accusation, Signature)>,
     since: Duration,
     /// When it was heard itself.
     heard: Duration,
@@ -119,16 +126,15 @@
 
     /// Members that take part, this one too.
     pub fn taking_part(&self) -> usize {
-        let part = |known: &&Known| matches!(known.standing, Standing::Alive | Standing::Suspect);
-        self.known.values().filter(part).count().max(1)
+        self.known.values().filter(|known| known.standing.takes_part()).count().max(1)
     }
 
     /// Takes what a member says of itself.
-    pub fn record(&mut self, now: Duration, record: Record, signature: &[u8]) -> Change {
+    pub fn record(&mut self, now: Duration, record: Record, signature: &Signature) -> Change {
         let standing = if record.left { Standing::Left } else { Standing::Alive };
         let fresh = || Known {
             record,
-            signature: signature.to_vec(),
+            signature: *signature,
             standing,
             accusations: Vec::new(),
             since: now,
@@ -145,7 +151,7 @@
         }
         let before = std::mem::replace(known, fresh());
         // One that was born anew had died: who said so was right.
-        let same_life = before.record.incarnation >> 16 == record.incarnation >> 16;
+        let same_life = life_of(before.record.incarnation) == life_of(record.incarnation);
         if !record.left && same_life {
             before.accusations.iter().for_each(|(accusation, _)| self.mistaken(now, accusation.author));
         }
@@ -160,7 +166,7 @@
     }
 
     /// Takes what one member says against another.
-    pub fn accuse(&mut self, now: Duration, accusation: Accusation, signature: &[u8]) -> Change {
+    pub fn accuse(&mut self, now: Duration, accusation: Accusation, signature: &Signature) -> Change {
         let unheard = self.is_unheard(now, accusation.author);
         let Some(known) = self.known.get_mut(&accusation.subject) else { return Change::Nothing };
         // Of an incarnation not yet known here nothing can be said: its record comes by anti-entropy.
@@ -173,7 +179,7 @@
         let told = known.accusations.iter().any(|(told, _)| told.author == accusation.author);
         match known.standing {
             Standing::Alive if !told => {
-                known.accusations.push((accusation, signature.to_vec()));
+                known.accusations.push((accusation, *signature));
                 // Two members are heard together that are not heard alone.
                 if unheard && known.accusations.len() < 2 {
                     return Change::Nothing;
@@ -182,7 +188,7 @@
                 Change::Suspected
             }
             Standing::Suspect if !told && known.accusations.len() < ACCUSERS => {
-                known.accusations.push((accusation, signature.to_vec()));
+                known.accusations.push((accusation, *signature));
                 Change::Confirmed
             }
             _ => Change::Nothing,
@@ -274,12 +280,10 @@
     /// What is held of a member, to be passed on: its record, or where it is accused, that.
     pub fn statements(&self, member: Member) -> Vec<Statement> {
         let Some(known) = self.known.get(&member) else { return Vec::new() };
-        let of =
-            |said: Said, signature: &[u8]| Some(Statement { said, signature: signature.try_into().ok()? });
-        let record = of(Said::Record(known.record), &known.signature);
+        let record = Statement { said: Said::Record(known.record), signature: known.signature };
         let first = known.accusations.first();
-        let accusation = first.and_then(|(accusation, by)| of(Said::Accusation(*accusation), by));
-        record.into_iter().chain(accusation).collect()
+        let accusation = first.map(|(said, by)| Statement { said: Said::Accusation(*said), signature: *by });
+        std::iter::once(record).chain(accusation).collect()
     }
 
     /// A byte that is alike where two members hold the same of a third; 0 where nothing is held.
--- a/crates/gossip_lab/src/watch.rs
+++ b/crates/gossip_lab/src/watch.rs
@@ -33,8 +33,7 @@
                 _ => found.missed += 1,
             }
         }
-        let takes_part = |standing| matches!(standing, Standing::Alive | Standing::Suspect);
-        let held = gossip.view().members().filter(|(_, known)| takes_part(known.standing));
+        let held = gossip.view().members().filter(|(_, known)| known.standing.takes_part());
         found.haunted += held.filter(|(member, _)| live.binary_search(member).is_err()).count();
     }
     found
--- a/crates/gossip_lab/tests/many.rs
+++ b/crates/gossip_lab/tests/many.rs
@@ -120,13 +120,7 @@
 fn one_that_leaves_has_left_for_all_and_may_come_back() {
     let mut net = together(40, 9);
     net.with(3, |gossip, now, send| {
-        struct Out<'a>(&'a mut dyn FnMut(std::net::SocketAddrV4, &[u8]));
-        impl badgerledge_gossip::Outside for Out<'_> {
-            fn send(&mut self, to: std::net::SocketAddrV4, bytes: &[u8]) {
-                (self.0)(to, bytes);
-            }
-        }
-        gossip.leave(now, &mut Out(send));
+        gossip.leave(now, &mut |to, bytes: &[u8]| send(to, bytes));
     });
     net.kill(3);
     let left = |net: &Net| net.live().all(|(_, gossip)| gossip.view().standing(3) == Some(Standing::Left));
--- a/crates/replay/src/gossip.rs
+++ b/crates/replay/src/gossip.rs
@@ -76,11 +76,10 @@
     lies_at: Duration,
 }
 
-struct Datagrams<'a>(&'a Reactor, Line);
-
-impl Outside for Datagrams<'_> {
-    fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
-        self.0.send_to(self.1, SocketAddr::V4(to), bytes);
+/// Sends what gossip says on its line.
+fn outside(reactor: &Reactor, line: Line) -> impl Outside + '_ {
+    move |to: SocketAddrV4, bytes: &[u8]| {
+        reactor.send_to(line, SocketAddr::V4(to), bytes);
     }
 }
 
@@ -108,7 +107,7 @@
         let Happening::Datagram { line, from: SocketAddr::V4(from), bytes } = happening else { return false };
         if *line == self.line {
             let mut news: Vec<News> = Vec::new();
-            let _ = self.gossip.heard(now, *from, bytes, &mut Datagrams(reactor, self.line), &mut news);
+            let _ = self.gossip.heard(now, *from, bytes, &mut outside(reactor, self.line), &mut news);
         }
         *line == self.line
     }
@@ -119,7 +118,7 @@
             self.gossip.publish(now, vec![lie(self.of)]);
         }
         if now >= self.gossip.next_due() {
-            self.gossip.tend(now, &mut Datagrams(reactor, self.line), &mut Vec::new());
+            self.gossip.tend(now, &mut outside(reactor, self.line), &mut Vec::new());
         }
     }
 }
