--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -22,6 +22,16 @@
 /// Between two steps of one subscription: well over what a step costs, under the claim of 3 a minute.
 const REST: Duration = Duration::from_secs(20);
 const FRESH: Duration = Duration::from_secs(10); // A measure counts this long, some notes' time.
+/// A probe's answer is waited for so long: the slowest of a hundred took 2 ms, a round is 10.
+const LOOK: Duration = Duration::from_millis(40);
+/// Holders probed for one join: one, two or three came out alike, two least uneven.
+const LOOKED_AT: usize = 2;
+/// Own streamers are looked at again after this: 10 s came out alike, all the time cost more than it earned.
+const LOOK_AGAIN: Duration = Duration::from_secs(6);
+/// Part of the room, or of the excess, that who looked alone acts on: 0.8 did worse, its own part too.
+const ALONE: f64 = 0.5;
+/// A pipe that would be asked for more takes no join: 0.97 did worse, 1.2 worse where all is full.
+const FULL: f64 = 1.05;
 /// Tokens of the reminders: the one periodic timer, and the earliest of all else that is due.
 const TOKEN_BEAT: u64 = 1;
 const TOKEN_DUE: u64 = 2;
@@ -96,6 +106,7 @@
         out.remind(beat, TOKEN_BEAT);
         self.note_usual_use();
         self.price = self.fleet_price();
+        self.look_round(out);
         self.shape(beat, out);
         if self.now >= self.move_at {
             // The random part keeps controllers from moving at one moment.
@@ -148,8 +159,8 @@
         match kind {
             1 => self.short(streamer, value),
             2 => self.settle(job, Some(streamer), value.max(0.0) as u8),
-            3 => self.measure(Pipe::Link(streamer), value, late),
-            4 => self.measure(self.uplink(streamer), value, late),
+            3 => self.measure(Pipe::Link(streamer), value, late, false),
+            4 => self.measure(self.uplink(streamer), value, late, false),
             _ => {}
         }
     }
@@ -290,6 +301,11 @@
         });
     }
 
+    /// How full the usual pipe is, this instance's part included.
+    fn usual_full(&self) -> f64 {
+        self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5)
+    }
+
     fn use_of(&self, pipe: Pipe) -> f64 {
         (self.others(pipe) + self.pipes.of(pipe).asks) / self.size(pipe)
     }
@@ -326,12 +342,12 @@
     }
 
     /// Sets a late measure against what this instance asked at that time; the rest is others'.
-    fn measure(&mut self, pipe: Pipe, ratio: f64, late: Duration) {
+    fn measure(&mut self, pipe: Pipe, ratio: f64, late: Duration, alone: bool) {
         let (size, then) = (self.size(pipe), self.now.saturating_sub(late));
         let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
         g.others = (ratio * size - g.asked_at(then)).max(0.0);
         (g.measured, g.measured_at) = (true, self.now);
-        self.allow(pipe);
+        self.allow(pipe, alone);
         if let Pipe::Link(id) = pipe {
             self.learn_larger(self.uplink(id));
         }
@@ -346,7 +362,7 @@
         if asked > 0.97 * size && quiet {
             g.stretch *= 0.5 * (1.0 + asked / (0.97 * size));
         }
-        self.allow(uplink);
+        self.allow(uplink, false);
     }
 
     /// What one step of this instance's subscriptions on a pipe is, on the mean.
@@ -361,7 +377,7 @@
     /// What this instance may ask until the next measure, which all who play there see at once: each gives
     /// back its part of an excess, then waits until that can show, or takes its part of the room. A part
     /// smaller than a step is a whole step by chance, be there three controllers or hundreds.
-    fn allow(&mut self, pipe: Pipe) {
+    fn allow(&mut self, pipe: Pipe, alone: bool) {
         // Rungs stay while use is this close to the mark: a step of one subscription is about as much.
         const BAND: f64 = 0.1;
         let (size, mark, late) = (self.size(pipe), self.mark(pipe), self.told.late());
@@ -369,7 +385,9 @@
         let room = mark * size - total;
         let chance = self.dice * self.usual_step(pipe, room > 0.0);
         let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
-        let part = g.asks / total.max(1.0);
+        // What is told to nobody else at that time leaves more of the room to the one who looked.
+        let share = g.asks / total.max(1.0);
+        let part = if alone { share.max(ALONE) } else { share };
         if room < -BAND * size {
             if self.now >= g.cut_until {
                 g.allowance = (g.asks + room * part + chance).min(g.asks);
@@ -420,21 +438,23 @@
         let asked = others + g.asked_at(self.now.saturating_sub(late));
         if !g.measured {
             g.stretch = (0.5 * g.stretch * (1.0 + asked * delivered / size)).clamp(0.2, 2.0);
-            self.allow(pipe);
+            self.allow(pipe, false);
         } else if asked * delivered < size {
-            self.measure(pipe, 1.0 / delivered, late);
+            self.measure(pipe, 1.0 / delivered, late, false);
         }
     }
 
     fn take_report(&mut self, id: StreamerId, usage: &[f64]) {
         // Reports are refreshed now and then and travel: half a second is a usual age.
         let late = Duration::from_millis(500);
+        // After a start all look at one time.
+        let alone = !self.told.together && self.now > self.born + FRESH / 2;
         for (i, &value) in usage.iter().enumerate() {
             match self.told.item("/report/fields", i) {
-                "x0" => self.measure(Pipe::Link(id), value, late),
+                "x0" => self.measure(Pipe::Link(id), value, late, alone),
                 // It says 1 at most: from there on it tells nothing.
-                "busy" if value < 0.99 => self.measure(Pipe::Link(id), value, late),
-                "x1" => self.measure(self.uplink(id), value, late),
+                "busy" if value < 0.99 => self.measure(Pipe::Link(id), value, late, alone),
+                "x1" => self.measure(self.uplink(id), value, late, alone),
                 _ => {}
             }
         }
@@ -540,6 +560,15 @@
             && self.effect_allows(sub, id)
             && self.cold_allows(id, s)
             && self.may_cross(sub, s)
+            && self.fits(sub, id)
+    }
+
+    /// Whether a link and its uplink, as lately measured, can carry one more at its floor.
+    fn fits(&self, sub: &Subscription, id: StreamerId) -> bool {
+        let least = self.told.rate(&sub.asked, self.told.floor(&sub.asked));
+        [Pipe::Link(id), self.uplink(id)].into_iter().all(|pipe| {
+            !self.pipes.of(pipe).fresh(self.now, FRESH) || self.use_of(pipe) + least / self.size(pipe) <= FULL
+        })
     }
 
     /// Under a budget for crossing, whether a join at its floor fits what is left of it.
@@ -584,25 +613,25 @@
         ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || heard.contains(id)).collect()
     }
 
-    /// The least loaded holder that may be used; one that is set aside only when there is no other.
-    fn holder(&mut self, job: JobId) -> Option<StreamerId> {
-        let sub = self.subs.get(&job)?.clone();
+    /// The holders that may be used, least loaded first; those that are set aside come last.
+    fn holders(&mut self, job: JobId) -> Vec<StreamerId> {
+        let Some(sub) = self.subs.get(&job).cloned() else { return Vec::new() };
         let zone = self.told.figure("/zone", 0.0) as u16;
         let crossing = self.told.figure("/prices/crossZone", 0.0);
         let usable = self.streamers.iter().filter(|(id, s)| self.usable(&sub, **id, s));
         let ids: Vec<_> = usable.map(|(id, _)| *id).collect();
         let drawn = self.drawn(&ids);
-        let mut best = None;
+        let mut found = Vec::new();
         for id in ids {
             let s = &self.streamers[&id];
             let far = if s.zone == zone { 0.0 } else { crossing };
-            let silent = sub.looked.is_some_and(|(at, when)| at == id && s.echoed < when);
-            let last = (s.away_until > self.now || sub.tried.contains(&id) || silent, !drawn.contains(&id));
+            let away = s.away_until > self.now || sub.tried.contains(&id) || s.silent(self.now, FRESH);
             // All controllers see the same reports: a small random part keeps them from one choice.
-            let found = (last, self.load(id) + far + 0.04 * self.chance.share(), id);
-            best = best.filter(|best| *best <= found).or(Some(found));
+            let load = self.load(id) + far + 0.04 * self.chance.share();
+            found.push(((away, !drawn.contains(&id)), load, id));
         }
-        best.map(|found| found.2)
+        found.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        found.into_iter().map(|found| found.2).collect()
     }
 
     /// Rule 2 for room types that must not be set up twice.
@@ -665,11 +694,13 @@
         let free = self.seat_free(&sub.asked) && (sub.joins == 0 || self.budget_allows());
         let hope = |s: &Streamer| s.health == Health::Ready && sub.asked.held_by(s.cell, self.told.cells);
         let hope = self.streamers.is_empty() || self.streamers.values().any(hope);
-        match if free { self.holder(job) } else { None } {
+        let holders = if free { self.holders(job) } else { Vec::new() };
+        match holders.first().copied() {
             Some(id) if self.worth_a_look(&sub, id) => {
-                self.subs.entry(job).and_modify(|s| s.looked = Some((id, self.now)));
-                self.due.insert((self.now + Duration::from_millis(40), job));
-                out.health_check(id);
+                self.subs.entry(job).and_modify(|s| s.looked = true);
+                self.due.insert((self.now + LOOK, job));
+                let unheard = holders.into_iter().filter(|id| !self.heard_of(*id)).take(LOOKED_AT);
+                unheard.collect::<Vec<_>>().into_iter().for_each(|id| self.look(id, out));
             }
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
             // Waiting helps while the join objective can still be met: a place, a seat or the list may come.
@@ -683,8 +714,36 @@
     /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to
     /// tell its load, unless all are full. One that does not answer is used last: it may be silent.
     fn worth_a_look(&self, sub: &Subscription, id: StreamerId) -> bool {
-        let full = self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5);
-        sub.looked.is_none() && sub.joins == 0 && self.told.probes_tell && !self.heard_of(id) && full < MARK
+        let full = self.usual_full() >= MARK;
+        !sub.looked && sub.joins == 0 && self.told.probes_tell && !self.heard_of(id) && !full
+    }
+
+    fn look<W: Writer>(&mut self, id: StreamerId, out: &mut W) {
+        self.streamers.entry(id).and_modify(|s| s.looked = self.now);
+        out.health_check(id);
+    }
+
+    /// Whether a subscription would step up were there room, and what it earned would pay for a look.
+    fn may_rise(&self, sub: &Subscription) -> bool {
+        let Some(step) = self.step(sub, sub.rung).filter(|step| step.0 >= self.price) else { return false };
+        let price = self.told.figure("/prices/probe", 0.0) * self.told.usual_benefit() * self.life();
+        let short = sub.at.is_some_and(|id| self.delivered(id) < 0.98);
+        sub.plays
+            && !short
+            && self.now >= sub.stepped + REST
+            && 0.2 * step.0 * step.1 * self.left(sub) > price
+    }
+
+    /// A probe to each streamer where something may rise and that nothing was heard of for a while.
+    fn look_round<W: Writer>(&mut self, out: &mut W) {
+        let rising = self.subs.values().filter(|s| self.told.probes_tell && self.may_rise(s));
+        let unheard = rising.filter_map(|s| s.at).filter(|id| {
+            let looked = self.streamers.get(id).map_or(Duration::ZERO, |s| s.looked);
+            let heard = looked.max(self.pipes.of(Pipe::Link(*id)).measured_at);
+            heard.is_zero() || heard + LOOK_AGAIN <= self.now
+        });
+        let unheard: BTreeSet<_> = unheard.collect();
+        unheard.into_iter().for_each(|id| self.look(id, out));
     }
 
     fn join<W: Writer>(&mut self, job: JobId, id: StreamerId, last: bool, out: &mut W) {
@@ -759,7 +818,12 @@
         let ready = self.streamers.iter().filter(|(_, s)| s.health == Health::Ready);
         let links: f64 = ready.map(|(id, _)| self.size(Pipe::Link(*id))).sum();
         let racks = self.pipes.all.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
-        let mut left = MARK * links.min(racks.map(|rack| self.size(*rack)).sum()) / self.told.balancers;
+        let even = MARK * links.min(racks.map(|rack| self.size(*rack)).sum()) / self.told.balancers;
+        let own = self.subs.values().filter(|s| s.at.is_some());
+        let own: f64 = own.map(|s| self.told.rate(&s.asked, s.rung)).sum();
+        // Viewers are spread unevenly: half way, in ratio, to the part that goes by what this instance asks.
+        let used = self.usual_full();
+        let mut left = if used > 0.0 { (even * own * MARK / used.max(0.1)).sqrt() } else { even };
         let mut steps = Vec::new();
         for sub in self.subs.values().filter(|s| s.at.is_some()) {
             let fresh = Subscription { asked: sub.asked, ..Default::default() };
@@ -852,6 +916,25 @@
         }
     }
 
+    /// The mean life so far, in seconds; half a minute is taken for it before some have ended.
+    fn life(&self) -> f64 {
+        if self.lived.1 > 4.0 {
+            self.lived.0 / self.lived.1
+        } else {
+            30.0
+        }
+    }
+
+    /// What is left of a subscription, in seconds.
+    fn left(&self, sub: &Subscription) -> f64 {
+        let age = self.now - sub.taken;
+        match sub.asked.hinted {
+            Some(hint) => hint.saturating_sub(age).as_secs_f64(),
+            // Lives differ: what is left is the mean less the age, and a quarter of it for the long ones.
+            None => (self.life() - age.as_secs_f64()).max(self.life() / 4.0),
+        }
+    }
+
     /// What a move would earn, in seconds of benefit, less its price; nothing where the design forbids it.
     fn move_gain(
         &self, sub: &Subscription, (a, la, delivered): (StreamerId, f64, f64), (y, lb): (StreamerId, f64),
@@ -868,16 +951,8 @@
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
         let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
         let higher = self.told.earns(&sub.asked, best) - kept;
-        // The mean life so far; half a minute is taken for it before some have ended.
-        let life = if self.lived.1 > 4.0 { self.lived.0 / self.lived.1 } else { 30.0 };
-        let age = self.now - sub.taken;
-        let left = match sub.asked.hinted {
-            Some(hint) => hint.saturating_sub(age).as_secs_f64(),
-            // Lives differ: what is left is the mean less the age, and a quarter of it for the long ones.
-            None => (life - age.as_secs_f64()).max(life / 4.0),
-        };
-        let price = self.told.figure("/prices/moves", 0.0) * self.told.usual_benefit() * life;
+        let price = self.told.figure("/prices/moves", 0.0) * self.told.usual_benefit() * self.life();
         // Gains are reckoned from rough figures; and a second is lost on the way.
-        0.7 * higher * left - price - self.told.earns(&sub.asked, sub.rung)
+        0.7 * higher * self.left(sub) - price - self.told.earns(&sub.asked, sub.rung)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -157,7 +157,8 @@
     pub delivered: (Duration, f64),
     /// When it was last seen to break; a restart may have followed unseen.
     pub broke: Option<Duration>,
-    /// When it last answered a probe.
+    /// When it was last probed, and when it last answered a probe.
+    pub looked: Duration,
     pub echoed: Duration,
     /// When joins were sent of late.
     pub sent: VecDeque<Duration>,
@@ -180,12 +181,18 @@
             full_until: Duration::ZERO,
             delivered: (Duration::ZERO, 1.0),
             broke: None,
+            looked: Duration::ZERO,
             echoed: Duration::ZERO,
             sent: VecDeque::new(),
             listed: true,
         }
     }
 
+    /// Whether its last probe, of no longer ago than `span`, was not answered.
+    pub fn silent(&self, now: Duration, span: Duration) -> bool {
+        self.echoed < self.looked && now < self.looked + span
+    }
+
     /// Keeps when a join was sent, far past any window that is counted over.
     pub fn note_sent(&mut self, now: Duration) {
         self.sent.push_back(now);
@@ -199,8 +206,8 @@
     pub taken: Duration,
     /// Joins sent so far.
     pub joins: u32,
-    /// The streamer that was probed for it, and when.
-    pub looked: Option<(StreamerId, Duration)>,
+    /// Whether streamers were probed for it.
+    pub looked: bool,
     /// The streamer of the join that is out, or that it plays on.
     pub at: Option<StreamerId>,
     pub sent: Duration,
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -23,6 +23,8 @@
     pub multiple: f64,
     /// Probes are permitted and tell what is asked of a link.
     pub probes_tell: bool,
+    /// Notes tell all who play on a link, at one time, what is asked of it.
+    pub together: bool,
 }
 
 impl Told {
@@ -37,6 +39,7 @@
         told.cold_from = told.figure("/obligations/coldFrom", 1.0);
         told.window = told.span("/obligations/tipAfterUs", Duration::ZERO);
         told.probes_tell = told.allowed("/permissions/probing") && told.lists("/report/fields", "x0");
+        told.together = !told.span("/familyInfo/toldEveryUs", Duration::from_secs(3)).is_zero();
         told.multiple = told.figure("/obligations/tipMultiple", 1.0);
         told
     }
