A move counts only rungs that the price allows; rivals by the pace of the last seconds

In its bursts 250 requests a second came where 25 had, and rivals() still reckoned with the mean since birth.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -30,6 +30,7 @@
 const LOOK_AGAIN: Duration = Duration::from_secs(6);
 /// Part of the room, or of the excess, that who looked alone acts on: 0.8 did worse, its own part too.
 const ALONE: f64 = 0.5;
+const SURGE: f64 = 3.0;
 /// A pipe that would be asked for more takes no join: 0.97 did worse, 1.2 worse where all is full.
 const FULL: f64 = 1.05;
 /// Tokens of the reminders: the one periodic timer, and the earliest of all else that is due.
@@ -54,6 +55,8 @@
     handed_over: bool,
     ask_list_at: Option<Duration>,
     taken: f64,
+    /// The same, fading, and when it was last counted.
+    lately: (Duration, f64),
     knocks: VecDeque<Duration>,
     further: VecDeque<Duration>,
     /// Sum and count of the lives seen, and of the hints.
@@ -124,6 +127,7 @@
     pub fn knock(&mut self, job: JobId, asked: Asked) {
         self.knocks.push_back(self.now);
         self.taken += 1.0;
+        self.lately = (self.now, self.pace() * SURGE + 1.0);
         let hint = asked.hinted.map_or((0.0, 0.0), |hint| (hint.as_secs_f64(), 1.0));
         self.hints = (self.hints.0 + hint.0, self.hints.1 + hint.1);
         self.subs.insert(job, Subscription { asked, taken: self.now, ..Default::default() });
@@ -795,10 +799,15 @@
         })
     }
 
+    /// Requests taken a second of late: a count that fades within seconds.
+    fn pace(&self) -> f64 {
+        self.lately.1 * (-(self.now - self.lately.0).as_secs_f64() / SURGE).exp() / SURGE
+    }
+
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
     fn rivals(&self, pipe: Pipe) -> f64 {
         let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).min(FRESH).as_secs_f64();
-        let pace = self.taken / (self.now - self.born).as_secs_f64().max(1.0) * (self.told.balancers - 1.0);
+        let pace = self.pace().max(self.taken / (self.now - self.born).as_secs_f64().max(1.0)) * (self.told.balancers - 1.0);
         pace * since * self.pipes.of(pipe).rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
     }
 
@@ -947,7 +956,8 @@
         if lb + x > la - x || la - lb <= 2.0 * x + 0.1 || !room(&sub.rung) {
             return 0.0;
         }
-        let best = (sub.rung..=self.top(sub)).rev().find(room).unwrap_or(sub.rung);
+        let paid = |rung: &u8| *rung <= sub.rung || self.step(sub, *rung - 1).is_some_and(|s| s.0 >= self.price);
+        let best = (sub.rung..=self.top(sub)).rev().find(|r| room(r) && paid(r)).unwrap_or(sub.rung);
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
         let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
         let higher = self.told.earns(&sub.asked, best) - kept;
