One look a subscription wherever its holder is not heard of; links keep their unit

And where weights say nothing a link was taken as its part of all links told at the start: while preempt holds two in five streamers away, each of the rest was thought up to 1.6 times as large (stated_link in told.rs).

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -718,8 +718,7 @@
     /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to
     /// tell its load, unless all are full. One that does not answer is used last: it may be silent.
     fn worth_a_look(&self, sub: &Subscription, id: StreamerId) -> bool {
-        let full = self.usual_full() >= MARK;
-        !sub.looked && sub.joins == 0 && self.told.probes_tell && !self.heard_of(id) && !full
+        !sub.looked && self.told.probes_tell && !self.heard_of(id)
     }
 
     fn look<W: Writer>(&mut self, id: StreamerId, out: &mut W) {
@@ -807,7 +806,8 @@
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
     fn rivals(&self, pipe: Pipe) -> f64 {
         let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).min(FRESH).as_secs_f64();
-        let pace = self.pace().max(self.taken / (self.now - self.born).as_secs_f64().max(1.0)) * (self.told.balancers - 1.0);
+        let pace = self.pace().max(self.taken / (self.now - self.born).as_secs_f64().max(1.0))
+            * (self.told.balancers - 1.0);
         pace * since * self.pipes.of(pipe).rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
     }
 
@@ -956,7 +956,8 @@
         if lb + x > la - x || la - lb <= 2.0 * x + 0.1 || !room(&sub.rung) {
             return 0.0;
         }
-        let paid = |rung: &u8| *rung <= sub.rung || self.step(sub, *rung - 1).is_some_and(|s| s.0 >= self.price);
+        let paid =
+            |rung: &u8| *rung <= sub.rung || self.step(sub, *rung - 1).is_some_and(|s| s.0 >= self.price);
         let best = (sub.rung..=self.top(sub)).rev().find(|r| room(r) && paid(r)).unwrap_or(sub.rung);
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
         let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -69,7 +69,7 @@
     /// Notes anew what pipes there are, their stated sizes, and who is behind each uplink.
     pub fn lay(&mut self, streamers: &BTreeMap<StreamerId, Streamer>, told: &Told) {
         let ready = streamers.values().filter(|s| s.health == Health::Ready);
-        let places: f64 = ready.map(|s| told.places(s.kind)).sum();
+        let places = mean(ready.map(|s| told.places(s.kind))).unwrap_or(1.0);
         self.all.values_mut().for_each(|g| g.rack.clear());
         let mut cells: BTreeMap<u32, f64> = BTreeMap::new();
         for (id, s) in streamers {
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -108,12 +108,14 @@
         self.nth("/familyInfo/kindStreams", kind, 1.0)
     }
 
-    /// A link as stated: by weight, or where weights say nothing by its kind's share of all links.
-    pub fn stated_link(&self, weight: f64, kind: usize, all_places: f64) -> f64 {
-        if self.text("/weights") != "none" {
-            return self.figure("/familyInfo/linkUnitKb", 1.0) * weight.max(0.01);
+    /// A link as stated: by weight, or where weights say nothing by its kind's places over the usual ones. All
+    /// links together are told as they were at the start, so they say nothing once streamers have gone.
+    pub fn stated_link(&self, weight: f64, kind: usize, usual_places: f64) -> f64 {
+        let unit = self.figure("/familyInfo/linkUnitKb", 1.0);
+        match self.text("/weights") {
+            "none" => unit * self.places(kind) / usual_places.max(1.0),
+            _ => unit * weight.max(0.01),
         }
-        self.figure("/familyInfo/linksKb", 1.0) * self.places(kind) / all_places.max(self.places(kind))
     }
 
     /// How late notes are.
