--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -39,7 +39,8 @@
         told.cold_from = told.figure("/obligations/coldFrom", 1.0);
         told.window = told.span("/obligations/tipAfterUs", Duration::ZERO);
         told.probes_tell = told.allowed("/permissions/probing") && told.lists("/report/fields", "x0");
-        told.together = !told.span("/familyInfo/toldEveryUs", Duration::from_secs(3)).is_zero();
+        let every = told.span("/familyInfo/toldEveryUs", Duration::from_secs(3));
+        told.together = !every.is_zero() && told.text("/report/how") != "probe";
         told.multiple = told.figure("/obligations/tipMultiple", 1.0);
         told
     }
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -108,6 +108,12 @@
             "kind_streams",
             "one number for each kind",
         );
+        check(
+            !fleet.by_probe() || self.permissions.probes && !fleet.report.is_empty(),
+            "fleet",
+            "report_how",
+            "probe is taken only where [permissions] probes = true and report names values",
+        );
         let rungs = ladder.rates_kb.len();
         check(ladder.rates_kb.is_sorted_by(|a, b| a < b), "ladder", "rates_kb", "rates that rise are taken");
         check(ladder.benefit.len() == rungs, "ladder", "benefit", "one number for each rate");
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -126,7 +126,11 @@
     #[garde(inner(custom(one_of(&["rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0", "x1"]))))]
     #[serde(default)]
     pub report: Vec<String>,
-    /// How late notes are, and the time between notes of how full a link is.
+    /// Where reports come: in `answers` and probes' results, with notes of how full links are; or by `probe` alone.
+    #[garde(custom(one_of(&["answers", "probe"])))]
+    #[serde(default = "answers")]
+    pub report_how: String,
+    /// How late notes are, and the time between notes of how full a link is, 0 for none.
     #[garde(custom(within(0, 60_000)))]
     #[serde(default = "one_second")]
     pub told_late_ms: u64,
@@ -139,10 +143,29 @@
     pub discovery: String,
 }
 
+impl Fleet {
+    /// The time between notes of how full a link is: none come where streamers report to probes alone.
+    pub fn told_every(&self) -> u64 {
+        if self.by_probe() {
+            0
+        } else {
+            self.told_every_ms
+        }
+    }
+
+    pub fn by_probe(&self) -> bool {
+        self.report_how == "probe"
+    }
+}
+
 fn nominal() -> String {
     "nominal".to_owned()
 }
 
+fn answers() -> String {
+    "answers".to_owned()
+}
+
 fn automatic() -> String {
     "automatic".to_owned()
 }
@@ -315,6 +338,9 @@
     /// Of a subscription moved.
     #[garde(custom(within(0.0, 10.0)))]
     pub moves: f64,
+    /// Of a probe, for each subscription; own streamers are looked at where that pays.
+    #[garde(custom(within(0.0, 10.0)))]
+    pub probe: f64,
     /// Of a join to another building.
     #[garde(custom(within(0.0, 10.0)))]
     pub crossing: f64,
--- a/crates/deployment/src/tests.rs
+++ b/crates/deployment/src/tests.rs
@@ -68,6 +68,25 @@
     assert_eq!(at("/obligations/drainGraceUs"), "500000");
 }
 
+#[test]
+fn reports_by_probe_alone_are_told_and_the_defaults_say_what_was_said_before() {
+    let told = |text: &str| serde_json::Value::Object(read(text).unwrap().told());
+    let before = told(WHOLE);
+    assert_eq!(
+        (before["report"]["how"].as_str(), before["prices"]["probe"].as_f64()),
+        (Some("answers"), Some(0.0))
+    );
+    assert_eq!(before["familyInfo"]["toldEveryUs"], 3_000_000);
+    let moved = WHOLE.replace("report = x0, x1", "report = x0, x1\nreport_how = probe")
+        + "[permissions]\nprobes = true\n[prices]\nprobe = 0.01\n";
+    let after = told(&moved);
+    assert_eq!(
+        (after["report"]["how"].as_str(), after["prices"]["probe"].as_f64()),
+        (Some("probe"), Some(0.01))
+    );
+    assert_eq!(after["familyInfo"]["toldEveryUs"], 0);
+}
+
 #[test]
 fn contradictions_are_placed() {
     let fault = |from: &str, to: &str| read(&WHOLE.replacen(from, to, 1)).unwrap_err();
@@ -83,6 +102,18 @@
         fault("100, 200, 400", "100, 50, 400"),
         "d.ini:18: [ladder] rates_kb: rates that rise are taken"
     );
+    assert_eq!(
+        fault("report = x0, x1", "report = x0, x1\nreport_how = probe"),
+        "d.ini:17: [fleet] report_how: probe is taken only where [permissions] probes = true and report names values"
+    );
+    assert_eq!(
+        fault("report = x0, x1", "report = x0, x1\nreport_how = asked"),
+        "d.ini:17: [fleet] report_how = asked: one of answers, probe is taken"
+    );
+    assert_eq!(
+        fault("[rules]", "[prices]\nprobe = -1\n[rules]"),
+        "d.ini:33: [prices] probe = -1: 0 to 10 is taken"
+    );
     assert_eq!(
         fault("floor = 1", "floor = 2"),
         "d.ini:28: [room_type lesson] floor: no rung over the room type's top is taken"
--- a/crates/deployment/src/told.rs
+++ b/crates/deployment/src/told.rs
@@ -28,12 +28,12 @@
             "weights": fleet.weights,
             "tickUs": us(place.tick_ms),
             "profiles": profiles.collect::<Vec<_>>(),
-            "report": {"how": if fleet.report.is_empty() { "none" } else { "answers" }, "fields": fleet.report},
+            "report": {"how": if fleet.report.is_empty() { "none" } else { &fleet.report_how }, "fields": fleet.report},
             "familyInfo": {
                 "positions": fleet.cells, "groups": fleet.racks, "kindStreams": fleet.kind_streams,
                 "linkUnitKb": fleet.link_unit_kb, "linksKb": fleet.links_kb, "uplinkKb": fleet.uplink_kb,
                 "levelKb": ladder.rates_kb, "ladderWorth": ladder.benefit, "switchCostS": ladder.switch_cost_s,
-                "stall": ladder.stall, "toldLateUs": us(fleet.told_late_ms), "toldEveryUs": us(fleet.told_every_ms),
+                "stall": ladder.stall, "toldLateUs": us(fleet.told_late_ms), "toldEveryUs": us(fleet.told_every()),
                 "classScale": of_types(|t| json!(t.scale)), "floorByClass": of_types(|t| json!(t.floor)),
                 "classTop": tops.collect::<Vec<_>>(), "licenceCap": of_types(|t| json!(t.seats)),
                 "classLive": of_types(|t| json!(t.live))},
@@ -47,7 +47,8 @@
                 "maxRetryAfterUs": us(shared.permissions.max_retry_after_ms),
                 "maxAttempts": shared.permissions.joins,
                 "connectTimeoutUs": us(shared.permissions.connect_timeout_ms)},
-            "prices": {"moves": shared.prices.moves, "crossZone": shared.prices.crossing},
+            "prices": {"moves": shared.prices.moves, "crossZone": shared.prices.crossing,
+                "probe": shared.prices.probe},
         });
         if rules.budget_window_ms > 0 {
             told["obligations"]["countedOverUs"] = json!(us(rules.budget_window_ms));
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -71,7 +71,7 @@
                 folder.join("catalogue.ini").display(),
                 folder.join(format!("state-{number}")).display(),
                 day.course.seed.wrapping_mul(1000) + number as u64,
-                day.shared_text,
+                if number < day.course.old_controllers as usize { &day.old_text } else { &day.shared_text },
             );
             let settings = folder.join(format!("controller-{number}.ini"));
             std::fs::write(&settings, text).with_context(|| settings.display().to_string())?;
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -46,6 +46,10 @@
     #[garde(length(min = 1))]
     #[serde(default = "ones")]
     pub weights: Vec<f64>,
+    /// So many controllers, the first ones, are told the sections `[old NAME]` in place of their like: a move.
+    #[garde(skip)]
+    #[serde(default)]
+    pub old_controllers: u32,
     /// Titles, the cells that hold each (least and most), and how unevenly they are wanted (Zipf's exponent).
     #[garde(custom(within(1, 100_000)))]
     pub titles: u64,
@@ -179,6 +183,8 @@
     pub shared: Shared,
     /// The sections that controllers are told, as text.
     pub shared_text: String,
+    /// The same for those that run in the old shape.
+    pub old_text: String,
 }
 
 impl Day {
@@ -187,7 +193,9 @@
     }
 
     pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
-        sheet.only(&[&["day", "gossip", "arrivals", "viewers", "trouble"][..], &SHARED_SECTIONS].concat())?;
+        sheet.only(
+            &[&["day", "gossip", "arrivals", "viewers", "trouble", "old"][..], &SHARED_SECTIONS].concat(),
+        )?;
         let shared = Shared::of(sheet)?;
         let (course, arrivals) =
             Faults::both(sheet.section::<Course>("day"), sheet.section::<Arrivals>("arrivals"))?;
@@ -205,7 +213,8 @@
         }
         let gossip = sheet.has("gossip").then(|| sheet.section::<GossipDay>("gossip")).transpose()?;
         let shared_text = sheet.copy(&SHARED_SECTIONS);
-        Ok(Self { course, arrivals, kinds, troubles, gossip, shared, shared_text })
+        let old_text = old_shape(sheet)?;
+        Ok(Self { course, arrivals, kinds, troubles, gossip, shared, shared_text, old_text })
     }
 
     /// Makes the day so many times as long, and its troubles begin and last in proportion. Viewers live as before.
@@ -222,3 +231,12 @@
         Duration::from_secs_f64(self.course.length_s)
     }
 }
+
+/// What controllers of the old shape are told, checked as the rest is: each section `[old NAME]` in place of `[NAME]`.
+fn old_shape(sheet: &Sheet) -> Result<String, Faults> {
+    let old: Vec<&str> = sheet.named("old").collect();
+    let kept: Vec<&str> = SHARED_SECTIONS.into_iter().filter(|kind| !old.contains(kind)).collect();
+    let text = sheet.copy(&kept) + &sheet.copy(&["old"]).replace("[old ", "[");
+    Shared::of(&Sheet::parse("old shape", &text)?)?;
+    Ok(text)
+}
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -195,6 +195,7 @@
             budget: self.budget(),
             tally: self.viewers.tally,
             viewers: self.viewers.counts,
+            served: self.viewers.served,
             streamers: self.streamers.counts,
             peak,
             controller_starts: self.controllers.starts(),
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -13,6 +13,8 @@
     pub rules: [Judged; 6],
     pub tally: Tally,
     pub viewers: badgerledge_standins::ViewerCounts,
+    /// What the viewers of each controller had.
+    pub served: Vec<badgerledge_standins::Served>,
     pub streamers: badgerledge_standins::StreamerCounts,
     /// Subscriptions that played at one time, at most.
     pub peak: usize,
--- a/crates/replay/tests/short_days.rs
+++ b/crates/replay/tests/short_days.rs
@@ -70,7 +70,11 @@
 
 /// Plays the base day with one trouble, and asserts that no rule is broken.
 fn kept(trouble: &str) -> Report {
-    let sheet = Sheet::parse("short day", &format!("{BASE}{trouble}")).unwrap();
+    kept_on(&format!("{BASE}{trouble}"))
+}
+
+fn kept_on(day: &str) -> Report {
+    let sheet = Sheet::parse("short day", day).unwrap();
     let day = Day::of(&sheet).unwrap_or_else(|faults| panic!("{faults}"));
     let folder = tempfile::tempdir().unwrap();
     let options = Options {
@@ -165,3 +169,40 @@
 fn messages_between_controllers_are_lost() {
     kept("kind = peer_down\nat_s = 1\nfor_s = 5");
 }
+
+/// The base day in the middle of a move: the streamers report to probes alone and drains must be kept at once; half
+/// of the controllers have the new settings, the others still those of before.
+fn moving(trouble: &str) -> String {
+    let section =
+        |name: &str| BASE.split('[').find_map(|part| part.strip_prefix(&format!("{name}]"))).unwrap();
+    let old = format!("[old fleet]{}[old rules]{}", section("fleet"), section("rules"));
+    let new = BASE
+        .replace("controllers = 2", "controllers = 4\nold_controllers = 2")
+        .replace("per_s = 8", "per_s = 9")
+        .replace("report = x0, x1", "report = rif, x0, x1\nreport_how = probe")
+        .replace("[rules]", "[rules]\ndrain_grace_ms = 250")
+        .replace("[permissions]", "[prices]\nprobe = 0.01\n[permissions]");
+    new.replace("[trouble it]", &format!("{old}[trouble it]")) + trouble
+}
+
+/// Guards against a move in which the one kind takes the room that the other waits for: who looks alone acts on more
+/// of it. The parts are well under what chance leaves on a day this short: with four of one shape 0.63 was seen.
+#[test]
+fn controllers_of_the_old_and_the_new_shape_share_the_streamers() {
+    for trouble in [
+        "kind = deploy\nat_s = 1\nfor_s = 5\npart = 0.6\nsize = 0.4\nextra = 1",
+        "kind = burst\nat_s = 2\nfor_s = 3\nsize = 3",
+    ] {
+        let report = kept_on(&moving(trouble));
+        let kind = |of: std::ops::Range<usize>| {
+            let all = &report.served[of];
+            let sum = |field: fn(&badgerledge_standins::Served) -> f64| all.iter().map(field).sum::<f64>();
+            (sum(|s| s.plays as f64) / sum(|s| s.asks as f64), sum(|s| s.earned) / sum(|s| s.offered))
+        };
+        let (old, new) = (kind(0..2), kind(2..4));
+        println!("old {old:?} new {new:?}");
+        for (one, other) in [(old, new), (new, old)] {
+            assert!(one.0 > 0.4 * other.0 && one.1 > 0.5 * other.1, "old {old:?}, new {new:?}: {report}");
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,4 +15,4 @@
 pub use ports::free_port;
 pub use streamers::{Condition, Counts as StreamerCounts, Streamers, Told};
 pub use tally::{Steps, Tally, SWING};
-pub use viewers::{Counts as ViewerCounts, Habits, Plan, Viewers};
+pub use viewers::{Counts as ViewerCounts, Habits, Plan, Served, Viewers};
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -430,7 +430,7 @@
             }
             Method::Options => {
                 let answer = stream.server.options(&request);
-                let answer = self.with_report(now, streamer, answer);
+                let answer = self.probed(now, streamer, answer);
                 return self.answer(reactor, line, answer);
             }
             Method::Describe => {
@@ -517,8 +517,16 @@
         }
     }
 
+    /// An answer to a set-up has the report with it unless only probes do.
+    fn with_report(&mut self, now: Duration, streamer: usize, answer: Response) -> Response {
+        if self.shared.fleet.by_probe() {
+            return answer;
+        }
+        self.probed(now, streamer, answer)
+    }
+
     /// The load report as it was last refreshed, some time ago and with noise.
-    fn with_report(&mut self, now: Duration, streamer: usize, mut answer: Response) -> Response {
+    fn probed(&mut self, now: Duration, streamer: usize, mut answer: Response) -> Response {
         if now >= self.fleet[streamer].report_at {
             let inflight = self.streams.values().filter(|one| one.streamer == streamer && one.takes_place());
             let inflight = inflight.count() as f64;
@@ -640,7 +648,7 @@
 
     /// Notes 3 and 4 on one stream, as they come with its set-up or later.
     fn tell_fullness(&mut self, now: Duration, line: Line, late: Duration) {
-        let Some(stream) = self.streams.get(&line) else { return };
+        let Some(stream) = self.streams.get(&line).filter(|_| !self.shared.fleet.by_probe()) else { return };
         let streamer = stream.streamer;
         let has = |field: &str| self.shared.fleet.report.iter().any(|known| known == field);
         let mut tell = |kind, value| self.notes.push_back(Note { at: now + late, line, kind, value });
@@ -654,7 +662,7 @@
     /// all at the same time and late.
     fn make_notes(&mut self, now: Duration) {
         let late = Duration::from_millis(self.shared.fleet.told_late_ms) + self.late;
-        let every = Duration::from_millis(self.shared.fleet.told_every_ms);
+        let every = Duration::from_millis(self.shared.fleet.told_every());
         let short = now >= self.short_at + SHORT_EVERY;
         let full = !every.is_zero() && now >= self.told_at + every;
         if !short && !full {
--- a/crates/standins/src/viewers.rs
+++ b/crates/standins/src/viewers.rs
@@ -131,6 +131,18 @@
     start: Duration,
     pub tally: Tally,
     pub counts: Counts,
+    /// By controller.
+    pub served: Vec<Served>,
+}
+
+/// What one controller's viewers had.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Served {
+    pub asks: u64,
+    pub plays: u64,
+    /// Benefit that those who played could have had and did have.
+    pub offered: f64,
+    pub earned: f64,
 }
 
 /// What the viewers met.
@@ -166,6 +178,7 @@
         let viewers = plans.into_iter().enumerate().map(|(n, plan)| Viewer::new(plan, n)).collect();
         let lean = controllers.iter().map(|_| 0.5 + share(&mut chance)).collect();
         Self {
+            served: vec![Served::default(); controllers.len()],
             tally: Tally::new(&shared),
             shared,
             habits,
@@ -353,6 +366,7 @@
         let (moved, retry) = (viewer.moved.is_some(), conn.retry);
         send(reactor, line, &request);
         self.counts.asks += 1;
+        self.served[controller].asks += 1;
         witness.asked(now, ask, controller as u32, key, title, room_type, client_timeout);
         self.due.insert((now + client_timeout, n, What::TimeOut(ask)));
         if !moved && !retry && share(&mut self.chance) < self.habits.impatient {
@@ -419,6 +433,7 @@
                     send(reactor, line, &request);
                 }
                 self.counts.plays += 1;
+                self.served[controller].plays += 1;
                 let told = &self.shared.room_types[self.viewers[n].plan.room_type].1;
                 let in_time = now - asked_at <= Duration::from_millis(told.join_objective_ms);
                 let ends = self.ends(n);
@@ -585,6 +600,10 @@
             let plays = viewer.plays.is_some() && viewer.in_time;
             let earned = if plays { earns(usize::from(viewer.rung)) * (1.0 - missing).max(0.0) } else { 0.0 };
             self.tally.count(at, viewer.plan.room_type, earns(top), earned);
+            if let Some(conn) = viewer.plays.and_then(|line| self.conns.get(&line)) {
+                let served = &mut self.served[conn.controller];
+                (served.offered, served.earned) = (served.offered + earns(top), served.earned + earned);
+            }
             if viewer.plays.is_some() {
                 self.measure(reactor, now, n, witness);
             }
