--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -12,7 +12,7 @@
 
 use crate::chance::{scattered, Chance};
 use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
-use crate::state::{Gauge, Pipe, Pipes, Streamer, Subscription};
+use crate::state::{Pipe, Pipes, Streamer, Subscription};
 use crate::told::{mean, Told};
 
 /// Share of a pipe that rungs may fill: 0.95 to 1.0 did better on all than 0.84, the design's 0.9 and 1.05.
@@ -110,7 +110,7 @@
         self.note_usual_use();
         self.price = self.fleet_price();
         self.look_round(out);
-        self.shape(beat, out);
+        self.shape(out);
         if self.now >= self.move_at {
             // The random part keeps controllers from moving at one moment.
             self.move_at = self.now + MOVE_TICK.mul_f64(0.9 + 0.2 * self.chance.share());
@@ -276,7 +276,7 @@
 
     fn size(&self, pipe: Pipe) -> f64 {
         let g = self.pipes.of(pipe);
-        (g.stated * self.warmth(pipe) * g.stretch).max(1.0)
+        (g.stated * self.warmth(pipe)).max(1.0)
     }
 
     fn uplink(&self, id: StreamerId) -> Pipe {
@@ -352,21 +352,11 @@
         g.others = (ratio * size - g.asked_at(then)).max(0.0);
         (g.measured, g.measured_at) = (true, self.now);
         self.allow(pipe, alone);
-        if let Pipe::Link(id) = pipe {
-            self.learn_larger(self.uplink(id));
-        }
-    }
-
-    /// Much asked of an unseen uplink and no word of short delivery in its time: it gives more than thought.
-    fn learn_larger(&mut self, uplink: Pipe) {
-        let (late, size, others) = (self.told.late(), self.size(uplink), self.others(uplink));
-        let Some(g) = self.pipes.all.get_mut(&uplink).filter(|g| !g.measured) else { return };
-        let asked = g.asked_at(self.now.saturating_sub(late)) + others;
-        let quiet = g.short_at.is_none_or(|at| self.now > at + late + Duration::from_secs(1));
-        if asked > 0.97 * size && quiet {
-            g.stretch *= 0.5 * (1.0 + asked / (0.97 * size));
+        // An uplink that nobody reports goes by its links and its stated size.
+        match pipe {
+            Pipe::Link(id) if !self.pipes.of(self.uplink(id)).measured => self.allow(self.uplink(id), alone),
+            _ => {}
         }
-        self.allow(uplink, false);
     }
 
     /// What one step of this instance's subscriptions on a pipe is, on the mean.
@@ -434,16 +424,13 @@
     }
 
     /// A pipe that delivers this share was asked for so much more, whatever was last measured: reports may be
-    /// late or stay out. An uplink that nobody measures is learned to be that small.
+    /// late or stay out.
     fn fell_short(&mut self, pipe: Pipe, delivered: f64) {
         let (late, size, others) = (self.told.late(), self.size(pipe), self.others(pipe));
         let Some(g) = self.pipes.all.get_mut(&pipe) else { return };
         g.short_at = Some(self.now);
         let asked = others + g.asked_at(self.now.saturating_sub(late));
-        if !g.measured {
-            g.stretch = (0.5 * g.stretch * (1.0 + asked * delivered / size)).clamp(0.2, 2.0);
-            self.allow(pipe, false);
-        } else if asked * delivered < size {
+        if asked * delivered < size {
             self.measure(pipe, 1.0 / delivered, late, false);
         }
     }
@@ -456,8 +443,6 @@
         for (i, &value) in usage.iter().enumerate() {
             match self.told.item("/report/fields", i) {
                 "x0" => self.measure(Pipe::Link(id), value, late, alone),
-                // It says 1 at most: from there on it tells nothing.
-                "busy" if value < 0.99 => self.measure(Pipe::Link(id), value, late, alone),
                 "x1" => self.measure(self.uplink(id), value, late, alone),
                 _ => {}
             }
@@ -877,11 +862,7 @@
     }
 
     /// Each beat: lowers what is over its allowance at once, raises what has room, seldom for any one.
-    fn shape<W: Writer>(&mut self, beat: Duration, out: &mut W) {
-        // What was learned from short delivery fades in some 20 s: the cause may be over.
-        let quiet = |g: &&mut Gauge| g.short_at.is_none_or(|at| self.now > at + Duration::from_secs(7));
-        let fade = beat.as_secs_f64() / 20.0;
-        self.pipes.all.values_mut().filter(quiet).for_each(|g| g.stretch += (1.0 - g.stretch) * fade);
+    fn shape<W: Writer>(&mut self, out: &mut W) {
         let own = self.subs.values().filter_map(|s| Some(self.uplink(s.at?)));
         for uplink in own.collect::<BTreeSet<_>>() {
             let over = |c: &Self, pipe| c.pipes.of(pipe).asks > c.budget(pipe, false) + 1e-6;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -37,8 +37,6 @@
     pub cut_until: Duration,
     /// When it last was found to deliver short.
     pub short_at: Option<Duration>,
-    /// Its size over the stated one, as learned.
-    pub stretch: f64,
     /// Its size as stated, before any warmth; and for an uplink the streamers behind it.
     pub stated: f64,
     pub rack: Vec<StreamerId>,
@@ -105,7 +103,6 @@
             allowance: 0.0,
             cut_until: Duration::ZERO,
             short_at: None,
-            stretch: 1.0,
             stated: 1.0,
             rack: Vec::new(),
         }
