--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -30,9 +30,10 @@
 const LOOK_AGAIN: Duration = Duration::from_secs(6);
 /// Part of the room, or of the excess, that who looked alone acts on: 0.8 did worse, its own part too.
 const ALONE: f64 = 0.5;
+/// Seconds over which requests count as lately taken: a burst rises within as many.
 const SURGE: f64 = 3.0;
-/// A pipe that would be asked for more takes no join: 0.97 did worse, 1.2 worse where all is full.
-const FULL: f64 = 1.05;
+/// A pipe that would be asked for more takes no join: 0.95 and 1.05 did worse, 1.2 worse where all is full.
+const FULL: f64 = 1.0;
 /// Tokens of the reminders: the one periodic timer, and the earliest of all else that is due.
 const TOKEN_BEAT: u64 = 1;
 const TOKEN_DUE: u64 = 2;
@@ -305,11 +306,6 @@
         });
     }
 
-    /// How full the usual pipe is, this instance's part included.
-    fn usual_full(&self) -> f64 {
-        self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5)
-    }
-
     fn use_of(&self, pipe: Pipe) -> f64 {
         (self.others(pipe) + self.pipes.of(pipe).asks) / self.size(pipe)
     }
@@ -716,10 +712,9 @@
         let Some(step) = self.step(sub, sub.rung).filter(|step| step.0 >= self.price) else { return false };
         let price = self.told.figure("/prices/probe", 0.0) * self.told.usual_benefit() * self.life();
         let short = sub.at.is_some_and(|id| self.delivered(id) < 0.98);
-        sub.plays
-            && !short
-            && self.now >= sub.stepped + REST
-            && 0.2 * step.0 * step.1 * self.left(sub) > price
+        // One look in five is taken to find room.
+        let pays = 0.2 * step.0 * step.1 * self.left(sub) > price;
+        sub.plays && !short && pays && self.now >= sub.stepped + REST
     }
 
     /// A probe to each streamer where something may rise and that nothing was heard of for a while.
@@ -791,9 +786,9 @@
     /// Joins that others may have sent since a pipe was last measured, were all as busy as this instance.
     fn rivals(&self, pipe: Pipe) -> f64 {
         let since = self.now.saturating_sub(self.pipes.of(pipe).measured_at).min(FRESH).as_secs_f64();
-        let pace = self.pace().max(self.taken / (self.now - self.born).as_secs_f64().max(1.0))
-            * (self.told.balancers - 1.0);
-        pace * since * self.pipes.of(pipe).rack.len().max(1) as f64 / self.streamers.len().max(1) as f64
+        let pace = self.pace().max(self.taken / (self.now - self.born).as_secs_f64().max(1.0));
+        pace * (self.told.balancers - 1.0) * since * self.pipes.of(pipe).rack.len().max(1) as f64
+            / self.streamers.len().max(1) as f64
     }
 
     /// What the next rung would earn for its rate, and that rate; nothing at the top.
@@ -813,13 +808,13 @@
         let links: f64 = ready.map(|(id, _)| self.size(Pipe::Link(*id))).sum();
         let racks = self.pipes.all.keys().filter(|pipe| matches!(pipe, Pipe::Uplink(_)));
         let even = MARK * links.min(racks.map(|rack| self.size(*rack)).sum()) / self.told.balancers;
-        let own = self.subs.values().filter(|s| s.at.is_some());
-        let own: f64 = own.map(|s| self.told.rate(&s.asked, s.rung)).sum();
+        let placed = || self.subs.values().filter(|s| s.at.is_some());
+        let own: f64 = placed().map(|s| self.told.rate(&s.asked, s.rung)).sum();
         // Viewers are spread unevenly: half way, in ratio, to the part that goes by what this instance asks.
-        let used = self.usual_full();
+        let used = self.usual_use[0].max(self.usual_use[1]) / (1.0 - 1.0 / self.told.balancers).max(0.5);
         let mut left = if used > 0.0 { (even * own * MARK / used.max(0.1)).sqrt() } else { even };
         let mut steps = Vec::new();
-        for sub in self.subs.values().filter(|s| s.at.is_some()) {
+        for sub in placed() {
             let fresh = Subscription { asked: sub.asked, ..Default::default() };
             left -= self.told.rate(&sub.asked, self.told.floor(&sub.asked));
             steps.extend((self.told.floor(&sub.asked)..).map_while(|rung| self.step(&fresh, rung)));
@@ -906,13 +901,9 @@
         }
     }
 
-    /// The mean life so far, in seconds; half a minute is taken for it before some have ended.
+    /// The mean life so far, in seconds, with four of half a minute counted in.
     fn life(&self) -> f64 {
-        if self.lived.1 > 4.0 {
-            self.lived.0 / self.lived.1
-        } else {
-            30.0
-        }
+        (120.0 + self.lived.0) / (4.0 + self.lived.1)
     }
 
     /// What is left of a subscription, in seconds.
@@ -937,8 +928,8 @@
         if lb + x > la - x || la - lb <= 2.0 * x + 0.1 || !room(&sub.rung) {
             return 0.0;
         }
-        let paid =
-            |rung: &u8| *rung <= sub.rung || self.step(sub, *rung - 1).is_some_and(|s| s.0 >= self.price);
+        // What fill would hold back by the price is not counted on.
+        let paid = |r: &u8| *r <= sub.rung || self.step(sub, *r - 1).is_some_and(|s| s.0 >= self.price);
         let best = (sub.rung..=self.top(sub)).rev().find(|r| room(r) && paid(r)).unwrap_or(sub.rung);
         let missing = (0.98 - delivered).max(0.0) * self.told.figure("/familyInfo/stall", 5.0);
         let kept = self.told.earns(&sub.asked, sub.rung) * (1.0 - missing).max(0.0);
