--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -349,9 +349,9 @@
         (g.measured, g.measured_at) = (true, self.now);
         self.allow(pipe, alone);
         // An uplink that nobody reports goes by its links and its stated size.
-        match pipe {
-            Pipe::Link(id) if !self.pipes.of(self.uplink(id)).measured => self.allow(self.uplink(id), alone),
-            _ => {}
+        let Pipe::Link(id) = pipe else { return };
+        if !self.pipes.of(self.uplink(id)).measured {
+            self.allow(self.uplink(id), alone);
         }
     }
 
@@ -601,7 +601,6 @@
     /// The holders that may be used, least loaded first; those that are set aside come last.
     fn holders(&mut self, job: JobId) -> Vec<StreamerId> {
         let Some(sub) = self.subs.get(&job).cloned() else { return Vec::new() };
-        let zone = self.told.figure("/zone", 0.0) as u16;
         let crossing = self.told.figure("/prices/crossZone", 0.0);
         let usable = self.streamers.iter().filter(|(id, s)| self.usable(&sub, **id, s));
         let ids: Vec<_> = usable.map(|(id, _)| *id).collect();
@@ -609,7 +608,7 @@
         let mut found = Vec::new();
         for id in ids {
             let s = &self.streamers[&id];
-            let far = if s.zone == zone { 0.0 } else { crossing };
+            let far = if s.zone == self.told.zone { 0.0 } else { crossing };
             let away = s.away_until > self.now || sub.tried.contains(&id) || s.silent(self.now, FRESH);
             // All controllers see the same reports: a small random part keeps them from one choice.
             let load = self.load(id) + far + 0.04 * self.chance.share();
