--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -432,10 +432,8 @@
     }
 
     fn take_report(&mut self, id: StreamerId, usage: &[f64]) {
-        // Reports are refreshed now and then and travel: half a second is a usual age.
-        let late = Duration::from_millis(500);
-        // After a start all look at one time.
-        let alone = !self.told.together && self.now > self.born + FRESH / 2;
+        let late = Duration::from_millis(500); // Reports are refreshed now and then, and travel.
+        let alone = !self.told.together && self.now > self.born + FRESH / 2; // At a start all look at once.
         for (i, &value) in usage.iter().enumerate() {
             match self.told.item("/report/fields", i) {
                 "x0" => self.measure(Pipe::Link(id), value, late, alone),
@@ -866,7 +864,9 @@
                 let Some(id) = sub.at.filter(|_| sub.plays && rung != sub.rung) else { continue };
                 let (lower, rested) = (rung < sub.rung, self.now >= sub.stepped + REST);
                 if rested && !lower || lower && (over_uplink || over(self, Pipe::Link(id))) {
-                    self.subs.entry(job).and_modify(|s| s.stepped = self.now);
+                    // After a cut it rests 8 s: a crowd leaves as it came (12 and 20 s did worse).
+                    let stepped = self.now.saturating_sub(Duration::from_secs(12 * u64::from(lower)));
+                    self.subs.entry(job).and_modify(|s| s.stepped = stepped);
                     self.settle(job, Some(id), rung);
                     out.step_to(job, rung);
                 }
