--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -577,3 +577,41 @@
     day.pass(ms(8000));
     assert!(day.model.probed.is_empty(), "at the top nothing is to be learned");
 }
+
+/// Guards against waiting out the whole rest after a crowd has left. It could harm where excesses come and go.
+#[test]
+fn after_a_cut_rungs_rise_again_sooner_than_between_raises() {
+    let mut day = Day::new(settings("free", "all"));
+    day.all_listed();
+    let jobs = day.handed_over_at_the_top(2);
+    day.round(|c, _| c.progress(jobs[0], streamer(0), 3, 1.6));
+    day.pass(ms(400));
+    let cut: Vec<_> = jobs.iter().filter(|job| day.model.tries[job].rung < 2).copied().collect();
+    assert!(!cut.is_empty(), "an excess is given back");
+    for _ in 0..4 {
+        day.pass(ms(3000));
+        day.round(|c, _| c.progress(jobs[0], streamer(0), 3, 0.3));
+        day.pass(ms(400));
+    }
+    assert!(cut.iter().any(|job| day.model.tries[job].rung == 2), "there is room again");
+}
+
+/// Guards against taking links for larger while streamers are away: all links together are told as of the start.
+#[test]
+fn what_leaves_the_list_makes_no_link_larger() {
+    let told = crate::told::Told::new(
+        json!({"weights": "none", "familyInfo": {"kindStreams": [20], "linkUnitKb": 1000.0, "linksKb": 6000.0}})
+            .as_object()
+            .cloned()
+            .unwrap(),
+    );
+    let mut pipes = crate::state::Pipes::default();
+    let mut streamers: BTreeMap<_, _> = (0..6)
+        .map(|cell| (streamer(cell), crate::state::Streamer::new(Health::Ready, Duration::ZERO)))
+        .collect();
+    for _ in 0..2 {
+        pipes.lay(&streamers, &told);
+        assert_eq!(pipes.of(crate::state::Pipe::Link(streamer(0))).stated, 1000.0);
+        streamers.values_mut().skip(2).for_each(|s| s.health = Health::Gone);
+    }
+}
