--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -109,10 +109,10 @@
     pub cells: u32,
     #[garde(custom(within(1, 65_535)))]
     pub racks: u32,
-    /// The link of a streamer for each unit of its weight, kB a second.
+    /// The link of a streamer for each unit of its weight, kB a second; of the usual one where weights say nothing.
     #[garde(custom(within(1.0, 1e9)))]
     pub link_unit_kb: f64,
-    /// All links together, kB a second; used where weights say nothing.
+    /// All links together at the start, kB a second. Told on, but no decision rests on it.
     #[garde(custom(within(1.0, 1e12)))]
     pub links_kb: f64,
     /// The mean uplink of a rack, kB a second.
