--- a/crates/replay/tests/short_days.rs
+++ b/crates/replay/tests/short_days.rs
@@ -200,7 +200,6 @@
             (sum(|s| s.plays as f64) / sum(|s| s.asks as f64), sum(|s| s.earned) / sum(|s| s.offered))
         };
         let (old, new) = (kind(0..2), kind(2..4));
-        println!("old {old:?} new {new:?}");
         for (one, other) in [(old, new), (new, old)] {
             assert!(one.0 > 0.4 * other.0 && one.1 > 0.5 * other.1, "old {old:?}, new {new:?}: {report}");
         }
