--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -22,7 +22,7 @@
 /// Between two steps of one subscription: well over what a step costs, under the claim of 3 a minute.
 const REST: Duration = Duration::from_secs(20);
 const FRESH: Duration = Duration::from_secs(10); // A measure counts this long, some notes' time.
-/// A probe's answer is waited for so long: the slowest of a hundred took 2 ms, a round is 10.
+/// Between two looks at what waits, for a probe's answer too: the slowest of a hundred took 2 ms, a round is 10.
 const LOOK: Duration = Duration::from_millis(40);
 /// Holders probed for one join: one, two or three came out alike, two least uneven.
 const LOOKED_AT: usize = 2;
@@ -686,17 +686,17 @@
             }
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
             // Waiting helps while the join objective can still be met: a place, a seat or the list may come.
-            None if hope && self.now < sub.taken + self.told.join_objective(&sub.asked) => {
-                self.due.insert((self.now + Duration::from_millis(50), job));
+            None if hope && self.now + LOOK < sub.taken + self.told.join_objective(&sub.asked) => {
+                self.due.insert((self.now + LOOK, job));
             }
             None => self.give_up(job, out),
         }
     }
 
-    /// Where probes are permitted, a first join to a streamer not heard of waits some ticks for a probe to
-    /// tell its load, unless all are full. One that does not answer is used last: it may be silent.
+    /// A join to a streamer not heard of waits once for probes, while its time allows: a viewer may be late.
     fn worth_a_look(&self, sub: &Subscription, id: StreamerId) -> bool {
-        !sub.looked && self.told.probes_tell && !self.heard_of(id)
+        let time = self.now + LOOK < sub.taken + self.told.join_objective(&sub.asked);
+        time && !sub.looked && self.told.probes_tell && !self.heard_of(id)
     }
 
     fn look<W: Writer>(&mut self, id: StreamerId, out: &mut W) {
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -615,3 +615,26 @@
         streamers.values_mut().skip(2).for_each(|s| s.health = Health::Gone);
     }
 }
+
+/// Found by a hunt: a viewer who came late, after a controller's standstill, was looked at again only once its time
+/// was up. Guards against waits and probes that outlast what is left; it gives such a request up a moment sooner.
+#[test]
+fn a_request_with_little_time_left_is_answered_within_it() {
+    for (left, probing) in [(ms(865), false), (ms(45), false), (ms(25), true)] {
+        let mut told = settings("free", "all");
+        told["permissions"]["probing"] = json!(probing);
+        let mut day = Day::new(told);
+        day.all_listed();
+        for n in 0..3 {
+            let held = day.take(asked(1, 9, 6), Some(streamer(n)));
+            let full = if probing { 0.5 } else { 1.2 };
+            day.round(|c, _| c.progress(held, streamer(n), 3, full));
+        }
+        day.pass(ms(if probing { 11_000 } else { 10 }));
+        let job = day.take(Asked { client_timeout: left, ..asked(1, 0, 3) }, None);
+        assert!(!probing || day.out(job).is_some(), "there is no time for a probe");
+        day.pass(left.saturating_sub(ms(5)));
+        let one = &day.model.tries[&job];
+        assert!(one.over || one.out.is_some(), "nothing was done with {left:?} left");
+    }
+}
