--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -22,7 +22,7 @@
 /// Between two steps of one subscription: well over what a step costs, under the claim of 3 a minute.
 const REST: Duration = Duration::from_secs(20);
 const FRESH: Duration = Duration::from_secs(10); // A measure counts this long, some notes' time.
-/// Between two looks at what waits, for a probe's answer too: the slowest of a hundred took 2 ms, a round is 10.
+/// Between two looks at what waits, for a probe's answer too: 99 in 100 take 2 ms, a round is 10.
 const LOOK: Duration = Duration::from_millis(40);
 /// Holders probed for one join: one, two or three came out alike, two least uneven.
 const LOOKED_AT: usize = 2;
