--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -104,8 +104,7 @@
     }
 
     fn beat<W: Writer>(&mut self, out: &mut W) {
-        // Far under the time between notes, so that a cut is made when its note comes.
-        let beat = Duration::from_millis(200);
+        let beat = Duration::from_millis(200); // Far under the time between notes: a cut follows its note.
         self.beat_at = self.now + beat;
         out.remind(beat, TOKEN_BEAT);
         self.note_usual_use();
@@ -676,6 +675,7 @@
         let free = self.seat_free(&sub.asked) && (sub.joins == 0 || self.budget_allows());
         let hope = |s: &Streamer| s.health == Health::Ready && sub.asked.held_by(s.cell, self.told.cells);
         let hope = self.streamers.is_empty() || self.streamers.values().any(hope);
+        let wait = LOOK.max(Duration::from_millis(self.due.len() as u64 / 4)); // Thousands would cost too much.
         let holders = if free { self.holders(job) } else { Vec::new() };
         match holders.first().copied() {
             Some(id) if self.worth_a_look(&sub, id) => {
@@ -686,8 +686,8 @@
             }
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
             // Waiting helps while the join objective can still be met: a place, a seat or the list may come.
-            None if hope && self.now + LOOK < sub.taken + self.told.join_objective(&sub.asked) => {
-                self.due.insert((self.now + LOOK, job));
+            None if hope && self.now + wait < sub.taken + self.told.join_objective(&sub.asked) => {
+                self.due.insert((self.now + wait, job));
             }
             None => self.give_up(job, out),
         }
