--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -30,8 +30,7 @@
 const LOOK_AGAIN: Duration = Duration::from_secs(6);
 /// Part of the room, or of the excess, that who looked alone acts on: 0.8 did worse, its own part too.
 const ALONE: f64 = 0.5;
-/// Seconds over which requests count as lately taken: a burst rises within as many.
-const SURGE: f64 = 3.0;
+const SURGE: f64 = 3.0; // Seconds in which requests are lately taken: a burst rises in as many.
 /// A pipe that would be asked for more takes no join: 0.95 and 1.05 did worse, 1.2 worse where all is full.
 const FULL: f64 = 1.0;
 /// Tokens of the reminders: the one periodic timer, and the earliest of all else that is due.
@@ -675,13 +674,14 @@
         let free = self.seat_free(&sub.asked) && (sub.joins == 0 || self.budget_allows());
         let hope = |s: &Streamer| s.health == Health::Ready && sub.asked.held_by(s.cell, self.told.cells);
         let hope = self.streamers.is_empty() || self.streamers.values().any(hope);
-        let wait = LOOK.max(Duration::from_millis(self.due.len() as u64 / 4)); // Thousands would cost too much.
+        let wait = LOOK.max(Duration::from_millis(self.due.len() as u64 / 4)); // Thousands cost much.
         let holders = if free { self.holders(job) } else { Vec::new() };
         match holders.first().copied() {
             Some(id) if self.worth_a_look(&sub, id) => {
                 self.subs.entry(job).and_modify(|s| s.looked = true);
                 self.due.insert((self.now + LOOK, job));
                 let unheard = holders.into_iter().filter(|id| !self.heard_of(*id)).take(LOOKED_AT);
+                let unheard = unheard.filter(|id| self.streamers[id].looked + LOOK <= self.now);
                 unheard.collect::<Vec<_>>().into_iter().for_each(|id| self.look(id, out));
             }
             Some(id) => self.join(job, id, sub.joins + 1 >= most, out),
