--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -44,6 +44,15 @@
         #[arg(long, default_value = "info")]
         log_level: String,
     },
+    /// Runs a controller on the platform that `GW_CONFIG` tells of, until SIGTERM
+    Platform {
+        /// How log lines are written, on standard error
+        #[arg(long, value_enum, default_value_t = LogForm::Text)]
+        log: LogForm,
+        /// Which log lines: error, warn, info, debug or trace, also by target
+        #[arg(long, default_value = "info")]
+        log_level: String,
+    },
     /// Reads a settings file and its catalogue, and says all that is wrong with them
     Check {
         /// The controller's settings, an INI file
@@ -76,6 +85,10 @@
             println!("{}: in order, {types} room types, {titles} titles", settings.display());
             Ok(())
         }
+        What::Platform { log, log_level } => {
+            start_log(log, &log_level)?;
+            badgerledge_platform::run()
+        }
         What::Run { settings, log, log_level } => {
             start_log(log, &log_level)?;
             let (deployment, catalogue) = read(&settings)?;
--- /dev/null
+++ b/crates/platform/src/book.rs
@@ -0,0 +1,564 @@
+//! The calls' book: what became of each viewer's request, from its set-up to its release. It joins viewers,
+//! streamers and the module, decides nothing, and is free of I/O: what goes out goes into a [`Wires`].
+//!
+//! What the simulator's wire brings the module is made here with the same meanings: one outcome for each join
+//! that was passed on, `over` once the subscription is over, a join cut to its client timeout.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use badgerledge_core::decide::Controller;
+use badgerledge_core::interface::{Ending, Health, JobId, Listing, StreamerId};
+use badgerledge_reactor::Line;
+use badgerledge_signalling::viewers::{self, Parameters};
+use badgerledge_signalling::{streamers, Fault};
+
+use crate::asked::{self, Terms};
+use crate::desk::Desk;
+
+/// Causes on the wire.
+pub const NORMAL: u8 = 16;
+pub const CUT: u8 = 41;
+pub const THROTTLED: u8 = 42;
+/// Says of a request that it could not be used.
+const UNUSABLE: u8 = 96;
+
+/// How much sooner than the viewer gives up the module is told to have answered, for the way back and a loop
+/// that is late; a tenth where that is less. Harm: a join that would have been answered in this part is lost.
+const MARGIN: Duration = Duration::from_millis(120);
+/// How much sooner the book answers in the module's place; a twentieth where that is less.
+const LAST_CALL: Duration = Duration::from_millis(50);
+/// Set-ups without an answer that one connection may have open: more than a front's whole second.
+const OPEN_ON_LINE: usize = 128;
+/// The same of all connections together, and subscriptions that stand, for each megabyte of memory: with the
+/// longest descriptions a quarter of it, and a tenth.
+const OPEN_PER_MB: usize = 16;
+const STANDING_PER_MB: usize = 200;
+/// What the book names as time to stay away when it has no room itself.
+const FULL_FOR: Duration = Duration::from_millis(500);
+/// How long a streamer has to end what was moved before it is told to.
+pub const MOVED_WITHIN: Duration = Duration::from_millis(600);
+
+/// The sockets, as the book sees them.
+pub trait Wires {
+    /// Gives a message to a viewer's connection, or tells that it takes none any more.
+    fn answer(&mut self, line: Line, message: &[u8]) -> bool;
+    /// The same, on any viewers' connection where that one is gone, as soon as there is one.
+    fn release(&mut self, line: Line, message: Vec<u8>);
+    /// What came on this connection can only come from the front.
+    fn trust(&mut self, line: Line);
+    /// Begins a join, on a connection of its own where there is room.
+    fn join(&mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>);
+    /// Gives up the join that is out.
+    fn withdraw(&mut self, job: JobId, session: u64, streamer: StreamerId);
+    /// Gives a message to a streamer on any of its connections.
+    fn say(&mut self, streamer: StreamerId, message: Vec<u8>);
+    fn probe(&mut self, streamer: StreamerId);
+    fn drop_idle(&mut self, streamer: StreamerId);
+    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]);
+}
+
+/// Where a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The module holds it.
+    Waiting,
+    /// A join is out.
+    Out(StreamerId),
+    Stands(StreamerId),
+    /// It was moved away, and its streamer has yet to end it.
+    Leaves(StreamerId),
+}
+
+/// What is passed on to streamers until one has answered.
+pub struct Offered {
+    pub room_type: usize,
+    pub title: String,
+    pub description: String,
+}
+
+pub struct Call {
+    pub session: u64,
+    /// The viewer's connection that its set-up came on.
+    pub line: Line,
+    /// When the viewer gives up, less what the way back takes.
+    pub until: Duration,
+    pub offered: Option<Box<Offered>>,
+    pub rung: Option<u8>,
+    pub joins: u16,
+    pub sent: Duration,
+    pub phase: Phase,
+}
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Join(JobId, u16),
+    LastCall(JobId),
+    Moved(JobId),
+    Module(u64),
+}
+
+/// A record for the module, on its way into the call that takes its fields.
+pub type Arrival = Box<dyn FnOnce(&mut Controller)>;
+
+/// All calls, and what the module has yet to hear of them.
+pub struct Calls {
+    pub terms: Terms,
+    all: BTreeMap<JobId, Call>,
+    by_session: BTreeMap<u64, JobId>,
+    /// Calls without an answer, by the viewer's connection.
+    open: BTreeMap<Line, BTreeSet<JobId>>,
+    /// Calls that stand or leave, by streamer.
+    standing: BTreeMap<StreamerId, BTreeSet<JobId>>,
+    pub due: BTreeSet<(Duration, Due)>,
+    pub arrivals: Vec<Arrival>,
+    next_job: JobId,
+    open_count: usize,
+}
+
+impl Calls {
+    pub fn get(&self, job: JobId) -> Option<&Call> {
+        self.all.get(&job)
+    }
+
+    pub fn get_mut(&mut self, job: JobId) -> Option<&mut Call> {
+        self.all.get_mut(&job)
+    }
+
+    fn keep(&mut self, call: Call) -> JobId {
+        let job = self.next_job;
+        self.next_job = self.next_job.wrapping_add(1);
+        self.by_session.insert(call.session, job);
+        match call.phase {
+            Phase::Stands(streamer) => drop(self.standing.entry(streamer).or_default().insert(job)),
+            _ => {
+                self.open.entry(call.line).or_default().insert(job);
+                self.open_count += 1;
+            }
+        }
+        self.all.insert(job, call);
+        job
+    }
+
+    /// Takes a call out of the set it is counted in.
+    fn uncount(&mut self, job: JobId) {
+        let Some(call) = self.all.get(&job) else { return };
+        match call.phase {
+            Phase::Waiting | Phase::Out(_) => {
+                self.open_count -= 1;
+                if let Some(open) = self.open.get_mut(&call.line) {
+                    open.remove(&job);
+                    if open.is_empty() {
+                        self.open.remove(&call.line);
+                    }
+                }
+            }
+            Phase::Stands(streamer) | Phase::Leaves(streamer) => {
+                if let Some(standing) = self.standing.get_mut(&streamer) {
+                    standing.remove(&job);
+                    if standing.is_empty() {
+                        self.standing.remove(&streamer);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn stand(&mut self, job: JobId, streamer: StreamerId) {
+        self.uncount(job);
+        let Some(call) = self.all.get_mut(&job) else { return };
+        (call.phase, call.offered) = (Phase::Stands(streamer), None);
+        let last_call = (call.until, Due::LastCall(job));
+        self.standing.entry(streamer).or_default().insert(job);
+        self.due.remove(&last_call);
+    }
+
+    pub fn drop_call(&mut self, job: JobId) -> Option<Call> {
+        self.uncount(job);
+        let call = self.all.remove(&job)?;
+        self.by_session.remove(&call.session);
+        self.due.remove(&(call.until, Due::LastCall(job)));
+        Some(call)
+    }
+
+    /// Tells the module how a join ended, or what had stood.
+    pub fn outcome(
+        &mut self, now: Duration, job: JobId, call: (StreamerId, u16, Duration), ending: Ending, over: bool,
+        usage: Vec<f64>,
+    ) {
+        let (streamer, join, sent) = call;
+        let latency = now.saturating_sub(sent);
+        self.arrivals.push(Box::new(move |module| {
+            module.outcome(job, streamer, join, ending, over, latency, &usage);
+        }));
+    }
+
+    fn usage(&self, load: Option<&str>) -> Vec<f64> {
+        load.map_or_else(Vec::new, |load| streamers::load(load, &self.terms.report))
+    }
+}
+
+/// A streamer's id in the module: the 32 bits that the list names it by, not its address, since another
+/// streamer may come at the address of one that is gone.
+pub fn streamer_id(bits: u32) -> StreamerId {
+    SocketAddrV4::new(Ipv4Addr::from(bits), 0)
+}
+
+pub struct Book {
+    module: Controller,
+    pub calls: Calls,
+    most_open: usize,
+    most_standing: usize,
+    /// What the list says of each streamer, gone ones left out.
+    listed: BTreeMap<StreamerId, Health>,
+    lists: Vec<Arrival>,
+}
+
+impl Book {
+    pub fn new(module: Controller, terms: Terms, memory_mb: usize) -> Self {
+        let calls = Calls {
+            terms,
+            all: BTreeMap::new(),
+            by_session: BTreeMap::new(),
+            open: BTreeMap::new(),
+            standing: BTreeMap::new(),
+            due: BTreeSet::new(),
+            arrivals: Vec::new(),
+            next_job: 1,
+            open_count: 0,
+        };
+        let (most_open, most_standing) = (memory_mb * OPEN_PER_MB, memory_mb * STANDING_PER_MB);
+        Self { module, calls, most_open, most_standing, listed: BTreeMap::new(), lists: Vec::new() }
+    }
+
+    /// How many calls there are.
+    pub fn len(&self) -> usize {
+        self.calls.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.calls.all.is_empty()
+    }
+
+    /// How many set-ups of a viewer's connection have no answer yet.
+    pub fn open_on(&self, line: Line) -> usize {
+        self.calls.open.get(&line).map_or(0, BTreeSet::len)
+    }
+
+    /// How many subscriptions stand at a streamer.
+    pub fn standing_at(&self, streamer: StreamerId) -> usize {
+        self.calls.standing.get(&streamer).map_or(0, BTreeSet::len)
+    }
+
+    /// Whether that session stands at that streamer.
+    pub fn stands(&self, streamer: StreamerId, session: u64) -> bool {
+        let call = self.calls.by_session.get(&session).and_then(|job| self.calls.get(*job));
+        call.is_some_and(|call| call.phase == Phase::Stands(streamer))
+    }
+
+    /// The streamers at which subscriptions stand.
+    pub fn stands_at(&self) -> impl Iterator<Item = StreamerId> + '_ {
+        self.calls.standing.keys().copied()
+    }
+
+    /// A viewer's set-up.
+    pub fn set_up(
+        &mut self, now: Duration, line: Line, session: u64, parameters: Parameters<'_>,
+        wires: &mut impl Wires,
+    ) {
+        let request = match asked::read(session, parameters, &self.calls.terms) {
+            Ok(request) => request,
+            Err(what) => {
+                tracing::debug!(what, "a set-up that cannot be used");
+                return self.turn_away(now, line, session, wires);
+            }
+        };
+        if let Some(at) = &request.at {
+            let streamer = badgerledge_names::id_of(at).map(streamer_id);
+            return self.hand_over(now, line, session, &request, streamer, wires);
+        }
+        if self.calls.by_session.contains_key(&session) {
+            return self.turn_away(now, line, session, wires);
+        }
+        if self.calls.open_count >= self.most_open || self.open_on(line) >= OPEN_ON_LINE {
+            wires.answer(line, &viewers::release(session, THROTTLED, FULL_FOR));
+            return;
+        }
+        let mut asked = request.asked;
+        let named = asked.client_timeout;
+        asked.client_timeout = named - MARGIN.min(named / 10);
+        let until = now + named - LAST_CALL.min(named / 20);
+        let offered =
+            Offered { room_type: asked.room_type, title: request.title, description: request.description };
+        let call = Call {
+            session,
+            line,
+            until,
+            offered: Some(Box::new(offered)),
+            rung: None,
+            joins: 0,
+            sent: now,
+            phase: Phase::Waiting,
+        };
+        let job = self.calls.keep(call);
+        self.calls.due.insert((until, Due::LastCall(job)));
+        self.calls.arrivals.push(Box::new(move |module| module.knock(job, asked)));
+    }
+
+    /// A subscription that plays already is handed over. It wants no answer; one at a streamer that is not
+    /// listed is over.
+    fn hand_over(
+        &mut self, now: Duration, line: Line, session: u64, request: &asked::Request,
+        streamer: Option<StreamerId>, wires: &mut impl Wires,
+    ) {
+        if self.calls.by_session.contains_key(&session) {
+            return;
+        }
+        let listed = streamer.filter(|streamer| self.listed.contains_key(streamer));
+        let Some(streamer) = listed.filter(|_| self.len() < self.most_standing) else {
+            return wires.release(line, viewers::release(session, CUT, Duration::ZERO));
+        };
+        wires.trust(line);
+        let asked = request.asked;
+        let phase = Phase::Stands(streamer);
+        let call = Call { session, line, until: now, offered: None, rung: None, joins: 1, sent: now, phase };
+        let job = self.calls.keep(call);
+        self.calls.arrivals.push(Box::new(move |module| module.resumed(job, asked, streamer)));
+    }
+
+    /// A set-up that cannot be used gets a final answer. If its id is that of an open one on the same
+    /// connection, one answer ends both, since the viewer could not tell two apart.
+    pub fn turn_away(&mut self, now: Duration, line: Line, session: u64, wires: &mut impl Wires) {
+        let open = self.calls.by_session.get(&session).copied();
+        let same = open.filter(|job| {
+            let here = self.calls.get(*job).filter(|call| call.line == line);
+            here.is_some_and(|call| matches!(call.phase, Phase::Waiting | Phase::Out(_)))
+        });
+        if let Some(job) = same {
+            self.expire(now, job, wires);
+        }
+        wires.answer(line, &viewers::release(session, UNUSABLE, Duration::ZERO));
+    }
+
+    /// The viewer gives its set-up up, or ends its subscription. A set-up is given up on its own connection only.
+    pub fn ended_by_viewer(&mut self, now: Duration, line: Line, session: u64, wires: &mut impl Wires) {
+        let Some(job) = self.calls.by_session.get(&session).copied() else { return };
+        let Some(call) = self.calls.get(job) else { return };
+        match call.phase {
+            Phase::Waiting | Phase::Out(_) if call.line == line => self.expire(now, job, wires),
+            Phase::Stands(streamer) => {
+                wires.say(streamer, streamers::end(session, NORMAL));
+                self.over(now, job, Ending::Cancelled, Vec::new());
+            }
+            _ => {}
+        }
+    }
+
+    /// A viewers' connection is gone, and with it the set-ups that wait on it.
+    pub fn viewer_gone(&mut self, now: Duration, line: Line, wires: &mut impl Wires) {
+        for job in self.calls.open.get(&line).cloned().unwrap_or_default() {
+            self.expire(now, job, wires);
+        }
+    }
+
+    /// Ends a call that has no answer, and owes none any more.
+    fn expire(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
+        let Some(call) = self.calls.drop_call(job) else { return };
+        self.calls.arrivals.push(Box::new(move |module| module.expired(job)));
+        if let Phase::Out(streamer) = call.phase {
+            wires.withdraw(job, call.session, streamer);
+            let join = (streamer, call.joins - 1, call.sent);
+            self.calls.outcome(now, job, join, Ending::Cancelled, true, Vec::new());
+        }
+    }
+
+    /// A streamer answers the join that is out: the subscription stands.
+    pub fn answered(&mut self, now: Duration, job: JobId, description: &str, wires: &mut impl Wires) {
+        let Some(call) = self.calls.get(job) else { return };
+        let Phase::Out(streamer) = call.phase else { return };
+        let (session, line, join, sent) = (call.session, call.line, call.joins - 1, call.sent);
+        let message = viewers::answer(session, description.as_bytes());
+        if !message.is_some_and(|message| wires.answer(line, &message)) {
+            // Its viewer cannot be told: it must not stand.
+            wires.say(streamer, streamers::end(session, NORMAL));
+            return self.expire(now, job, wires);
+        }
+        wires.trust(line);
+        self.calls.stand(job, streamer);
+        let latency = now.saturating_sub(sent);
+        self.calls.arrivals.push(Box::new(move |module| module.flowing(job, join, streamer, latency)));
+    }
+
+    /// The join that is out has ended without an answer.
+    pub fn join_ended(&mut self, now: Duration, job: JobId, ending: Ending, load: Option<&str>) {
+        let usage = self.calls.usage(load);
+        let Some(call) = self.calls.get_mut(job) else { return };
+        let Phase::Out(streamer) = call.phase else { return };
+        call.phase = Phase::Waiting;
+        let join = (streamer, call.joins - 1, call.sent);
+        self.calls.outcome(now, job, join, ending, false, usage);
+    }
+
+    /// What a streamer's release of a session that stands means, and that its viewer is told.
+    pub fn ended_by_streamer(
+        &mut self, now: Duration, streamer: StreamerId, session: u64, cause: u64, load: Option<&str>,
+        wires: &mut impl Wires,
+    ) {
+        let Some(job) = self.calls.by_session.get(&session).copied() else { return };
+        let Some(call) = self.calls.get(job) else { return };
+        let line = call.line;
+        let usage = self.calls.usage(load);
+        match call.phase {
+            Phase::Leaves(at) if at == streamer => drop(self.calls.drop_call(job)),
+            Phase::Stands(at) if at == streamer => {
+                let ending = match cause {
+                    16 => Ending::Served,
+                    31 => Ending::Cancelled,
+                    _ => Ending::Reset,
+                };
+                // Who was moved, or has left, is owed no release.
+                if ending != Ending::Cancelled {
+                    let cause = if ending == Ending::Served { NORMAL } else { CUT };
+                    wires.release(line, viewers::release(session, cause, Duration::ZERO));
+                }
+                self.over(now, job, ending, usage);
+            }
+            _ => {}
+        }
+    }
+
+    fn over(&mut self, now: Duration, job: JobId, ending: Ending, usage: Vec<f64>) {
+        let Some(call) = self.calls.drop_call(job) else { return };
+        if let Phase::Stands(streamer) = call.phase {
+            let join = (streamer, call.joins.saturating_sub(1), call.sent);
+            self.calls.outcome(now, job, join, ending, true, usage);
+        }
+    }
+
+    /// A streamer is gone, or was started anew at that time, with all that stood there before.
+    pub fn lost(&mut self, now: Duration, streamer: StreamerId, before: Duration, wires: &mut impl Wires) {
+        for job in self.calls.standing.get(&streamer).cloned().unwrap_or_default() {
+            let Some(call) = self.calls.get(job).filter(|call| call.sent < before) else { continue };
+            if call.phase == Phase::Stands(streamer) {
+                wires.release(call.line, viewers::release(call.session, CUT, Duration::ZERO));
+            }
+            self.over(now, job, Ending::Reset, Vec::new());
+        }
+    }
+
+    /// A note on a session that stands; one that names another streamer's session is nothing.
+    pub fn noted(&mut self, streamer: StreamerId, session: u64, note: &str, value: f64) -> Result<(), Fault> {
+        let kinds = ["kept_up", "tier", "wire", "trunk"];
+        let kind = kinds.iter().position(|kind| *kind == note).ok_or(Fault::Field("note"))? as u8 + 1;
+        let job = self.calls.by_session.get(&session).copied();
+        let stands = |job: &JobId| self.calls.get(*job).is_some_and(|c| c.phase == Phase::Stands(streamer));
+        if let Some(job) = job.filter(stands) {
+            self.calls.arrivals.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
+        }
+        Ok(())
+    }
+
+    /// How a probe ended.
+    pub fn echo(&mut self, streamer: StreamerId, ending: Ending, latency: Duration, load: Option<&str>) {
+        let usage = self.calls.usage(load);
+        self.calls.arrivals.push(Box::new(move |module| module.echo(streamer, ending, latency, &usage)));
+    }
+
+    pub fn peer(&mut self, peer: u32, bytes: Vec<u8>) {
+        self.calls.arrivals.push(Box::new(move |module| module.peer(peer, &bytes)));
+    }
+
+    /// A list, or what has changed in it, entry by entry. It goes to the module before all else that came.
+    pub fn list(&mut self, how: Listing, entries: Vec<ListEntry>) {
+        for entry in &entries {
+            match entry.health {
+                Health::Gone => self.listed.remove(&entry.id),
+                health => self.listed.insert(entry.id, health),
+            };
+        }
+        self.lists.push(Box::new(move |module| {
+            module.list_begins(how);
+            for e in entries {
+                module.list_entry(e.id, e.zone, e.kind, e.cell, e.health, e.weight, e.came_up);
+            }
+            module.list_ends(how);
+        }));
+    }
+
+    /// Whether a new join may go to a streamer.
+    pub fn takes_joins(&self, streamer: StreamerId) -> bool {
+        self.listed.get(&streamer) == Some(&Health::Ready)
+    }
+
+    /// The earliest time at which something falls due.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.calls.due.first().map(|due| due.0)
+    }
+
+    /// Whether a round has something to bring.
+    pub fn has_news(&self) -> bool {
+        !self.calls.arrivals.is_empty() || !self.lists.is_empty()
+    }
+
+    /// What has fallen due.
+    pub fn fall_due(&mut self, now: Duration, wires: &mut impl Wires) {
+        while let Some((at, due)) = self.calls.due.first().copied().filter(|due| due.0 <= now) {
+            self.calls.due.remove(&(at, due));
+            match due {
+                Due::Module(token) => self.calls.arrivals.push(Box::new(move |m| m.fired(token))),
+                Due::Join(job, join) => self.late_join(now, job, join, wires),
+                Due::LastCall(job) => self.last_call(now, job, wires),
+                Due::Moved(job) => {
+                    let leaves = self.calls.get(job).map(|call| (call.phase, call.session));
+                    if let Some((Phase::Leaves(streamer), session)) = leaves {
+                        wires.say(streamer, streamers::end(session, NORMAL));
+                        self.calls.drop_call(job);
+                    }
+                }
+            }
+        }
+    }
+
+    fn late_join(&mut self, now: Duration, job: JobId, join: u16, wires: &mut impl Wires) {
+        let Some(call) = self.calls.get(job).filter(|call| call.joins == join + 1) else { return };
+        if let Phase::Out(streamer) = call.phase {
+            wires.withdraw(job, call.session, streamer);
+            self.join_ended(now, job, Ending::Timeout, None);
+        }
+    }
+
+    /// The viewer is about to give up, and the module has not answered.
+    fn last_call(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
+        let Some(call) = self.calls.get(job) else { return };
+        if matches!(call.phase, Phase::Waiting | Phase::Out(_)) {
+            let (line, session) = (call.line, call.session);
+            self.expire(now, job, wires);
+            wires.answer(line, &viewers::release(session, CUT, Duration::ZERO));
+        }
+    }
+
+    /// One round of the module: all that came in, then what it decides.
+    pub fn round(&mut self, now: Duration, wires: &mut impl Wires) {
+        let mut arrivals = std::mem::take(&mut self.lists);
+        arrivals.append(&mut self.calls.arrivals);
+        let mut desk = Desk { now, calls: &mut self.calls, wires };
+        let feed =
+            |module: &mut Controller, _: &mut Desk<'_, _>| arrivals.into_iter().for_each(|a| a(module));
+        self.module.round(now, feed, &mut desk);
+    }
+}
+
+/// What the list says of a streamer, as the module takes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListEntry {
+    pub id: StreamerId,
+    pub at: SocketAddrV4,
+    pub zone: u16,
+    pub kind: usize,
+    pub cell: u32,
+    pub health: Health,
+    pub weight: f64,
+    pub came_up: Duration,
+}
--- /dev/null
+++ b/crates/platform/src/desk.rs
@@ -0,0 +1,132 @@
+//! Takes the module's decisions as they are made, and carries each out at once.
+
+use std::time::Duration;
+
+use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
+use badgerledge_signalling::{streamers, viewers};
+
+use crate::book::{Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+
+pub struct Desk<'a, W> {
+    pub now: Duration,
+    pub calls: &'a mut Calls,
+    pub wires: &'a mut W,
+}
+
+impl<W: Wires> Desk<'_, W> {
+    /// The final answer to a call that no join is out for.
+    fn answer(&mut self, job: JobId, cause: u8, cool_down: Duration) {
+        let open =
+            self.calls.get(job).is_some_and(|call| matches!(call.phase, Phase::Waiting | Phase::Out(_)));
+        if !open {
+            return;
+        }
+        let Some(call) = self.calls.drop_call(job) else { return };
+        if let Phase::Out(streamer) = call.phase {
+            self.wires.withdraw(job, call.session, streamer);
+            let join = (streamer, call.joins - 1, call.sent);
+            self.calls.outcome(self.now, job, join, Ending::Cancelled, true, Vec::new());
+        }
+        self.wires.answer(call.line, &viewers::release(call.session, cause, cool_down));
+    }
+}
+
+impl<W: Wires> Writer for Desk<'_, W> {
+    fn pass_on(&mut self, job: JobId, streamer: StreamerId, try_until: Duration) {
+        let (now, most) = (self.now, self.calls.terms.most_joins);
+        let Some(call) = self.calls.get_mut(job) else { return };
+        let join = call.joins;
+        if call.phase != Phase::Waiting || now >= call.until || join >= most {
+            let over = !matches!(call.phase, Phase::Waiting | Phase::Out(_));
+            return self.calls.outcome(now, job, (streamer, join, now), Ending::Moot, over, Vec::new());
+        }
+        (call.joins, call.sent, call.phase) = (join + 1, now, Phase::Out(streamer));
+        let until = try_until.min(call.until);
+        let (session, rung) = (call.session, call.rung);
+        let offer = call.offered.as_ref().and_then(|offered| {
+            let Offered { room_type, title, description } = &**offered;
+            Some((*room_type, title.clone(), description.clone()))
+        });
+        let Some((room_type, title, description)) = offer else { return };
+        let name = &self.calls.terms.room_types[room_type];
+        let left = until.saturating_sub(now);
+        // It was checked for length when it came.
+        let offer = streamers::offer(session, name, &title, left, rung, &description).unwrap_or_default();
+        self.calls.due.insert((until, Due::Join(job, join)));
+        self.wires.join(job, session, streamer, offer);
+    }
+
+    fn shed(&mut self, job: JobId, cool_down: Duration) {
+        self.answer(job, THROTTLED, cool_down);
+    }
+
+    fn respond_error(&mut self, job: JobId) {
+        self.answer(job, CUT, Duration::ZERO);
+    }
+
+    fn step_to(&mut self, job: JobId, rung: u8) {
+        let Some(call) = self.calls.get_mut(job) else { return };
+        call.rung = Some(rung);
+        if let Phase::Stands(streamer) = call.phase {
+            self.wires.say(streamer, streamers::step(call.session, rung));
+        }
+    }
+
+    fn shift(&mut self, job: JobId) {
+        let Some(call) = self.calls.get_mut(job) else { return };
+        if let Phase::Stands(streamer) = call.phase {
+            call.phase = Phase::Leaves(streamer);
+            let (line, message) = (call.line, viewers::moved(call.session));
+            self.wires.release(line, message);
+            self.calls.due.insert((self.now + MOVED_WITHIN, Due::Moved(job)));
+        }
+    }
+
+    fn cancel(&mut self, job: JobId, join: u16) {
+        let Some(call) = self.calls.get_mut(job).filter(|call| call.joins == join + 1) else { return };
+        if let Phase::Out(streamer) = call.phase {
+            call.phase = Phase::Waiting;
+            let (session, sent) = (call.session, call.sent);
+            self.wires.withdraw(job, session, streamer);
+            self.calls.outcome(self.now, job, (streamer, join, sent), Ending::Cancelled, false, Vec::new());
+        }
+    }
+
+    fn remind(&mut self, from_now: Duration, token: u64) {
+        // Never in the round that is being answered.
+        let at = self.now + from_now.max(Duration::from_micros(1));
+        self.calls.due.insert((at, Due::Module(token)));
+    }
+
+    fn health_check(&mut self, streamer: StreamerId) {
+        self.wires.probe(streamer);
+    }
+
+    fn close(&mut self, streamer: StreamerId) {
+        self.wires.drop_idle(streamer);
+    }
+
+    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]) {
+        self.wires.signal(peer, bytes);
+    }
+
+    fn observe(&mut self, _want: bool) {
+        self.list_all();
+    }
+
+    /// The list is asked for all the time; that it came is told.
+    fn list_all(&mut self) {
+        self.calls.arrivals.push(Box::new(|module| {
+            module.list_begins(Listing::Changes);
+            module.list_ends(Listing::Changes);
+        }));
+    }
+
+    fn emit(&mut self, line: &str) {
+        tracing::info!(line, "the module");
+    }
+
+    fn give_in(&mut self, line: &str) {
+        tracing::error!(line, "the module gave in");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,108 @@
+//! Viewers' connections. Each is bounded in time until it has sent something whole, and only one without an open
+//! set-up gives way to another.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use badgerledge_reactor::{Bounds, Line, Reactor};
+use badgerledge_signalling::MOST;
+
+/// A whole frame, and the answers to a flood of them.
+pub const BOUNDS: Bounds = Bounds { input: MOST + 2, output: 4 * MOST };
+/// A connection that was sent nothing, and has nothing open, for this long is closed, and one that owes the rest of a
+/// frame. Under the three seconds in which one that sends what cannot be read must hear something.
+const QUIET: Duration = Duration::from_secs(2);
+/// Releases that wait for a viewers' connection, at most: more are those of a front that is gone.
+const OWED: usize = 4096;
+/// How long a release waits for the front's connections to come back: by then nobody waits for it.
+const OWED_FOR: Duration = Duration::from_secs(8);
+
+struct Viewer {
+    since: Duration,
+    used: Duration,
+    /// Something was sent to it.
+    told: bool,
+    /// A set-up of it was answered, or a test: it is the front's.
+    trusted: bool,
+    /// Since when a part of a frame waits for its rest.
+    part: Option<Duration>,
+}
+
+pub struct Front {
+    lines: BTreeMap<Line, Viewer>,
+    owed: Vec<(Duration, Vec<u8>)>,
+    most: usize,
+}
+
+impl Front {
+    pub fn new(most: usize) -> Self {
+        Self { lines: BTreeMap::new(), owed: Vec::new(), most }
+    }
+
+    pub fn is(&self, line: Line) -> bool {
+        self.lines.contains_key(&line)
+    }
+
+    /// A connection came in. Where there is no room the one without an open set-up that was used longest ago
+    /// gives way, those never told anything first, else the newcomer.
+    pub fn accepted(
+        &mut self, line: Line, now: Duration, reactor: &mut Reactor, open: impl Fn(Line) -> bool,
+    ) {
+        if self.lines.len() >= self.most {
+            let idle = self.lines.iter().filter(|(line, _)| !open(**line));
+            let oldest = idle.map(|(line, viewer)| (viewer.told, viewer.used, *line)).min();
+            let Some((_, _, oldest)) = oldest else { return reactor.close(line) };
+            self.lines.remove(&oldest);
+            reactor.close(oldest);
+        }
+        let viewer = Viewer { since: now, used: now, told: false, trusted: false, part: None };
+        self.lines.insert(line, viewer);
+    }
+
+    pub fn gone(&mut self, line: Line) {
+        self.lines.remove(&line);
+    }
+
+    /// Bytes came; `part` of a frame is left of them.
+    pub fn read(&mut self, line: Line, now: Duration, part: bool) {
+        let Some(viewer) = self.lines.get_mut(&line) else { return };
+        viewer.used = now;
+        viewer.part = part.then(|| viewer.part.unwrap_or(now));
+    }
+
+    pub fn answer(&mut self, line: Line, message: &[u8], reactor: &mut Reactor) -> bool {
+        let Some(viewer) = self.lines.get_mut(&line) else { return false };
+        viewer.told = true;
+        reactor.send(line, &[message])
+    }
+
+    /// What came on it could only come from the front.
+    pub fn trust(&mut self, line: Line, now: Duration, reactor: &mut Reactor) {
+        let Some(viewer) = self.lines.get_mut(&line) else { return };
+        viewer.trusted = true;
+        for (_, message) in std::mem::take(&mut self.owed).iter().filter(|owed| now < owed.0 + OWED_FOR) {
+            reactor.send(line, &[message]);
+        }
+    }
+
+    /// A release on that connection, on another of the front's, or once there is one.
+    pub fn release(&mut self, line: Line, message: Vec<u8>, now: Duration, reactor: &mut Reactor) {
+        let newest = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
+        let newest = newest.max_by_key(|(line, viewer)| (viewer.used, **line)).map(|(line, _)| *line);
+        let line = if self.is(line) { Some(line) } else { newest };
+        let sent = line.is_some_and(|line| self.answer(line, &message, reactor));
+        if !sent && self.owed.len() < OWED {
+            self.owed.push((now, message));
+        }
+    }
+
+    /// The connections whose time is up.
+    pub fn late(&self, now: Duration, open: impl Fn(Line) -> bool) -> Vec<Line> {
+        let late = |line: Line, viewer: &Viewer| {
+            let quiet = !viewer.told && now >= viewer.since + QUIET;
+            let part = viewer.part.is_some_and(|since| now >= since + QUIET);
+            (quiet || part) && !open(line)
+        };
+        self.lines.iter().filter(|(line, viewer)| late(**line, viewer)).map(|(line, _)| *line).collect()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! The platform's way in and out of the controller: viewers' binary messages, streamers' JSON lines, the name
+//! service's list, joined to the event loop. The calls' [`book`] is free of I/O; [`run`] serves. How it is built
+//! and why: `docs/platform.md`. Every decision comes from the module in `core`.
+
+mod asked;
+mod book;
+mod desk;
+mod ends;
+mod front;
+mod pool;
+mod serve;
+mod told;
+
+pub use serve::run;
--- /dev/null
+++ b/crates/platform/src/pool.rs
@@ -0,0 +1,404 @@
+//! Connections to streamers. A spoilt answer takes down all set-ups that are open on its connection, so each
+//! join has one of its own while there are descriptors for it, and one that a join was given up on is used no
+//! more. Where subscriptions stand, one connection at least is kept, for notes and releases.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use badgerledge_core::interface::{Ending, JobId, StreamerId};
+use badgerledge_reactor::{Bounds, Line, Reactor};
+use badgerledge_signalling::{streamers, MOST};
+
+/// A line that a message is never longer than, and room for the messages of one round.
+const BOUNDS: Bounds = Bounds { input: MOST + 1, output: 8 * MOST };
+/// How long a connection stays open after a join was given up on it, for an answer that crosses.
+const CROSSING: Duration = Duration::from_secs(1);
+/// Part of the settings' idle time after which a connection takes no join and is closed: a streamer that closes
+/// it at that very time would reset the join.
+const IDLE_PART: f64 = 0.7;
+/// How much longer than notes take a streamer may be silent before it is tried. Under the eight seconds in which
+/// viewers must hear of an end, with two tries; over the lateness of notes.
+const SILENCE: Duration = Duration::from_millis(1500);
+const LONGEST_SILENCE: Duration = Duration::from_secs(6);
+/// Tries of a silent streamer, or of one that cut all connections, that must end in nothing.
+const TRIES: u32 = 2;
+
+/// What a connection's end, or its absence, brings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happened {
+    JoinEnded(JobId, Ending),
+    Echo(StreamerId, Ending, Duration),
+    /// Nothing that stood there can stand any more.
+    Lost(StreamerId),
+}
+
+struct Conn {
+    streamer: StreamerId,
+    made: bool,
+    begun: Duration,
+    /// When something last was sent on it.
+    used: Duration,
+    /// When something last came on it.
+    heard: Duration,
+    /// Joins that wait for it to be made, with what is sent then; and joins that are out.
+    waiting: Vec<(JobId, u64, Vec<u8>)>,
+    joins: Vec<(JobId, u64)>,
+    given_up: Option<Duration>,
+    /// Probes that are out, with when they were sent.
+    probes: Vec<(u64, Duration)>,
+    /// Other messages that wait for it to be made.
+    messages: Vec<u8>,
+}
+
+struct Peer {
+    at: SocketAddrV4,
+    listed: bool,
+    lines: Vec<Line>,
+    heard: Duration,
+    /// Tries in a row that ended in nothing.
+    tries: u32,
+}
+
+pub struct Pool {
+    peers: BTreeMap<StreamerId, Peer>,
+    conns: BTreeMap<Line, Conn>,
+    pub happened: Vec<Happened>,
+    most: usize,
+    connect_within: Duration,
+    idle: Duration,
+    most_streams: usize,
+    silence: Duration,
+    next_probe: u64,
+}
+
+impl Pool {
+    pub fn new(
+        most: usize, connect_within: Duration, keepalive: Duration, most_streams: usize,
+        noted_every: Duration, seed: u64,
+    ) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            happened: Vec::new(),
+            most,
+            connect_within,
+            idle: keepalive.mul_f64(IDLE_PART),
+            most_streams,
+            silence: (noted_every + SILENCE).min(LONGEST_SILENCE),
+            next_probe: seed,
+        }
+    }
+
+    /// A streamer is on the list at this address. What is open to another address is closed.
+    pub fn listed(&mut self, streamer: StreamerId, at: SocketAddrV4, now: Duration, reactor: &mut Reactor) {
+        let same = self.peers.get(&streamer).is_some_and(|peer| peer.at == at);
+        if !same {
+            self.close_all(streamer, now, reactor);
+            let lines = Vec::new();
+            self.peers.insert(streamer, Peer { at, listed: true, lines, heard: now, tries: 0 });
+        }
+        // One that is gone cannot be reached there any more.
+        let others = self.peers.iter().filter(|(id, peer)| **id != streamer && peer.at == at && !peer.listed);
+        for gone in others.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.lose(gone, now, reactor);
+        }
+        self.peers.entry(streamer).and_modify(|peer| peer.listed = true);
+    }
+
+    /// A streamer is off the list.
+    pub fn unlisted(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        let Some(peer) = self.peers.get_mut(&streamer) else { return };
+        peer.listed = false;
+        // Whether it still is there is tried at once.
+        peer.heard = peer.heard.min(now.saturating_sub(self.silence));
+        let at = peer.at;
+        if self.peers.iter().any(|(id, other)| *id != streamer && other.at == at && other.listed) {
+            self.lose(streamer, now, reactor);
+        }
+    }
+
+    fn lose(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        self.close_all(streamer, now, reactor);
+        self.peers.entry(streamer).and_modify(|peer| (peer.tries, peer.heard) = (0, now));
+        self.happened.push(Happened::Lost(streamer));
+    }
+
+    fn close_all(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        let lines = self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone());
+        for line in lines {
+            self.close(line, Ending::Reset, now, reactor);
+        }
+    }
+
+    pub fn is(&self, line: Line) -> bool {
+        self.conns.contains_key(&line)
+    }
+
+    pub fn streamer(&self, line: Line) -> Option<StreamerId> {
+        self.conns.get(&line).map(|conn| conn.streamer)
+    }
+
+    fn connect(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) -> Option<Line> {
+        if self.conns.len() >= self.most && !self.close_idle(reactor) {
+            return None;
+        }
+        let peer = self.peers.get_mut(&streamer)?;
+        let line = reactor.connect(SocketAddr::V4(peer.at), self.connect_within, BOUNDS).ok()?;
+        peer.lines.push(line);
+        self.conns.insert(
+            line,
+            Conn {
+                streamer,
+                made: false,
+                begun: now,
+                used: now,
+                heard: now,
+                waiting: Vec::new(),
+                joins: Vec::new(),
+                given_up: None,
+                probes: Vec::new(),
+                messages: Vec::new(),
+            },
+        );
+        Some(line)
+    }
+
+    /// Closes the connection without work that was used longest ago, so that another can be made.
+    fn close_idle(&mut self, reactor: &mut Reactor) -> bool {
+        let idle = self.conns.iter().filter(|(_, conn)| conn.made && conn.is_idle());
+        let Some((_, line)) = idle.map(|(line, conn)| (conn.used, *line)).min() else { return false };
+        self.forget(line);
+        reactor.close(line);
+        true
+    }
+
+    fn forget(&mut self, line: Line) -> Option<Conn> {
+        let conn = self.conns.remove(&line)?;
+        if let Some(peer) = self.peers.get_mut(&conn.streamer) {
+            peer.lines.retain(|held| *held != line);
+        }
+        Some(conn)
+    }
+
+    /// The connection for a join or a probe: an idle one, a new one, or where there is no room the least used.
+    fn line_for(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) -> Option<Line> {
+        let lines = self.peers.get(&streamer)?.lines.clone();
+        let fresh = |conn: &&Conn| conn.made && conn.is_idle() && now < conn.used + self.idle;
+        let of = |line: &Line| self.conns.get(line).map(|conn| (*line, conn));
+        let idle = lines.iter().filter_map(of).filter(|(_, conn)| fresh(conn));
+        if let Some((line, _)) = idle.max_by_key(|(line, conn)| (conn.used, *line)) {
+            return Some(line);
+        }
+        if let Some(line) = self.connect(streamer, now, reactor) {
+            return Some(line);
+        }
+        let load = |conn: &Conn| conn.joins.len() + conn.waiting.len();
+        let shared = lines.iter().filter_map(|line| Some((*line, self.conns.get(line)?)));
+        let shared = shared.filter(|(_, conn)| conn.given_up.is_none() && load(conn) < self.most_streams);
+        shared.min_by_key(|(line, conn)| (load(conn), *line)).map(|(line, _)| line)
+    }
+
+    pub fn join(
+        &mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>, now: Duration,
+        reactor: &mut Reactor,
+    ) {
+        let Some(line) = self.line_for(streamer, now, reactor) else {
+            return self.happened.push(Happened::JoinEnded(job, Ending::ConnectFailed));
+        };
+        let Some(conn) = self.conns.get_mut(&line) else { return };
+        if !conn.made {
+            return conn.waiting.push((job, session, offer));
+        }
+        conn.used = now;
+        if reactor.send(line, &[&offer]) {
+            conn.joins.push((job, session));
+        } else {
+            self.happened.push(Happened::JoinEnded(job, Ending::Moot));
+        }
+    }
+
+    /// Gives up a join: its streamer is told, before anything else goes to it for that call.
+    pub fn withdraw(
+        &mut self, job: JobId, session: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
+    ) {
+        let lines = self.peers.get(&streamer).map_or(&[][..], |peer| &peer.lines);
+        for line in lines {
+            let Some(conn) = self.conns.get_mut(line) else { continue };
+            conn.waiting.retain(|(waiting, ..)| *waiting != job);
+            if conn.joins.iter().any(|(out, _)| *out == job) {
+                conn.joins.retain(|(out, _)| *out != job);
+                (conn.given_up, conn.used) = (Some(now), now);
+                reactor.send(*line, &[&streamers::end(session, 16)]);
+                reactor.flush_line(*line);
+            }
+        }
+    }
+
+    /// The join of that session that is out on a connection.
+    pub fn join_on(&self, line: Line, session: u64) -> Option<JobId> {
+        let joins = &self.conns.get(&line)?.joins;
+        joins.iter().find(|(_, out)| *out == session).map(|(job, _)| *job)
+    }
+
+    /// The join of that session on this connection has its end.
+    pub fn join_done(&mut self, line: Line, session: u64) {
+        if let Some(conn) = self.conns.get_mut(&line) {
+            conn.joins.retain(|(_, out)| *out != session);
+        }
+    }
+
+    /// A message on any connection, the one heard last before others.
+    pub fn say(&mut self, streamer: StreamerId, message: &[u8], now: Duration, reactor: &mut Reactor) {
+        let lines = self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone());
+        let of = |line: &Line| self.conns.get(line).map(|conn| (conn.made, conn.heard, *line));
+        let best = lines.iter().filter_map(of).max().map(|best| best.2);
+        let Some(line) = best.or_else(|| self.connect(streamer, now, reactor)) else { return };
+        let Some(conn) = self.conns.get_mut(&line) else { return };
+        if conn.made {
+            conn.used = now;
+            reactor.send(line, &[message]);
+        } else if conn.messages.len() + message.len() <= MOST {
+            conn.messages.extend_from_slice(message);
+        }
+    }
+
+    pub fn probe(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        let Some(line) = self.line_for(streamer, now, reactor) else {
+            return self.happened.push(Happened::Echo(streamer, Ending::ConnectFailed, Duration::ZERO));
+        };
+        let Some(conn) = self.conns.get_mut(&line) else { return };
+        self.next_probe = self.next_probe.wrapping_add(1);
+        let probe = self.next_probe;
+        conn.probes.push((probe, now));
+        if conn.made {
+            conn.used = now;
+            reactor.send(line, &[&streamers::test(probe)]);
+        }
+    }
+
+    /// The probe of that number is answered: when it was sent.
+    pub fn probed(&mut self, line: Line, probe: u64) -> Option<Duration> {
+        let probes = &mut self.conns.get_mut(&line)?.probes;
+        let at = probes.iter().position(|(number, _)| *number == probe)?;
+        Some(probes.remove(at).1)
+    }
+
+    pub fn drop_idle(&mut self, streamer: StreamerId, reactor: &mut Reactor) {
+        for line in self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone()) {
+            if self.conns.get(&line).is_some_and(|conn| conn.made && conn.is_idle()) {
+                self.forget(line);
+                reactor.close(line);
+            }
+        }
+    }
+
+    /// A connection is made: what waited for it goes out. A join to a streamer that takes none now is not sent.
+    pub fn opened(&mut self, line: Line, takes_joins: bool, now: Duration, reactor: &mut Reactor) {
+        let Some(conn) = self.conns.get_mut(&line) else { return };
+        (conn.made, conn.used, conn.heard) = (true, now, now);
+        if let Some(peer) = self.peers.get_mut(&conn.streamer) {
+            (peer.heard, peer.tries) = (now, 0);
+        }
+        let messages = std::mem::take(&mut conn.messages);
+        if !messages.is_empty() {
+            reactor.send(line, &[&messages]);
+        }
+        for (probe, _) in &conn.probes {
+            reactor.send(line, &[&streamers::test(*probe)]);
+        }
+        for (job, session, offer) in std::mem::take(&mut conn.waiting) {
+            if takes_joins && reactor.send(line, &[&offer]) {
+                conn.joins.push((job, session));
+            } else {
+                self.happened.push(Happened::JoinEnded(job, Ending::Moot));
+            }
+        }
+    }
+
+    /// Something came on a connection.
+    pub fn heard(&mut self, line: Line, now: Duration) {
+        let Some(conn) = self.conns.get_mut(&line) else { return };
+        conn.heard = now;
+        if let Some(peer) = self.peers.get_mut(&conn.streamer) {
+            (peer.heard, peer.tries) = (now, 0);
+        }
+    }
+
+    /// A connection has ended by itself.
+    pub fn closed(&mut self, line: Line, now: Duration, stands: bool, reactor: &mut Reactor) {
+        let Some(conn) = self.conns.get(&line) else { return };
+        let (streamer, made, late) = (conn.streamer, conn.made, now >= conn.begun + self.connect_within);
+        self.close(line, if made { Ending::Reset } else { Ending::ConnectFailed }, now, reactor);
+        let Some(peer) = self.peers.get_mut(&streamer) else { return };
+        let others = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| conn.made));
+        if made {
+            return;
+        }
+        // Turned down, with nothing else open: its process is gone. Silent: tried once more.
+        peer.tries += 1;
+        if stands && (!late && !others || late && peer.tries >= TRIES && now >= peer.heard + self.silence) {
+            self.lose(streamer, now, reactor);
+        }
+    }
+
+    /// Ends a connection, and what is open on it with this ending.
+    pub fn close(&mut self, line: Line, ending: Ending, now: Duration, reactor: &mut Reactor) {
+        let Some(conn) = self.forget(line) else { return };
+        reactor.close(line);
+        let unsent = if ending == Ending::ConnectFailed { ending } else { Ending::Moot };
+        let waiting = conn.waiting.iter().map(|(job, ..)| Happened::JoinEnded(*job, unsent));
+        let joins = conn.joins.iter().map(|(job, _)| Happened::JoinEnded(*job, ending));
+        let echo = |sent: Duration| Happened::Echo(conn.streamer, ending, now.saturating_sub(sent));
+        let probes = conn.probes.iter().map(|(_, sent)| echo(*sent));
+        self.happened.extend(waiting.chain(joins).chain(probes));
+    }
+
+    /// What time asks for: idle ones and those given up on are closed, late probes end, and where something
+    /// stands and nothing was heard for long a connection is tried.
+    pub fn tend(&mut self, now: Duration, stands_at: &[StreamerId], reactor: &mut Reactor) {
+        let patience = self.connect_within * 2;
+        let mut ends = Vec::new();
+        for (line, conn) in &mut self.conns {
+            let late = conn.probes.iter().filter(|(_, sent)| *sent + patience <= now).count();
+            for (_, sent) in conn.probes.drain(..late) {
+                let waited = now.saturating_sub(sent);
+                self.happened.push(Happened::Echo(conn.streamer, Ending::Timeout, waited));
+            }
+            if late > 0 {
+                conn.given_up = Some(now);
+            }
+            let only = self.peers.get(&conn.streamer).is_some_and(|peer| peer.lines.len() == 1);
+            let kept = only && stands_at.contains(&conn.streamer);
+            let spent = conn.given_up.is_some_and(|at| at + CROSSING <= now);
+            let idle = conn.made && conn.is_idle() && conn.used + self.idle <= now && !kept;
+            if conn.has_no_work() && (spent || idle) {
+                ends.push(*line);
+            }
+        }
+        for line in ends {
+            self.close(line, Ending::Reset, now, reactor);
+        }
+        for streamer in stands_at {
+            let Some(peer) = self.peers.get(streamer) else { continue };
+            let silent = now >= peer.heard + self.silence;
+            let trying = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| !conn.made));
+            if !trying && (silent || peer.lines.is_empty()) && self.connect(*streamer, now, reactor).is_none()
+            {
+                tracing::debug!(%streamer, "no connection can be begun");
+            }
+        }
+        let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty();
+        self.peers.retain(|id, peer| !idle(peer) || stands_at.contains(id));
+    }
+}
+
+impl Conn {
+    fn has_no_work(&self) -> bool {
+        self.joins.is_empty() && self.waiting.is_empty() && self.probes.is_empty()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.has_no_work() && self.given_up.is_none()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/serve.rs
@@ -0,0 +1,456 @@
+//! The way in's loop: what a wake brought goes to the book at once, and once a tick to a round of the module.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use badgerledge_core::chance::Chance;
+use badgerledge_core::decide::Controller;
+use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
+use badgerledge_names::{Names, Tells};
+use badgerledge_reactor::Happening;
+use badgerledge_reactor::{raise_descriptors, Line, Reactor};
+use badgerledge_signalling::viewers::Parameters;
+use badgerledge_signalling::{streamers, viewers, Fault};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+
+use crate::asked::Terms;
+use crate::book::{streamer_id, Book, ListEntry, Wires, CUT};
+use crate::ends::Ends;
+use crate::front::{self, Front};
+use crate::pool::{Happened, Pool};
+use crate::told;
+
+/// The clock begins here, so that a streamer's start long before the process has a time.
+const ORIGIN: Duration = Duration::from_secs(30 * 24 * 3600);
+/// Connections are looked at this often: well under every time-out there is.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+/// The list is asked for this often: an event counts as told after 1.5 s, and a lost answer is asked for again
+/// several times until then. An answer costs some 0.1 ms.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+/// Descriptors that are neither viewers' nor streamers': standard ones, listener, poller, signals, datagrams.
+const SPARE: usize = 24;
+/// After SIGTERM viewers still come for 0.6 s; and nobody waits longer than this for the process to end.
+const STILL_COMING: Duration = Duration::from_millis(1500);
+const LONGEST_END: Duration = Duration::from_secs(30);
+
+pub struct Service {
+    ends: Ends,
+    book: Book,
+    names: Names,
+    chance: Chance,
+    /// The socket to the name service, and when it is asked next.
+    names_line: Line,
+    ask_at: Duration,
+    sweep_at: Duration,
+    next_round: Duration,
+    path: PathBuf,
+    /// The Unix time at the clock's zero, for starts that are told in it.
+    epoch: Duration,
+    listed: bool,
+    ending: Option<Duration>,
+}
+
+/// Runs until SIGTERM has been followed by an end of all that is held.
+pub fn run() -> Result<()> {
+    let path = told::path()?;
+    let place = told::read(&path)?;
+    Service::new(path, place)?.serve()
+}
+
+impl Service {
+    fn new(path: PathBuf, place: told::Place) -> Result<Self> {
+        let mut reactor = Reactor::new(ORIGIN).context("event loop")?;
+        for signal in [SIGTERM, SIGINT, SIGHUP] {
+            reactor.signal(signal).context("signals")?;
+        }
+        let terms = Terms::new(&place.options);
+        let descriptors = raise_descriptors().min(place.sockets);
+        // Half for viewers, who hold a third at most but come in crowds; the rest for streamers.
+        let viewers = descriptors.saturating_sub(SPARE) / 2;
+        let front = Front::new(viewers);
+        let pool = Pool::new(
+            descriptors.saturating_sub(SPARE + viewers).max(1),
+            terms.connect_within,
+            terms.keepalive,
+            terms.most_streams,
+            terms.noted_every,
+            place.seed.rotate_left(17),
+        );
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let epoch = unix.saturating_sub(reactor.clock());
+        let own = |port| SocketAddr::V4(SocketAddrV4::new(*place.listen.ip(), port));
+        let (names_line, _) = reactor.datagrams(own(0)).context("socket to the name service")?;
+        let peers = place.peer_listen.map(|at| reactor.datagrams(SocketAddr::V4(at)));
+        let peers = peers.transpose().context("socket to the other controllers")?.map(|(line, _)| line);
+        let module = Controller::new(ORIGIN, place.seed, place.options.clone());
+        let mut names = Names::default();
+        let listed = names.known(&place.known).context("known")?;
+        let book = Book::new(module, terms, place.memory_mb);
+        let listen = SocketAddr::V4(place.listen);
+        let name = place.name.clone();
+        let (sockets, memory_mb, last) = (place.sockets, place.memory_mb, names.last());
+        let ends = Ends { reactor, now: ORIGIN, front, pool, place, peers };
+        let chance = Chance(ends.place.seed.rotate_left(31));
+        let mut service = Self {
+            ends,
+            book,
+            names,
+            chance,
+            names_line,
+            ask_at: ORIGIN,
+            sweep_at: ORIGIN,
+            next_round: ORIGIN,
+            path,
+            epoch,
+            listed,
+            ending: None,
+        };
+        service.tell_whole(Listing::Cached);
+        service.book.round(ORIGIN, &mut service.ends);
+        // Only now, so that the first test finds the list known and the module born.
+        let listening = service.ends.reactor.listen(listen, front::BOUNDS);
+        listening.with_context(|| format!("listening at {listen}"))?;
+        tracing::info!(name, %listen, sockets, memory_mb, last, "serves");
+        Ok(service)
+    }
+
+    fn serve(mut self) -> Result<()> {
+        let mut told = Vec::new();
+        while !self.is_over() {
+            let until = self.next_wake();
+            self.ends.reactor.wait(Some(until), &mut told).context("event loop")?;
+            self.ends.now = self.ends.reactor.now();
+            told.drain(..).for_each(|happening| self.take(happening));
+            self.tend();
+            self.settle();
+            let now = self.ends.now;
+            self.book.fall_due(now, &mut self.ends);
+            if now >= self.next_round && self.book.has_news() {
+                self.next_round = now + self.book.calls.terms.tick;
+                self.book.round(now, &mut self.ends);
+            }
+            self.settle();
+            self.ends.reactor.flush();
+        }
+        tracing::info!(held = self.book.len(), "ends");
+        Ok(())
+    }
+
+    fn next_wake(&self) -> Duration {
+        let round = match self.book.has_news() {
+            true => Some(self.next_round),
+            false => self.book.next_due().map(|at| at.max(self.next_round)),
+        };
+        round.into_iter().chain([self.ask_at, self.sweep_at]).min().unwrap_or(self.sweep_at)
+    }
+
+    /// After SIGTERM: once nobody comes any more and nothing is held, or at last.
+    fn is_over(&self) -> bool {
+        self.ending.is_some_and(|at| {
+            let since = self.ends.now.saturating_sub(at);
+            since >= STILL_COMING && self.book.is_empty() || since >= LONGEST_END
+        })
+    }
+
+    fn take(&mut self, happening: Happening) {
+        let now = self.ends.now;
+        match happening {
+            Happening::Accepted { line, .. } => {
+                let (book, ends) = (&self.book, &mut self.ends);
+                ends.front.accepted(line, now, &mut ends.reactor, |line| book.open_on(line) > 0);
+            }
+            Happening::Readable(line) if self.ends.front.is(line) => self.hear_viewer(line),
+            Happening::Readable(line) if self.ends.pool.is(line) => self.hear_streamer(line),
+            Happening::Opened(line) => {
+                let streamer = self.ends.pool.streamer(line);
+                let takes = streamer.is_some_and(|streamer| self.book.takes_joins(streamer));
+                self.ends.pool.opened(line, takes, now, &mut self.ends.reactor);
+            }
+            Happening::Closed(line, _) if self.ends.front.is(line) => self.drop_viewer(line),
+            Happening::Closed(line, _) => {
+                let streamer = self.ends.pool.streamer(line);
+                let stands = streamer.is_some_and(|streamer| self.book.standing_at(streamer) > 0);
+                self.ends.pool.closed(line, now, stands, &mut self.ends.reactor);
+            }
+            Happening::Datagram { line, from, bytes } if line == self.names_line => {
+                if from == SocketAddr::V4(self.ends.place.names) {
+                    self.hear_names(&bytes);
+                }
+            }
+            Happening::Datagram { from, bytes, .. } => {
+                let peers = &self.ends.place.peers;
+                if let Some(peer) = peers.iter().position(|peer| SocketAddr::V4(*peer) == from) {
+                    self.book.peer(peer as u32, bytes);
+                }
+            }
+            Happening::Signal(SIGHUP) => self.read_place(),
+            Happening::Signal(signal) => {
+                tracing::info!(signal, held = self.book.len(), "told to end");
+                self.ending.get_or_insert(now);
+            }
+            Happening::Readable(_) | Happening::Drained(_) | Happening::Due(_) => {}
+        }
+    }
+
+    /// Reads the file anew for the name service's address. One that is not in order changes nothing.
+    fn read_place(&mut self) {
+        match told::read(&self.path) {
+            Ok(place) => {
+                tracing::info!(names = %place.names, "the configuration was read anew");
+                self.ends.place.names = place.names;
+                self.names.forget_queries();
+                self.ask_at = self.ends.now;
+            }
+            Err(fault) => tracing::warn!("{fault:#}; the configuration read before goes on counting"),
+        }
+    }
+
+    fn hear_viewer(&mut self, line: Line) {
+        let now = self.ends.now;
+        let mut input = self.ends.reactor.lift(line);
+        let ready = self.listed && self.ending.is_none();
+        let fault = loop {
+            let mut ear = ViewerEar { service: (&mut self.book, &mut self.ends), line, now, ready };
+            match viewers::hear(input.as_slice(), &mut ear) {
+                Ok(0) => break None,
+                Ok(count) => input.consume(count),
+                Err(fault) => break Some(fault),
+            }
+        };
+        let part = !input.is_empty();
+        self.ends.reactor.lay_back(line, input);
+        self.ends.front.read(line, now, part);
+        if let Some(fault) = fault {
+            tracing::debug!(%fault, "a viewers' connection cannot be read");
+            self.drop_viewer(line);
+        }
+    }
+
+    fn drop_viewer(&mut self, line: Line) {
+        self.ends.front.gone(line);
+        self.book.viewer_gone(self.ends.now, line, &mut self.ends);
+        self.ends.reactor.flush_line(line);
+        self.ends.reactor.close(line);
+    }
+
+    fn hear_streamer(&mut self, line: Line) {
+        let now = self.ends.now;
+        let Some(streamer) = self.ends.pool.streamer(line) else { return };
+        self.ends.pool.heard(line, now);
+        let mut input = self.ends.reactor.lift(line);
+        let fault = loop {
+            let service = (&mut self.book, &mut self.ends);
+            let mut ear = StreamerEar { service, line, streamer, now, fault: None };
+            match streamers::hear(input.as_slice(), &mut ear) {
+                Ok(0) => break None,
+                Ok(count) => {
+                    if let Some(fault) = ear.fault {
+                        break Some(fault);
+                    }
+                    input.consume(count);
+                }
+                Err(fault) => break Some(fault),
+            }
+        };
+        self.ends.reactor.lay_back(line, input);
+        if let Some(fault) = fault {
+            tracing::debug!(%fault, %streamer, "a streamer's connection cannot be read");
+            self.ends.pool.close(line, Ending::Reset, now, &mut self.ends.reactor);
+        }
+    }
+
+    /// What the pool found goes to the book; one may bring another.
+    fn settle(&mut self) {
+        let now = self.ends.now;
+        while !self.ends.pool.happened.is_empty() {
+            for happened in std::mem::take(&mut self.ends.pool.happened) {
+                match happened {
+                    Happened::JoinEnded(job, ending) => self.book.join_ended(now, job, ending, None),
+                    Happened::Echo(streamer, ending, waited) => {
+                        self.book.echo(streamer, ending, waited, None)
+                    }
+                    Happened::Lost(streamer) => {
+                        let held = self.book.standing_at(streamer);
+                        tracing::debug!(%streamer, held, "lost with what stood there");
+                        self.book.lost(now, streamer, Duration::MAX, &mut self.ends);
+                    }
+                }
+            }
+        }
+    }
+
+    /// What time asks for.
+    fn tend(&mut self) {
+        let now = self.ends.now;
+        if now >= self.ask_at {
+            self.ask_at = now + ASK_EVERY;
+            let query = self.names.query((self.chance.share() * 65536.0) as u16);
+            let names = SocketAddr::V4(self.ends.place.names);
+            self.ends.reactor.send_to(self.names_line, names, &query);
+        }
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + SWEEP_EVERY;
+        for line in self.ends.front.late(now, |line| self.book.open_on(line) > 0) {
+            self.drop_viewer(line);
+        }
+        let stands_at: Vec<StreamerId> = self.book.stands_at().collect();
+        self.ends.pool.tend(now, &stands_at, &mut self.ends.reactor);
+    }
+
+    fn hear_names(&mut self, bytes: &[u8]) {
+        let mut list = self.entries();
+        match self.names.answer(bytes, &mut list) {
+            Ok(true) => {
+                let entries = list.entries;
+                self.listed = true;
+                self.tell(Listing::Changes, entries);
+            }
+            Ok(false) => {}
+            Err(fault) => tracing::debug!(%fault, "an answer of the name service that changes nothing"),
+        }
+    }
+
+    fn tell_whole(&mut self, how: Listing) {
+        let mut list = self.entries();
+        self.names.tell_all(&mut list);
+        let entries = list.entries;
+        self.tell(how, entries);
+    }
+
+    fn tell(&mut self, how: Listing, entries: Vec<ListEntry>) {
+        let now = self.ends.now;
+        let ends = &mut self.ends;
+        // Those gone first: another may have come at the address.
+        for entry in entries.iter().filter(|entry| entry.health == Health::Gone) {
+            ends.pool.unlisted(entry.id, now, &mut ends.reactor);
+        }
+        for entry in entries.iter().filter(|entry| entry.health != Health::Gone) {
+            ends.pool.listed(entry.id, entry.at, now, &mut ends.reactor);
+            if !entry.came_up.is_zero() {
+                self.book.lost(now, entry.id, entry.came_up, ends);
+            }
+        }
+        tracing::debug!(last = self.names.last(), changed = entries.len(), "list");
+        self.book.list(how, entries);
+    }
+
+    fn entries(&self) -> Entries {
+        let terms = &self.book.calls.terms;
+        Entries {
+            zones: terms.zones.clone(),
+            kinds: terms.kinds.clone(),
+            epoch: self.epoch,
+            entries: Vec::new(),
+        }
+    }
+}
+
+/// The list's words in the module's figures.
+struct Entries {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    epoch: Duration,
+    entries: Vec<ListEntry>,
+}
+
+impl Tells for Entries {
+    fn entry(
+        &mut self, id: u32, at: SocketAddrV4, zone: &str, kind: &str, cell: u32, health: Health, weight: f64,
+        started: u64,
+    ) {
+        let zone = Terms::index(&self.zones, zone).map_or(u16::MAX, |at| at as u16);
+        let kind = Terms::index(&self.kinds, kind).unwrap_or(0);
+        let came_up = match started {
+            0 => Duration::ZERO,
+            ms => Duration::from_millis(ms).saturating_sub(self.epoch),
+        };
+        self.entries.push(ListEntry { id: streamer_id(id), at, zone, kind, cell, health, weight, came_up });
+    }
+}
+
+/// Hears a viewers' connection.
+struct ViewerEar<'a> {
+    service: (&'a mut Book, &'a mut Ends),
+    line: Line,
+    now: Duration,
+    ready: bool,
+}
+
+impl viewers::Heard for ViewerEar<'_> {
+    fn set_up(&mut self, session: u64, parameters: Parameters<'_>) {
+        let (book, ends) = &mut self.service;
+        book.set_up(self.now, self.line, session, parameters, *ends);
+    }
+
+    fn spoilt_set_up(&mut self, session: u64) {
+        let (book, ends) = &mut self.service;
+        book.turn_away(self.now, self.line, session, *ends);
+    }
+
+    fn ended(&mut self, session: u64) {
+        let (book, ends) = &mut self.service;
+        book.ended_by_viewer(self.now, self.line, session, *ends);
+    }
+
+    fn tested(&mut self, session: u64) {
+        let ends = &mut self.service.1;
+        ends.trust(self.line);
+        ends.answer(self.line, &viewers::tested(session, self.ready));
+    }
+}
+
+/// Hears a streamer's connection.
+struct StreamerEar<'a> {
+    service: (&'a mut Book, &'a mut Ends),
+    line: Line,
+    streamer: StreamerId,
+    now: Duration,
+    fault: Option<Fault>,
+}
+
+impl streamers::Heard for StreamerEar<'_> {
+    fn answered(&mut self, session: u64, description: &str) {
+        let (book, ends) = &mut self.service;
+        match ends.pool.join_on(self.line, session) {
+            Some(job) => {
+                ends.pool.join_done(self.line, session);
+                book.answered(self.now, job, description, *ends);
+            }
+            // An answer that crossed the end of its join must not stand; a second copy means nothing.
+            None if !book.stands(self.streamer, session) => {
+                ends.reactor.send(self.line, &[&streamers::end(session, CUT)]);
+            }
+            None => {}
+        }
+    }
+
+    fn ended(&mut self, session: u64, cause: u64, load: Option<&str>) {
+        let (book, ends) = &mut self.service;
+        let Some(job) = ends.pool.join_on(self.line, session) else {
+            return book.ended_by_streamer(self.now, self.streamer, session, cause, load, *ends);
+        };
+        ends.pool.join_done(self.line, session);
+        let ending = match cause {
+            34 => Ending::Full,
+            47 => Ending::Error,
+            102 => Ending::Moot,
+            _ => Ending::Reset,
+        };
+        book.join_ended(self.now, job, ending, load);
+    }
+
+    fn tested(&mut self, session: u64, passed: bool, load: Option<&str>) {
+        let (book, ends) = &mut self.service;
+        let Some(sent) = ends.pool.probed(self.line, session) else { return };
+        let ending = if passed { Ending::Served } else { Ending::Error };
+        book.echo(self.streamer, ending, self.now.saturating_sub(sent), load);
+    }
+
+    fn noted(&mut self, session: u64, note: &str, value: f64) {
+        self.fault = self.service.0.noted(self.streamer, session, note, value).err();
+    }
+}
--- /dev/null
+++ b/crates/signalling/src/streamers.rs
@@ -0,0 +1,92 @@
+//! Streamers' lines: one JSON object each, ended by a line feed.
+
+use std::time::Duration;
+
+use serde_json::{json, Map, Value};
+
+use crate::{hex64, millis, Fault, MOST};
+
+/// What a streamer's line says.
+pub trait Heard {
+    fn answered(&mut self, session: u64, description: &str);
+    fn ended(&mut self, session: u64, cause: u64, load: Option<&str>);
+    fn tested(&mut self, session: u64, passed: bool, load: Option<&str>);
+    fn noted(&mut self, session: u64, note: &str, value: f64);
+}
+
+/// Reads one line and tells how many bytes it took: none while it is not whole.
+///
+/// # Errors
+/// Where the line is no message: nothing more of that connection can be trusted then.
+pub fn hear(bytes: &[u8], heard: &mut impl Heard) -> Result<usize, Fault> {
+    let Some(end) = bytes.iter().take(MOST + 1).position(|b| *b == b'\n') else {
+        return if bytes.len() > MOST { Err(Fault::Endless) } else { Ok(0) };
+    };
+    let line: Map<String, Value> = serde_json::from_slice(&bytes[..end]).map_err(|_| Fault::NotJson)?;
+    let text = |key| line.get(key).and_then(Value::as_str);
+    let session = text("call").and_then(hex64).ok_or(Fault::Field("call"))?;
+    let cause = || line.get("why").and_then(Value::as_u64).ok_or(Fault::Field("why"));
+    let with = |key| line.get("with").and_then(|with| with.get(key));
+    let load = with("load").and_then(Value::as_str);
+    match text("op").ok_or(Fault::Field("op"))? {
+        "accept" => heard.answered(session, text("desc").ok_or(Fault::Field("desc"))?),
+        "end" => heard.ended(session, cause()?, load),
+        "tested" => heard.tested(session, cause()? == 1, load),
+        "info" => {
+            let note = with("note").and_then(Value::as_str).ok_or(Fault::Field("note"))?;
+            heard.noted(session, note, with("value").and_then(figure).ok_or(Fault::Field("value"))?);
+        }
+        "ringing" | "ended" => {}
+        _ => return Err(Fault::Kind),
+    }
+    Ok(end + 1)
+}
+
+/// A field's figure, be it a number or written as text.
+fn figure(value: &Value) -> Option<f64> {
+    let written = || value.as_str()?.parse().ok();
+    value.as_f64().or_else(written).filter(|figure| figure.is_finite())
+}
+
+/// The figures of a load report, in the order of the fields that the settings name; none where one is missing.
+pub fn load(report: &str, fields: &[String]) -> Vec<f64> {
+    let of = |field: &String| {
+        let mut pairs = report.split(';').filter_map(|pair| pair.split_once(':'));
+        let figure: f64 = pairs.find(|(name, _)| name == field)?.1.parse().ok()?;
+        (figure.is_finite() && figure >= 0.0).then_some(figure)
+    };
+    fields.iter().map(of).collect::<Option<_>>().unwrap_or_default()
+}
+
+fn line(op: &str, session: u64, mut rest: Value) -> Vec<u8> {
+    rest["op"] = json!(op);
+    rest["call"] = json!(format!("{session:016x}"));
+    let mut out = rest.to_string().into_bytes();
+    out.push(b'\n');
+    out
+}
+
+/// A set-up; nothing where it is too long for a line.
+pub fn offer(
+    session: u64, room_type: &str, title: &str, left: Duration, rung: Option<u8>, description: &str,
+) -> Option<Vec<u8>> {
+    let mut with = json!({"class": room_type, "key": title, "left": millis(left)});
+    if let Some(rung) = rung {
+        with["rung"] = json!(rung.to_string());
+    }
+    let out = line("offer", session, json!({"with": with, "desc": description}));
+    (out.len() <= MOST).then_some(out)
+}
+
+pub fn end(session: u64, cause: u8) -> Vec<u8> {
+    line("end", session, json!({"with": {}, "why": cause}))
+}
+
+/// A test that is answered with a report.
+pub fn test(session: u64) -> Vec<u8> {
+    line("test", session, json!({"with": {}, "why": 1}))
+}
+
+pub fn step(session: u64, rung: u8) -> Vec<u8> {
+    line("set", session, json!({"with": {"rung": rung.to_string()}}))
+}
