Set-ups handed over name a wait without end: 536 were turned away for it

Checked with one printed set-up: parameter 36 is 4294967 ms, over our bound; room type, figures and title were in order. At fault: the bound in asked.rs, which now counts only for who waits.

--- a/crates/platform/src/asked.rs
+++ b/crates/platform/src/asked.rs
@@ -80,14 +80,16 @@
     let room_type = parameters.text(ROOM_TYPE).and_then(|name| Terms::index(&terms.room_types, name));
     let room_type = room_type.ok_or("room type")?;
     let left = parameters.text(CLIENT_TIMEOUT).and_then(|text| text.parse().ok()).map(Duration::from_millis);
-    let client_timeout =
-        left.filter(|left| !left.is_zero() && *left <= LONGEST_WAIT).ok_or("client timeout")?;
     let title = parameters.text(TITLE).ok_or("title")?;
     let figures = figures(parameters.text(FIGURES).ok_or("figures")?);
     let whole = |name: &str, from: f64, to: f64| {
         let value: f64 = figures.get(name)?.parse().ok()?;
         (value.fract() == 0.0 && (from..=to).contains(&value)).then_some(value)
     };
+    let at = figures.get("at").map(|at| (*at).to_owned());
+    // Who plays already waits for nothing, and names a wait without end.
+    let longest = if at.is_some() { Duration::MAX } else { LONGEST_WAIT };
+    let client_timeout = left.filter(|left| !left.is_zero() && *left <= longest).ok_or("client timeout")?;
     let hinted = match parameters.text(HINT) {
         None => None,
         Some(text) => {
@@ -106,7 +108,6 @@
         hinted,
         moved: figures.get("again") == Some(&"1"),
     };
-    let at = figures.get("at").map(|at| (*at).to_owned());
     let description = parameters.text(DESCRIPTION).filter(|text| !text.is_empty() || at.is_some());
     let description = description.or(at.as_ref().map(|_| "")).ok_or("description")?;
     // The longest rung and wait are counted in: what fits now fits whenever it goes out.
