--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -4,4 +4,5 @@
 mod gossip;
 mod hard_cases;
 mod other_client;
+mod platform;
 mod rig;
--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/book.rs
@@ -383,7 +383,11 @@
         if !message.is_some_and(|message| wires.answer(line, &message)) {
             // Its viewer cannot be told: it must not stand.
             wires.say(streamer, streamers::end(session, NORMAL));
-            return self.expire(now, job, wires);
+            if let Some(call) = self.calls.get_mut(job) {
+                call.phase = Phase::Waiting;
+            }
+            self.expire(now, job, wires);
+            return self.calls.outcome(now, job, (streamer, join, sent), Ending::Cancelled, true, Vec::new());
         }
         wires.trust(line);
         self.calls.stand(job, streamer);
@@ -448,8 +452,11 @@
         }
     }
 
-    /// A note on a session that stands; one that names another streamer's session is nothing.
-    pub fn noted(&mut self, streamer: StreamerId, session: u64, note: &str, value: f64) -> Result<(), Fault> {
+    /// A note on a session that stands, and whether anybody holds that session. One that names another
+    /// streamer's session is nothing.
+    pub fn noted(
+        &mut self, streamer: StreamerId, session: u64, note: &str, value: f64,
+    ) -> Result<bool, Fault> {
         let kinds = ["kept_up", "tier", "wire", "trunk"];
         let kind = kinds.iter().position(|kind| *kind == note).ok_or(Fault::Field("note"))? as u8 + 1;
         let job = self.calls.by_session.get(&session).copied();
@@ -457,7 +464,7 @@
         if let Some(job) = job.filter(stands) {
             self.calls.arrivals.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
         }
-        Ok(())
+        Ok(self.calls.by_session.contains_key(&session))
     }
 
     /// How a probe ended.
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -12,6 +12,8 @@
 /// A connection that was sent nothing, and has nothing open, for this long is closed, and one that owes the rest of a
 /// frame. Under the three seconds in which one that sends what cannot be read must hear something.
 const QUIET: Duration = Duration::from_secs(2);
+/// A set-up follows its connection sooner than this, even where the machine is late.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
 /// Releases that wait for a viewers' connection, at most: more are those of a front that is gone.
 const OWED: usize = 4096;
 /// How long a release waits for the front's connections to come back: by then nobody waits for it.
@@ -34,6 +36,18 @@
     most: usize,
 }
 
+impl Viewer {
+    /// How much it would be missed: least one that has long said nothing, most one whose set-up may be on its
+    /// way, since a first request on a connection that is closed is lost to its viewer.
+    fn missed(&self, now: Duration) -> u8 {
+        match (self.told, now < self.since + ON_ITS_WAY) {
+            (false, false) => 0,
+            (true, _) => 1,
+            (false, true) => 2,
+        }
+    }
+}
+
 impl Front {
     pub fn new(most: usize) -> Self {
         Self { lines: BTreeMap::new(), owed: Vec::new(), most }
@@ -43,17 +57,18 @@
         self.lines.contains_key(&line)
     }
 
-    /// A connection came in. Where there is no room the one without an open set-up that was used longest ago
-    /// gives way, those never told anything first, else the newcomer.
+    /// A connection came in. Where there is no room the one without an open set-up that can best be missed gives
+    /// way, else the newcomer.
     pub fn accepted(
         &mut self, line: Line, now: Duration, reactor: &mut Reactor, open: impl Fn(Line) -> bool,
     ) {
         if self.lines.len() >= self.most {
             let idle = self.lines.iter().filter(|(line, _)| !open(**line));
-            let oldest = idle.map(|(line, viewer)| (viewer.told, viewer.used, *line)).min();
-            let Some((_, _, oldest)) = oldest else { return reactor.close(line) };
-            self.lines.remove(&oldest);
-            reactor.close(oldest);
+            let missed = idle.map(|(line, viewer)| (viewer.missed(now), viewer.used, *line)).min();
+            let Some((_, _, missed)) = missed else { return reactor.close(line) };
+            self.lines.remove(&missed);
+            reactor.flush_line(missed);
+            reactor.close(missed);
         }
         let viewer = Viewer { since: now, used: now, told: false, trusted: false, part: None };
         self.lines.insert(line, viewer);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,8 @@
 mod front;
 mod pool;
 mod serve;
+#[cfg(test)]
+mod tests;
 mod told;
 
 pub use serve::run;
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -3,6 +3,7 @@
 //! more. Where subscriptions stand, one connection at least is kept, for notes and releases.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -33,6 +34,13 @@
     Lost(StreamerId),
 }
 
+/// Why a connection was not even begun.
+enum Unmade {
+    NoRoom,
+    /// Turned down at once: no process is there.
+    Refused,
+}
+
 struct Conn {
     streamer: StreamerId,
     made: bool,
@@ -139,12 +147,18 @@
         self.conns.get(&line).map(|conn| conn.streamer)
     }
 
-    fn connect(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) -> Option<Line> {
+    fn connect(
+        &mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
+    ) -> Result<Line, Unmade> {
         if self.conns.len() >= self.most && !self.close_idle(reactor) {
-            return None;
+            return Err(Unmade::NoRoom);
         }
-        let peer = self.peers.get_mut(&streamer)?;
-        let line = reactor.connect(SocketAddr::V4(peer.at), self.connect_within, BOUNDS).ok()?;
+        let peer = self.peers.get_mut(&streamer).ok_or(Unmade::NoRoom)?;
+        let line = reactor.connect(SocketAddr::V4(peer.at), self.connect_within, BOUNDS);
+        let line = line.map_err(|fault| match fault.kind() {
+            ErrorKind::ConnectionRefused => Unmade::Refused,
+            _ => Unmade::NoRoom,
+        })?;
         peer.lines.push(line);
         self.conns.insert(
             line,
@@ -161,7 +175,7 @@
                 messages: Vec::new(),
             },
         );
-        Some(line)
+        Ok(line)
     }
 
     /// Closes the connection without work that was used longest ago, so that another can be made.
@@ -190,7 +204,7 @@
         if let Some((line, _)) = idle.max_by_key(|(line, conn)| (conn.used, *line)) {
             return Some(line);
         }
-        if let Some(line) = self.connect(streamer, now, reactor) {
+        if let Ok(line) = self.connect(streamer, now, reactor) {
             return Some(line);
         }
         let load = |conn: &Conn| conn.joins.len() + conn.waiting.len();
@@ -253,7 +267,7 @@
         let lines = self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone());
         let of = |line: &Line| self.conns.get(line).map(|conn| (conn.made, conn.heard, *line));
         let best = lines.iter().filter_map(of).max().map(|best| best.2);
-        let Some(line) = best.or_else(|| self.connect(streamer, now, reactor)) else { return };
+        let Some(line) = best.or_else(|| self.connect(streamer, now, reactor).ok()) else { return };
         let Some(conn) = self.conns.get_mut(&line) else { return };
         if conn.made {
             conn.used = now;
@@ -383,9 +397,13 @@
             let Some(peer) = self.peers.get(streamer) else { continue };
             let silent = now >= peer.heard + self.silence;
             let trying = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| !conn.made));
-            if !trying && (silent || peer.lines.is_empty()) && self.connect(*streamer, now, reactor).is_none()
-            {
-                tracing::debug!(%streamer, "no connection can be begun");
+            if trying || !silent && !peer.lines.is_empty() {
+                continue;
+            }
+            let alone = peer.lines.is_empty();
+            match self.connect(*streamer, now, reactor) {
+                Err(Unmade::Refused) if alone => self.lose(*streamer, now, reactor),
+                _ => {}
             }
         }
         let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty();
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -451,6 +451,12 @@
     }
 
     fn noted(&mut self, session: u64, note: &str, value: f64) {
-        self.fault = self.service.0.noted(self.streamer, session, note, value).err();
+        let (book, ends) = &mut self.service;
+        match book.noted(self.streamer, session, note, value) {
+            Ok(true) => {}
+            // What was taken for lost, or given up, still stands there: nobody watches it.
+            Ok(false) => drop(ends.reactor.send(self.line, &[&streamers::end(session, CUT)])),
+            Err(fault) => self.fault = Some(fault),
+        }
     }
 }
--- /dev/null
+++ b/crates/platform/src/tests.rs
@@ -0,0 +1,432 @@
+//! The calls' book beside a slow, plain model of what viewers and streamers see, on generated events in any order;
+//! and a small test for each hard case.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use badgerledge_core::decide::Controller;
+use badgerledge_core::interface::{Ending, Health, JobId, Listing, StreamerId};
+use badgerledge_reactor::Line;
+use badgerledge_signalling::viewers::{self, Parameters};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use serde_json::{json, Value};
+
+use crate::asked::Terms;
+use crate::book::{streamer_id, Book, ListEntry, Wires};
+
+const ORIGIN: Duration = Duration::from_secs(1000);
+const STREAMERS: u32 = 4;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn options() -> Value {
+    let profile = |name: &str| {
+        json!({"name": name, "aimUs": 1_500_000, "deadlineUs": 4_000_000, "effect": "free", "group": "all",
+            "worth": 1.0})
+    };
+    json!({
+        "balancers": 1, "me": 0, "discovery": "automatic", "tickUs": 10_000, "weights": "nominal", "zone": 0,
+        "profiles": [profile("tour"), profile("show")], "failureDomains": ["a"], "hostTypes": ["std"],
+        "familyInfo": {"positions": STREAMERS, "groups": 2, "classScale": [1.0, 1.0], "classTop": [2, 2],
+            "floorByClass": [0, 0], "licenceCap": [0, 0], "kindStreams": [20], "linkUnitKb": 1000.0,
+            "levelKb": [100.0, 200.0, 400.0], "ladderWorth": [0.3, 0.6, 1.0], "uplinkKb": 4000.0,
+            "toldEveryUs": 3_000_000, "toldLateUs": 500_000},
+        "obligations": {"coldFrom": 0.4, "coldUs": 0, "tipAfterUs": 0, "drainGraceUs": 500_000},
+        "permissions": {"maxAttempts": 3, "retryAfter": true, "maxRetryAfterUs": 2_000_000,
+            "connectTimeoutUs": 250_000, "keepaliveUs": 30_000_000, "maxStreams": 32},
+        "report": {"fields": ["x0", "x1"], "how": "answers"}})
+}
+
+/// Both ends, as they see it.
+#[derive(Default)]
+struct Ends {
+    /// Frames that each connection of viewers was sent.
+    sent: Vec<(Line, Vec<u8>)>,
+    /// Joins that are out at a streamer.
+    out: BTreeMap<u64, (JobId, StreamerId)>,
+    /// What a streamer was told on sessions that stand there.
+    said: Vec<(StreamerId, String)>,
+    full: BTreeSet<Line>,
+    probes: Vec<StreamerId>,
+}
+
+impl Wires for Ends {
+    fn answer(&mut self, line: Line, message: &[u8]) -> bool {
+        let takes = !self.full.contains(&line);
+        if takes {
+            self.sent.push((line, message.to_vec()));
+        }
+        takes
+    }
+    fn release(&mut self, line: Line, message: Vec<u8>) {
+        self.sent.push((line, message));
+    }
+    fn trust(&mut self, _line: Line) {}
+    fn join(&mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>) {
+        let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
+        assert_eq!(offer["call"], json!(format!("{session:016x}")));
+        assert_eq!(self.out.insert(session, (job, streamer)), None, "two joins out");
+    }
+    fn withdraw(&mut self, job: JobId, session: u64, streamer: StreamerId) {
+        assert_eq!(self.out.remove(&session), Some((job, streamer)), "what is given up was out");
+    }
+    fn say(&mut self, streamer: StreamerId, message: Vec<u8>) {
+        self.said.push((streamer, String::from_utf8(message).expect("text")));
+    }
+    fn probe(&mut self, streamer: StreamerId) {
+        self.probes.push(streamer);
+    }
+    fn drop_idle(&mut self, _streamer: StreamerId) {}
+    fn signal(&mut self, _peer: Option<u16>, _bytes: &[u8]) {}
+}
+
+impl Ends {
+    /// Kinds and causes of the frames that a session was sent.
+    fn told(&self, session: u64) -> Vec<(u8, u8)> {
+        let of = |(_, frame): &(Line, Vec<u8>)| {
+            let own = frame[3..11] == session.to_be_bytes();
+            own.then(|| (frame[2], if frame[2] == 12 { frame[14] } else { 0 }))
+        };
+        self.sent.iter().filter_map(of).collect()
+    }
+}
+
+struct Play {
+    book: Book,
+    ends: Ends,
+    now: Duration,
+    next_round: Duration,
+}
+
+impl Play {
+    fn new() -> Self {
+        let Value::Object(options) = options() else { unreachable!("an object") };
+        let terms = Terms::new(&options);
+        let book = Book::new(Controller::new(ORIGIN, 7, options), terms, 32);
+        let mut play = Self { book, ends: Ends::default(), now: ORIGIN, next_round: ORIGIN };
+        let entries = (0..STREAMERS).map(|n| entry(n, Health::Ready)).collect();
+        play.book.list(Listing::Cached, entries);
+        play.pass(10);
+        play
+    }
+
+    /// Lets time pass, round by round.
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(10) {
+            self.now += ms(10);
+            self.book.fall_due(self.now, &mut self.ends);
+            if self.now >= self.next_round && self.book.has_news() {
+                self.next_round = self.now + ms(10);
+                self.book.round(self.now, &mut self.ends);
+            }
+        }
+    }
+
+    fn set_up(&mut self, line: Line, session: u64, change: &[(&str, &str)]) {
+        let mut fields = BTreeMap::from([
+            ("class", "tour"),
+            ("left", "2000"),
+            ("title", "7f3a9c21e0b4d655"),
+            ("hint", "8200.0"),
+            ("extras", "home:0;copies:4;top:2;viewer:00000000b4d65521"),
+            ("desc", "9d41\r\nm=audio"),
+        ]);
+        fields.extend(change.iter().copied());
+        let codes = [("class", 33), ("left", 36), ("title", 45), ("hint", 63), ("extras", 48), ("desc", 78)];
+        let mut parameters = Vec::new();
+        for (name, code) in codes.iter().filter(|(name, _)| fields[name] != "-") {
+            parameters.push(*code);
+            parameters.extend((fields[name].len() as u16).to_be_bytes());
+            parameters.extend(fields[name].bytes());
+        }
+        let mut frame = ((9 + parameters.len()) as u16).to_be_bytes().to_vec();
+        frame.push(1);
+        frame.extend(session.to_be_bytes());
+        frame.extend(parameters);
+        let mut ear = Ear { play: self, line };
+        viewers::hear(&frame, &mut ear).expect("a frame");
+    }
+
+    fn answer(&mut self, session: u64) -> Option<StreamerId> {
+        let (job, streamer) = self.ends.out.remove(&session)?;
+        self.book.answered(self.now, job, "a500\r\nc=IN", &mut self.ends);
+        Some(streamer)
+    }
+
+    fn join_ends(&mut self, session: u64, ending: Ending) {
+        if let Some((job, _)) = self.ends.out.remove(&session) {
+            self.book.join_ended(self.now, job, ending, Some("x0:0.4;x1:0.2"));
+        }
+    }
+}
+
+struct Ear<'a> {
+    play: &'a mut Play,
+    line: Line,
+}
+
+impl viewers::Heard for Ear<'_> {
+    fn set_up(&mut self, session: u64, parameters: Parameters<'_>) {
+        let play = &mut *self.play;
+        play.book.set_up(play.now, self.line, session, parameters, &mut play.ends);
+    }
+    fn spoilt_set_up(&mut self, session: u64) {
+        self.play.book.turn_away(self.play.now, self.line, session, &mut self.play.ends);
+    }
+    fn ended(&mut self, session: u64) {
+        self.play.book.ended_by_viewer(self.play.now, self.line, session, &mut self.play.ends);
+    }
+    fn tested(&mut self, _session: u64) {}
+}
+
+fn entry(number: u32, health: Health) -> ListEntry {
+    let at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, number as u16);
+    let id = streamer_id(number);
+    ListEntry { id, at, zone: 0, kind: 0, cell: number, health, weight: 4.0, came_up: Duration::ZERO }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    SetUp(Line),
+    GiveUp(u64, bool),
+    Gone(Line),
+    Full(Line),
+    Answer(u64),
+    JoinEnds(u64, u8),
+    Release(u64, u8),
+    Lost(u32),
+    Listed(u32, bool),
+    Pass(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (session, line) = (u64::arbitrary(g) % 24, Line::arbitrary(g) % 3);
+        let number = u32::arbitrary(g) % STREAMERS;
+        match u8::arbitrary(g) % 16 {
+            0..=3 => Step::SetUp(line),
+            4 => Step::GiveUp(session, bool::arbitrary(g)),
+            5 => Step::Gone(line),
+            6 => Step::Full(line),
+            7..=9 => Step::Answer(session),
+            10 => Step::JoinEnds(session, u8::arbitrary(g)),
+            11 => Step::Release(session, u8::arbitrary(g)),
+            12 => Step::Lost(number),
+            13 => Step::Listed(number, bool::arbitrary(g)),
+            _ => Step::Pass(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// What the plain model knows of a session.
+#[derive(Default)]
+struct Seen {
+    line: Line,
+    stands: Option<StreamerId>,
+    stood: bool,
+    left: bool,
+    over: bool,
+}
+
+fn play(steps: &[Step]) {
+    let mut play = Play::new();
+    let mut seen: BTreeMap<u64, Seen> = BTreeMap::new();
+    for step in steps {
+        match *step {
+            Step::SetUp(line) => {
+                let session = seen.len() as u64;
+                play.set_up(line, session, &[]);
+                seen.insert(session, Seen { line, ..Seen::default() });
+            }
+            Step::GiveUp(session, elsewhere) => {
+                let Some(call) = seen.get_mut(&session) else { continue };
+                let line = call.line + u64::from(elsewhere);
+                play.book.ended_by_viewer(play.now, line, session, &mut play.ends);
+                if call.stands.take().is_some() || !elsewhere && !call.stood {
+                    call.left = true;
+                }
+            }
+            Step::Gone(line) => {
+                play.book.viewer_gone(play.now, line, &mut play.ends);
+                seen.values_mut().filter(|c| c.line == line && !c.stood).for_each(|c| c.left = true);
+            }
+            Step::Full(line) => drop(play.ends.full.insert(line)),
+            Step::Answer(session) => {
+                let full = seen.get(&session).is_some_and(|call| play.ends.full.contains(&call.line));
+                let Some(streamer) = play.answer(session) else { continue };
+                let call = seen.get_mut(&session).expect("known");
+                if !full {
+                    (call.stands, call.stood) = (Some(streamer), true);
+                }
+            }
+            Step::JoinEnds(session, n) => {
+                let all = [Ending::Full, Ending::Error, Ending::Reset, Ending::ConnectFailed, Ending::Moot];
+                play.join_ends(session, all[usize::from(n) % all.len()]);
+            }
+            Step::Release(session, n) => {
+                let Some(streamer) = seen.get(&session).and_then(|call| call.stands) else { continue };
+                let cause = [16, 31, 41][usize::from(n) % 3];
+                play.book.ended_by_streamer(play.now, streamer, session, cause, None, &mut play.ends);
+                let call = seen.get_mut(&session).expect("known");
+                (call.stands, call.left, call.over) = (None, call.left || cause == 31, cause != 31);
+            }
+            Step::Lost(number) => {
+                let streamer = streamer_id(number);
+                play.book.lost(play.now, streamer, Duration::MAX, &mut play.ends);
+                for call in seen.values_mut().filter(|call| call.stands == Some(streamer)) {
+                    (call.stands, call.over) = (None, true);
+                }
+            }
+            Step::Listed(number, ready) => {
+                let health = if ready { Health::Ready } else { Health::Draining };
+                play.book.list(Listing::Changes, vec![entry(number, health)]);
+            }
+            Step::Pass(n) => play.pass(u64::from(n) * 4),
+        }
+    }
+    play.pass(4000);
+    for (session, call) in &seen {
+        let told = play.ends.told(*session);
+        let answers = told.iter().filter(|told| told.0 == 9).count();
+        let releases = told.iter().filter(|told| told.0 == 12).count();
+        let full = play.ends.full.contains(&call.line);
+        // One final answer: that it stands, or a release; none where the viewer left or takes nothing.
+        assert_eq!(answers, usize::from(call.stood), "{session}: {told:?}");
+        let owed = usize::from(if call.stood { call.over } else { !call.left && !full });
+        assert!(releases == owed || full || call.left && releases <= 1, "{session}: {releases} of {owed}");
+        assert_eq!(play.book.stands_at().count() > 0, seen.values().any(|call| call.stands.is_some()));
+    }
+    assert!(play.ends.out.is_empty(), "a join is left out");
+    let standing = seen.values().filter(|call| call.stands.is_some()).count();
+    assert_eq!(play.book.len(), standing, "what the book holds stands");
+    for number in 0..STREAMERS {
+        play.book.lost(play.now, streamer_id(number), Duration::MAX, &mut play.ends);
+    }
+    assert!(play.book.is_empty() && play.book.next_due().is_some());
+}
+
+#[test]
+fn one_answer_each_one_join_out_and_no_call_left() {
+    fn holds(steps: Vec<Step>) -> bool {
+        play(&steps);
+        true
+    }
+    let gen = Gen::from_size_and_seed(120, 11);
+    QuickCheck::new().rng(gen).tests(300).quickcheck(holds as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn an_answer_goes_on_at_once_and_a_release_after_it() {
+    let mut play = Play::new();
+    play.set_up(1, 5, &[]);
+    play.pass(10);
+    let streamer = play.answer(5).expect("it was sent in the next round");
+    assert_eq!(play.ends.told(5), [(9, 0)]);
+    // A note or a release of another streamer means nothing.
+    let other = streamer_id(99);
+    play.book.noted(other, 5, "wire", 0.5).unwrap();
+    play.book.ended_by_streamer(play.now, other, 5, 16, None, &mut play.ends);
+    assert!(play.book.stands(streamer, 5) && play.book.noted(streamer, 5, "wine", 0.5).is_err());
+    play.book.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
+    play.book.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
+    assert_eq!(play.ends.told(5), [(9, 0), (12, 16)]);
+}
+
+/// Guards against figures that no viewer has: they would be wrong in every decision. Harm: none seen.
+#[test]
+fn what_is_out_of_range_is_turned_away_at_once_and_never_passed_on() {
+    let mut play = Play::new();
+    let extras = |text: &'static str| ("extras", text);
+    let wrong = [
+        ("class", "gold"),
+        ("class", "-"),
+        ("left", "0"),
+        ("left", "-5"),
+        ("left", "1e3"),
+        ("left", "99999999999999999999"),
+        ("title", "7f3a"),
+        ("title", "-"),
+        ("hint", "NaN"),
+        ("hint", "-1"),
+        ("hint", "1e300"),
+        ("desc", "-"),
+        extras("home:0;copies:0;top:2;viewer:00000000b4d65521"),
+        extras("home:4;copies:1;top:2;viewer:00000000b4d65521"),
+        extras("home:0.5;copies:1;top:2;viewer:00000000b4d65521"),
+        extras("home:0;copies:5;top:2;viewer:00000000b4d65521"),
+        extras("home:0;copies:1;top:3;viewer:00000000b4d65521"),
+        extras("home:inf;copies:1;top:2;viewer:00000000b4d65521"),
+        extras("home:0;copies:1;top:2"),
+        extras("-"),
+    ];
+    for (session, change) in wrong.iter().enumerate() {
+        play.set_up(1, session as u64, &[*change]);
+        assert_eq!(play.ends.told(session as u64), [(12, 96)], "{change:?}");
+    }
+    play.set_up(1, 99, &[("desc", &"\u{1}".repeat(3000))]);
+    assert_eq!(play.ends.told(99), [(12, 96)], "too long once it is escaped");
+    play.pass(50);
+    assert!(play.ends.out.is_empty() && play.book.is_empty());
+}
+
+/// Guards against a hostile viewer that names another's open request. Harm: none, usual ids are new each time.
+#[test]
+fn the_id_of_an_open_request_again_does_not_touch_it() {
+    let mut play = Play::new();
+    play.set_up(1, 5, &[]);
+    play.set_up(2, 5, &[("desc", "other")]);
+    play.book.ended_by_viewer(play.now, 2, 5, &mut play.ends);
+    play.pass(10);
+    assert_eq!(play.ends.sent.iter().map(|(line, _)| *line).collect::<Vec<_>>(), [2]);
+    assert!(play.answer(5).is_some());
+    // On the same connection the two cannot be told apart: one final answer ends both.
+    play.set_up(1, 6, &[]);
+    play.set_up(1, 6, &[]);
+    play.pass(10);
+    assert_eq!(play.ends.told(6), [(12, 96)]);
+    assert!(!play.ends.out.contains_key(&6));
+}
+
+#[test]
+fn what_is_handed_over_stands_unless_its_streamer_is_gone() {
+    let mut play = Play::new();
+    let at = "home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-00000002";
+    // Its wait has no end, and it wants no answer, the second time neither.
+    play.set_up(1, 5, &[("extras", at), ("left", "4294967")]);
+    play.set_up(1, 5, &[("extras", at), ("left", "4294967")]);
+    play.set_up(1, 6, &[("extras", &at.replace("0002", "0077"))]);
+    assert_eq!((play.ends.told(5), play.ends.told(6)), (vec![], vec![(12, 41)]));
+    assert!(play.book.stands(streamer_id(2), 5) && play.book.len() == 1);
+    // A start told later than what stands there ends it; one told earlier is the one it stands on.
+    play.book.lost(play.now, streamer_id(2), ORIGIN, &mut play.ends);
+    assert!(play.book.stands(streamer_id(2), 5));
+    play.book.lost(play.now, streamer_id(2), play.now + ms(1), &mut play.ends);
+    assert_eq!(play.ends.told(5), [(12, 41)]);
+}
+
+/// Guards against a viewer that floods one connection. Harm: a front that sends more in one wait is throttled.
+#[test]
+fn a_flood_on_one_connection_is_throttled_and_others_are_not() {
+    let mut play = Play::new();
+    (0..300).for_each(|session| play.set_up(1, session, &[]));
+    let throttled = play.ends.sent.len();
+    assert!(throttled > 100 && play.ends.sent.iter().all(|(_, frame)| frame[14] == 42));
+    play.set_up(2, 999, &[]);
+    assert!(play.ends.told(999).is_empty());
+}
+
+/// A request that the module has given up on has its final answer at once, with a time to come back.
+#[test]
+fn what_is_given_up_on_is_answered_in_that_round() {
+    let mut play = Play::new();
+    let gone = (0..STREAMERS).map(|n| entry(n, Health::Gone)).collect();
+    play.book.list(Listing::Changes, gone);
+    play.set_up(1, 5, &[]);
+    play.pass(20);
+    assert_eq!(play.ends.told(5), [(12, 42)]);
+    let frame = &play.ends.sent[0].1;
+    assert_eq!((frame[15], frame.len() > 18), (51, true), "it names how long to stay away");
+}
--- a/crates/signalling/src/viewers.rs
+++ b/crates/signalling/src/viewers.rs
@@ -7,8 +7,11 @@
 use crate::{millis, Fault, MOST};
 
 const SET_UP: u8 = 1;
+const PROGRESS: u8 = 6;
 const ANSWER: u8 = 9;
 const RELEASE: u8 = 12;
+const HEARD: u8 = 16;
+const NOTE: u8 = 44;
 const MOVED: u8 = 51;
 const TEST: u8 = 52;
 const TESTED: u8 = 53;
@@ -88,8 +91,8 @@
         (SET_UP, None) => heard.spoilt_set_up(session),
         (RELEASE, _) => heard.ended(session),
         (TEST, _) => heard.tested(session),
-        // Progress and the like mean nothing; what has no meaning is no reason to end others' sessions.
-        _ => {}
+        (PROGRESS | HEARD | NOTE, _) => {}
+        _ => return Err(Fault::Kind),
     }
     Ok(2 + length)
 }
