Idle streamers' connections are closed towards them and read to their end: releases were lost

Checked by a trace of that session: it stood, its streamer's release never came in, and it was over 21 s after the start, when connections first made fall idle (0.7 of 30 s). Ruled out: the list, evicted viewers' connections (the release would have been in the trace). At fault: pool.rs, tend, which closed with whatever was on its way. It now shuts its side and reads until the streamer closes, a second at most; reactor gains shut. Traces of a session at level trace stay.

--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/book.rs
@@ -5,6 +5,7 @@
 //! that was passed on, `over` once the subscription is over, a join cut to its client timeout.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -200,6 +201,11 @@
     }
 }
 
+/// What becomes of a session, for who looks for one; nothing is written unless that is asked for.
+pub fn trace(session: u64, what: &str, of: impl Debug) {
+    tracing::trace!(session = format_args!("{session:016x}"), ?of, "{what}");
+}
+
 /// A streamer's id in the module: the 32 bits that the list names it by, not its address, since another
 /// streamer may come at the address of one that is gone.
 pub fn streamer_id(bits: u32) -> StreamerId {
@@ -303,6 +309,7 @@
             phase: Phase::Waiting,
         };
         let job = self.calls.keep(call);
+        trace(session, "set-up", line);
         self.calls.due.insert((until, Due::LastCall(job)));
         self.calls.arrivals.push(Box::new(move |module| module.knock(job, asked)));
     }
@@ -321,6 +328,7 @@
             return wires.release(line, viewers::release(session, CUT, Duration::ZERO));
         };
         wires.trust(line);
+        trace(session, "handed over", streamer);
         let asked = request.asked;
         let phase = Phase::Stands(streamer);
         let call = Call { session, line, until: now, offered: None, rung: None, joins: 1, sent: now, phase };
@@ -346,6 +354,7 @@
     pub fn ended_by_viewer(&mut self, now: Duration, line: Line, session: u64, wires: &mut impl Wires) {
         let Some(job) = self.calls.by_session.get(&session).copied() else { return };
         let Some(call) = self.calls.get(job) else { return };
+        trace(session, "ended by its viewer", call.phase);
         match call.phase {
             Phase::Waiting | Phase::Out(_) if call.line == line => self.expire(now, job, wires),
             Phase::Stands(streamer) => {
@@ -366,6 +375,7 @@
     /// Ends a call that has no answer, and owes none any more.
     fn expire(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
         let Some(call) = self.calls.drop_call(job) else { return };
+        trace(call.session, "expired", call.phase);
         self.calls.arrivals.push(Box::new(move |module| module.expired(job)));
         if let Phase::Out(streamer) = call.phase {
             wires.withdraw(job, call.session, streamer);
@@ -389,6 +399,7 @@
             self.expire(now, job, wires);
             return self.calls.outcome(now, job, (streamer, join, sent), Ending::Cancelled, true, Vec::new());
         }
+        trace(session, "stands", streamer);
         wires.trust(line);
         self.calls.stand(job, streamer);
         let latency = now.saturating_sub(sent);
@@ -401,6 +412,7 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         let Phase::Out(streamer) = call.phase else { return };
         call.phase = Phase::Waiting;
+        trace(call.session, "join ended", (streamer, ending));
         let join = (streamer, call.joins - 1, call.sent);
         self.calls.outcome(now, job, join, ending, false, usage);
     }
@@ -413,6 +425,7 @@
         let Some(job) = self.calls.by_session.get(&session).copied() else { return };
         let Some(call) = self.calls.get(job) else { return };
         let line = call.line;
+        trace(session, "ended by its streamer", (call.phase, cause));
         let usage = self.calls.usage(load);
         match call.phase {
             Phase::Leaves(at) if at == streamer => drop(self.calls.drop_call(job)),
@@ -445,6 +458,7 @@
     pub fn lost(&mut self, now: Duration, streamer: StreamerId, before: Duration, wires: &mut impl Wires) {
         for job in self.calls.standing.get(&streamer).cloned().unwrap_or_default() {
             let Some(call) = self.calls.get(job).filter(|call| call.sent < before) else { continue };
+            trace(call.session, "lost with its streamer", streamer);
             if call.phase == Phase::Stands(streamer) {
                 wires.release(call.line, viewers::release(call.session, CUT, Duration::ZERO));
             }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -5,7 +5,7 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::book::{Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::book::{trace, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
 
 pub struct Desk<'a, W> {
     pub now: Duration,
@@ -22,6 +22,7 @@
             return;
         }
         let Some(call) = self.calls.drop_call(job) else { return };
+        trace(call.session, "answered", (cause, cool_down));
         if let Phase::Out(streamer) = call.phase {
             self.wires.withdraw(job, call.session, streamer);
             let join = (streamer, call.joins - 1, call.sent);
@@ -76,6 +77,7 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         if let Phase::Stands(streamer) = call.phase {
             call.phase = Phase::Leaves(streamer);
+            trace(call.session, "moved", streamer);
             let (line, message) = (call.line, viewers::moved(call.session));
             self.wires.release(line, message);
             self.calls.due.insert((self.now + MOVED_WITHIN, Due::Moved(job)));
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -66,6 +66,7 @@
             let idle = self.lines.iter().filter(|(line, _)| !open(**line));
             let missed = idle.map(|(line, viewer)| (viewer.missed(now), viewer.used, *line)).min();
             let Some((_, _, missed)) = missed else { return reactor.close(line) };
+            tracing::trace!(line = missed, "gives way");
             self.lines.remove(&missed);
             reactor.flush_line(missed);
             reactor.close(missed);
@@ -106,6 +107,7 @@
         let newest = newest.max_by_key(|(line, viewer)| (viewer.used, **line)).map(|(line, _)| *line);
         let line = if self.is(line) { Some(line) } else { newest };
         let sent = line.is_some_and(|line| self.answer(line, &message, reactor));
+        tracing::trace!(?line, sent, "a release");
         if !sent && self.owed.len() < OWED {
             self.owed.push((now, message));
         }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -15,6 +15,8 @@
 const BOUNDS: Bounds = Bounds { input: MOST + 1, output: 8 * MOST };
 /// How long a connection stays open after a join was given up on it, for an answer that crosses.
 const CROSSING: Duration = Duration::from_secs(1);
+/// How long a streamer may take to close what was closed towards it.
+const RETIRED: Duration = Duration::from_secs(1);
 /// Part of the settings' idle time after which a connection takes no join and is closed: a streamer that closes
 /// it at that very time would reset the join.
 const IDLE_PART: f64 = 0.7;
@@ -22,6 +24,8 @@
 /// viewers must hear of an end, with two tries; over the lateness of notes.
 const SILENCE: Duration = Duration::from_millis(1500);
 const LONGEST_SILENCE: Duration = Duration::from_secs(6);
+/// The idle time where three quarters of the descriptors are taken: most joins end in much less.
+const CROWDED_IDLE: Duration = Duration::from_secs(2);
 /// Tries of a silent streamer, or of one that cut all connections, that must end in nothing.
 const TRIES: u32 = 2;
 
@@ -53,6 +57,8 @@
     waiting: Vec<(JobId, u64, Vec<u8>)>,
     joins: Vec<(JobId, u64)>,
     given_up: Option<Duration>,
+    /// It takes nothing more, and ends once the other end has said all.
+    retired: Option<Duration>,
     /// Probes that are out, with when they were sent.
     probes: Vec<(u64, Duration)>,
     /// Other messages that wait for it to be made.
@@ -171,6 +177,7 @@
                 waiting: Vec::new(),
                 joins: Vec::new(),
                 given_up: None,
+                retired: None,
                 probes: Vec::new(),
                 messages: Vec::new(),
             },
@@ -209,7 +216,9 @@
         }
         let load = |conn: &Conn| conn.joins.len() + conn.waiting.len();
         let shared = lines.iter().filter_map(|line| Some((*line, self.conns.get(line)?)));
-        let shared = shared.filter(|(_, conn)| conn.given_up.is_none() && load(conn) < self.most_streams);
+        let shared = shared.filter(|(_, conn)| {
+            conn.given_up.is_none() && conn.retired.is_none() && load(conn) < self.most_streams
+        });
         shared.min_by_key(|(line, conn)| (load(conn), *line)).map(|(line, _)| line)
     }
 
@@ -265,7 +274,8 @@
     /// A message on any connection, the one heard last before others.
     pub fn say(&mut self, streamer: StreamerId, message: &[u8], now: Duration, reactor: &mut Reactor) {
         let lines = self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone());
-        let of = |line: &Line| self.conns.get(line).map(|conn| (conn.made, conn.heard, *line));
+        let open = |line: &Line| self.conns.get(line).filter(|conn| conn.retired.is_none());
+        let of = |line: &Line| open(line).map(|conn| (conn.made, conn.heard, *line));
         let best = lines.iter().filter_map(of).max().map(|best| best.2);
         let Some(line) = best.or_else(|| self.connect(streamer, now, reactor).ok()) else { return };
         let Some(conn) = self.conns.get_mut(&line) else { return };
@@ -345,7 +355,10 @@
         let (streamer, made, late) = (conn.streamer, conn.made, now >= conn.begun + self.connect_within);
         self.close(line, if made { Ending::Reset } else { Ending::ConnectFailed }, now, reactor);
         let Some(peer) = self.peers.get_mut(&streamer) else { return };
-        let others = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| conn.made));
+        let others = peer
+            .lines
+            .iter()
+            .any(|line| self.conns.get(line).is_some_and(|conn| conn.made && conn.retired.is_none()));
         if made {
             return;
         }
@@ -372,7 +385,13 @@
     /// stands and nothing was heard for long a connection is tried.
     pub fn tend(&mut self, now: Duration, stands_at: &[StreamerId], reactor: &mut Reactor) {
         let patience = self.connect_within * 2;
+        let crowded = self.conns.len() * 4 > self.most * 3;
+        let idle_for = if crowded { CROWDED_IDLE } else { self.idle };
         let mut ends = Vec::new();
+        let mut open: BTreeMap<StreamerId, usize> = BTreeMap::new();
+        for conn in self.conns.values().filter(|conn| conn.retired.is_none()) {
+            *open.entry(conn.streamer).or_default() += 1;
+        }
         for (line, conn) in &mut self.conns {
             let late = conn.probes.iter().filter(|(_, sent)| *sent + patience <= now).count();
             for (_, sent) in conn.probes.drain(..late) {
@@ -382,12 +401,18 @@
             if late > 0 {
                 conn.given_up = Some(now);
             }
-            let only = self.peers.get(&conn.streamer).is_some_and(|peer| peer.lines.len() == 1);
-            let kept = only && stands_at.contains(&conn.streamer);
+            let others = open.entry(conn.streamer).or_default();
+            let kept = *others <= 1 && stands_at.contains(&conn.streamer);
             let spent = conn.given_up.is_some_and(|at| at + CROSSING <= now);
-            let idle = conn.made && conn.is_idle() && conn.used + self.idle <= now && !kept;
-            if conn.has_no_work() && (spent || idle) {
+            let idle = conn.made && conn.is_idle() && conn.used + idle_for <= now && !kept;
+            let left = conn.retired.is_some_and(|at| at + RETIRED <= now);
+            if left {
                 ends.push(*line);
+            } else if conn.has_no_work() && conn.retired.is_none() && (spent || idle) {
+                // What the streamer had just sent on it, such as a release, is still read.
+                conn.retired = Some(now);
+                *others = others.saturating_sub(1);
+                reactor.shut(*line);
             }
         }
         for line in ends {
@@ -397,10 +422,10 @@
             let Some(peer) = self.peers.get(streamer) else { continue };
             let silent = now >= peer.heard + self.silence;
             let trying = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| !conn.made));
-            if trying || !silent && !peer.lines.is_empty() {
+            let alone = open.get(streamer).is_none_or(|open| *open == 0);
+            if trying || !silent && !alone {
                 continue;
             }
-            let alone = peer.lines.is_empty();
             match self.connect(*streamer, now, reactor) {
                 Err(Unmade::Refused) if alone => self.lose(*streamer, now, reactor),
                 _ => {}
@@ -417,6 +442,6 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.has_no_work() && self.given_up.is_none()
+        self.has_no_work() && self.given_up.is_none() && self.retired.is_none()
     }
 }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -168,7 +168,10 @@
                 let takes = streamer.is_some_and(|streamer| self.book.takes_joins(streamer));
                 self.ends.pool.opened(line, takes, now, &mut self.ends.reactor);
             }
-            Happening::Closed(line, _) if self.ends.front.is(line) => self.drop_viewer(line),
+            Happening::Closed(line, why) if self.ends.front.is(line) => {
+                tracing::trace!(line, ?why, "a viewers' connection ends");
+                self.drop_viewer(line);
+            }
             Happening::Closed(line, _) => {
                 let streamer = self.ends.pool.streamer(line);
                 let stands = streamer.is_some_and(|streamer| self.book.standing_at(streamer) > 0);
@@ -422,6 +425,7 @@
             }
             // An answer that crossed the end of its join must not stand; a second copy means nothing.
             None if !book.stands(self.streamer, session) => {
+                tracing::debug!(session = format!("{session:016x}"), "an answer nobody waits for");
                 ends.reactor.send(self.line, &[&streamers::end(session, CUT)]);
             }
             None => {}
@@ -455,7 +459,10 @@
         match book.noted(self.streamer, session, note, value) {
             Ok(true) => {}
             // What was taken for lost, or given up, still stands there: nobody watches it.
-            Ok(false) => drop(ends.reactor.send(self.line, &[&streamers::end(session, CUT)])),
+            Ok(false) => {
+                tracing::debug!(session = format!("{session:016x}"), note, "a note on what nobody holds");
+                ends.reactor.send(self.line, &[&streamers::end(session, CUT)]);
+            }
             Err(fault) => self.fault = Some(fault),
         }
     }
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
@@ -354,6 +354,18 @@
         self.release(line);
     }
 
+    /// Tells the other end that nothing more comes, and still reads what it had on the way: the line ends once it
+    /// closes too, or is not there any more.
+    pub fn shut(&mut self, line: Line) {
+        self.write_out(line);
+        let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+        if !conn.making && conn.ended.is_none() {
+            self.costs.system_calls += 1;
+            // One that is broken is told as such by the next wait.
+            let _ = socket.shutdown(Shutdown::Write);
+        }
+    }
+
     /// Ends a line once its output is written, or is not within two seconds.
     pub fn finish(&mut self, line: Line) {
         let at = self.clock() + LINGER;
