Releases never go on a tester's connection: nobody hears them there

At fault: serve.rs, tested, which held a connection for the front's once it was tested. Only an answered set-up or a hand-over counts now; a loopback test. Ruled out: closing races (no connection ended within 0.3 s of a release on it). Code of the platform speaks of calls and subscriptions; sessions are the wire's.

--- a/crates/controller/tests/it/platform.rs
+++ b/crates/controller/tests/it/platform.rs
@@ -61,11 +61,11 @@
         lines.last_mut().unwrap().write_all(format!("{message}\n").as_bytes()).unwrap();
     }
 
-    /// Waits for a message of that kind on that session.
-    fn hears(&self, op: &str, session: u64) -> Value {
+    /// Waits for a message of that kind on that subscription.
+    fn hears(&self, op: &str, wire_id: u64) -> Value {
         loop {
             let message = self.heard.recv_timeout(PATIENCE).expect("it is told in time");
-            if message["op"] == op && message["call"] == format!("{session:016x}") {
+            if message["op"] == op && message["call"] == format!("{wire_id:016x}") {
                 return message;
             }
         }
@@ -204,9 +204,9 @@
 struct Viewer(TcpStream);
 
 impl Viewer {
-    fn send(&mut self, kind: u8, session: u64, parameters: &[(u8, &str)]) {
+    fn send(&mut self, kind: u8, wire_id: u64, parameters: &[(u8, &str)]) {
         let mut frame = vec![kind];
-        frame.extend(session.to_be_bytes());
+        frame.extend(wire_id.to_be_bytes());
         for (code, value) in parameters {
             frame.push(*code);
             frame.extend((value.len() as u16).to_be_bytes());
@@ -216,28 +216,28 @@
         self.0.write_all(&frame).unwrap();
     }
 
-    fn set_up(&mut self, session: u64) {
+    fn set_up(&mut self, wire_id: u64) {
         let figures = "home:0;copies:1;top:1;viewer:00000000b4d65521";
         let title = "7f3a9c21e0b4d655";
-        self.send(1, session, &[(33, "tour"), (36, "2000"), (45, title), (48, figures), (78, "v=0")]);
+        self.send(1, wire_id, &[(33, "tour"), (36, "2000"), (45, title), (48, figures), (78, "v=0")]);
     }
 
-    /// The next frame: its kind, its session, and its first parameter's value.
+    /// The next frame: its kind, its subscription, and its first parameter's value.
     fn hears(&mut self) -> (u8, u64, Vec<u8>) {
         let mut length = [0; 2];
         self.0.read_exact(&mut length).expect("a frame in time");
         let mut frame = vec![0; usize::from(u16::from_be_bytes(length))];
         self.0.read_exact(&mut frame).unwrap();
-        let session = u64::from_be_bytes(frame[1..9].try_into().unwrap());
+        let wire_id = u64::from_be_bytes(frame[1..9].try_into().unwrap());
         let value = frame.get(12..).map_or_else(Vec::new, <[u8]>::to_vec);
-        (frame[0], session, value)
+        (frame[0], wire_id, value)
     }
 
     /// Sets a subscription up, which must come to stand.
-    fn plays(&mut self, session: u64) {
-        self.set_up(session);
-        let by = format!("by \"{session:016x}\"\r\n\"v=0\"").into_bytes();
-        assert_eq!(self.hears(), (9, session, by), "the streamer's description, unchanged");
+    fn plays(&mut self, wire_id: u64) {
+        self.set_up(wire_id);
+        let by = format!("by \"{wire_id:016x}\"\r\n\"v=0\"").into_bytes();
+        assert_eq!(self.hears(), (9, wire_id, by), "the streamer's description, unchanged");
     }
 }
 
@@ -267,9 +267,9 @@
     list.lock().unwrap().0 = 2;
     one.mode.store(GARBLES, Ordering::SeqCst);
     std::thread::sleep(Duration::from_millis(500));
-    (20..24).for_each(|session| viewer.plays(session));
+    (20..24).for_each(|wire_id| viewer.plays(wire_id));
     one.mode.store(SILENT, Ordering::SeqCst);
-    (24..28).for_each(|session| viewer.plays(session));
+    (24..28).for_each(|wire_id| viewer.plays(wire_id));
     two.hears("offer", 27);
 
     // What cannot be read is closed within three seconds, silence too, and nobody else notices.
@@ -302,8 +302,8 @@
     viewer.send(52, 2, &[(75, "\0")]);
     assert_eq!(viewer.hears(), (53, 2, vec![0]));
     assert_eq!(viewer.hears().1, 40, "a final answer");
-    for session in (20..28).chain([30, 31]) {
-        viewer.send(12, session, &[(75, "\x10")]);
+    for wire_id in (20..28).chain([30, 31]) {
+        viewer.send(12, wire_id, &[(75, "\x10")]);
     }
     let end = Instant::now() + PATIENCE;
     while controller.child.try_wait().unwrap().is_none() {
@@ -325,7 +325,7 @@
             line.shutdown(Shutdown::Both).unwrap();
         }
     };
-    (10..13).for_each(|session| viewer.plays(session));
+    (10..13).for_each(|wire_id| viewer.plays(wire_id));
     cut();
     std::thread::sleep(Duration::from_millis(600));
     one.say(&json!({"op": "end", "call": format!("{:016x}", 10), "with": {}, "why": 41}));
@@ -337,6 +337,23 @@
     assert!(begun.elapsed() < Duration::from_secs(2));
 }
 
+/// Found on the long day: the connection that a subscription was set up on had given way, and its release went on the one
+/// used last, which was a tester's. Harm: none, other viewers' connections are there or the release waits for one.
+#[test]
+fn a_release_whose_connection_is_gone_goes_to_viewers_and_not_to_testers() {
+    let one = Streamer::new(1);
+    let controller = Controller::start(name_service(List::new(Mutex::new((1, Vec::new())))), &[&one]);
+    let (mut viewer, mut other, mut tester) = (controller.viewer(), controller.viewer(), controller.viewer());
+    other.plays(11);
+    viewer.plays(10);
+    tester.send(52, 1, &[(75, "\0")]);
+    assert_eq!(tester.hears(), (53, 1, vec![1]));
+    drop(viewer);
+    std::thread::sleep(Duration::from_millis(100));
+    one.say(&json!({"op": "end", "call": format!("{:016x}", 10), "with": {}, "why": 16}));
+    assert_eq!(other.hears(), (12, 10, vec![16]));
+}
+
 #[test]
 fn a_configuration_that_cannot_be_read_is_one_plain_error() {
     let folder = TempDir::new().unwrap();
--- a/crates/platform/src/asked.rs
+++ b/crates/platform/src/asked.rs
@@ -76,7 +76,7 @@
 }
 
 /// Reads a set-up's parameters, or names the one that is missing or out of range.
-pub fn read(session: u64, parameters: Parameters<'_>, terms: &Terms) -> Result<Request, &'static str> {
+pub fn read(wire_id: u64, parameters: Parameters<'_>, terms: &Terms) -> Result<Request, &'static str> {
     let room_type = parameters.text(ROOM_TYPE).and_then(|name| Terms::index(&terms.room_types, name));
     let room_type = room_type.ok_or("room type")?;
     let left = parameters.text(CLIENT_TIMEOUT).and_then(|text| text.parse().ok()).map(Duration::from_millis);
@@ -112,7 +112,7 @@
     let description = description.or(at.as_ref().map(|_| "")).ok_or("description")?;
     // The longest rung and wait are counted in: what fits now fits whenever it goes out.
     let name = &terms.room_types[room_type];
-    streamers::offer(session, name, title, LONGEST_WAIT, Some(u8::MAX), description).ok_or("length")?;
+    streamers::offer(wire_id, name, title, LONGEST_WAIT, Some(u8::MAX), description).ok_or("length")?;
     Ok(Request { asked, title: title.to_owned(), description: description.to_owned(), at })
 }
 
--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/book.rs
@@ -50,9 +50,9 @@
     /// What came on this connection can only come from the front.
     fn trust(&mut self, line: Line);
     /// Begins a join, on a connection of its own where there is room.
-    fn join(&mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>);
+    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
     /// Gives up the join that is out.
-    fn withdraw(&mut self, job: JobId, session: u64, streamer: StreamerId);
+    fn withdraw(&mut self, job: JobId, wire_id: u64, streamer: StreamerId);
     /// Gives a message to a streamer on any of its connections.
     fn say(&mut self, streamer: StreamerId, message: Vec<u8>);
     fn probe(&mut self, streamer: StreamerId);
@@ -80,7 +80,8 @@
 }
 
 pub struct Call {
-    pub session: u64,
+    /// The id that viewers and streamers name it by.
+    pub wire_id: u64,
     /// The viewer's connection that its set-up came on.
     pub line: Line,
     /// When the viewer gives up, less what the way back takes.
@@ -108,7 +109,7 @@
 pub struct Calls {
     pub terms: Terms,
     all: BTreeMap<JobId, Call>,
-    by_session: BTreeMap<u64, JobId>,
+    by_wire_id: BTreeMap<u64, JobId>,
     /// Calls without an answer, by the viewer's connection.
     open: BTreeMap<Line, BTreeSet<JobId>>,
     /// Calls that stand or leave, by streamer.
@@ -128,16 +129,16 @@
         self.all.get_mut(&job)
     }
 
-    /// The call of a session.
+    /// The call of a subscription.
     #[cfg(test)]
-    pub fn job(&self, session: u64) -> Option<JobId> {
-        self.by_session.get(&session).copied()
+    pub fn job(&self, wire_id: u64) -> Option<JobId> {
+        self.by_wire_id.get(&wire_id).copied()
     }
 
     fn keep(&mut self, call: Call) -> JobId {
         let job = self.next_job;
         self.next_job = self.next_job.wrapping_add(1);
-        self.by_session.insert(call.session, job);
+        self.by_wire_id.insert(call.wire_id, job);
         match call.phase {
             Phase::Stands(streamer) => drop(self.standing.entry(streamer).or_default().insert(job)),
             _ => {
@@ -185,7 +186,7 @@
     pub fn drop_call(&mut self, job: JobId) -> Option<Call> {
         self.uncount(job);
         let call = self.all.remove(&job)?;
-        self.by_session.remove(&call.session);
+        self.by_wire_id.remove(&call.wire_id);
         self.due.remove(&(call.until, Due::LastCall(job)));
         Some(call)
     }
@@ -207,9 +208,9 @@
     }
 }
 
-/// What becomes of a session, for who looks for one; nothing is written unless that is asked for.
-pub fn trace(session: u64, what: &str, of: impl Debug) {
-    tracing::trace!(session = format_args!("{session:016x}"), ?of, "{what}");
+/// What becomes of a subscription, for who looks for one; nothing is written unless that is asked for.
+pub fn trace(wire_id: u64, what: &str, of: impl Debug) {
+    tracing::trace!(wire_id = format_args!("{wire_id:016x}"), ?of, "{what}");
 }
 
 /// A streamer's id in the module: the 32 bits that the list names it by, not its address, since another
@@ -233,7 +234,7 @@
         let calls = Calls {
             terms,
             all: BTreeMap::new(),
-            by_session: BTreeMap::new(),
+            by_wire_id: BTreeMap::new(),
             open: BTreeMap::new(),
             standing: BTreeMap::new(),
             due: BTreeSet::new(),
@@ -264,9 +265,9 @@
         self.calls.standing.get(&streamer).map_or(0, BTreeSet::len)
     }
 
-    /// Whether that session stands at that streamer.
-    pub fn stands(&self, streamer: StreamerId, session: u64) -> bool {
-        let call = self.calls.by_session.get(&session).and_then(|job| self.calls.get(*job));
+    /// Whether that subscription stands at that streamer.
+    pub fn stands(&self, streamer: StreamerId, wire_id: u64) -> bool {
+        let call = self.calls.by_wire_id.get(&wire_id).and_then(|job| self.calls.get(*job));
         call.is_some_and(|call| call.phase == Phase::Stands(streamer))
     }
 
@@ -277,25 +278,25 @@
 
     /// A viewer's set-up.
     pub fn set_up(
-        &mut self, now: Duration, line: Line, session: u64, parameters: Parameters<'_>,
+        &mut self, now: Duration, line: Line, wire_id: u64, parameters: Parameters<'_>,
         wires: &mut impl Wires,
     ) {
-        let request = match asked::read(session, parameters, &self.calls.terms) {
+        let request = match asked::read(wire_id, parameters, &self.calls.terms) {
             Ok(request) => request,
             Err(what) => {
                 tracing::debug!(what, "a set-up that cannot be used");
-                return self.turn_away(now, line, session, wires);
+                return self.turn_away(now, line, wire_id, wires);
             }
         };
         if let Some(at) = &request.at {
             let streamer = badgerledge_names::id_of(at).map(streamer_id);
-            return self.hand_over(now, line, session, &request, streamer, wires);
+            return self.hand_over(now, line, wire_id, &request, streamer, wires);
         }
-        if self.calls.by_session.contains_key(&session) {
-            return self.turn_away(now, line, session, wires);
+        if self.calls.by_wire_id.contains_key(&wire_id) {
+            return self.turn_away(now, line, wire_id, wires);
         }
         if self.calls.open_count >= self.most_open || self.open_on(line) >= OPEN_ON_LINE {
-            wires.answer(line, &viewers::release(session, THROTTLED, FULL_FOR));
+            wires.answer(line, &viewers::release(wire_id, THROTTLED, FULL_FOR));
             return;
         }
         let mut asked = request.asked;
@@ -305,7 +306,7 @@
         let offered =
             Offered { room_type: asked.room_type, title: request.title, description: request.description };
         let call = Call {
-            session,
+            wire_id,
             line,
             until,
             offered: Some(Box::new(offered)),
@@ -315,7 +316,7 @@
             phase: Phase::Waiting,
         };
         let job = self.calls.keep(call);
-        trace(session, "set-up", (line, asked.path_key));
+        trace(wire_id, "set-up", (line, asked.path_key));
         self.calls.due.insert((until, Due::LastCall(job)));
         self.calls.arrivals.push(Box::new(move |module| module.knock(job, asked)));
     }
@@ -323,29 +324,29 @@
     /// A subscription that plays already is handed over. It wants no answer; one at a streamer that is not
     /// listed is over.
     fn hand_over(
-        &mut self, now: Duration, line: Line, session: u64, request: &asked::Request,
+        &mut self, now: Duration, line: Line, wire_id: u64, request: &asked::Request,
         streamer: Option<StreamerId>, wires: &mut impl Wires,
     ) {
-        if self.calls.by_session.contains_key(&session) {
+        if self.calls.by_wire_id.contains_key(&wire_id) {
             return;
         }
         let listed = streamer.filter(|streamer| self.listed.contains_key(streamer));
         let Some(streamer) = listed.filter(|_| self.len() < self.most_standing) else {
-            return wires.release(line, viewers::release(session, CUT, Duration::ZERO));
+            return wires.release(line, viewers::release(wire_id, CUT, Duration::ZERO));
         };
         wires.trust(line);
-        trace(session, "handed over", streamer);
+        trace(wire_id, "handed over", streamer);
         let asked = request.asked;
         let phase = Phase::Stands(streamer);
-        let call = Call { session, line, until: now, offered: None, rung: None, joins: 1, sent: now, phase };
+        let call = Call { wire_id, line, until: now, offered: None, rung: None, joins: 1, sent: now, phase };
         let job = self.calls.keep(call);
         self.calls.arrivals.push(Box::new(move |module| module.resumed(job, asked, streamer)));
     }
 
     /// A set-up that cannot be used gets a final answer. If its id is that of an open one on the same
     /// connection, one answer ends both, since the viewer could not tell two apart.
-    pub fn turn_away(&mut self, now: Duration, line: Line, session: u64, wires: &mut impl Wires) {
-        let open = self.calls.by_session.get(&session).copied();
+    pub fn turn_away(&mut self, now: Duration, line: Line, wire_id: u64, wires: &mut impl Wires) {
+        let open = self.calls.by_wire_id.get(&wire_id).copied();
         let same = open.filter(|job| {
             let here = self.calls.get(*job).filter(|call| call.line == line);
             here.is_some_and(|call| matches!(call.phase, Phase::Waiting | Phase::Out(_)))
@@ -353,18 +354,18 @@
         if let Some(job) = same {
             self.expire(now, job, wires);
         }
-        wires.answer(line, &viewers::release(session, UNUSABLE, Duration::ZERO));
+        wires.answer(line, &viewers::release(wire_id, UNUSABLE, Duration::ZERO));
     }
 
     /// The viewer gives its set-up up, or ends its subscription. A set-up is given up on its own connection only.
-    pub fn ended_by_viewer(&mut self, now: Duration, line: Line, session: u64, wires: &mut impl Wires) {
-        let Some(job) = self.calls.by_session.get(&session).copied() else { return };
+    pub fn ended_by_viewer(&mut self, now: Duration, line: Line, wire_id: u64, wires: &mut impl Wires) {
+        let Some(job) = self.calls.by_wire_id.get(&wire_id).copied() else { return };
         let Some(call) = self.calls.get(job) else { return };
-        trace(session, "ended by its viewer", call.phase);
+        trace(wire_id, "ended by its viewer", call.phase);
         match call.phase {
             Phase::Waiting | Phase::Out(_) if call.line == line => self.expire(now, job, wires),
             Phase::Stands(streamer) => {
-                wires.say(streamer, streamers::end(session, NORMAL));
+                wires.say(streamer, streamers::end(wire_id, NORMAL));
                 self.over(now, job, Ending::Cancelled, Vec::new());
             }
             _ => {}
@@ -381,10 +382,10 @@
     /// Ends a call that has no answer, and owes none any more.
     fn expire(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
         let Some(call) = self.calls.drop_call(job) else { return };
-        trace(call.session, "expired", call.phase);
+        trace(call.wire_id, "expired", call.phase);
         self.calls.arrivals.push(Box::new(move |module| module.expired(job)));
         if let Phase::Out(streamer) = call.phase {
-            wires.withdraw(job, call.session, streamer);
+            wires.withdraw(job, call.wire_id, streamer);
             let join = (streamer, call.joins - 1, call.sent);
             self.calls.outcome(now, job, join, Ending::Cancelled, true, Vec::new());
         }
@@ -394,18 +395,18 @@
     pub fn answered(&mut self, now: Duration, job: JobId, description: &str, wires: &mut impl Wires) {
         let Some(call) = self.calls.get(job) else { return };
         let Phase::Out(streamer) = call.phase else { return };
-        let (session, line, join, sent) = (call.session, call.line, call.joins - 1, call.sent);
-        let message = viewers::answer(session, description.as_bytes());
+        let (wire_id, line, join, sent) = (call.wire_id, call.line, call.joins - 1, call.sent);
+        let message = viewers::answer(wire_id, description.as_bytes());
         if !message.is_some_and(|message| wires.answer(line, &message)) {
             // Its viewer cannot be told: it must not stand.
-            wires.say(streamer, streamers::end(session, NORMAL));
+            wires.say(streamer, streamers::end(wire_id, NORMAL));
             if let Some(call) = self.calls.get_mut(job) {
                 call.phase = Phase::Waiting;
             }
             self.expire(now, job, wires);
             return self.calls.outcome(now, job, (streamer, join, sent), Ending::Cancelled, true, Vec::new());
         }
-        trace(session, "stands", streamer);
+        trace(wire_id, "stands", streamer);
         wires.trust(line);
         self.calls.stand(job, streamer);
         let latency = now.saturating_sub(sent);
@@ -418,20 +419,20 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         let Phase::Out(streamer) = call.phase else { return };
         call.phase = Phase::Waiting;
-        trace(call.session, "join ended", (streamer, ending));
+        trace(call.wire_id, "join ended", (streamer, ending));
         let join = (streamer, call.joins - 1, call.sent);
         self.calls.outcome(now, job, join, ending, false, usage);
     }
 
-    /// What a streamer's release of a session that stands means, and that its viewer is told.
+    /// What a streamer's release of a subscription that stands means, and that its viewer is told.
     pub fn ended_by_streamer(
-        &mut self, now: Duration, streamer: StreamerId, session: u64, cause: u64, load: Option<&str>,
+        &mut self, now: Duration, streamer: StreamerId, wire_id: u64, cause: u64, load: Option<&str>,
         wires: &mut impl Wires,
     ) {
-        let Some(job) = self.calls.by_session.get(&session).copied() else { return };
+        let Some(job) = self.calls.by_wire_id.get(&wire_id).copied() else { return };
         let Some(call) = self.calls.get(job) else { return };
         let line = call.line;
-        trace(session, "ended by its streamer", (call.phase, cause));
+        trace(wire_id, "ended by its streamer", (call.phase, cause));
         let usage = self.calls.usage(load);
         match call.phase {
             // A move crosses with an end now and then: only its own end says that the viewer is told.
@@ -444,7 +445,7 @@
                 // Who was moved, or has left, is owed no release.
                 if ending != Ending::Cancelled {
                     let cause = if ending == Ending::Served { NORMAL } else { CUT };
-                    wires.release(line, viewers::release(session, cause, Duration::ZERO));
+                    wires.release(line, viewers::release(wire_id, cause, Duration::ZERO));
                 }
                 self.over(now, job, ending, usage);
             }
@@ -464,25 +465,25 @@
     pub fn lost(&mut self, now: Duration, streamer: StreamerId, before: Duration, wires: &mut impl Wires) {
         for job in self.calls.standing.get(&streamer).cloned().unwrap_or_default() {
             let Some(call) = self.calls.get(job).filter(|call| call.sent < before) else { continue };
-            trace(call.session, "lost with its streamer", streamer);
-            wires.release(call.line, viewers::release(call.session, CUT, Duration::ZERO));
+            trace(call.wire_id, "lost with its streamer", streamer);
+            wires.release(call.line, viewers::release(call.wire_id, CUT, Duration::ZERO));
             self.over(now, job, Ending::Reset, Vec::new());
         }
     }
 
-    /// A note on a session that stands, and whether anybody holds that session. One that names another
-    /// streamer's session is nothing.
+    /// A note on a subscription that stands, and whether anybody holds that subscription. One that names another
+    /// streamer's subscription is nothing.
     pub fn noted(
-        &mut self, streamer: StreamerId, session: u64, note: &str, value: f64,
+        &mut self, streamer: StreamerId, wire_id: u64, note: &str, value: f64,
     ) -> Result<bool, Fault> {
         let kinds = ["kept_up", "tier", "wire", "trunk"];
         let kind = kinds.iter().position(|kind| *kind == note).ok_or(Fault::Field("note"))? as u8 + 1;
-        let job = self.calls.by_session.get(&session).copied();
+        let job = self.calls.by_wire_id.get(&wire_id).copied();
         let stands = |job: &JobId| self.calls.get(*job).is_some_and(|c| c.phase == Phase::Stands(streamer));
         if let Some(job) = job.filter(stands) {
             self.calls.arrivals.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
         }
-        Ok(self.calls.by_session.contains_key(&session))
+        Ok(self.calls.by_wire_id.contains_key(&wire_id))
     }
 
     /// How a probe ended.
@@ -536,10 +537,10 @@
                 Due::Join(job, join) => self.late_join(now, job, join, wires),
                 Due::LastCall(job) => self.last_call(now, job, wires),
                 Due::Moved(job) => {
-                    let leaves = self.calls.get(job).map(|call| (call.phase, call.session, call.line));
-                    if let Some((Phase::Leaves(streamer), session, line)) = leaves {
-                        wires.say(streamer, streamers::end(session, NORMAL));
-                        wires.release(line, viewers::release(session, NORMAL, Duration::ZERO));
+                    let leaves = self.calls.get(job).map(|call| (call.phase, call.wire_id, call.line));
+                    if let Some((Phase::Leaves(streamer), wire_id, line)) = leaves {
+                        wires.say(streamer, streamers::end(wire_id, NORMAL));
+                        wires.release(line, viewers::release(wire_id, NORMAL, Duration::ZERO));
                         self.calls.drop_call(job);
                     }
                 }
@@ -550,7 +551,7 @@
     fn late_join(&mut self, now: Duration, job: JobId, join: u16, wires: &mut impl Wires) {
         let Some(call) = self.calls.get(job).filter(|call| call.joins == join + 1) else { return };
         if let Phase::Out(streamer) = call.phase {
-            wires.withdraw(job, call.session, streamer);
+            wires.withdraw(job, call.wire_id, streamer);
             self.join_ended(now, job, Ending::Timeout, None);
         }
     }
@@ -559,9 +560,9 @@
     fn last_call(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
         let Some(call) = self.calls.get(job) else { return };
         if matches!(call.phase, Phase::Waiting | Phase::Out(_)) {
-            let (line, session) = (call.line, call.session);
+            let (line, wire_id) = (call.line, call.wire_id);
             self.expire(now, job, wires);
-            wires.answer(line, &viewers::release(session, CUT, Duration::ZERO));
+            wires.answer(line, &viewers::release(wire_id, CUT, Duration::ZERO));
         }
     }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -22,13 +22,13 @@
             return;
         }
         let Some(call) = self.calls.drop_call(job) else { return };
-        trace(call.session, "answered", (cause, cool_down));
+        trace(call.wire_id, "answered", (cause, cool_down));
         if let Phase::Out(streamer) = call.phase {
-            self.wires.withdraw(job, call.session, streamer);
+            self.wires.withdraw(job, call.wire_id, streamer);
             let join = (streamer, call.joins - 1, call.sent);
             self.calls.outcome(self.now, job, join, Ending::Cancelled, true, Vec::new());
         }
-        self.wires.answer(call.line, &viewers::release(call.session, cause, cool_down));
+        self.wires.answer(call.line, &viewers::release(call.wire_id, cause, cool_down));
     }
 }
 
@@ -43,7 +43,7 @@
         }
         (call.joins, call.sent, call.phase) = (join + 1, now, Phase::Out(streamer));
         let until = try_until.min(call.until);
-        let (session, rung) = (call.session, call.rung);
+        let (wire_id, rung) = (call.wire_id, call.rung);
         let offer = call.offered.as_ref().and_then(|offered| {
             let Offered { room_type, title, description } = &**offered;
             Some((*room_type, title.clone(), description.clone()))
@@ -52,9 +52,9 @@
         let name = &self.calls.terms.room_types[room_type];
         let left = until.saturating_sub(now);
         // It was checked for length when it came.
-        let offer = streamers::offer(session, name, &title, left, rung, &description).unwrap_or_default();
+        let offer = streamers::offer(wire_id, name, &title, left, rung, &description).unwrap_or_default();
         self.calls.due.insert((until, Due::Join(job, join)));
-        self.wires.join(job, session, streamer, offer);
+        self.wires.join(job, wire_id, streamer, offer);
     }
 
     fn shed(&mut self, job: JobId, cool_down: Duration) {
@@ -69,7 +69,7 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         call.rung = Some(rung);
         if let Phase::Stands(streamer) = call.phase {
-            self.wires.say(streamer, streamers::step(call.session, rung));
+            self.wires.say(streamer, streamers::step(call.wire_id, rung));
         }
     }
 
@@ -77,8 +77,8 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         if let Phase::Stands(streamer) = call.phase {
             call.phase = Phase::Leaves(streamer);
-            trace(call.session, "moved", streamer);
-            let (line, message) = (call.line, viewers::moved(call.session));
+            trace(call.wire_id, "moved", streamer);
+            let (line, message) = (call.line, viewers::moved(call.wire_id));
             self.wires.release(line, message);
             self.calls.due.insert((self.now + MOVED_WITHIN, Due::Moved(job)));
         }
@@ -88,8 +88,8 @@
         let Some(call) = self.calls.get_mut(job).filter(|call| call.joins == join + 1) else { return };
         if let Phase::Out(streamer) = call.phase {
             call.phase = Phase::Waiting;
-            let (session, sent) = (call.session, call.sent);
-            self.wires.withdraw(job, session, streamer);
+            let (wire_id, sent) = (call.wire_id, call.sent);
+            self.wires.withdraw(job, wire_id, streamer);
             self.calls.outcome(self.now, job, (streamer, join, sent), Ending::Cancelled, false, Vec::new());
         }
     }
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -37,12 +37,12 @@
         self.front.trust(line, self.now, &mut self.reactor);
     }
 
-    fn join(&mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>) {
-        self.pool.join(job, session, streamer, offer, self.now, &mut self.reactor);
+    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
+        self.pool.join(job, wire_id, streamer, offer, self.now, &mut self.reactor);
     }
 
-    fn withdraw(&mut self, job: JobId, session: u64, streamer: StreamerId) {
-        self.pool.withdraw(job, session, streamer, self.now, &mut self.reactor);
+    fn withdraw(&mut self, job: JobId, wire_id: u64, streamer: StreamerId) {
+        self.pool.withdraw(job, wire_id, streamer, self.now, &mut self.reactor);
     }
 
     fn say(&mut self, streamer: StreamerId, message: Vec<u8>) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -24,7 +24,7 @@
     used: Duration,
     /// Something was sent to it.
     told: bool,
-    /// A set-up of it was answered, or a test: it is the front's.
+    /// A set-up of it was answered, or handed over: it is viewers', and not a tester's.
     trusted: bool,
     /// Since when a part of a frame waits for its rest.
     part: Option<Duration>,
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -223,7 +223,7 @@
     }
 
     pub fn join(
-        &mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>, now: Duration,
+        &mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>, now: Duration,
         reactor: &mut Reactor,
     ) {
         let Some(line) = self.line_for(streamer, now, reactor) else {
@@ -231,11 +231,11 @@
         };
         let Some(conn) = self.conns.get_mut(&line) else { return };
         if !conn.made {
-            return conn.waiting.push((job, session, offer));
+            return conn.waiting.push((job, wire_id, offer));
         }
         conn.used = now;
         if reactor.send(line, &[&offer]) {
-            conn.joins.push((job, session));
+            conn.joins.push((job, wire_id));
         } else {
             self.happened.push(Happened::JoinEnded(job, Ending::Moot));
         }
@@ -243,7 +243,7 @@
 
     /// Gives up a join: its streamer is told, before anything else goes to it for that call.
     pub fn withdraw(
-        &mut self, job: JobId, session: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
+        &mut self, job: JobId, wire_id: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
     ) {
         let lines = self.peers.get(&streamer).map_or(&[][..], |peer| &peer.lines);
         for line in lines {
@@ -252,22 +252,22 @@
             if conn.joins.iter().any(|(out, _)| *out == job) {
                 conn.joins.retain(|(out, _)| *out != job);
                 (conn.given_up, conn.used) = (Some(now), now);
-                reactor.send(*line, &[&streamers::end(session, 16)]);
+                reactor.send(*line, &[&streamers::end(wire_id, 16)]);
                 reactor.flush_line(*line);
             }
         }
     }
 
-    /// The join of that session that is out on a connection.
-    pub fn join_on(&self, line: Line, session: u64) -> Option<JobId> {
+    /// The join of that subscription that is out on a connection.
+    pub fn join_on(&self, line: Line, wire_id: u64) -> Option<JobId> {
         let joins = &self.conns.get(&line)?.joins;
-        joins.iter().find(|(_, out)| *out == session).map(|(job, _)| *job)
+        joins.iter().find(|(_, out)| *out == wire_id).map(|(job, _)| *job)
     }
 
-    /// The join of that session on this connection has its end.
-    pub fn join_done(&mut self, line: Line, session: u64) {
+    /// The join of that subscription on this connection has its end.
+    pub fn join_done(&mut self, line: Line, wire_id: u64) {
         if let Some(conn) = self.conns.get_mut(&line) {
-            conn.joins.retain(|(_, out)| *out != session);
+            conn.joins.retain(|(_, out)| *out != wire_id);
         }
     }
 
@@ -331,9 +331,9 @@
         for (probe, _) in &conn.probes {
             reactor.send(line, &[&streamers::test(*probe)]);
         }
-        for (job, session, offer) in std::mem::take(&mut conn.waiting) {
+        for (job, wire_id, offer) in std::mem::take(&mut conn.waiting) {
             if takes_joins && reactor.send(line, &[&offer]) {
-                conn.joins.push((job, session));
+                conn.joins.push((job, wire_id));
             } else {
                 self.happened.push(Happened::JoinEnded(job, Ending::Moot));
             }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -388,25 +388,25 @@
 }
 
 impl viewers::Heard for ViewerEar<'_> {
-    fn set_up(&mut self, session: u64, parameters: Parameters<'_>) {
+    fn set_up(&mut self, wire_id: u64, parameters: Parameters<'_>) {
         let (book, ends) = &mut self.service;
-        book.set_up(self.now, self.line, session, parameters, *ends);
+        book.set_up(self.now, self.line, wire_id, parameters, *ends);
     }
 
-    fn spoilt_set_up(&mut self, session: u64) {
+    fn spoilt_set_up(&mut self, wire_id: u64) {
         let (book, ends) = &mut self.service;
-        book.turn_away(self.now, self.line, session, *ends);
+        book.turn_away(self.now, self.line, wire_id, *ends);
     }
 
-    fn ended(&mut self, session: u64) {
+    fn ended(&mut self, wire_id: u64) {
         let (book, ends) = &mut self.service;
-        book.ended_by_viewer(self.now, self.line, session, *ends);
+        book.ended_by_viewer(self.now, self.line, wire_id, *ends);
     }
 
-    fn tested(&mut self, session: u64) {
+    fn tested(&mut self, wire_id: u64) {
+        // It makes the connection no viewers' one: what is said to testers on others' calls, nobody hears.
         let ends = &mut self.service.1;
-        ends.trust(self.line);
-        ends.answer(self.line, &viewers::tested(session, self.ready));
+        ends.answer(self.line, &viewers::tested(wire_id, self.ready));
     }
 }
 
@@ -420,28 +420,28 @@
 }
 
 impl streamers::Heard for StreamerEar<'_> {
-    fn answered(&mut self, session: u64, description: &str) {
+    fn answered(&mut self, wire_id: u64, description: &str) {
         let (book, ends) = &mut self.service;
-        match ends.pool.join_on(self.line, session) {
+        match ends.pool.join_on(self.line, wire_id) {
             Some(job) => {
-                ends.pool.join_done(self.line, session);
+                ends.pool.join_done(self.line, wire_id);
                 book.answered(self.now, job, description, *ends);
             }
             // An answer that crossed the end of its join must not stand; a second copy means nothing.
-            None if !book.stands(self.streamer, session) => {
-                tracing::debug!(session = format!("{session:016x}"), "an answer nobody waits for");
-                ends.reactor.send(self.line, &[&streamers::end(session, CUT)]);
+            None if !book.stands(self.streamer, wire_id) => {
+                tracing::debug!(wire_id = format!("{wire_id:016x}"), "an answer nobody waits for");
+                ends.reactor.send(self.line, &[&streamers::end(wire_id, CUT)]);
             }
             None => {}
         }
     }
 
-    fn ended(&mut self, session: u64, cause: u64, load: Option<&str>) {
+    fn ended(&mut self, wire_id: u64, cause: u64, load: Option<&str>) {
         let (book, ends) = &mut self.service;
-        let Some(job) = ends.pool.join_on(self.line, session) else {
-            return book.ended_by_streamer(self.now, self.streamer, session, cause, load, *ends);
+        let Some(job) = ends.pool.join_on(self.line, wire_id) else {
+            return book.ended_by_streamer(self.now, self.streamer, wire_id, cause, load, *ends);
         };
-        ends.pool.join_done(self.line, session);
+        ends.pool.join_done(self.line, wire_id);
         let ending = match cause {
             34 => Ending::Full,
             47 => Ending::Error,
@@ -451,21 +451,21 @@
         book.join_ended(self.now, job, ending, load);
     }
 
-    fn tested(&mut self, session: u64, passed: bool, load: Option<&str>) {
+    fn tested(&mut self, wire_id: u64, passed: bool, load: Option<&str>) {
         let (book, ends) = &mut self.service;
-        let Some(sent) = ends.pool.probed(self.line, session) else { return };
+        let Some(sent) = ends.pool.probed(self.line, wire_id) else { return };
         let ending = if passed { Ending::Served } else { Ending::Error };
         book.echo(self.streamer, ending, self.now.saturating_sub(sent), load);
     }
 
-    fn noted(&mut self, session: u64, note: &str, value: f64) {
+    fn noted(&mut self, wire_id: u64, note: &str, value: f64) {
         let (book, ends) = &mut self.service;
-        match book.noted(self.streamer, session, note, value) {
+        match book.noted(self.streamer, wire_id, note, value) {
             Ok(true) => {}
             // What was taken for lost, or given up, still stands there: nobody watches it.
             Ok(false) => {
-                tracing::debug!(session = format!("{session:016x}"), note, "a note on what nobody holds");
-                ends.reactor.send(self.line, &[&streamers::end(session, CUT)]);
+                tracing::debug!(wire_id = format!("{wire_id:016x}"), note, "a note on what nobody holds");
+                ends.reactor.send(self.line, &[&streamers::end(wire_id, CUT)]);
             }
             Err(fault) => self.fault = Some(fault),
         }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -48,7 +48,7 @@
     sent: Vec<(Line, Vec<u8>)>,
     /// Joins that are out at a streamer.
     out: BTreeMap<u64, (JobId, StreamerId)>,
-    /// What a streamer was told on sessions that stand there.
+    /// What a streamer was told on subscriptions that stand there.
     said: Vec<(StreamerId, String)>,
     full: BTreeSet<Line>,
     probes: Vec<StreamerId>,
@@ -66,13 +66,13 @@
         self.sent.push((line, message));
     }
     fn trust(&mut self, _line: Line) {}
-    fn join(&mut self, job: JobId, session: u64, streamer: StreamerId, offer: Vec<u8>) {
+    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
         let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
-        assert_eq!(offer["call"], json!(format!("{session:016x}")));
-        assert_eq!(self.out.insert(session, (job, streamer)), None, "two joins out");
+        assert_eq!(offer["call"], json!(format!("{wire_id:016x}")));
+        assert_eq!(self.out.insert(wire_id, (job, streamer)), None, "two joins out");
     }
-    fn withdraw(&mut self, job: JobId, session: u64, streamer: StreamerId) {
-        assert_eq!(self.out.remove(&session), Some((job, streamer)), "what is given up was out");
+    fn withdraw(&mut self, job: JobId, wire_id: u64, streamer: StreamerId) {
+        assert_eq!(self.out.remove(&wire_id), Some((job, streamer)), "what is given up was out");
     }
     fn say(&mut self, streamer: StreamerId, message: Vec<u8>) {
         self.said.push((streamer, String::from_utf8(message).expect("text")));
@@ -85,10 +85,10 @@
 }
 
 impl Ends {
-    /// Kinds and causes of the frames that a session was sent.
-    fn told(&self, session: u64) -> Vec<(u8, u8)> {
+    /// Kinds and causes of the frames that a subscription was sent.
+    fn told(&self, wire_id: u64) -> Vec<(u8, u8)> {
         let of = |(_, frame): &(Line, Vec<u8>)| {
-            let own = frame[3..11] == session.to_be_bytes();
+            let own = frame[3..11] == wire_id.to_be_bytes();
             own.then(|| (frame[2], if frame[2] == 12 { frame[14] } else { 0 }))
         };
         self.sent.iter().filter_map(of).collect()
@@ -126,7 +126,7 @@
         }
     }
 
-    fn set_up(&mut self, line: Line, session: u64, change: &[(&str, &str)]) {
+    fn set_up(&mut self, line: Line, wire_id: u64, change: &[(&str, &str)]) {
         let mut fields = BTreeMap::from([
             ("class", "tour"),
             ("left", "2000"),
@@ -145,20 +145,20 @@
         }
         let mut frame = ((9 + parameters.len()) as u16).to_be_bytes().to_vec();
         frame.push(1);
-        frame.extend(session.to_be_bytes());
+        frame.extend(wire_id.to_be_bytes());
         frame.extend(parameters);
         let mut ear = Ear { play: self, line };
         viewers::hear(&frame, &mut ear).expect("a frame");
     }
 
-    fn answer(&mut self, session: u64) -> Option<StreamerId> {
-        let (job, streamer) = self.ends.out.remove(&session)?;
+    fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
+        let (job, streamer) = self.ends.out.remove(&wire_id)?;
         self.book.answered(self.now, job, "a500\r\nc=IN", &mut self.ends);
         Some(streamer)
     }
 
-    fn join_ends(&mut self, session: u64, ending: Ending) {
-        if let Some((job, _)) = self.ends.out.remove(&session) {
+    fn join_ends(&mut self, wire_id: u64, ending: Ending) {
+        if let Some((job, _)) = self.ends.out.remove(&wire_id) {
             self.book.join_ended(self.now, job, ending, Some("x0:0.4;x1:0.2"));
         }
     }
@@ -170,15 +170,15 @@
 }
 
 impl viewers::Heard for Ear<'_> {
-    fn set_up(&mut self, session: u64, parameters: Parameters<'_>) {
+    fn set_up(&mut self, wire_id: u64, parameters: Parameters<'_>) {
         let play = &mut *self.play;
-        play.book.set_up(play.now, self.line, session, parameters, &mut play.ends);
+        play.book.set_up(play.now, self.line, wire_id, parameters, &mut play.ends);
     }
-    fn spoilt_set_up(&mut self, session: u64) {
-        self.play.book.turn_away(self.play.now, self.line, session, &mut self.play.ends);
+    fn spoilt_set_up(&mut self, wire_id: u64) {
+        self.play.book.turn_away(self.play.now, self.line, wire_id, &mut self.play.ends);
     }
-    fn ended(&mut self, session: u64) {
-        self.play.book.ended_by_viewer(self.play.now, self.line, session, &mut self.play.ends);
+    fn ended(&mut self, wire_id: u64) {
+        self.play.book.ended_by_viewer(self.play.now, self.line, wire_id, &mut self.play.ends);
     }
     fn tested(&mut self, _session: u64) {}
 }
@@ -205,16 +205,16 @@
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
-        let (session, line) = (u64::arbitrary(g) % 24, Line::arbitrary(g) % 3);
+        let (wire_id, line) = (u64::arbitrary(g) % 24, Line::arbitrary(g) % 3);
         let number = u32::arbitrary(g) % STREAMERS;
         match u8::arbitrary(g) % 16 {
             0..=3 => Step::SetUp(line),
-            4 => Step::GiveUp(session, bool::arbitrary(g)),
+            4 => Step::GiveUp(wire_id, bool::arbitrary(g)),
             5 => Step::Gone(line),
             6 => Step::Full(line),
-            7..=9 => Step::Answer(session),
-            10 => Step::JoinEnds(session, u8::arbitrary(g)),
-            11 => Step::Release(session, u8::arbitrary(g)),
+            7..=9 => Step::Answer(wire_id),
+            10 => Step::JoinEnds(wire_id, u8::arbitrary(g)),
+            11 => Step::Release(wire_id, u8::arbitrary(g)),
             12 => Step::Lost(number),
             13 => Step::Listed(number, bool::arbitrary(g)),
             _ => Step::Pass(u8::arbitrary(g)),
@@ -222,7 +222,7 @@
     }
 }
 
-/// What the plain model knows of a session.
+/// What the plain model knows of a subscription.
 #[derive(Default)]
 struct Seen {
     line: Line,
@@ -238,14 +238,14 @@
     for step in steps {
         match *step {
             Step::SetUp(line) => {
-                let session = seen.len() as u64;
-                play.set_up(line, session, &[]);
-                seen.insert(session, Seen { line, ..Seen::default() });
+                let wire_id = seen.len() as u64;
+                play.set_up(line, wire_id, &[]);
+                seen.insert(wire_id, Seen { line, ..Seen::default() });
             }
-            Step::GiveUp(session, elsewhere) => {
-                let Some(call) = seen.get_mut(&session) else { continue };
+            Step::GiveUp(wire_id, elsewhere) => {
+                let Some(call) = seen.get_mut(&wire_id) else { continue };
                 let line = call.line + u64::from(elsewhere);
-                play.book.ended_by_viewer(play.now, line, session, &mut play.ends);
+                play.book.ended_by_viewer(play.now, line, wire_id, &mut play.ends);
                 if call.stands.take().is_some() || !elsewhere && !call.stood {
                     call.left = true;
                 }
@@ -255,23 +255,23 @@
                 seen.values_mut().filter(|c| c.line == line && !c.stood).for_each(|c| c.left = true);
             }
             Step::Full(line) => drop(play.ends.full.insert(line)),
-            Step::Answer(session) => {
-                let full = seen.get(&session).is_some_and(|call| play.ends.full.contains(&call.line));
-                let Some(streamer) = play.answer(session) else { continue };
-                let call = seen.get_mut(&session).expect("known");
+            Step::Answer(wire_id) => {
+                let full = seen.get(&wire_id).is_some_and(|call| play.ends.full.contains(&call.line));
+                let Some(streamer) = play.answer(wire_id) else { continue };
+                let call = seen.get_mut(&wire_id).expect("known");
                 if !full {
                     (call.stands, call.stood) = (Some(streamer), true);
                 }
             }
-            Step::JoinEnds(session, n) => {
+            Step::JoinEnds(wire_id, n) => {
                 let all = [Ending::Full, Ending::Error, Ending::Reset, Ending::ConnectFailed, Ending::Moot];
-                play.join_ends(session, all[usize::from(n) % all.len()]);
+                play.join_ends(wire_id, all[usize::from(n) % all.len()]);
             }
-            Step::Release(session, n) => {
-                let Some(streamer) = seen.get(&session).and_then(|call| call.stands) else { continue };
+            Step::Release(wire_id, n) => {
+                let Some(streamer) = seen.get(&wire_id).and_then(|call| call.stands) else { continue };
                 let cause = [16, 31, 41][usize::from(n) % 3];
-                play.book.ended_by_streamer(play.now, streamer, session, cause, None, &mut play.ends);
-                let call = seen.get_mut(&session).expect("known");
+                play.book.ended_by_streamer(play.now, streamer, wire_id, cause, None, &mut play.ends);
+                let call = seen.get_mut(&wire_id).expect("known");
                 (call.stands, call.left, call.over) = (None, call.left || cause == 31, cause != 31);
             }
             Step::Lost(number) => {
@@ -289,15 +289,15 @@
         }
     }
     play.pass(4000);
-    for (session, call) in &seen {
-        let told = play.ends.told(*session);
+    for (wire_id, call) in &seen {
+        let told = play.ends.told(*wire_id);
         let answers = told.iter().filter(|told| told.0 == 9).count();
         let releases = told.iter().filter(|told| told.0 == 12).count();
         let full = play.ends.full.contains(&call.line);
         // One final answer: that it stands, or a release; none where the viewer left or takes nothing.
-        assert_eq!(answers, usize::from(call.stood), "{session}: {told:?}");
+        assert_eq!(answers, usize::from(call.stood), "{wire_id}: {told:?}");
         let owed = usize::from(if call.stood { call.over } else { !call.left && !full });
-        assert!(releases == owed || full || call.left && releases <= 1, "{session}: {releases} of {owed}");
+        assert!(releases == owed || full || call.left && releases <= 1, "{wire_id}: {releases} of {owed}");
         assert_eq!(play.book.stands_at().count() > 0, seen.values().any(|call| call.stands.is_some()));
     }
     assert!(play.ends.out.is_empty(), "a join is left out");
@@ -363,9 +363,9 @@
         extras("home:0;copies:1;top:2"),
         extras("-"),
     ];
-    for (session, change) in wrong.iter().enumerate() {
-        play.set_up(1, session as u64, &[*change]);
-        assert_eq!(play.ends.told(session as u64), [(12, 96)], "{change:?}");
+    for (wire_id, change) in wrong.iter().enumerate() {
+        play.set_up(1, wire_id as u64, &[*change]);
+        assert_eq!(play.ends.told(wire_id as u64), [(12, 96)], "{change:?}");
     }
     play.set_up(1, 99, &[("desc", &"\u{1}".repeat(3000))]);
     assert_eq!(play.ends.told(99), [(12, 96)], "too long once it is escaped");
@@ -412,7 +412,7 @@
 #[test]
 fn a_flood_on_one_connection_is_throttled_and_others_are_not() {
     let mut play = Play::new();
-    (0..300).for_each(|session| play.set_up(1, session, &[]));
+    (0..300).for_each(|wire_id| play.set_up(1, wire_id, &[]));
     let throttled = play.ends.sent.len();
     assert!(throttled > 100 && play.ends.sent.iter().all(|(_, frame)| frame[14] == 42));
     play.set_up(2, 999, &[]);
@@ -432,7 +432,7 @@
     assert_eq!((frame[15], frame.len() > 18), (51, true), "it names how long to stay away");
 }
 
-/// Found on the long day: a streamer ended a session in the very moment in which it was moved, and its viewer, whose
+/// Found on the long day: a streamer ended a subscription in the very moment in which it was moved, and its viewer, whose
 /// move came to nothing, was not told. Harm: none, a release after a move means nothing to a viewer.
 #[test]
 fn an_end_that_crosses_a_move_is_told_and_the_moves_own_end_is_not() {
@@ -449,7 +449,7 @@
     assert!(play.book.is_empty());
 }
 
-/// A session that the module has just moved.
+/// A subscription that the module has just moved.
 fn moving() -> Play {
     let mut play = Play::new();
     let at = "home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-00000000";
