--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -44,15 +44,12 @@
         (call.joins, call.sent, call.phase) = (join + 1, now, Phase::Out(streamer));
         let until = try_until.min(call.until);
         let (wire_id, rung) = (call.wire_id, call.rung);
-        let offer = call.offered.as_ref().and_then(|offered| {
-            let Offered { room_type, title, description } = &**offered;
-            Some((*room_type, title.clone(), description.clone()))
-        });
-        let Some((room_type, title, description)) = offer else { return };
-        let name = &self.calls.terms.room_types[room_type];
+        let offered = self.calls.get(job).and_then(|call| call.offered.as_deref());
+        let Some(Offered { room_type, title, description }) = offered else { return };
+        let name = &self.calls.terms.room_types[*room_type];
         let left = until.saturating_sub(now);
         // It was checked for length when it came.
-        let offer = streamers::offer(wire_id, name, &title, left, rung, &description).unwrap_or_default();
+        let offer = streamers::offer(wire_id, name, title, left, rung, description).unwrap_or_default();
         self.calls.due.insert((until, Due::Join(job, join)));
         self.wires.join(job, wire_id, streamer, offer);
     }
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -158,7 +158,10 @@
     rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     drop(again);
     rig.until(|rig, it| match it {
-        Happening::Opened(line) => Some(rig.pool.opened(*line, true, rig.now, &mut rig.reactor)),
+        Happening::Opened(line) => {
+            rig.pool.opened(*line, true, rig.now, &mut rig.reactor);
+            Some(())
+        }
         _ => None,
     });
     rig.ends(true);
--- a/crates/signalling/src/tests.rs
+++ b/crates/signalling/src/tests.rs
@@ -85,7 +85,7 @@
     ]
     .concat();
     let bytes = [framed(1, 0x9b1f, &parameters), framed(12, 7, &[]), framed(52, 8, &[])].concat();
-    let heard = vec!["set-up 9b1f paid 1500 7f3a9c21e0b4d655 15", "ended 7", "tested 8"];
+    let heard = ["set-up 9b1f paid 1500 7f3a9c21e0b4d655 15", "ended 7", "tested 8"];
     assert_eq!(hear_frames(&bytes), (heard.iter().map(ToString::to_string).collect(), None));
     for cut in 0..bytes.len() {
         let (part, fault) = hear_frames(&bytes[..cut]);
