--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// How many connections there are.
+    #[cfg(test)]
+    pub fn conns(&self) -> usize {
+        self.conns.len()
+    }
+
     pub fn is(&self, line: Line) -> bool {
         self.conns.contains_key(&line)
     }
@@ -166,6 +172,7 @@
             _ => Unmade::NoRoom,
         })?;
         peer.lines.push(line);
+        tracing::trace!(%streamer, line, "connects");
         self.conns.insert(
             line,
             Conn {
@@ -354,26 +361,43 @@
         let Some(conn) = self.conns.get(&line) else { return };
         let (streamer, made, late) = (conn.streamer, conn.made, now >= conn.begun + self.connect_within);
         self.close(line, if made { Ending::Reset } else { Ending::ConnectFailed }, now, reactor);
-        let Some(peer) = self.peers.get_mut(&streamer) else { return };
-        let others = peer
-            .lines
-            .iter()
-            .any(|line| self.conns.get(line).is_some_and(|conn| conn.made && conn.retired.is_none()));
-        if made {
-            return;
+        if !made {
+            self.tried(streamer, late, stands, now, reactor);
         }
-        // Turned down, with nothing else open: its process is gone. Silent: tried once more.
+    }
+
+    /// A connection to a streamer was not made: turned down, or `late`.
+    fn tried(
+        &mut self, streamer: StreamerId, late: bool, stands: bool, now: Duration, reactor: &mut Reactor,
+    ) {
+        let heard = self.heard_at(streamer);
+        let Some(peer) = self.peers.get_mut(&streamer) else { return };
+        // Turned down, with nothing else open: its process is gone. So it is where the others have fallen silent: a
+        // machine that vanished leaves them open. Tried once more then, and where nothing comes back at all.
         peer.tries += 1;
         let tries = if peer.listed { TRIES } else { 1 };
-        if stands && (!late && !others || late && peer.tries >= tries && now >= peer.heard + self.silence) {
+        let gone = match (late, heard) {
+            (false, None) => true,
+            (false, Some(heard)) => peer.tries >= tries && now >= heard + self.silence,
+            (true, _) => peer.tries >= tries && now >= peer.heard + self.silence,
+        };
+        if stands && gone {
             self.lose(streamer, now, reactor);
         }
     }
 
+    /// When something last came on the connections that are open to a streamer.
+    fn heard_at(&self, streamer: StreamerId) -> Option<Duration> {
+        let lines = self.peers.get(&streamer)?.lines.iter();
+        let open = lines.filter_map(|line| self.conns.get(line));
+        open.filter(|conn| conn.made && conn.retired.is_none()).map(|conn| conn.heard).max()
+    }
+
     /// Ends a connection, and what is open on it with this ending.
     pub fn close(&mut self, line: Line, ending: Ending, now: Duration, reactor: &mut Reactor) {
         let Some(conn) = self.forget(line) else { return };
         reactor.close(line);
+        tracing::trace!(streamer = %conn.streamer, line, ?ending, retired = conn.retired.is_some(), "closed");
         let unsent = if ending == Ending::ConnectFailed { ending } else { Ending::Moot };
         let waiting = conn.waiting.iter().map(|(job, ..)| Happened::JoinEnded(*job, unsent));
         let joins = conn.joins.iter().map(|(job, _)| Happened::JoinEnded(*job, ending));
@@ -412,6 +436,7 @@
             } else if conn.has_no_work() && conn.retired.is_none() && (spent || idle) {
                 // What the streamer had just sent on it, such as a release, is still read.
                 conn.retired = Some(now);
+                tracing::trace!(streamer = %conn.streamer, line, spent, idle, "retired");
                 *others = others.saturating_sub(1);
                 reactor.shut(*line);
             }
@@ -427,9 +452,8 @@
             if trying || !silent && !alone {
                 continue;
             }
-            match self.connect(*streamer, now, reactor) {
-                Err(Unmade::Refused) if alone => self.lose(*streamer, now, reactor),
-                _ => {}
+            if let Err(Unmade::Refused) = self.connect(*streamer, now, reactor) {
+                self.tried(*streamer, false, true, now, reactor);
             }
         }
         let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty();
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -172,6 +172,26 @@
     }
 }
 
+/// Found on the roll and join days: a machine that went left its connections open and silent, new ones were turned
+/// down, and what stood there was never told. Harm: none, a streamer with what stands sends notes meanwhile.
+#[test]
+fn a_streamer_that_turns_connections_down_is_lost_where_the_open_ones_are_silent() {
+    let mut rig = Rig::new(8);
+    let _silent = rig.joined(1);
+    rig.pool.join_done(rig.pool_line(), 1);
+    rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let mut turned_down = |after: Duration| {
+        rig.now += after;
+        rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+        if rig.pool.conns() > 1 {
+            rig.ends(true);
+        }
+        rig.happened()
+    };
+    assert_eq!(turned_down(secs(5)), [], "once may be a new process on its way");
+    assert_eq!(turned_down(secs(0)), [Happened::Lost(id())]);
+}
+
 #[test]
 fn another_streamer_at_the_address_of_one_that_is_gone_ends_what_stood_there() {
     let mut rig = Rig::new(8);
