Releases go again where their connection ends before their viewer says it heard them

Need: a release whose connection goes as it is sent was lost: send says true, and nobody hears. One given to a line that was known to have ended in the same wake (send says false) waited in owed until another line became trusted, though others were there. So what was not said to be heard within the second before a connection's end goes on the next newest. At fault: front.rs release, which tried one line, and gone, which forgot what had just gone out. Tests of front and codec fail without it.

--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/book.rs
@@ -45,8 +45,8 @@
 pub trait Wires {
     /// Gives a message to a viewer's connection, or tells that it takes none any more.
     fn answer(&mut self, line: Line, message: &[u8]) -> bool;
-    /// The same, on any viewers' connection where that one is gone, as soon as there is one.
-    fn release(&mut self, line: Line, message: Vec<u8>);
+    /// The release of a subscription, on any viewers' connection where that one is gone, as soon as there is one.
+    fn release(&mut self, line: Line, wire_id: u64, message: Vec<u8>);
     /// What came on this connection can only come from the front.
     fn trust(&mut self, line: Line);
     /// Begins a join, on a connection of its own where there is room.
@@ -332,7 +332,7 @@
         }
         let listed = streamer.filter(|streamer| self.listed.contains_key(streamer));
         let Some(streamer) = listed.filter(|_| self.len() < self.most_standing) else {
-            return wires.release(line, viewers::release(wire_id, CUT, Duration::ZERO));
+            return wires.release(line, wire_id, viewers::release(wire_id, CUT, Duration::ZERO));
         };
         wires.trust(line);
         trace(wire_id, "handed over", streamer);
@@ -445,7 +445,7 @@
                 // Who was moved, or has left, is owed no release.
                 if ending != Ending::Cancelled {
                     let cause = if ending == Ending::Served { NORMAL } else { CUT };
-                    wires.release(line, viewers::release(wire_id, cause, Duration::ZERO));
+                    wires.release(line, wire_id, viewers::release(wire_id, cause, Duration::ZERO));
                 }
                 self.over(now, job, ending, usage);
             }
@@ -466,7 +466,7 @@
         for job in self.calls.standing.get(&streamer).cloned().unwrap_or_default() {
             let Some(call) = self.calls.get(job).filter(|call| call.sent < before) else { continue };
             trace(call.wire_id, "lost with its streamer", streamer);
-            wires.release(call.line, viewers::release(call.wire_id, CUT, Duration::ZERO));
+            wires.release(call.line, call.wire_id, viewers::release(call.wire_id, CUT, Duration::ZERO));
             self.over(now, job, Ending::Reset, Vec::new());
         }
     }
@@ -540,7 +540,7 @@
                     let leaves = self.calls.get(job).map(|call| (call.phase, call.wire_id, call.line));
                     if let Some((Phase::Leaves(streamer), wire_id, line)) = leaves {
                         wires.say(streamer, streamers::end(wire_id, NORMAL));
-                        wires.release(line, viewers::release(wire_id, NORMAL, Duration::ZERO));
+                        wires.release(line, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
                         self.calls.drop_call(job);
                     }
                 }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -75,8 +75,11 @@
         if let Phase::Stands(streamer) = call.phase {
             call.phase = Phase::Leaves(streamer);
             trace(call.wire_id, "moved", streamer);
-            let (line, message) = (call.line, viewers::moved(call.wire_id));
-            self.wires.release(line, message);
+            let (line, wire_id, message) = (call.line, call.wire_id, viewers::moved(call.wire_id));
+            // On its way it is lost for no harm: its streamer ends what was not moved.
+            if !self.wires.answer(line, &message) {
+                self.wires.release(line, wire_id, message);
+            }
             self.calls.due.insert((self.now + MOVED_WITHIN, Due::Moved(job)));
         }
     }
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -29,8 +29,8 @@
         self.front.answer(line, message, &mut self.reactor)
     }
 
-    fn release(&mut self, line: Line, message: Vec<u8>) {
-        self.front.release(line, message, self.now, &mut self.reactor);
+    fn release(&mut self, line: Line, wire_id: u64, message: Vec<u8>) {
+        self.front.release(line, wire_id, message, self.now, &mut self.reactor);
     }
 
     fn trust(&mut self, line: Line) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,7 +1,8 @@
 //! Viewers' connections. Each is bounded in time until it has sent something whole, and only one without an open
 //! set-up gives way to another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::iter;
 use std::time::Duration;
 
 use badgerledge_reactor::{Bounds, Line, Reactor};
@@ -19,6 +20,10 @@
 /// How long a release waits for the front's connections to come back: by then nobody waits for it.
 const OWED_FOR: Duration = Duration::from_secs(8);
 
+/// How long a release counts as on its way: viewers say within a few milliseconds that they heard it, and must hear it
+/// within a second. One that was sent later than this before its connection's end was heard, or nobody says so.
+const UNHEARD_FOR: Duration = Duration::from_secs(1);
+
 struct Viewer {
     since: Duration,
     /// When a set-up of it was last heard, else its start.
@@ -32,8 +37,18 @@
     part: Option<Duration>,
 }
 
+/// A release that was sent, and that its viewer has not said to have heard.
+struct Unheard {
+    sent: Duration,
+    line: Line,
+    wire_id: u64,
+    message: Vec<u8>,
+}
+
 pub struct Front {
     lines: BTreeMap<Line, Viewer>,
+    /// Oldest first.
+    unheard: VecDeque<Unheard>,
     owed: Vec<(Duration, Vec<u8>)>,
     most: usize,
 }
@@ -52,7 +67,7 @@
 
 impl Front {
     pub fn new(most: usize) -> Self {
-        Self { lines: BTreeMap::new(), owed: Vec::new(), most }
+        Self { lines: BTreeMap::new(), unheard: VecDeque::new(), owed: Vec::new(), most }
     }
 
     pub fn is(&self, line: Line) -> bool {
@@ -77,8 +92,14 @@
         self.lines.insert(line, viewer);
     }
 
-    pub fn gone(&mut self, line: Line) {
+    /// A connection has ended. Releases that were just sent on it, and not heard, go again on another.
+    pub fn gone(&mut self, line: Line, now: Duration, reactor: &mut Reactor) {
         self.lines.remove(&line);
+        let (lost, others) = self.unheard.drain(..).partition(|unheard| unheard.line == line);
+        self.unheard = others;
+        for unheard in VecDeque::into_iter(lost).filter(|unheard| now < unheard.sent + UNHEARD_FOR) {
+            self.release(line, unheard.wire_id, unheard.message, now, reactor);
+        }
     }
 
     /// Bytes came; `part` of a frame is left of them.
@@ -109,16 +130,30 @@
     }
 
     /// A release on that connection, on another of the front's, or once there is one.
-    pub fn release(&mut self, line: Line, message: Vec<u8>, now: Duration, reactor: &mut Reactor) {
-        let newest = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
-        let newest = newest.max_by_key(|(line, viewer)| (viewer.used, **line)).map(|(line, _)| *line);
-        let own = self.is(line);
-        let line = if own { Some(line) } else { newest };
-        let sent = line.is_some_and(|line| self.answer(line, &message, reactor));
-        tracing::trace!(?line, own, sent, "a release");
-        if !sent && self.owed.len() < OWED {
-            self.owed.push((now, message));
+    pub fn release(
+        &mut self, line: Line, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
+    ) {
+        let others = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
+        let mut others: Vec<_> = others.map(|(line, viewer)| (viewer.used, *line)).collect();
+        others.sort_unstable();
+        let others = others.into_iter().rev().map(|(_, line)| line);
+        let sent = iter::once(line).chain(others).find(|line| self.answer(*line, &message, reactor));
+        tracing::trace!(wire_id = format_args!("{wire_id:016x}"), own = line, ?sent, "a release");
+        while self.unheard.front().is_some_and(|unheard| unheard.sent + UNHEARD_FOR <= now) {
+            self.unheard.pop_front();
         }
+        match sent {
+            Some(line) if self.unheard.len() < OWED => {
+                self.unheard.push_back(Unheard { sent: now, line, wire_id, message });
+            }
+            None if self.owed.len() < OWED => self.owed.push((now, message)),
+            _ => {}
+        }
+    }
+
+    /// A viewer says that it heard a release.
+    pub fn release_heard(&mut self, wire_id: u64) {
+        self.unheard.retain(|unheard| unheard.wire_id != wire_id);
     }
 
     /// The connections whose time is up.
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -1,6 +1,6 @@
 //! Connections to streamers and of viewers on loopback sockets; time is told, not waited for.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -209,32 +209,61 @@
     }
 }
 
-/// A first request on a connection that is closed is lost to its viewer. Harm: of a silent crowd some are kept half
-/// a second.
-#[test]
-fn a_viewer_whose_set_up_may_be_on_its_way_gives_way_last() {
+/// So many viewers' connections: the loop, its lines in order, and the viewers' ends.
+fn viewers(count: usize) -> (Reactor, Vec<Line>, Vec<TcpStream>) {
     let mut reactor = Reactor::new(secs(1000)).unwrap();
     let (_, at) = reactor.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), BOUNDS).unwrap();
-    let _far: Vec<TcpStream> = (0..5).map(|_| TcpStream::connect(at).unwrap()).collect();
-    let (mut lines, mut told) = (Vec::new(), Vec::new());
-    while lines.len() < 5 {
+    let (mut lines, mut told, mut far) = (Vec::new(), Vec::new(), Vec::new());
+    while lines.len() < count {
+        far.push(TcpStream::connect(at).unwrap());
         reactor.wait(Some(reactor.clock() + WITHIN), &mut told).unwrap();
         lines.extend(told.drain(..).filter_map(|it| match it {
             Happening::Accepted { line, .. } => Some(line),
             _ => None,
         }));
     }
+    (reactor, lines, far)
+}
+
+/// A release goes as its viewer closes the connection, or one that only says so at the write: it goes again on another.
+/// Harm: none where viewers say that they heard it; else they may hear one twice.
+#[test]
+fn a_release_whose_connection_goes_as_it_is_sent_is_sent_again() {
+    let (mut reactor, lines, mut far) = viewers(2);
+    let (mut front, now) = (Front::new(8), secs(1000));
+    for line in &lines {
+        front.accepted(*line, now);
+        front.trust(*line, now, &mut reactor);
+    }
+    for (wire_id, word) in [(1, "first "), (2, "second "), (3, "third ")] {
+        front.release(lines[0], wire_id, word.into(), now, &mut reactor);
+    }
+    front.release_heard(2);
+    front.gone(lines[0], now + Duration::from_millis(900), &mut reactor);
+    front.release(lines[0], 4, "fourth".into(), now + secs(1), &mut reactor);
+    reactor.flush();
+    let mut heard = [0; 64];
+    far[1].set_read_timeout(Some(WITHIN)).unwrap();
+    let count = far[1].read(&mut heard).unwrap();
+    assert_eq!(std::str::from_utf8(&heard[..count]), Ok("first third fourth"));
+}
+
+/// A first request on a connection that is closed is lost to its viewer. Harm: of a silent crowd some are kept half
+/// a second.
+#[test]
+fn a_viewer_whose_set_up_may_be_on_its_way_gives_way_last() {
+    let (mut reactor, lines, _far) = viewers(5);
     let (mut front, now) = (Front::new(3), secs(1000));
     lines[..3].iter().for_each(|line| front.accepted(*line, now));
     assert!(front.is_full());
     front.answer(lines[0], b"told", &mut reactor);
     assert_eq!(front.missed(now, |_| false), Some(lines[0]), "the one that was told something");
-    front.gone(lines[0]);
+    front.gone(lines[0], now, &mut reactor);
     front.accepted(lines[3], now);
     let later = now + secs(1);
     let missed = front.missed(later, |line| line == lines[1]);
     assert_eq!(missed, Some(lines[2]), "the oldest silent one without an open set-up");
-    front.gone(lines[2]);
+    front.gone(lines[2], later, &mut reactor);
     front.accepted(lines[4], later);
     assert_eq!(front.late(now + secs(2), |line| line == lines[1]), [lines[3]]);
 }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -255,7 +255,7 @@
     }
 
     fn drop_viewer(&mut self, line: Line) {
-        self.ends.front.gone(line);
+        self.ends.front.gone(line, self.ends.now, &mut self.ends.reactor);
         self.book.viewer_gone(self.ends.now, line, &mut self.ends);
         self.ends.reactor.flush_line(line);
         self.ends.reactor.close(line);
@@ -433,6 +433,10 @@
         let ends = &mut self.service.1;
         ends.answer(self.line, &viewers::tested(wire_id, self.ready));
     }
+
+    fn release_heard(&mut self, wire_id: u64) {
+        self.service.1.front.release_heard(wire_id);
+    }
 }
 
 /// Hears a streamer's connection.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -62,7 +62,7 @@
         }
         takes
     }
-    fn release(&mut self, line: Line, message: Vec<u8>) {
+    fn release(&mut self, line: Line, _wire_id: u64, message: Vec<u8>) {
         self.sent.push((line, message));
     }
     fn trust(&mut self, _line: Line) {}
@@ -181,6 +181,7 @@
         self.play.book.ended_by_viewer(self.play.now, self.line, wire_id, &mut self.play.ends);
     }
     fn tested(&mut self, _session: u64) {}
+    fn release_heard(&mut self, _session: u64) {}
 }
 
 fn entry(number: u32, health: Health) -> ListEntry {
--- a/crates/signalling/src/tests.rs
+++ b/crates/signalling/src/tests.rs
@@ -32,6 +32,9 @@
     fn tested(&mut self, session: u64) {
         self.0.push(format!("tested {session:x}"));
     }
+    fn release_heard(&mut self, session: u64) {
+        self.0.push(format!("release heard {session:x}"));
+    }
 }
 
 impl streamers::Heard for Ear {
--- a/crates/signalling/src/viewers.rs
+++ b/crates/signalling/src/viewers.rs
@@ -37,6 +37,8 @@
     /// The viewer gives its set-up up, or ends its subscription.
     fn ended(&mut self, session: u64);
     fn tested(&mut self, session: u64);
+    /// A release was heard.
+    fn release_heard(&mut self, session: u64);
 }
 
 /// The parameters of one frame, each as code, length and value.
@@ -91,7 +93,8 @@
         (SET_UP, None) => heard.spoilt_set_up(session),
         (RELEASE, _) => heard.ended(session),
         (TEST, _) => heard.tested(session),
-        (PROGRESS | HEARD | NOTE, _) => {}
+        (HEARD, _) => heard.release_heard(session),
+        (PROGRESS | NOTE, _) => {}
         _ => return Err(Fault::Kind),
     }
     Ok(2 + length)
