--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -627,7 +627,7 @@
         bytes.len() <= 256 && words::read(&bytes) == expected.collect::<Vec<_>>()
     }
     let chance = Gen::from_size_and_seed(60, 7);
-    quickcheck::QuickCheck::new().set_rng(chance).quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+    quickcheck::QuickCheck::new().rng(chance).quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
     assert!(words::read(&[1, 0, 0, 0, 0, 9]).is_empty() && words::read(&[0, 1]).is_empty());
 }
 
