A new connection weighs twice its price on a holder's load; lists of 1,024 tested

So what counts is a pair's first join or probe, not the socket kept for notes, and connected() goes by what was sent.

Tests: an answer, a configuration and a fleet of 1,024; of like holders one with a connection is taken.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -558,18 +558,18 @@
         ids.iter().copied().filter(|id| self.chance.share() * unheard < 3.0 || heard.contains(id)).collect()
     }
 
-    /// Whether a connection to a streamer is likely open: something plays there, or was sent of late.
-    fn connected(&self, id: StreamerId, s: &Streamer) -> bool {
-        let idle = self.told.span("/permissions/keepaliveUs", Duration::ZERO) / 2;
-        let used = s.sent.back().copied().unwrap_or_default().max(s.looked);
-        self.pipes.of(Pipe::Link(id)).asks > 0.0 || self.now < used + idle
+    /// Whether a connection to a streamer is likely open, by its idle time. One that was made for notes alone
+    /// is paid for by its first join.
+    fn connected(&self, s: &Streamer) -> bool {
+        let idle = self.told.span("/permissions/keepaliveUs", Duration::ZERO);
+        self.now < s.sent.back().copied().unwrap_or_default().max(s.looked) + idle
     }
 
     /// The holders that may be used, least loaded first; those that are set aside come last.
     fn holders(&mut self, job: JobId) -> Vec<StreamerId> {
         let Some(sub) = self.subs.get(&job).cloned() else { return Vec::new() };
-        let price = |path| self.told.figure(path, 0.0);
-        let (crossing, handshake) = (price("/prices/crossZone"), price("/prices/handshake"));
+        let (price, usual) = (|path| self.told.figure(path, 0.0), self.usual_rate());
+        let (crossing, handshake) = (price("/prices/crossZone"), 2.0 * price("/prices/handshake"));
         let usable = self.streamers.iter().filter(|(id, s)| self.usable(&sub, **id, s));
         let ids: Vec<_> = usable.map(|(id, _)| *id).collect();
         let drawn = self.drawn(&ids);
@@ -578,9 +578,9 @@
             let s = &self.streamers[&id];
             let far = if s.zone == self.told.zone { 0.0 } else { crossing };
             let away = s.away_until > self.now || sub.tried.contains(&id) || s.silent(self.now, FRESH);
-            let new = if self.connected(id, s) { 0.0 } else { handshake };
+            let new = if self.connected(s) { 0.0 } else { handshake };
             // All see the same reports: a random part, as wide as what others may have added since.
-            let added = self.rivals(Pipe::Link(id)) * self.usual_rate() / self.size(Pipe::Link(id));
+            let added = self.rivals(Pipe::Link(id)) * usual / self.size(Pipe::Link(id));
             let load = self.load(id) + far + new + added.max(0.04) * self.chance.share();
             found.push(((away, !drawn.contains(&id)), load, id));
         }
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -525,6 +525,7 @@
     (told["balancers"], told["me"]) = (json!(1.2), json!(me));
     told["permissions"]["probing"] = json!(true);
     told["permissions"]["peers"] = json!(true);
+    told["permissions"]["keepaliveUs"] = json!(30_000_000);
     told["prices"] = json!({"probe": probe, "peer": 0.01, "handshake": 0.08});
     told["familyInfo"]["uplinkKb"] = json!(20_000.0);
     let mut day = Day::new(told);
@@ -560,6 +561,30 @@
     assert_eq!((day.out(job), day.model.probed.len()), (None, 2), "of a silent one nobody tells");
 }
 
+/// No list is capped: with 1,024 controllers and as many streamers joins are placed, and words are taken.
+#[test]
+fn a_fleet_of_1024_controllers_and_streamers_is_served() {
+    let mut told = settings("free", "all");
+    (told["balancers"], told["me"]) = (json!(1024), json!(1023));
+    (told["familyInfo"]["positions"], told["familyInfo"]["groups"]) = (json!(1024), json!(200));
+    let mut day = Day::new(told);
+    day.round(|c, _| {
+        c.list_begins(Listing::Cached);
+        let all = (0..1024).map(|cell| (streamer(cell), cell));
+        all.for_each(|(id, cell)| c.list_entry(id, 0, 0, cell, Health::Ready, 1.0, Duration::ZERO));
+        c.list_ends(Listing::Cached);
+    });
+    let all = (0..1024).map(|cell| (streamer(cell), (cell, Health::Ready, ms(0))));
+    day.model.list.extend(all);
+    let words = (0..42).map(|n| Word { pipe: Pipe::Link(streamer(1000 + n)), used: 2.0, age: ms(0) });
+    let said = words::write(&words.collect::<Vec<_>>());
+    day.round(|c, _| c.peer(1022, &said));
+    let jobs: Vec<_> = (0..24).map(|n| day.take(asked(1, 1000 + n, 1), None)).collect();
+    assert!(jobs.iter().all(|job| day.out(*job).is_none()), "their only holders are told to be overfull");
+    let jobs: Vec<_> = (0..20).map(|n| day.take(asked(1, 50 * n, 3), None)).collect();
+    assert!(jobs.iter().all(|job| day.out(*job).is_some()));
+}
+
 /// All hear the same words, and by then others have joined where it was emptiest. Harm: a join goes to a holder that
 /// is fuller by what others may have added.
 #[test]
@@ -589,12 +614,16 @@
 #[test]
 fn of_like_holders_one_with_a_connection_is_taken() {
     let mut day = of_many(1, 0.0);
-    let held = day.take(asked(1, 9, 6), Some(streamer(2)));
+    day.take(asked(1, 9, 6), Some(streamer(5)));
+    let full = |day: &mut Day, full: [f64; 3]| {
+        let echo = |(n, full)| day.round(|c, _| c.echo(streamer(n), Ending::Served, ms(1), &[full]));
+        (0..).zip(full).for_each(echo);
+    };
+    full(&mut day, [0.5; 3]);
+    let held = day.take(asked(1, 2, 1), None);
+    day.ends(held, Ending::Served);
     day.pass(ms(600));
-    for n in [0, 1] {
-        day.round(|c, _| c.echo(streamer(n), Ending::Served, ms(1), &[0.47]));
-    }
-    day.round(|c, _| c.progress(held, streamer(2), 3, 0.5));
+    full(&mut day, [0.47, 0.47, 0.5]);
     let job = day.take(asked(1, 0, 3), None);
     assert_eq!(day.out(job), Some(streamer(2)));
 }
--- a/crates/names/src/tests.rs
+++ b/crates/names/src/tests.rs
@@ -89,6 +89,18 @@
     assert_eq!(none, Told::default());
 }
 
+/// No list is capped: hundreds of streamers are usual, a thousand is room to grow.
+#[test]
+fn an_answer_with_1024_streamers_is_taken_whole() {
+    let members: Vec<Member> = (0..1024).map(|id| (id, id as u8, 0)).collect();
+    let (mut names, mut told) = (names(), Told::default());
+    assert_eq!(names.answer(&bytes(&packet(7, 4, &members)), &mut told), Ok(true));
+    assert_eq!(told.0.len(), 1024);
+    let mut told = Told::default();
+    names.tell_all(&mut told);
+    assert_eq!(told.0.len(), 1024);
+}
+
 #[test]
 fn what_is_no_answer_to_count_changes_nothing() {
     let good = packet(7, 9, &[(5, 11, 0)]);
