One look before a join in place of two where words stand in for looks; traces of viewers' connections

Need: with words told, looks still cost 0.02 to 0.03 on roll, herd, zone and split: those just born know no link yet.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -123,12 +123,6 @@
         }
     }
 
-    pub fn fired(&mut self, token: u64) {
-        if token == TOKEN_DUE {
-            self.reminded = None;
-        }
-    }
-
     pub fn knock(&mut self, job: JobId, asked: Asked) {
         self.knocks.push_back(self.now);
         self.taken += 1.0;
@@ -195,10 +189,6 @@
         self.due.insert((self.now, job));
     }
 
-    pub fn expired(&mut self, job: JobId) {
-        self.drop_sub(job);
-    }
-
     pub fn echo(&mut self, streamer: StreamerId, ending: Ending, _latency: Duration, usage: &[f64]) {
         let echoed = (ending == Ending::Served).then_some(self.now);
         self.streamers.entry(streamer).and_modify(|s| s.echoed = echoed.unwrap_or(s.echoed));
@@ -654,7 +644,8 @@
             Some(id) if self.worth_a_look(&sub, id) => {
                 self.subs.entry(job).and_modify(|s| s.looked = true);
                 self.due.insert((self.now + LOOK, job));
-                let unheard = holders.into_iter().filter(|id| !self.heard_of(*id)).take(LOOKED_AT);
+                let looks = if self.words_pay() { 1 } else { LOOKED_AT };
+                let unheard = holders.into_iter().filter(|id| !self.heard_of(*id)).take(looks);
                 let unheard = unheard.filter(|id| self.streamers[id].looked + LOOK <= self.now);
                 unheard.collect::<Vec<_>>().into_iter().for_each(|id| self.look(id, out));
             }
@@ -700,15 +691,20 @@
         unheard.into_iter().for_each(|id| self.look(id, out));
     }
 
-    /// Tells all what this instance measured and nobody told since the last notes: the draft's SERVSTAT, told
-    /// by who hears it. One of all speaks a beat, where looks cost more than they earn, and words less.
-    fn speak<W: Writer>(&mut self, out: &mut W) {
-        let (now, every, told) = (self.now, self.told.every, &self.told);
+    /// Whether words stand in for looks: looks cost more than they earn, and words less than looks.
+    fn words_pay(&self) -> bool {
+        let (told, every) = (&self.told, self.told.every.as_secs_f64());
         let looks = told.figure("/prices/probe", 0.0) * LOOKED_AT as f64;
-        let taken = (self.mean_pace() * every.as_secs_f64()).max(0.01) * 256.0;
+        let taken = (self.mean_pace() * every).max(0.01) * 256.0;
         let word = told.figure("/prices/peer", 1.0) * (self.streamers.len() * words::LINK) as f64 / taken;
-        let pays = told.probes_tell && looks > EARNED && word < looks;
-        if !pays || !told.allowed("/permissions/peers") || self.chance.share() * self.told.balancers >= 1.0 {
+        told.probes_tell && told.allowed("/permissions/peers") && looks > EARNED && word < looks
+    }
+
+    /// Tells all what this instance measured and nobody told since the last notes: the draft's SERVSTAT, told
+    /// by who hears it. One of all speaks a beat.
+    fn speak<W: Writer>(&mut self, out: &mut W) {
+        let (now, every) = (self.now, self.told.every);
+        if self.chance.share() * self.told.balancers >= 1.0 || !self.words_pay() {
             return;
         }
         let untold = self.pipes.all.iter();
--- a/crates/core/src/decide/sums.rs
+++ b/crates/core/src/decide/sums.rs
@@ -1,11 +1,21 @@
-//! What is listed, and what this instance asks of each pipe, summed. Nothing is decided here.
+//! What is listed and due, and what this instance asks of each pipe, summed. Nothing is decided here.
 
-use super::{Controller, FRESH};
+use super::{Controller, FRESH, TOKEN_DUE};
 use crate::interface::{JobId, Listing, StreamerId};
 use crate::state::{Pipe, Subscription};
 use crate::told::mean;
 
 impl Controller {
+    pub fn fired(&mut self, token: u64) {
+        if token == TOKEN_DUE {
+            self.reminded = None;
+        }
+    }
+
+    pub fn expired(&mut self, job: JobId) {
+        self.drop_sub(job);
+    }
+
     pub fn list_begins(&mut self, how: Listing) {
         if matches!(how, Listing::Complete | Listing::Cached) {
             self.streamers.values_mut().for_each(|s| s.listed = false);
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -243,6 +243,7 @@
                 self.drop_viewer(missed);
             }
         }
+        tracing::trace!(line, "a viewers' connection begins");
         self.ends.front.accepted(line, now);
     }
 
@@ -325,6 +326,7 @@
         for line in self.ends.front.late(now, |line| self.book.open_on(line) > 0) {
             self.hear_last(line);
             if self.ends.front.is_late(line, now, |line| self.book.open_on(line) > 0) {
+                tracing::trace!(line, "a viewers' connection has had its time");
                 self.drop_viewer(line);
             }
         }
