--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -704,7 +704,7 @@
     /// by who hears it. One of all speaks a beat.
     fn speak<W: Writer>(&mut self, out: &mut W) {
         let (now, every) = (self.now, self.told.every);
-        if self.chance.share() * self.told.balancers >= 1.0 || !self.words_pay() {
+        if !self.words_pay() || self.chance.share() * self.told.balancers >= 1.0 {
             return;
         }
         let untold = self.pipes.all.iter();
