--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -558,7 +558,8 @@
     /// The holders that may be used, least loaded first; those that are set aside come last.
     fn holders(&mut self, job: JobId) -> Vec<StreamerId> {
         let Some(sub) = self.subs.get(&job).cloned() else { return Vec::new() };
-        let (price, usual) = (|path| self.told.figure(path, 0.0), self.usual_rate());
+        let price = |path| self.told.figure(path, 0.0);
+        let usual = if self.words_pay() { self.usual_rate() } else { 0.0 };
         let (crossing, handshake) = (price("/prices/crossZone"), 2.0 * price("/prices/handshake"));
         let usable = self.streamers.iter().filter(|(id, s)| self.usable(&sub, **id, s));
         let ids: Vec<_> = usable.map(|(id, _)| *id).collect();
@@ -569,7 +570,7 @@
             let far = if s.zone == self.told.zone { 0.0 } else { crossing };
             let away = s.away_until > self.now || sub.tried.contains(&id) || s.silent(self.now, FRESH);
             let new = if self.connected(s) { 0.0 } else { handshake };
-            // All see the same reports: a random part, as wide as what others may have added since.
+            // All see the same reports: a random part; with words as wide as what others may have added.
             let added = self.rivals(Pipe::Link(id)) * usual / self.size(Pipe::Link(id));
             let load = self.load(id) + far + new + added.max(0.04) * self.chance.share();
             found.push(((away, !drawn.contains(&id)), load, id));
