A set-up whose connection ends without its answer is counted with its step, and logged

Change: platform/unanswered.rs counts each set-up whose connection ended before its answer by who ended it (the viewer, the network, what cannot be read, this program) and by step (before its first join, between joins, a join out, an answer that was not taken, one that was not written), and logs it at warn, a line a second at most with how many came between; all counts once more at the end. Reactor::unwritten tells what an ended line still held. Decisions are as they were. Tests: five steps in the book; a crowd costs a line a second; a process between stand-ins names the set-up in its log.

--- a/crates/controller/tests/it/platform.rs
+++ b/crates/controller/tests/it/platform.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -148,7 +148,8 @@
         let config = folder.path().join("config.json");
         std::fs::write(&config, told(at, names, known).to_string()).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_badgerledge-controller"));
-        command.arg("platform").env("GW_CONFIG", config).stderr(Stdio::inherit());
+        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        command.arg("platform").env("GW_CONFIG", config).stderr(log);
         let controller = Self { child: command.spawn().unwrap(), at, folder };
         let end = Instant::now() + PATIENCE;
         while TcpStream::connect(at).is_err() {
@@ -162,6 +163,19 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Waits for a line of the log that holds all of these words.
+    fn logs(&self, words: &[&str]) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+            if log.lines().any(|line| words.iter().all(|word| line.contains(word))) {
+                return;
+            }
+            assert!(Instant::now() < end, "{words:?} in the log:\n{log}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn viewer(&self) -> Viewer {
         let stream = TcpStream::connect(self.at).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -354,6 +368,20 @@
     assert_eq!(other.hears(), (12, 10, vec![16]));
 }
 
+/// A request of the full fleet had no answer, and nothing told where it was lost: the log names the set-up, who ended
+/// its connection and the step it stood at.
+#[test]
+fn a_set_up_whose_connection_ends_is_named_in_the_log_with_its_step() {
+    let one = Streamer::new(1);
+    let controller = Controller::start(name_service(List::new(Mutex::new((1, Vec::new())))), &[&one]);
+    let mut viewer = controller.viewer();
+    one.mode.store(SILENT, Ordering::SeqCst);
+    viewer.set_up(0x51);
+    one.hears("offer", 0x51);
+    drop(viewer);
+    controller.logs(&["WARN", "0000000000000051", "by=Viewer", "with a join out"]);
+}
+
 #[test]
 fn a_configuration_that_cannot_be_read_is_one_plain_error() {
     let folder = TempDir::new().unwrap();
--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/book.rs
@@ -17,6 +17,7 @@
 
 use crate::asked::{self, Terms};
 use crate::desk::Desk;
+use crate::unanswered::{By, Lost, Step, Unanswered};
 
 /// Causes on the wire.
 pub const NORMAL: u8 = 16;
@@ -84,6 +85,8 @@
     pub wire_id: u64,
     /// The viewer's connection that its set-up came on.
     pub line: Line,
+    /// When its set-up was heard.
+    pub came: Duration,
     /// When the viewer gives up, less what the way back takes.
     pub until: Duration,
     pub offered: Option<Box<Offered>>,
@@ -118,6 +121,8 @@
     pub arrivals: Vec<Arrival>,
     next_job: JobId,
     open_count: usize,
+    /// Set-ups whose connection ended before their answer.
+    pub unanswered: Unanswered,
 }
 
 impl Calls {
@@ -203,6 +208,14 @@
         }));
     }
 
+    /// Counts a set-up whose viewer will not hear its answer, at the step that it is at or the one named.
+    pub fn note_unanswered(&mut self, now: Duration, job: JobId, by: By, step: Option<Step>) {
+        let Some(call) = self.all.get(&job) else { return };
+        let (at, streamer) = Step::of(call.phase, call.joins);
+        let (wire_id, held) = (call.wire_id, now.saturating_sub(call.came));
+        self.unanswered.note(now, &Lost { wire_id, by, step: step.unwrap_or(at), streamer, held });
+    }
+
     fn usage(&self, load: Option<&str>) -> Vec<f64> {
         load.map_or_else(Vec::new, |load| streamers::load(load, &self.terms.report))
     }
@@ -241,6 +254,7 @@
             arrivals: Vec::new(),
             next_job: 1,
             open_count: 0,
+            unanswered: Unanswered::default(),
         };
         let (most_open, most_standing) = (memory_mb * OPEN_PER_MB, memory_mb * STANDING_PER_MB);
         Self { module, calls, most_open, most_standing, listed: BTreeMap::new(), lists: Vec::new() }
@@ -308,6 +322,7 @@
         let call = Call {
             wire_id,
             line,
+            came: now,
             until,
             offered: Some(Box::new(offered)),
             rung: None,
@@ -338,7 +353,17 @@
         trace(wire_id, "handed over", streamer);
         let asked = request.asked;
         let phase = Phase::Stands(streamer);
-        let call = Call { wire_id, line, until: now, offered: None, rung: None, joins: 1, sent: now, phase };
+        let call = Call {
+            wire_id,
+            line,
+            came: now,
+            until: now,
+            offered: None,
+            rung: None,
+            joins: 1,
+            sent: now,
+            phase,
+        };
         let job = self.calls.keep(call);
         self.calls.arrivals.push(Box::new(move |module| module.resumed(job, asked, streamer)));
     }
@@ -373,8 +398,9 @@
     }
 
     /// A viewers' connection is gone, and with it the set-ups that wait on it.
-    pub fn viewer_gone(&mut self, now: Duration, line: Line, wires: &mut impl Wires) {
+    pub fn viewer_gone(&mut self, now: Duration, line: Line, by: By, wires: &mut impl Wires) {
         for job in self.calls.open.get(&line).cloned().unwrap_or_default() {
+            self.calls.note_unanswered(now, job, by, None);
             self.expire(now, job, wires);
         }
     }
@@ -399,6 +425,7 @@
         let message = viewers::answer(wire_id, description.as_bytes());
         if !message.is_some_and(|message| wires.answer(line, &message)) {
             // Its viewer cannot be told: it must not stand.
+            self.calls.note_unanswered(now, job, By::Network, Some(Step::NotTaken));
             wires.say(streamer, streamers::end(wire_id, NORMAL));
             if let Some(call) = self.calls.get_mut(job) {
                 call.phase = Phase::Waiting;
@@ -561,8 +588,10 @@
         let Some(call) = self.calls.get(job) else { return };
         if matches!(call.phase, Phase::Waiting | Phase::Out(_)) {
             let (line, wire_id) = (call.line, call.wire_id);
+            if !wires.answer(line, &viewers::release(wire_id, CUT, Duration::ZERO)) {
+                self.calls.note_unanswered(now, job, By::Network, Some(Step::NotTaken));
+            }
             self.expire(now, job, wires);
-            wires.answer(line, &viewers::release(wire_id, CUT, Duration::ZERO));
         }
     }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -5,7 +5,8 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::book::{trace, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::book::{trace, Call, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::unanswered::{By, Step};
 
 pub struct Desk<'a, W> {
     pub now: Duration,
@@ -16,19 +17,19 @@
 impl<W: Wires> Desk<'_, W> {
     /// The final answer to a call that no join is out for.
     fn answer(&mut self, job: JobId, cause: u8, cool_down: Duration) {
-        let open =
-            self.calls.get(job).is_some_and(|call| matches!(call.phase, Phase::Waiting | Phase::Out(_)));
-        if !open {
-            return;
+        let open = |call: &&Call| matches!(call.phase, Phase::Waiting | Phase::Out(_));
+        let Some(call) = self.calls.get(job).filter(open) else { return };
+        let (line, wire_id) = (call.line, call.wire_id);
+        if !self.wires.answer(line, &viewers::release(wire_id, cause, cool_down)) {
+            self.calls.note_unanswered(self.now, job, By::Network, Some(Step::NotTaken));
         }
         let Some(call) = self.calls.drop_call(job) else { return };
-        trace(call.wire_id, "answered", (cause, cool_down));
+        trace(wire_id, "answered", (cause, cool_down));
         if let Phase::Out(streamer) = call.phase {
-            self.wires.withdraw(job, call.wire_id, streamer);
+            self.wires.withdraw(job, wire_id, streamer);
             let join = (streamer, call.joins - 1, call.sent);
             self.calls.outcome(self.now, job, join, Ending::Cancelled, true, Vec::new());
         }
-        self.wires.answer(call.line, &viewers::release(call.wire_id, cause, cool_down));
     }
 }
 
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -5,6 +5,7 @@
 
 use badgerledge_core::interface::{JobId, StreamerId};
 use badgerledge_reactor::{Line, Reactor};
+use badgerledge_signalling::viewers;
 
 use crate::book::Wires;
 use crate::front::Front;
@@ -26,7 +27,9 @@
 
 impl Wires for Ends {
     fn answer(&mut self, line: Line, message: &[u8]) -> bool {
-        self.front.answer(line, message, &mut self.reactor)
+        let taken = self.front.answer(line, message, &mut self.reactor);
+        self.front.note_answered(line, viewers::session(message), self.now);
+        taken
     }
 
     fn release(&mut self, line: Line, wire_id: u64, message: Vec<u8>) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -30,6 +30,8 @@
     used: Duration,
     /// Something was sent to it.
     told: bool,
+    /// The set-up that was answered last on it, and when.
+    answered: Option<(u64, Duration)>,
     /// A set-up of it was answered, or handed over: it is viewers', and not a tester's.
     trusted: bool,
     /// Since when a part of a frame waits for its rest.
@@ -87,7 +89,15 @@
 
     /// A connection came in.
     pub fn accepted(&mut self, line: Line, now: Duration) {
-        let viewer = Viewer { asked: now, since: now, used: now, told: false, trusted: false, part: None };
+        let viewer = Viewer {
+            asked: now,
+            since: now,
+            used: now,
+            told: false,
+            answered: None,
+            trusted: false,
+            part: None,
+        };
         self.lines.insert(line, viewer);
     }
 
@@ -113,6 +123,16 @@
         self.lines.entry(line).and_modify(|viewer| viewer.asked = now);
     }
 
+    /// The set-up that was answered last on a connection, and when.
+    pub fn answered_last(&self, line: Line) -> Option<(u64, Duration)> {
+        self.lines.get(&line)?.answered
+    }
+
+    /// Notes which set-up the answer just given was for.
+    pub fn note_answered(&mut self, line: Line, wire_id: u64, now: Duration) {
+        self.lines.entry(line).and_modify(|viewer| viewer.answered = Some((wire_id, now)));
+    }
+
     pub fn answer(&mut self, line: Line, message: &[u8], reactor: &mut Reactor) -> bool {
         let Some(viewer) = self.lines.get_mut(&line) else { return false };
         viewer.told = true;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,5 +14,6 @@
 #[cfg(test)]
 mod tests;
 mod told;
+mod unanswered;
 
 pub use serve::run;
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::front::{self, Front};
 use crate::pool::{Happened, Pool};
 use crate::told;
+use crate::unanswered::{By, Lost, Step};
 
 /// The clock begins here, so that a streamer's start long before the process has a time.
 const ORIGIN: Duration = Duration::from_secs(30 * 24 * 3600);
@@ -134,6 +135,9 @@
             self.settle();
             self.ends.reactor.flush();
         }
+        for (by, step, count) in self.book.calls.unanswered.all() {
+            tracing::info!(?by, %step, count, "set-ups whose connection ended without their answer");
+        }
         tracing::info!(held = self.book.len(), "ends");
         Ok(())
     }
@@ -167,7 +171,7 @@
             }
             Happening::Closed(line, why) if self.ends.front.is(line) => {
                 tracing::trace!(line, ?why, "a viewers' connection ends");
-                self.drop_viewer(line);
+                self.drop_viewer(line, why.into());
             }
             Happening::Closed(line, _) => {
                 // Its last words may have come with the end.
@@ -226,7 +230,7 @@
         self.ends.front.read(line, now, part);
         if let Some(fault) = fault {
             tracing::debug!(%fault, "a viewers' connection cannot be read");
-            self.drop_viewer(line);
+            self.drop_viewer(line, By::Unreadable);
         }
     }
 
@@ -240,7 +244,7 @@
             self.hear_last(missed);
             if self.book.open_on(missed) == 0 {
                 tracing::trace!(line = missed, "gives way");
-                self.drop_viewer(missed);
+                self.drop_viewer(missed, By::Us);
             }
         }
         tracing::trace!(line, "a viewers' connection begins");
@@ -255,10 +259,17 @@
         }
     }
 
-    fn drop_viewer(&mut self, line: Line) {
-        self.ends.front.gone(line, self.ends.now, &mut self.ends.reactor);
-        self.book.viewer_gone(self.ends.now, line, &mut self.ends);
+    fn drop_viewer(&mut self, line: Line, by: By) {
+        let now = self.ends.now;
+        self.book.viewer_gone(now, line, by, &mut self.ends);
         self.ends.reactor.flush_line(line);
+        let answered = self.ends.front.answered_last(line);
+        if let Some((wire_id, at)) = answered.filter(|_| self.ends.reactor.unwritten(line) > 0) {
+            let held = now.saturating_sub(at);
+            let lost = Lost { wire_id, by, step: Step::NotWritten, streamer: None, held };
+            self.book.calls.unanswered.note(now, &lost);
+        }
+        self.ends.front.gone(line, now, &mut self.ends.reactor);
         self.ends.reactor.close(line);
     }
 
@@ -327,7 +338,7 @@
             self.hear_last(line);
             if self.ends.front.is_late(line, now, |line| self.book.open_on(line) > 0) {
                 tracing::trace!(line, "a viewers' connection has had its time");
-                self.drop_viewer(line);
+                self.drop_viewer(line, By::Us);
             }
         }
         let stands_at: Vec<StreamerId> = self.book.stands_at().collect();
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -15,6 +15,7 @@
 use crate::asked::Terms;
 use crate::book::{streamer_id, Book, ListEntry, Wires};
 use crate::desk::Desk;
+use crate::unanswered::{By, Lost, Step as Stood, Unanswered};
 
 const ORIGIN: Duration = Duration::from_secs(1000);
 const STREAMERS: u32 = 4;
@@ -252,7 +253,7 @@
                 }
             }
             Step::Gone(line) => {
-                play.book.viewer_gone(play.now, line, &mut play.ends);
+                play.book.viewer_gone(play.now, line, By::Viewer, &mut play.ends);
                 seen.values_mut().filter(|c| c.line == line && !c.stood).for_each(|c| c.left = true);
             }
             Step::Full(line) => drop(play.ends.full.insert(line)),
@@ -459,3 +460,51 @@
     Desk { now: play.now, calls: &mut play.book.calls, wires: &mut play.ends }.shift(job);
     play
 }
+
+fn counted(unanswered: &Unanswered, by: By, step: Stood) -> u64 {
+    unanswered.all().filter(|one| (one.0, one.1) == (by, step)).map(|one| one.2).sum()
+}
+
+/// A request was lost on the fleet with nothing in the program that told where: each set-up whose connection ends
+/// without its answer is counted by who ended it and the step it stood at; one that was answered is not.
+#[test]
+fn a_set_up_whose_connection_ends_without_its_answer_is_counted_with_its_step() {
+    let mut play = Play::new();
+    let lost = |play: &Play, by, step| counted(&play.book.calls.unanswered, by, step);
+    play.set_up(1, 0xa1, &[]);
+    play.book.viewer_gone(play.now, 1, By::Viewer, &mut play.ends);
+    assert_eq!(lost(&play, By::Viewer, Stood::Unplaced), 1);
+
+    play.set_up(2, 0xa2, &[]);
+    play.pass(20);
+    assert!(play.ends.out.contains_key(&0xa2));
+    play.book.viewer_gone(play.now, 2, By::Us, &mut play.ends);
+    assert_eq!(lost(&play, By::Us, Stood::JoinOut), 1);
+
+    play.set_up(3, 0xa3, &[]);
+    play.pass(20);
+    play.join_ends(0xa3, Ending::Error);
+    play.book.viewer_gone(play.now, 3, By::Unreadable, &mut play.ends);
+    assert_eq!(lost(&play, By::Unreadable, Stood::Between), 1);
+
+    play.set_up(4, 0xa4, &[]);
+    play.pass(20);
+    play.ends.full.insert(4);
+    play.answer(0xa4);
+    assert_eq!(lost(&play, By::Network, Stood::NotTaken), 1);
+
+    play.set_up(5, 0xa5, &[]);
+    play.pass(20);
+    assert!(play.answer(0xa5).is_some());
+    play.book.viewer_gone(play.now, 5, By::Us, &mut play.ends);
+    assert_eq!(play.book.calls.unanswered.all().map(|(_, _, count)| count).sum::<u64>(), 4);
+}
+
+/// A crowd that asks and closes is counted whole, and costs the log a line a second.
+#[test]
+fn a_crowd_of_ended_connections_costs_a_line_a_second() {
+    let mut unanswered = Unanswered::default();
+    let lost = Lost { wire_id: 7, by: By::Viewer, step: Stood::Unplaced, streamer: None, held: ms(3) };
+    let said = (0..3000).filter(|n| unanswered.note(ORIGIN + ms(*n), &lost)).count();
+    assert_eq!((said, counted(&unanswered, By::Viewer, Stood::Unplaced)), (3, 3000));
+}
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -307,6 +307,11 @@
         }
     }
 
+    /// Bytes given to a line and not yet written, also once it has ended; none for a line that is gone.
+    pub fn unwritten(&self, line: Line) -> usize {
+        self.conn(line).map_or(0, |conn| conn.output.len())
+    }
+
     /// Gives bytes to a line's output, all or, where they do not fit, none. They go at the next flush.
     pub fn send(&mut self, line: Line, parts: &[&[u8]]) -> bool {
         self.send_leaving(line, 0, parts)
--- a/crates/signalling/src/viewers.rs
+++ b/crates/signalling/src/viewers.rs
@@ -114,6 +114,11 @@
     out
 }
 
+/// The session of a frame made here.
+pub fn session(frame: &[u8]) -> u64 {
+    frame.get(3..2 + HEAD).map_or(0, BigEndian::read_u64)
+}
+
 /// The answer with a streamer's description; nothing where it is too long for a frame.
 pub fn answer(session: u64, description: &[u8]) -> Option<Vec<u8>> {
     (HEAD + 3 + description.len() <= MOST).then(|| frame(ANSWER, session, &[(DESCRIPTION, description)]))
