Positions of lists go with the gossip, and a next revision is made from the certified one

Need: each controller has its own connection to the list service, so lists lag by seconds and contradict each other. Change: revisions/lists.rs (no I/O): a member that hears of a later position asks the service at once; a streamer that two members say to be off is asked last until the list gets there, or four seconds. A liar makes a member ask twice a second until three of its positions were not borne out, and sets no streamer aside alone (tests).

--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -40,6 +40,8 @@
     pub came: Vec<Vec<u8>>,
     /// The service was lost since the last round.
     pub lost: bool,
+    /// Streamers that were taken and went off by the lines taken last, with their starts, where others are told of it.
+    pub went: Option<Vec<(StreamerId, u64)>>,
 }
 
 impl ListLine {
@@ -63,6 +65,7 @@
             unstored: false,
             came: Vec::new(),
             lost: false,
+            went: None,
         }
     }
 
@@ -212,12 +215,28 @@
 }
 
 impl ListLine {
+    /// Streamers that take joins, with their starts.
+    fn ready(&self) -> Vec<(StreamerId, u64)> {
+        let ready = self.book.entries().filter(|(_, entry)| entry.health == Health::Ready);
+        ready.map(|(id, entry)| (id, entry.start)).collect()
+    }
+
+    fn note_went(&mut self, before: Vec<(StreamerId, u64)>) {
+        let Some(went) = &mut self.went else { return };
+        let off = |(id, start): &(StreamerId, u64)| {
+            self.book.entry(id).is_none_or(|entry| entry.health != Health::Ready || entry.start != *start)
+        };
+        went.extend(before.into_iter().filter(off));
+    }
+
     /// Takes one line of the service into the book and on to the round. Tells whether the whole list is wanted.
     pub fn take<C: Carrier>(&mut self, line: &[u8], now: Duration, floor: &mut Floor<'_, '_, C>) -> bool {
         let known = self.book.known();
+        let before = self.went.as_ref().map(|_| self.ready());
         match self.book.take(line, now, &mut ToFloor { floor, known }) {
             Ok(how) => {
                 self.unstored |= how != Listing::Failed;
+                self.note_went(before.unwrap_or_default());
                 self.backoff.reset();
                 tracing::debug!(?how, revision = self.book.revision(), "list");
                 false
--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -7,11 +7,15 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context, Result};
+use badgerledge_core::chance::Chance;
+use badgerledge_core::interface::StreamerId;
 use badgerledge_deployment::kinds::{acted_on, canonical, may_follow};
 use badgerledge_deployment::{Deployment, Shared, SHARED_SECTIONS};
 use badgerledge_keys::Keys;
 use badgerledge_reactor::{Line, Reactor};
+use badgerledge_revisions::lists::{ListPosition, Lists, Off};
 use badgerledge_revisions::order::{self, Answer, Order, Report};
+use badgerledge_revisions::word::Word;
 use badgerledge_revisions::{Digest, Given, Hand, Hold, Member, Regime, Revisions, Stored, Terms};
 use badgerledge_settings::Sheet;
 use metrics::{counter, gauge};
@@ -26,6 +30,11 @@
 const TEXTS: &str = "revision-texts";
 /// Viewers that are turned away while new joins are held back come back after this: within a lease most holds end.
 const COME_BACK: Duration = Duration::from_millis(1500);
+/// Where the list stands is told to one other member this often, sooner while something went off by it; and to so many
+/// at once when it got somewhere. Each hears it from some, and a fleet of 300 knows of a change in some five steps.
+const TELL_LISTS: Duration = Duration::from_secs(2);
+const TELL_OFF: Duration = Duration::from_millis(200);
+const TOLD_AT_ONCE: usize = 3;
 
 pub struct Revising {
     revisions: Revisions<Keys>,
@@ -43,6 +52,10 @@
     /// What was held when it was last shown.
     shown: Option<Hold>,
     now: Duration,
+    /// Nothing where positions of lists are not told.
+    lists: Option<Lists>,
+    tell_lists_at: Duration,
+    chance: Chance,
 }
 
 impl Revising {
@@ -91,17 +104,26 @@
             source,
             shown: None,
             now,
+            lists: told.lists.then(Lists::default),
+            tell_lists_at: now,
+            chance: Chance(seed.rotate_left(11)),
         }))
     }
 
     pub fn next_due(&self) -> Duration {
-        self.revisions.next_due().min(self.orders.next_due()).min(self.fetching.next_due())
+        let asks = self.lists.as_ref().and_then(Lists::next_due);
+        let lists = self.lists.as_ref().map(|_| self.tell_lists_at);
+        let own = self.revisions.next_due().min(self.orders.next_due()).min(self.fetching.next_due());
+        [Some(own), asks, lists].into_iter().flatten().min().unwrap_or(own)
     }
 
     /// Does what is due.
     pub fn tend(&mut self, reactor: &mut Reactor, gossiping: &mut Gossiping, now: Duration) {
         self.orders.tend(reactor, now);
         self.fetching.tend(reactor, now);
+        if now >= self.tell_lists_at {
+            self.tell_lists(reactor, gossiping, 1);
+        }
         if now >= self.revisions.next_due() {
             let mut out = Vec::new();
             self.revisions.tend(now, &mut out);
@@ -110,14 +132,64 @@
         }
     }
 
-    /// Another member's word. Tells whether it was of this kind.
+    /// Another member's word: streamers that enough members now say to be off; or it was of another kind.
     pub fn heard(
-        &mut self, reactor: &mut Reactor, gossiping: &mut Gossiping, from: Member, word: &[u8],
-    ) -> bool {
-        let mut out = Vec::new();
-        let ours = self.revisions.heard(self.now, from, word, &mut out);
-        self.carry_out(reactor, gossiping, out);
-        ours
+        &mut self, reactor: &mut Reactor, gossiping: &mut Gossiping, from: Member, bytes: &[u8],
+    ) -> Option<Vec<Off>> {
+        if !Word::is_meant(bytes) {
+            return None;
+        }
+        match (Word::read(bytes), &mut self.lists) {
+            (Some(Word::List(told)), Some(lists)) => return Some(lists.hears(self.now, from, &told)),
+            (Some(word), _) => {
+                let mut out = Vec::new();
+                self.revisions.heard(self.now, from, word, &mut out);
+                self.carry_out(reactor, gossiping, out);
+            }
+            (None, _) => {}
+        }
+        Some(Vec::new())
+    }
+
+    /// Whether others are told of the list.
+    pub fn tells_lists(&self) -> bool {
+        self.lists.is_some()
+    }
+
+    /// The own list got somewhere: the others hear of it.
+    pub fn list_reached(
+        &mut self, reactor: &Reactor, gossiping: &mut Gossiping, (epoch, revision): (u64, u64),
+        went: Vec<(StreamerId, u64)>,
+    ) {
+        let Some(lists) = &mut self.lists else { return };
+        let position = ListPosition { epoch, revision };
+        if position == lists.tells(self.now).position {
+            return;
+        }
+        let off = |(id, start): (StreamerId, u64)| Off { ip: id.ip().octets(), port: id.port(), start };
+        lists.reached(self.now, position, went.into_iter().map(off));
+        self.tell_lists(reactor, gossiping, TOLD_AT_ONCE);
+    }
+
+    /// Whether the list service is to be asked now, since others have got further.
+    pub fn asks_list(&mut self) -> bool {
+        self.lists.as_mut().is_some_and(|lists| lists.asks(self.now))
+    }
+
+    fn tell_lists(&mut self, reactor: &Reactor, gossiping: &mut Gossiping, count: usize) {
+        let Some(lists) = &self.lists else { return };
+        let told = lists.tells(self.now);
+        self.tell_lists_at = self.now + if told.off.is_empty() { TELL_LISTS } else { TELL_OFF };
+        let word = Word::List(told).write();
+        let me = self.revisions.hand().member();
+        let others: Vec<Member> =
+            Hand::members(self.revisions.hand()).iter().copied().filter(|member| *member != me).collect();
+        for _ in 0..count {
+            let at = (self.chance.share() * others.len() as f64) as usize;
+            if let Some(to) = others.get(at) {
+                gossiping.word(reactor, self.now, u32::from(*to), &word);
+            }
+        }
     }
 
     /// Whether a line is one of this part's own.
@@ -200,6 +272,13 @@
                 let text = self.revisions.active_text().to_vec();
                 (Answer::Bytes(text.len()), text)
             }
+            Asked::Order(Order::Latest) => match self.revisions.latest_text().map(|text| text.to_vec()) {
+                Some(text) => (Answer::Bytes(text.len()), text),
+                None => {
+                    let why = "the text of the certified revision is not here yet".to_owned();
+                    (Answer::Refused(why), Vec::new())
+                }
+            },
             Asked::Order(Order::Gone { gone }) => match order::gone_of(&gone) {
                 Some(gone) if self.revisions.take_gone(now, gone, out) => {
                     tracing::info!(
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -6,8 +6,9 @@
 use anyhow::{Context, Result};
 use badgerledge_accounts::Key;
 use badgerledge_catalogue::Catalogue;
-use badgerledge_core::interface::{Ending, Listing};
+use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
 use badgerledge_deployment::{Deployment, Shared};
+use badgerledge_discovery::Entry;
 use badgerledge_exchange::Exchange;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
 use metrics::{counter, gauge, histogram};
@@ -103,6 +104,8 @@
             }
             None => None,
         };
+        let mut list = list;
+        list.went = revising.as_ref().filter(|revising| revising.tells_lists()).map(|_| Vec::new());
         let number = place.number;
         tracing::info!(number, %at, most, descriptors, "badgerledge-controller serves");
         let tick = Duration::from_millis(place.tick_ms);
@@ -249,7 +252,16 @@
         let Some(came) = came else { return };
         for (peer, word) in came.words {
             if let (Some(revising), Some(gossiping)) = (&mut self.revising, &mut self.ends.gossiping) {
-                if revising.heard(&mut self.ends.reactor, gossiping, peer, &word) {
+                if let Some(off) = revising.heard(&mut self.ends.reactor, gossiping, peer, &word) {
+                    for off in off {
+                        let id = StreamerId::new(off.ip.into(), off.port);
+                        let ours = |entry: &Entry| entry.start == off.start && entry.health == Health::Ready;
+                        if self.list.book.entry(&id).is_some_and(ours) {
+                            tracing::info!(streamer = %id, "said by others to be off their lists");
+                            counter!(watch::SAID_OFF).increment(1);
+                            self.ends.arrivals.push(Box::new(move |floor| floor.hearsay(id)));
+                        }
+                    }
                     continue;
                 }
             }
@@ -300,6 +312,8 @@
             }
         }
         self.exchange.hold(revising.holds_back(now));
+        let asks = revising.asks_list();
+        self.list.ask(&mut self.ends.reactor, (None, asks));
     }
 
     fn round(&mut self) {
@@ -344,6 +358,10 @@
         let mut wants = std::mem::take(&mut self.ends.list_wants);
         wants.1 |= whole;
         self.list.ask(&mut self.ends.reactor, wants);
+        let went = self.list.went.as_mut().map(std::mem::take).unwrap_or_default();
+        if let (Some(revising), Some(gossiping)) = (&mut self.revising, &mut self.ends.gossiping) {
+            revising.list_reached(&self.ends.reactor, gossiping, self.list.book.position(), went);
+        }
         for (at, token) in std::mem::take(&mut self.ends.reminders) {
             // In the next round at the earliest: a reminder never fires in the round that set it.
             self.ends.reactor.due(at.max(now + Duration::from_micros(1)), token + MODULE);
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -38,6 +38,7 @@
 pub const REVISION_BOUND: &str = "badgerledge_revision_bound_seconds";
 pub const REVISION_WAITED_FOR: &str = "badgerledge_revision_waited_for";
 pub const REVISIONS_REFUSED: &str = "badgerledge_revisions_refused_total";
+pub const SAID_OFF: &str = "badgerledge_streamers_said_off_total";
 pub const ROUND_TIME: &str = "badgerledge_round_seconds";
 
 /// Starts the counting, and gives what renders the page.
@@ -68,6 +69,10 @@
     describe_gauge!(REVISION_HELD, "1 while new joins are held back for want of a lease or a text");
     describe_gauge!(REVISION_BOUND, Unit::Seconds, "How long two may act on contradicting revisions at most");
     describe_gauge!(REVISION_WAITED_FOR, "Members that have not said to have the certified revision");
+    describe_counter!(
+        SAID_OFF,
+        "Streamers that others said to be off their lists before this one's list did"
+    );
     describe_counter!(REVISIONS_REFUSED, "Revisions, texts and orders that were refused");
     describe_gauge!(MEMBERS, "Other controllers and this one, by how they stand here");
     describe_counter!(GOSSIP_SENT, "Gossip datagrams sent");
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -101,6 +101,14 @@
     #[garde(custom(one_of(&["wait", "hold"])))]
     #[serde(default = "wait")]
     pub regime: String,
+    /// Whether positions of lists, and what went off by them, are told to other members.
+    #[garde(skip)]
+    #[serde(default = "yes")]
+    pub lists: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 fn wait() -> String {
--- a/crates/discovery/src/book.rs
+++ b/crates/discovery/src/book.rs
@@ -64,6 +64,15 @@
         self.revision
     }
 
+    /// The service's run, and the change in it, that this is the list of.
+    pub fn position(&self) -> (u64, u64) {
+        (self.epoch, self.revision)
+    }
+
+    pub fn entry(&self, id: &StreamerId) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
     pub fn entries(&self) -> impl Iterator<Item = (StreamerId, &Entry)> {
         self.entries.iter().map(|(id, entry)| (*id, entry))
     }
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -68,7 +68,8 @@
                 keys.map(|keys| gossip_section(keys, number, *own_at, reached)).unwrap_or_default();
             let state = folder.join(format!("state-{number}"));
             if let Some(script) = &day.revisions {
-                gossip += &format!("[revisions]\nregime = {}\n", script.told.regime);
+                gossip +=
+                    &format!("[revisions]\nregime = {}\nlists = {}\n", script.told.regime, script.told.lists);
                 if number < usize::from(script.told.keepers) && !state.join(STORED).exists() {
                     found(&state)?;
                 }
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -65,6 +65,10 @@
     /// only shown.
     #[garde(custom(within_if_given(0.0, 100.0)))]
     pub accounts_within: Option<f64>,
+    /// Changes of the list reach each controller late by a part of this, which is that controller's own.
+    #[garde(custom(within(0, 60_000)))]
+    #[serde(default)]
+    pub list_spread_ms: u64,
     #[garde(length(equal = 2))]
     pub list_lag_ms: Vec<u64>,
     #[garde(length(equal = 2))]
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -75,6 +75,7 @@
     let mut witness = Witness::new(day.shared.clone());
     let mut streamers = Streamers::new(day.shared.clone(), day.course.seed ^ 0x5717);
     let mut list = ListService::new(&mut reactor, SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    list.spread(Duration::from_millis(day.course.list_spread_ms));
     for number in 0..day.course.streamers {
         streamers.add(&mut reactor, told(day, number), None)?;
     }
@@ -217,6 +218,7 @@
             crossed,
             gossip,
             revisions,
+            contradicting_lists: self.witness.contradicting_lists(),
             joins_lost: joins_lost(&self.folder, self.controllers.len()),
             accounts_within: self.day.course.accounts_within,
         })
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -33,6 +33,8 @@
     pub budget: Option<(f64, f64)>,
     pub gossip: Option<Gossiped>,
     pub revisions: Option<Revised>,
+    /// How long one controller was told that a streamer is off and another was not, for each that is in the end.
+    pub contradicting_lists: Vec<std::time::Duration>,
     /// Joins that controllers lost by a streamer's silence or end, by their logs.
     pub joins_lost: usize,
     /// Within how many in 100 the two counts of it must agree, if they must.
@@ -177,6 +179,7 @@
                 "bound_s": r.bound.as_secs_f64(), "changes_seen": r.seen, "strays": r.strays,
                 "pushed": r.pushed.iter().map(|(name, code)| json!([name, code.clone().ok()])).collect::<Vec<_>>(),
                 "active": r.active})),
+            "contradicting_lists_s": self.contradicting_lists.iter().map(|span| span.as_secs_f64()).collect::<Vec<_>>(),
             "joins_lost": self.joins_lost,
             "list_lines": self.list_lines,
             "messages": {"passed": self.messages.0, "lost": self.messages.1},
@@ -248,6 +251,13 @@
         if let Some(revisions) = &self.revisions {
             write!(f, "{revisions}")?;
         }
+        if !self.contradicting_lists.is_empty() {
+            let mut spans: Vec<f64> =
+                self.contradicting_lists.iter().map(|span| span.as_secs_f64()).collect();
+            spans.sort_by(f64::total_cmp);
+            let (middle, last) = (spans[spans.len() / 2], spans[spans.len() - 1]);
+            writeln!(f, "lists  contradicted each other on {} streamers for {middle:.2} s at the median, {last:.2} at most", spans.len())?;
+        }
         if let Some((worst, most)) = self.budget {
             let word = if self.budget_kept() { "kept" } else { "BROKEN" };
             writeln!(f, "budget  {word}: {worst:.0} kB crossed in the worst 10 s, {most:.0} at most")?;
--- a/crates/replay/src/revisions.rs
+++ b/crates/replay/src/revisions.rs
@@ -28,6 +28,10 @@
     pub keepers: u16,
     #[garde(custom(one_of(&["wait", "hold"])))]
     pub regime: String,
+    /// Whether positions of lists are told to other members.
+    #[garde(skip)]
+    #[serde(default = "yes")]
+    pub lists: bool,
     /// Whether all that run at the end must act on the same revision, none of them held back.
     #[garde(skip)]
     #[serde(default)]
@@ -38,6 +42,10 @@
     pub acted_on: u32,
 }
 
+fn yes() -> bool {
+    true
+}
+
 /// `[push NAME]`: an operator changes one key of what a controller acts on, and pushes it there.
 #[derive(Clone, Debug, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -193,8 +201,8 @@
 }
 
 fn push(name: &str, told: &PushDay, folder: &Path, at: SocketAddr) -> Result<u8> {
-    let active = Client::connect(at)?.active()?;
-    let text = with_value(&active, &told.section, &told.key, &told.value)?;
+    let latest = Client::connect(at)?.latest()?;
+    let text = with_value(&latest, &told.section, &told.key, &told.value)?;
     let file = folder.join(format!("push-{name}.ini"));
     std::fs::write(&file, text).with_context(|| file.display().to_string())?;
     badgerledge_revision_tool::push(
--- a/crates/revision_tool/src/client.rs
+++ b/crates/revision_tool/src/client.rs
@@ -53,7 +53,16 @@
 
     /// The text that it acts on.
     pub fn active(&mut self) -> Result<String> {
-        match self.ask(&Order::Active, &[])? {
+        self.text(&Order::Active)
+    }
+
+    /// The text of the highest certified revision: a change that is not acted on yet must not be lost by the next.
+    pub fn latest(&mut self) -> Result<String> {
+        self.text(&Order::Latest)
+    }
+
+    fn text(&mut self, order: &Order) -> Result<String> {
+        match self.ask(order, &[])? {
             (Answer::Bytes(_), text) => String::from_utf8(text).with_context(|| format!("{}", self.at)),
             (other, _) => bail!("{}: no text but {other:?}", self.at),
         }
--- a/crates/revision_tool/src/lib.rs
+++ b/crates/revision_tool/src/lib.rs
@@ -186,8 +186,8 @@
     let sheet = read(&told.file)?;
     let text = canonical(&sheet);
     let mut client = Client::connect(told.at)?;
-    let active = Sheet::parse("active", &client.active()?)?;
-    let found = changes(&active, &sheet);
+    let latest = Sheet::parse("certified", &client.latest()?)?;
+    let found = changes(&latest, &sheet);
     tell_changes(&found, voice);
     if found.is_empty() {
         return Ok(DONE);
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -37,7 +37,7 @@
         }
         signed.head.check_text(&text)?;
         (self.terms.check)(&text).map_err(Refused::Text)?;
-        self.texts.insert(signed.head.text, text);
+        self.keep_text(signed.head.text, text);
         self.learned.take_head(signed, &self.hand);
         let fresh = self.proposal.as_ref().is_none_or(|proposal| proposal.wanted != signed);
         if fresh {
--- a/crates/revisions/src/learned.rs
+++ b/crates/revisions/src/learned.rs
@@ -40,8 +40,11 @@
     }
 }
 
-/// Votes and heads that are kept for numbers not yet certified, each: more than authors and keepers there are.
-const KEPT: usize = 16;
+/// Heads of one author that are kept for numbers not yet certified: one whose key was stolen takes nobody else's place.
+const OF_AUTHOR: usize = 4;
+/// Heads of all, and votes: more than authors and keepers there are.
+const KEPT: usize = 64;
+const VOTES: usize = 256;
 
 #[derive(Debug, Default)]
 pub struct Learned {
@@ -73,9 +76,20 @@
     pub fn take_head(&mut self, signed: Signed, hand: &impl Hand) -> bool {
         let digest = signed.head.digest();
         let of_use = signed.head.number > self.number() && !self.heads.contains_key(&digest);
-        if !of_use || self.heads.len() >= KEPT || !signed.is_signed(hand) {
+        if !of_use || !signed.is_signed(hand) {
             return false;
         }
+        let author = signed.head.author;
+        let theirs = self.heads.values().filter(|held| held.head.author == author).count();
+        if theirs >= OF_AUTHOR || self.heads.len() >= KEPT {
+            // One that nobody voted for gives way, of the same author if there are too many of that one's.
+            let voted = |of: &Digest| self.votes.keys().any(|key| key.2 == *of);
+            let gives_way = |(of, held): &(&Digest, &Signed)| {
+                (theirs < OF_AUTHOR || held.head.author == author) && !voted(of)
+            };
+            let Some(of) = self.heads.iter().find(gives_way).map(|(of, _)| *of) else { return false };
+            self.heads.remove(&of);
+        }
         self.heads.insert(digest, signed);
         true
     }
@@ -84,7 +98,7 @@
     pub fn take_vote(&mut self, vote: Vote, hand: &impl Hand) {
         let key = (vote.number, vote.keeper, vote.digest);
         let known = self.votes.get(&key).is_some_and(|held| held.ballot >= vote.ballot);
-        let crowded = self.votes.len() >= KEPT * KEPT && !self.votes.contains_key(&key);
+        let crowded = self.votes.len() >= VOTES && !self.votes.contains_key(&key);
         if vote.number > self.number() && !known && !crowded && vote.holds(hand) {
             self.votes.insert(key, vote);
         }
@@ -137,6 +151,11 @@
         self.top = Some(top);
     }
 
+    /// Heads that are not certified and whose author's key holds no more are nothing.
+    pub fn recheck(&mut self, hand: &impl Hand) {
+        self.heads.retain(|_, held| held.is_signed(hand));
+    }
+
     /// Whether a quorum has given the word to act on the highest one.
     pub fn may_act(&self, hand: &impl Hand) -> bool {
         self.top.as_ref().is_some_and(|top| top.goes.len() >= quorum(hand.keepers().len()))
--- a/crates/revisions/src/lib.rs
+++ b/crates/revisions/src/lib.rs
@@ -12,6 +12,7 @@
 mod keeper;
 mod learned;
 mod lease;
+pub mod lists;
 mod member;
 pub mod order;
 mod propose;
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -19,6 +19,9 @@
 /// A text that is wanted is asked for again, from another member, after this.
 const WANTS_EVERY: Duration = Duration::from_secs(1);
 
+/// Texts that are kept without being certified: a flood of them, each of 16 MB at most, costs no more memory.
+const SPARE_TEXTS: usize = 3;
+
 /// What a member is given.
 pub struct Terms {
     pub me: Member,
@@ -190,6 +193,8 @@
     /// Takes another ring. Keepers that it names anew or no more count from now on.
     pub fn take_hand(&mut self, hand: H) {
         self.lease = lease_for(hand.members().len());
+        self.learned.recheck(&hand);
+        self.proposal.take_if(|proposal| !proposal.wanted.is_signed(&hand));
         self.hand = hand;
     }
 
@@ -209,6 +214,14 @@
         self.prepared_number().and_then(|_| self.texts.get(&top.signed.head.text))
     }
 
+    /// The text of the highest revision that is known certified, once it is here.
+    pub fn latest_text(&self) -> Option<&Arc<[u8]>> {
+        match &self.learned.top {
+            Some(top) => self.texts.get(&top.signed.head.text),
+            None => Some(&self.own_text),
+        }
+    }
+
     /// A text that this member has, for others.
     pub fn text_of(&self, text: &Digest) -> Option<&Arc<[u8]>> {
         self.texts.get(text)
@@ -398,6 +411,16 @@
         }
     }
 
+    /// Keeps a text; of those that nothing certified names, a few.
+    pub(crate) fn keep_text(&mut self, of: Digest, text: Arc<[u8]>) {
+        let of_use = self.heads_of_use();
+        let spare: Vec<Digest> = self.texts.keys().copied().filter(|text| !of_use.contains(text)).collect();
+        if spare.len() >= SPARE_TEXTS {
+            spare.first().map(|text| self.texts.remove(text));
+        }
+        self.texts.insert(of, text);
+    }
+
     pub(crate) fn one_of(&mut self, members: &[Member]) -> Option<Member> {
         let at = (self.chance.share() * members.len() as f64) as usize;
         members.get(at).copied()
@@ -411,7 +434,7 @@
         &mut self, now: Duration, signed: &Signed, text: Arc<[u8]>, out: &mut Vec<Given>,
     ) -> Result<(), crate::Refused> {
         signed.head.check_text(&text)?;
-        self.texts.insert(signed.head.text, text);
+        self.keep_text(signed.head.text, text);
         self.prepare(now, out);
         Ok(())
     }
--- a/crates/revisions/src/order.rs
+++ b/crates/revisions/src/order.rs
@@ -21,6 +21,8 @@
     },
     /// The text that is acted on here.
     Active,
+    /// The text of the highest revision that is known certified: what a next one is to be made from.
+    Latest,
     /// A revision; the bytes of its text follow.
     Push {
         head: String,
--- a/crates/revisions/src/propose.rs
+++ b/crates/revisions/src/propose.rs
@@ -11,7 +11,7 @@
 pub const AGAIN: Duration = Duration::from_millis(400);
 /// A ballot that got no quorum gives way to a higher one after two to four of these, by chance, so that two proposers
 /// do not outbid each other without end.
-const BALLOT: Duration = Duration::from_secs(1);
+const BALLOT: Duration = Duration::from_millis(600);
 
 #[derive(Debug)]
 pub struct Proposal {
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -28,12 +28,11 @@
         }
     }
 
-    /// A datagram of the gossip's from a member. Tells whether it was a word of this kind.
-    pub fn heard(&mut self, now: Duration, from: Member, bytes: &[u8], out: &mut Vec<Given>) -> bool {
-        if let Some(word) = Word::read(bytes).filter(|_| from != self.terms.me) {
+    /// A member's word.
+    pub fn heard(&mut self, now: Duration, from: Member, word: Word, out: &mut Vec<Given>) {
+        if from != self.terms.me {
             self.take(now, from, word, out);
         }
-        Word::is_meant(bytes)
     }
 
     fn take(&mut self, now: Duration, from: Member, word: Word, out: &mut Vec<Given>) {
@@ -69,6 +68,8 @@
             }
             Word::Recalled { nonce, highest } => self.recalled(from, nonce, highest, out),
             Word::Gone(gone) => drop(self.take_gone(now, gone, out)),
+            // Another part's.
+            Word::List(_) => {}
         }
     }
 
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -141,3 +141,62 @@
     assert!(Word::read(&word).is_some());
     assert!((0..word.len()).all(|cut| Word::read(&word[..cut]).is_none()));
 }
+
+/// An author's stolen key floods numbers: another author's revision still gets through, and once the key is revoked
+/// nothing of it is left.
+#[test]
+fn a_flood_of_a_stolen_key() {
+    let mut net = settled(Regime::Wait);
+    let (number, before) = net.seats[0].member.as_ref().unwrap().next();
+    let flood = |net: &mut Net, from: u32| {
+        for n in from..from + 300 {
+            let word = Word::Head(signed(number + n % 7, before, 9, &n.to_be_bytes()));
+            (0..5).for_each(|to| {
+                net.with(to, |member, now, out| member.heard(now, 4 - to / 2, word.clone(), out))
+            });
+        }
+    };
+    flood(&mut net, 0);
+    net.push(2, 1, b"good");
+    for step in 1..20 {
+        flood(&mut net, step * 300);
+        net.run(net.now + secs(0.2));
+    }
+    net.run(net.now + secs(5.0));
+    assert_eq!(net.active(), [2; 5]);
+}
+
+/// What was certified is never a text that nobody has: keepers vote for what they hold, and one of them that lives is enough.
+#[test]
+fn the_text_outlives_who_pushed_it() {
+    let mut net = settled(Regime::Wait);
+    net.push(4, 1, b"two");
+    while net.seats[0].member.as_ref().unwrap().next().0 < 3 {
+        net.run(net.now + secs(0.01));
+    }
+    net.kill(4, true);
+    net.kill(1, false);
+    net.run(net.now + secs(2.0));
+    net.start(1);
+    net.start(4);
+    net.run(net.now + secs(12.0));
+    assert_eq!(net.active(), [2; 5]);
+}
+
+/// A member whose build can't act on a revision does not say to have it: the change waits for it by name, and goes on with
+/// what all can act on.
+#[test]
+fn a_revision_that_one_build_refuses() {
+    let mut net = Net::new(5, 3, Regime::Wait, 3);
+    net.refuses = Some((4, b"new key".to_vec()));
+    net.run(net.now + secs(5.0));
+    net.start(4);
+    net.run(net.now + secs(5.0));
+    net.push(0, 1, b"new key");
+    net.run(net.now + secs(8.0));
+    assert_eq!(net.active(), [0; 5]);
+    assert_eq!(net.seats[0].member.as_ref().unwrap().status(net.now).waited_for, [4]);
+    net.push(1, 2, b"old keys");
+    net.run(net.now + secs(8.0));
+    assert_eq!(net.active(), [2; 5]);
+}
--- a/crates/revisions/src/word.rs
+++ b/crates/revisions/src/word.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_big_array::BigArray;
 
+use crate::lists::Told;
 use crate::{Ballot, Digest, Hand, Member, Number, Signature, Signed};
 
 const MARK: &[u8; 3] = b"rv1";
@@ -59,7 +60,7 @@
     pub signature: Signature,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
     Position(Position),
     Head(Signed),
@@ -102,6 +103,8 @@
         highest: Number,
     },
     Gone(Gone),
+    /// Where a member's list stands: of the lists, and no part of revisions.
+    List(Told),
 }
 
 impl Word {
--- a/crates/standins/src/list_service.rs
+++ b/crates/standins/src/list_service.rs
@@ -1,6 +1,6 @@
 //! A list service: knows which streamers run, drain or are gone, and tells controllers of it late.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -54,6 +54,9 @@
     /// Added to every lag while it runs behind.
     behind: Duration,
     lines_sent: u64,
+    /// Changes reach each reader late by a part of this, which is that reader's own.
+    spread: Duration,
+    late: BTreeSet<(Duration, Line)>,
 }
 
 const BOUNDS: Bounds = Bounds { input: 64 * 1024, output: LONGEST_LINE };
@@ -72,6 +75,8 @@
             readers: BTreeMap::new(),
             behind: Duration::ZERO,
             lines_sent: 0,
+            spread: Duration::ZERO,
+            late: BTreeSet::new(),
         })
     }
 
@@ -83,6 +88,11 @@
         self.lines_sent
     }
 
+    /// From now on changes reach each reader late by a part of this: some at once, others by all of it.
+    pub fn spread(&mut self, spread: Duration) {
+        self.spread = spread;
+    }
+
     /// Runs further behind from now on, or no more.
     pub fn run_behind(&mut self, by: Duration) {
         self.behind = by;
@@ -100,11 +110,16 @@
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        self.coming.iter().map(|change| change.at).min()
+        let late = self.late.first().map(|late| late.0);
+        self.coming.iter().map(|change| change.at).chain(late).min()
     }
 
     /// Tells what has become due.
     pub fn tend(&mut self, reactor: &mut Reactor, now: Duration, witness: &mut Witness) {
+        while let Some((at, line)) = self.late.first().copied().filter(|late| late.0 <= now) {
+            self.late.remove(&(at, line));
+            self.send_changes(reactor, now, line, witness);
+        }
         let (mut due, coming): (Vec<Change>, Vec<Change>) =
             std::mem::take(&mut self.coming).into_iter().partition(|change| change.at <= now);
         self.coming = coming;
@@ -122,7 +137,15 @@
         }
         let observers: Vec<Line> =
             self.readers.iter().filter(|(_, reader)| reader.observes).map(|(line, _)| *line).collect();
-        observers.into_iter().for_each(|line| self.send_changes(reactor, now, line, witness));
+        for line in observers {
+            // A tenth of it, two tenths and so on, by the reader's number.
+            let late = self.spread / 10 * (line % 11) as u32;
+            if late.is_zero() {
+                self.send_changes(reactor, now, line, witness);
+            } else {
+                self.late.insert((now + late, line));
+            }
+        }
     }
 
     /// Takes what is its own; tells whether it was.
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -102,6 +102,8 @@
     out_of: BTreeMap<(u64, u64), u32>,
     controllers: BTreeMap<u32, Seen>,
     cold: BTreeMap<StreamerId, Cold>,
+    /// When the first and the last controller was told that a streamer is off.
+    told_off: BTreeMap<StreamerId, (Duration, Duration)>,
     /// All set-ups at streamers: when, where, and the title.
     set_ups: Vec<(Duration, StreamerId, u64)>,
 }
@@ -118,10 +120,16 @@
             out_of: BTreeMap::new(),
             controllers: BTreeMap::new(),
             cold: BTreeMap::new(),
+            told_off: BTreeMap::new(),
             set_ups: Vec::new(),
         }
     }
 
+    /// For each streamer that is off in the end, how long one controller was told so and another was not.
+    pub fn contradicting_lists(&self) -> Vec<Duration> {
+        self.told_off.values().map(|(first, last)| *last - *first).collect()
+    }
+
     /// All set-ups that came to streamers: when, where, and the title.
     pub fn set_ups(&self) -> &[(Duration, StreamerId, u64)] {
         &self.set_ups
@@ -240,8 +248,12 @@
     pub fn told(&mut self, now: Duration, controller: u32, streamer: StreamerId, off: bool) {
         let seen = self.controllers.entry(controller).or_default();
         if off {
+            if !seen.off.contains_key(&streamer) {
+                self.told_off.entry(streamer).or_insert((now, now)).1 = now;
+            }
             seen.off.entry(streamer).or_insert(now);
         } else {
+            self.told_off.remove(&streamer);
             seen.off.remove(&streamer);
         }
     }
