--- a/crates/revisions/src/lease.rs
+++ b/crates/revisions/src/lease.rs
@@ -80,6 +80,11 @@
         *held = at.max(*held);
     }
 
+    /// Whether a keeper has answered something that was asked from that time on.
+    pub fn answered_since(&self, keeper: Member, since: Duration) -> bool {
+        self.grants.get(&keeper).is_some_and(|asked| *asked >= since)
+    }
+
     /// Until when a quorum of so many keepers has granted.
     pub fn until(&self, keepers: usize, lease: Duration) -> Option<Duration> {
         let mut asked: Vec<Duration> = self.grants.values().copied().collect();
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -9,6 +9,7 @@
 use crate::learned::Learned;
 use crate::lease::{Granted, Held, ASKS_IN_A_LEASE};
 use crate::propose::Proposal;
+use crate::spread::ASK_AGAIN;
 use crate::store::Stored;
 use crate::word::{Gone, Position, Word};
 use crate::{bound, lease_for, Digest, Hand, Keeper, Member, Number, Regime, Signed};
@@ -99,7 +100,7 @@
     /// The certified one that it has, checked and stored.
     pub(crate) prepared: Option<Number>,
     /// The highest number that it said to have, and since when others may act on one that it does not act on.
-    told: (Number, Duration),
+    pub(crate) told: (Number, Duration),
     /// The certified one that it can't act on.
     unfit: Option<Number>,
     unsure: bool,
@@ -110,6 +111,8 @@
     pub(crate) chance: Chance,
     pub(crate) next_beat: Duration,
     pub(crate) next_ask: Duration,
+    /// How long the next wait for an answer is, while something is new.
+    pub(crate) ask_again: Duration,
     pub(crate) next_fetch: Duration,
     pub(crate) next_recall: Duration,
     /// When a keeper that accepted what is still not certified proposes it itself.
@@ -151,6 +154,7 @@
             chance: Chance(seed),
             next_beat: now,
             next_ask: now,
+            ask_again: ASK_AGAIN,
             next_fetch: now,
             next_recall: now,
             next_rescue: None,
@@ -345,7 +349,7 @@
         out.push(Given::StoreText(signed.head.text, text));
         self.store(out);
         out.push(Given::Changed);
-        (self.next_ask, self.next_beat) = (now, now);
+        (self.next_ask, self.ask_again) = (now, ASK_AGAIN);
         self.news(now);
         self.act(now, out);
         self.consider_go(now, out);
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -12,6 +12,8 @@
 const BEAT: Duration = Duration::from_secs(1);
 /// The same while there is news: in a fleet of 300 all have heard within some ten of these.
 const BEAT_BUSY: Duration = Duration::from_millis(200);
+/// What a keeper has not answered is asked again after this, doubled each time up to a part of the lease.
+pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// A member is given what it lacks no more often: some eight datagrams.
 const GIVES_EVERY: Duration = Duration::from_millis(500);
 
@@ -164,7 +166,8 @@
             self.fetch(now, out);
         }
         if now >= self.next_ask {
-            self.next_ask = now + self.lease / (ASKS_IN_A_LEASE + 1);
+            self.next_ask = now + self.ask_again.min(self.lease / (ASKS_IN_A_LEASE + 1));
+            self.ask_again = (self.ask_again * 2).min(self.lease);
             if self.needs_lease(now) {
                 self.ask_for_leases(now, out);
             }
@@ -195,7 +198,12 @@
     fn ask_for_leases(&mut self, now: Duration, out: &mut Vec<Given>) {
         let nonce = self.leases.ask(now);
         let position = self.position(now);
-        for keeper in self.hand.keepers().to_vec() {
+        // What was just prepared is said again until each keeper has answered: the change waits for it.
+        let urgent = self.ask_again < self.lease / (ASKS_IN_A_LEASE + 1);
+        let since = self.told.1;
+        let asked = |keeper: &Member| !urgent || !self.leases.answered_since(*keeper, since);
+        let keepers: Vec<Member> = self.hand.keepers().iter().copied().filter(asked).collect();
+        for keeper in keepers {
             self.say(now, keeper, Word::Ask { nonce, position }, out);
         }
     }
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quickcheck::{Gen, QuickCheck};
+
 use super::net::{seal, signed, Net, AUTHORS};
+use crate::order::{self, Order};
 use crate::word::{Gone, Word};
 use crate::{Hold, Keeper, Kept, Refused, Regime, Stored, StoredFault};
 
@@ -200,3 +203,20 @@
     net.run(net.now + secs(8.0));
     assert_eq!(net.active(), [2; 5]);
 }
+
+/// Whatever comes, readers neither panic nor take what they would not write the same.
+#[test]
+fn readers_take_any_bytes() {
+    fn holds(kind: u8, bytes: Vec<u8>) -> bool {
+        let word = [&b"rv1"[..], &[kind % 16], &bytes].concat();
+        let same = Word::read(&word).is_none_or(|read| Word::read(&read.write()) == Some(read));
+        let line = String::from_utf8_lossy(&bytes).into_owned();
+        let _ = (Stored::read(&bytes), order::head_of(&line), order::gone_of(&line));
+        let waits = order::line::<Order>(&bytes).is_ok_and(|read| read.is_none());
+        same && (waits || bytes.contains(&b'\n'))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 11))
+        .tests(20_000)
+        .quickcheck(holds as fn(u8, Vec<u8>) -> bool);
+}
