A text is taken in only behind a signed head that may be the next one; orders tested at a process

Found by reading: whoever reached the port could push 16 MB on each of 32 streams behind any head, half a GB. Now the head is checked before its text is taken in, and two texts come in at a time. Test: a fleet of one refuses lines, heads, authors, numbers, texts with their reasons, serves on, takes a good one, and finds it again after a kill.

--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -13,6 +13,8 @@
 
 /// Streams at a time: operators are few, and a member fetches from one other.
 const MOST: usize = 32;
+/// Texts that are coming in at a time: each may have 16 MB.
+const PUSHES: usize = 2;
 /// One that has said nothing whole for so long is ended.
 const QUIET: Duration = Duration::from_secs(20);
 const BOUNDS: Bounds = Bounds { input: PIECE + LONGEST_LINE, output: 2 * PIECE + LONGEST_LINE };
@@ -28,6 +30,8 @@
     heard: Duration,
     /// A revision whose text is still coming: its head, what has come, and how much there is.
     push: Option<(Signed, Vec<u8>, usize)>,
+    /// Nothing more is heard on it: it is to be ended by its other end, or for its quiet.
+    deaf: bool,
 }
 
 pub struct Orders {
@@ -57,7 +61,7 @@
         if self.streams.len() >= MOST {
             reactor.close(line);
         } else {
-            self.streams.insert(line, Stream { heard: now, push: None });
+            self.streams.insert(line, Stream { heard: now, push: None, deaf: false });
         }
         true
     }
@@ -78,9 +82,19 @@
         }
     }
 
-    /// The next whole thing that a stream asked.
-    pub fn readable(&mut self, reactor: &mut Reactor, line: Line, now: Duration) -> Option<Asked> {
+    /// The next whole thing that a stream asked. A text is taken in only behind a head that `may_come`: whoever reaches the
+    /// port must not fill this process's memory.
+    pub fn readable(
+        &mut self, reactor: &mut Reactor, line: Line, now: Duration,
+        may_come: &dyn Fn(&Signed) -> Result<(), String>,
+    ) -> Option<Asked> {
+        let pushes = self.streams.values().filter(|stream| stream.push.is_some()).count();
         let stream = self.streams.get_mut(&line)?;
+        if stream.deaf {
+            let all = reactor.input(line).len();
+            reactor.consume(line, all);
+            return None;
+        }
         if let Some((signed, mut text, whole)) = stream.push.take() {
             let input = reactor.input(line);
             let count = input.len().min(whole - text.len());
@@ -97,21 +111,28 @@
             Ok(found) => found?,
             Err(why) => {
                 // What follows can't be told apart: this is the last that is answered here.
-                let all = reactor.input(line).len();
-                reactor.consume(line, all);
+                stream.deaf = true;
                 return Some(Asked::Wrong(why));
             }
         };
         reactor.consume(line, used);
         stream.heard = now;
         let Order::Push { head, bytes } = &order else { return Some(Asked::Order(order)) };
-        match order::head_of(head).filter(|signed| signed.head.length as usize == *bytes) {
-            Some(signed) => {
+        let read = order::head_of(head).filter(|signed| signed.head.length as usize == *bytes);
+        let read = read.ok_or_else(|| "a head that can't be read, or of a text of another length".to_owned());
+        let room = || match pushes < PUSHES {
+            true => Ok(()),
+            false => Err("other texts are coming in; later".to_owned()),
+        };
+        match read.and_then(|signed| may_come(&signed).and_then(|()| room()).map(|()| signed)) {
+            Ok(signed) => {
                 stream.push = Some((signed, Vec::new(), *bytes));
-                self.readable(reactor, line, now)
+                self.readable(reactor, line, now, may_come)
             }
-            None => {
-                Some(Asked::Wrong("a head that can't be read, or of a text of another length".to_owned()))
+            Err(why) => {
+                // The text that is on its way is not told from orders: nothing more is heard here.
+                stream.deaf = true;
+                Some(Asked::Wrong(why))
             }
         }
     }
--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -16,7 +16,7 @@
 use badgerledge_revisions::lists::{ListPosition, Lists, Off};
 use badgerledge_revisions::order::{self, Answer, Order, Report};
 use badgerledge_revisions::word::Word;
-use badgerledge_revisions::{Digest, Given, Hand, Hold, Member, Regime, Revisions, Stored, Terms};
+use badgerledge_revisions::{Digest, Given, Hand, Hold, Member, Regime, Revisions, Signed, Stored, Terms};
 use badgerledge_settings::Sheet;
 use metrics::{counter, gauge};
 
@@ -230,7 +230,10 @@
             }
             return;
         }
-        while let Some(asked) = self.orders.readable(reactor, line, self.now) {
+        loop {
+            let revisions = &self.revisions;
+            let may_come = |signed: &Signed| revisions.may_be_next(signed).map_err(|why| why.to_string());
+            let Some(asked) = self.orders.readable(reactor, line, self.now, &may_come) else { return };
             let mut out = Vec::new();
             let (answer, bytes) = self.answer(asked, &mut out);
             // What is answered rests on what is stored.
--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -5,4 +5,5 @@
 mod hard_cases;
 mod other_client;
 mod platform;
+mod revisions;
 mod rig;
--- /dev/null
+++ b/crates/controller/tests/it/revisions.rs
@@ -0,0 +1,85 @@
+//! Orders of revisions at a controller that is a fleet of its own: what is not in order is refused with its reason, and
+//! what was acted on is found again.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use badgerledge_deployment::kinds::canonical;
+use badgerledge_keys::{PrivateKey, Role};
+use badgerledge_revisions::order::{self, Answer, Order, Report};
+use badgerledge_revisions::{Head, Signed};
+use badgerledge_settings::Sheet;
+use badgerledge_standins::free_port;
+
+use crate::rig::{Backdrop, Controller, PATIENCE, SHARED};
+
+fn asks(at: SocketAddr, bytes: &[u8]) -> Answer {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut line = Vec::new();
+    BufReader::new(&stream).read_until(b'\n', &mut line).unwrap();
+    order::line(&line).unwrap().expect("an answer").0
+}
+
+fn report(at: SocketAddr) -> Report {
+    match asks(at, &order::write(&Order::Status)) {
+        Answer::Status(report) => *report,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn pushes(at: SocketAddr, author: &PrivateKey, number: u32, text: &str) -> Answer {
+    let before = hex::decode(report(at).digest).unwrap().try_into().unwrap();
+    let head = Head::new(number, before, 0, text.as_bytes());
+    let signed = Signed { head, signature: author.sign(&head.signed_bytes()) };
+    let order = Order::Push { head: order::to_hex(&signed), bytes: text.len() };
+    asks(at, &[order::write(&order), text.as_bytes().to_vec()].concat())
+}
+
+#[test]
+fn orders_are_refused_with_reasons_and_a_revision_outlives_a_kill() {
+    let backdrop = Backdrop::new(true);
+    let folder = tempfile::tempdir().unwrap();
+    let key = |role: Role, name: &str| {
+        let key = PrivateKey::make(role).unwrap();
+        key.write(&folder.path().join(name)).unwrap();
+        key
+    };
+    let (member, author) = (key(Role::Member(0), "key-0"), key(Role::Author(0), "author"));
+    let thief = PrivateKey::make(Role::Author(0)).unwrap();
+    let (own, signs) = (member.public(), author.public());
+    let ring = format!("[member 0]\nkeys = {own}\n[author 0]\nkeys = {signs}\n[keepers]\nmembers = 0\n");
+    std::fs::write(folder.path().join("ring.ini"), ring).unwrap();
+    let (at, path) = (free_port().unwrap(), folder.path().display());
+    let more = format!("[gossip]\nlisten = {at}\nring = {path}/ring.ini\nkey = {path}/key-0\n[revisions]\n");
+    let mut controller = Controller::start(backdrop.list, &more);
+    controller.wait_metric("badgerledge_revision_active", |active| active == 0.0);
+
+    let shared = canonical(&Sheet::parse("shared", SHARED).unwrap());
+    let longer = shared.replace("client_timeout_ms = 2000", "client_timeout_ms = 2500");
+    assert_ne!(longer, shared);
+    let refused = |answer: Answer, why: &str| match answer {
+        Answer::Refused(said) => assert!(said.contains(why), "{said}"),
+        other => panic!("{why}: {other:?}"),
+    };
+    refused(asks(at, b"what is this\n"), "expected value");
+    refused(asks(at, &[b'x'; 70_000]), "a line of over");
+    let headless = Order::Push { head: "00".to_owned(), bytes: 4 };
+    refused(asks(at, &order::write(&headless)), "a head that can't be read");
+    refused(pushes(at, &thief, 1, &longer), "not that of author 0");
+    refused(pushes(at, &author, 3, &longer), "number 3");
+    refused(pushes(at, &author, 1, &longer.replace("2500", "900")), "client_timeout_ms");
+    refused(pushes(at, &author, 1, &longer.replace("clip", "film")), "room type clip has number 0");
+    refused(pushes(at, &author, 1, &longer.replace(" = ", "=")), "not in the one form");
+    refused(asks(at, &order::write(&Order::Text { text: "ab".repeat(32), from: 0 })), "no such text");
+    assert_eq!((report(at).active, report(at).held), (0, None));
+
+    assert_eq!(pushes(at, &author, 1, &longer), Answer::Taken);
+    controller.wait_metric("badgerledge_revision_active", |active| active == 1.0);
+    controller.kill_and_restart();
+    controller.wait_metric("badgerledge_revision_active", |active| active == 1.0);
+    let found = report(at);
+    assert_eq!((found.active, found.source.as_str(), found.held), (1, "store", None));
+    assert_eq!(asks(at, &order::write(&Order::Active)), Answer::Bytes(longer.len()));
+}
--- a/crates/controller/tests/it/rig.rs
+++ b/crates/controller/tests/it/rig.rs
@@ -122,6 +122,9 @@
         let folder = tempfile::tempdir().unwrap();
         let (at, metrics) = (free_port().unwrap(), free_port().unwrap());
         write_settings(folder.path(), at, list, metrics, more);
+        if more.contains("[revisions]") {
+            badgerledge_controller::revising::found(&folder.path().join("state")).unwrap();
+        }
         let child = spawn(folder.path());
         let controller = Self { at, metrics, folder, child };
         controller.wait_ready();
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -14,13 +14,11 @@
 const RESCUE: Duration = Duration::from_secs(8);
 
 impl<H: Hand> Revisions<H> {
-    /// An author's revision, pushed here by its operator.
+    /// Whether a head is an author's, and the next one, before its text is taken in.
     ///
     /// # Errors
-    /// Where it can't become the next one; nothing has changed then.
-    pub fn push(
-        &mut self, now: Duration, signed: Signed, text: Arc<[u8]>, out: &mut Vec<Given>,
-    ) -> Result<(), Refused> {
+    /// Where it can't become the next one.
+    pub fn may_be_next(&self, signed: &Signed) -> Result<(), Refused> {
         let Head { number, before, author, .. } = signed.head;
         if self.hand.keepers().is_empty() {
             return Err(Refused::NoKeepers);
@@ -35,6 +33,17 @@
         if before != follows {
             return Err(Refused::Before(next - 1));
         }
+        Ok(())
+    }
+
+    /// An author's revision, pushed here by its operator.
+    ///
+    /// # Errors
+    /// Where it can't become the next one; nothing has changed then.
+    pub fn push(
+        &mut self, now: Duration, signed: Signed, text: Arc<[u8]>, out: &mut Vec<Given>,
+    ) -> Result<(), Refused> {
+        self.may_be_next(&signed)?;
         signed.head.check_text(&text)?;
         (self.terms.check)(&text).map_err(Refused::Text)?;
         self.keep_text(signed.head.text, text);
