Words to act are said again until a quorum of them is known: a change stood still for good

Checked: all 24 logs say prepared=4, none active=4; 6,592 to 6,925 bytes in the worst second, by the program's ceiling of 7,000. Ruled out: an ack that was lost (asked again each 0.8 s) and a member that was missing. At fault: certify.rs, consider_go, which said a keeper's word to the other keepers once; spread.rs gives words on only to who acts on less than a quorum's, so two keepers with one word each stayed so. The small test makes that by cuts: it failed, seen, and passes now. Also what members lack is given four times a second at most by each member. Folded: a keeper's two checks of a ballot are one; the replay draws by the rig's Draw.

--- a/crates/replay/src/plan.rs
+++ b/crates/replay/src/plan.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use badgerledge_standins::Plan;
-use rand_pcg::rand_core::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 
 use crate::day::{Day, Trouble};
 
@@ -19,16 +17,16 @@
 }
 
 /// Numbers from a seed, for all that is drawn.
-pub struct Draw(Pcg64Mcg);
+pub struct Draw(badgerledge_ways::Draw);
 
 impl Draw {
     pub fn new(seed: u64) -> Self {
-        Self(Pcg64Mcg::seed_from_u64(seed))
+        Self(badgerledge_ways::Draw::new(seed))
     }
 
     /// From 0 up to, but not, 1.
     pub fn share(&mut self) -> f64 {
-        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        self.0.share()
     }
 
     pub fn between(&mut self, least: f64, most: f64) -> f64 {
--- a/crates/revisions/src/keeper.rs
+++ b/crates/revisions/src/keeper.rs
@@ -115,33 +115,31 @@
         }
     }
 
-    fn takes(&self, number: Number) -> bool {
-        !self.is_asking() && number > self.kept.barred && number == self.kept.number
-    }
-
-    pub fn prepare(&mut self, number: Number, ballot: Ballot) -> Option<Reply> {
+    /// Whether it takes part in a ballot for a number; or what it says instead, if anything.
+    fn takes(&self, number: Number, ballot: Ballot) -> Result<(), Option<Reply>> {
         if number < self.kept.number {
-            return Some(Reply::Over { number });
+            return Err(Some(Reply::Over { number }));
         }
-        if !self.takes(number) {
-            return None;
+        if self.is_asking() || number <= self.kept.barred || number != self.kept.number {
+            return Err(None);
         }
         if ballot < self.kept.promised {
-            return Some(Reply::Higher { number, ballot: self.kept.promised });
+            return Err(Some(Reply::Higher { number, ballot: self.kept.promised }));
+        }
+        Ok(())
+    }
+
+    pub fn prepare(&mut self, number: Number, ballot: Ballot) -> Option<Reply> {
+        if let Err(instead) = self.takes(number, ballot) {
+            return instead;
         }
         self.kept.promised = ballot;
         Some(Reply::Promise { number, ballot, accepted: self.kept.accepted })
     }
 
     pub fn accept(&mut self, number: Number, ballot: Ballot, digest: Digest) -> Option<Reply> {
-        if number < self.kept.number {
-            return Some(Reply::Over { number });
-        }
-        if !self.takes(number) {
-            return None;
-        }
-        if ballot < self.kept.promised {
-            return Some(Reply::Higher { number, ballot: self.kept.promised });
+        if let Err(instead) = self.takes(number, ballot) {
+            return instead;
         }
         // One ballot has one proposer, which names one digest in it; another would be a forged one.
         if self.kept.accepted.is_some_and(|(held, of)| held == ballot && of != digest) {
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -114,6 +114,8 @@
     /// How long the next wait for an answer is, while something is new.
     pub(crate) ask_again: Duration,
     pub(crate) next_fetch: Duration,
+    pub(crate) next_go: Duration,
+    pub(crate) next_give: Duration,
     pub(crate) next_recall: Duration,
     /// When a keeper that accepted what is still not certified proposes it itself.
     pub(crate) next_rescue: Option<Duration>,
@@ -156,6 +158,8 @@
             next_ask: now,
             ask_again: ASK_AGAIN,
             next_fetch: now,
+            next_go: now,
+            next_give: now,
             next_recall: now,
             next_rescue: None,
             busy_until: now,
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -12,6 +12,12 @@
 const BEAT: Duration = Duration::from_secs(1);
 /// The same while there is news: in a fleet of 300 all have heard within some ten of these.
 const BEAT_BUSY: Duration = Duration::from_millis(200);
+/// A keeper says its word to act again to the others this often, until a quorum of words is known to it: all may be lost at
+/// once, in a moment when the ceiling is reached.
+const GO_AGAIN: Duration = Duration::from_millis(500);
+/// All that members lack is given no more often than this, to whomever: some 4,000 bytes a second, and what one gives, the
+/// next ones give on.
+const GIVES_APART: Duration = Duration::from_millis(250);
 /// What a keeper has not answered is asked again after this, doubled each time up to a part of the lease.
 pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// A member is given what it lacks no more often: some eight datagrams.
@@ -97,10 +103,12 @@
 
     /// Gives a member the certificate and the words to act, unless it was given them just before.
     pub(crate) fn give(&mut self, now: Duration, to: Member, out: &mut Vec<Given>) {
-        if self.gave.get(&to).is_some_and(|at| now < *at + GIVES_EVERY) {
+        let just = self.gave.get(&to).is_some_and(|at| now < *at + GIVES_EVERY);
+        if just || now < self.next_give {
             return;
         }
         let Some(top) = self.learned.top.clone() else { return };
+        self.next_give = now + GIVES_APART;
         self.gave.insert(to, now);
         let behind = self.positions.get(&to).is_none_or(|theirs| theirs.certified < top.number());
         if behind {
@@ -147,7 +155,8 @@
         let proposal = self.proposal.as_ref().map(|proposal| proposal.again_at);
         let asks = self.keeper.as_ref().is_some_and(Keeper::is_asking).then_some(self.next_recall);
         let fetch = self.lacks_text().map(|_| self.next_fetch);
-        let due = [proposal, asks, fetch, self.next_rescue, Some(self.next_beat), Some(self.next_ask)];
+        let go = self.keeper.as_ref().map(|_| self.next_go);
+        let due = [proposal, asks, fetch, go, self.next_rescue, Some(self.next_beat), Some(self.next_ask)];
         due.into_iter().flatten().min().unwrap_or(self.next_beat)
     }
 
@@ -172,6 +181,10 @@
                 self.ask_for_leases(now, out);
             }
         }
+        if now >= self.next_go {
+            self.next_go = now + GO_AGAIN;
+            self.say_go_again(now, out);
+        }
         if now >= self.next_beat {
             let beat = if now < self.busy_until { BEAT_BUSY } else { BEAT };
             self.next_beat = now + beat.mul_f64(0.75 + 0.5 * self.chance.share());
@@ -195,6 +208,21 @@
         }
     }
 
+    fn say_go_again(&mut self, now: Duration, out: &mut Vec<Given>) {
+        if self.learned.may_act(&self.hand) {
+            return;
+        }
+        let me = self.terms.me;
+        let own =
+            self.learned.top.as_ref().and_then(|top| top.goes.iter().find(|go| go.keeper == me).copied());
+        let Some(go) = own else { return };
+        for keeper in self.hand.keepers().to_vec() {
+            if keeper != me {
+                self.say(now, keeper, Word::Go(go), out);
+            }
+        }
+    }
+
     fn ask_for_leases(&mut self, now: Duration, out: &mut Vec<Given>) {
         let nonce = self.leases.ask(now);
         let position = self.position(now);
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -220,3 +220,32 @@
         .tests(20_000)
         .quickcheck(holds as fn(u8, Vec<u8>) -> bool);
 }
+
+/// Seen in a day of 24 real controllers: all had prepared, each keeper had given its word to act in the same moment, when the
+/// gossip's ceiling held all words back, and nobody said it again. Harm: a change that is never acted on, with nobody named.
+#[test]
+fn words_to_act_that_were_all_lost_are_said_again() {
+    let mut net = settled(Regime::Wait);
+    cut_off(&mut net, 4);
+    net.push(3, 1, b"two");
+    net.run(net.now + secs(4.0));
+    for (a, b) in [(0, 1), (1, 2), (0, 2)] {
+        net.cut.extend([(a, b), (b, a)]);
+    }
+    net.cut.retain(|(a, b)| *a != 4 && *b != 4);
+    // Who is not a keeper hands nothing on here.
+    net.cut.extend((0..3).map(|keeper| (keeper, 3)).chain((0..3).map(|keeper| (keeper, 4))));
+    net.with(4, |member, now, out| {
+        let (number, before) = (2, member.next().1);
+        member.heard(now, 3, Word::Head(signed(number, before, 1, b"two")), out);
+    });
+    let certified = net.seats[3].member.as_ref().unwrap().learned.top.clone().unwrap();
+    net.with(4, |member, now, out| {
+        certified.votes.iter().for_each(|vote| member.heard(now, 3, Word::Vote(*vote), out));
+    });
+    net.run(net.now + secs(8.0));
+    assert_eq!(net.active(), [1; 5], "each keeper has its own word alone");
+    net.cut.clear();
+    net.run(net.now + secs(8.0));
+    assert_eq!(net.active(), [2; 5]);
+}
