--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -90,7 +90,7 @@
         let now = reactor.now();
         let revisions = Revisions::new(keys, terms, Arc::from(own.as_bytes()), stored, texts, now, seed);
         let (active, regime_name) = (revisions.acting(now).active, told.regime.as_str());
-        let bound = revisions.status(now).bound;
+        let bound = revisions.bound();
         tracing::info!(active, source, regime = regime_name, ?bound, "revisions begin");
         Ok(Some(Self {
             revisions,
@@ -408,12 +408,12 @@
     }
 
     fn show(&self) {
-        let status = self.revisions.status(self.now);
-        gauge!(watch::REVISION_ACTIVE).set(f64::from(status.acting.active));
-        gauge!(watch::REVISION_CERTIFIED).set(f64::from(status.certified));
+        let revisions = &self.revisions;
+        gauge!(watch::REVISION_ACTIVE).set(f64::from(revisions.acting(self.now).active));
+        gauge!(watch::REVISION_CERTIFIED).set(f64::from(revisions.next().0 - 1));
         gauge!(watch::REVISION_HELD).set(f64::from(u8::from(self.held(self.now).is_some())));
-        gauge!(watch::REVISION_BOUND).set(status.bound.as_secs_f64());
-        gauge!(watch::REVISION_WAITED_FOR).set(status.waited_for.len() as f64);
+        gauge!(watch::REVISION_BOUND).set(revisions.bound().as_secs_f64());
+        gauge!(watch::REVISION_WAITED_FOR).set(revisions.waited_for(self.now).len() as f64);
     }
 }
 
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -7,7 +7,7 @@
 use badgerledge_accounts::Key;
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
-use badgerledge_deployment::{Deployment, Shared};
+use badgerledge_deployment::Deployment;
 use badgerledge_discovery::Entry;
 use badgerledge_exchange::Exchange;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
@@ -302,8 +302,7 @@
         gossiping.take_new_keys().iter().for_each(|keys| revising.take_keys(keys));
         revising.tend(&mut self.ends.reactor, gossiping, now);
         if let Some(shared) = revising.take_change() {
-            let crossing = |shared: &Shared| format!("{:?}", shared.crossing);
-            let budgets = crossing(&shared) != crossing(&self.ends.deployment.shared);
+            let budgets = shared.crossing != self.ends.deployment.shared.crossing;
             self.ends.deployment.shared = shared;
             self.exchange.retell(self.ends.deployment.told());
             if budgets {
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -370,7 +370,7 @@
 }
 
 /// `[crossing]`: a budget for what crosses between buildings, for all controllers together.
-#[derive(Clone, Debug, Deserialize, Validate)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Crossing {
     /// kB a second, over any time.
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -206,7 +206,7 @@
 
     /// Members that a keeper waits for before it gives the word: those that have not said to have the certified one,
     /// and are not excused.
-    pub(crate) fn waited_for(&self, now: Duration) -> Vec<Member> {
+    pub fn waited_for(&self, now: Duration) -> Vec<Member> {
         let number = self.learned.number();
         let waits = |member: &Member| {
             let has = if *member == self.terms.me {
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -285,12 +285,17 @@
         }
     }
 
+    /// How long two members may act on contradicting revisions at most.
+    pub fn bound(&self) -> Duration {
+        bound(self.lease, self.terms.late)
+    }
+
     pub fn status(&self, now: Duration) -> Status {
         Status {
             acting: self.acting(now),
             certified: self.learned.number(),
             digest: self.learned.digest(),
-            bound: bound(self.lease, self.terms.late),
+            bound: self.bound(),
             lease_until: self.leases.until(self.hand.keepers().len(), self.lease),
             waited_for: self.waited_for(now),
             gone: self.gone.values().filter(|gone| gone.gone).map(|gone| gone.member).collect(),
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -82,7 +82,8 @@
     }
 
     fn heard_position(&mut self, now: Duration, from: Member, theirs: Position, out: &mut Vec<Given>) {
-        self.note_position(now, from, theirs, out);
+        self.positions.insert(from, theirs);
+        self.consider_go(now, out);
         let ours = self.position(now);
         let acts = if self.learned.may_act(&self.hand) { ours.certified } else { ours.active };
         if theirs.certified < ours.certified || theirs.active < acts {
@@ -96,11 +97,6 @@
         }
     }
 
-    fn note_position(&mut self, now: Duration, from: Member, theirs: Position, out: &mut Vec<Given>) {
-        self.positions.insert(from, theirs);
-        self.consider_go(now, out);
-    }
-
     /// Gives a member the certificate and the words to act, unless it was given them just before.
     pub(crate) fn give(&mut self, now: Duration, to: Member, out: &mut Vec<Given>) {
         let just = self.gave.get(&to).is_some_and(|at| now < *at + GIVES_EVERY);
