Titles go with revisions, and a module decides what a change means for what is held

- [revisions] catalogue = true: titles stand in the same text, one number and one certificate with the settings.
Where a title lies and its room type are exclusive; one that comes or goes is free.
- Package changes: numbers of room types, zones, kinds and rungs stay (a room type that goes is retired under its number, a zone renamed in its place, rungs go from the top); the fate of each subscription: goes on, steps down, taken back before SETUP, turned away at once, or moved within leave_within_s, spread by chance.
- Changes are told to the module in a round, before all else that came in.
Sums of rates are made anew: they held what was asked at the rates of before.
- Found on the way: a step between SETUP and the first packet was kept and never sent (test in the exchange); SIGHUP took a catalogue with titles of no room type, and did nothing for what played where a title lay no more.

Seen: a change through a controller process between scripted streamers and viewers, three plays alike; generated sequences of the exchange with changes among them.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -3,7 +3,7 @@
 //! A catalogue is an INI file with a section `[title ID]` for each title, ID in hexadecimal. A title lies on
 //! `copies` cells in a row from `first_cell` on, counted round.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
 use badgerledge_settings::{within, Faults, Sheet};
@@ -36,6 +36,14 @@
 
     pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
         sheet.only(&["title"])?;
+        Self::among(sheet)
+    }
+
+    /// The titles of a sheet that has other sections too.
+    ///
+    /// # Errors
+    /// Names each title that is not in order.
+    pub fn among(sheet: &Sheet) -> Result<Self, Faults> {
         let (mut titles, mut faults) = (BTreeMap::new(), Vec::new());
         for name in sheet.named("title") {
             let section = format!("title {name}");
@@ -68,6 +76,22 @@
         self.titles.iter().map(|(id, title)| (*id, title))
     }
 
+    /// The room types that titles have.
+    pub fn room_types(&self) -> BTreeSet<String> {
+        self.titles.values().map(|title| title.room_type.clone()).collect()
+    }
+
+    /// The titles as a file has them, in one form for all who mean the same: by id, keys by name.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (id, Title { room_type, first_cell, copies }) in &self.titles {
+            text += &format!(
+                "[title {id:x}]\ncopies = {copies}\nfirst_cell = {first_cell}\nroom_type = {room_type}\n"
+            );
+        }
+        text
+    }
+
     pub fn len(&self) -> usize {
         self.titles.len()
     }
--- /dev/null
+++ b/crates/changes/src/leavers.rs
@@ -0,0 +1,59 @@
+//! Subscriptions that are to leave their streamers, each at its time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use badgerledge_core::interface::{JobId, StreamerId};
+
+/// Who is to leave which streamer, and when. Each leaves once at most.
+#[derive(Debug, Default)]
+pub struct Leavers {
+    due: BTreeSet<(Duration, JobId)>,
+    from: BTreeMap<JobId, (Duration, StreamerId)>,
+}
+
+impl Leavers {
+    /// Lets these leave within a time, spread evenly over it, so that the holders of their titles get no more set-ups in
+    /// any part of it than in another. In the order given: by chance, or whoever is first suffers from every change.
+    /// One that was to leave already keeps its time where it is the sooner one.
+    pub fn spread(&mut self, now: Duration, within: Duration, leavers: &[(JobId, StreamerId)]) {
+        let count = leavers.len().max(1) as u32;
+        for (turn, (job, from)) in leavers.iter().enumerate() {
+            let at = now + within * turn as u32 / count;
+            if let Some((before, _)) = self.from.get(job).copied() {
+                if before <= at {
+                    continue;
+                }
+                self.due.remove(&(before, *job));
+            }
+            self.due.insert((at, *job));
+            self.from.insert(*job, (at, *from));
+        }
+    }
+
+    /// Those that need not leave any more: a later change lets them stay, or they have ended.
+    pub fn stays(&mut self, job: JobId) {
+        if let Some((at, _)) = self.from.remove(&job) {
+            self.due.remove(&(at, job));
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.due.first().map(|due| due.0)
+    }
+
+    /// The next whose time has come, and the streamer that it was to leave: it may be elsewhere by now.
+    pub fn next(&mut self, now: Duration) -> Option<(JobId, StreamerId)> {
+        let (at, job) = self.due.first().copied().filter(|due| due.0 <= now)?;
+        self.due.remove(&(at, job));
+        self.from.remove(&job).map(|(_, from)| (job, from))
+    }
+
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+}
--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -79,8 +79,9 @@
     pub accounting: Accounting,
     /// Bytes that crossed since the budget's last plans, by the building they came from.
     pub crossed_bytes: BTreeMap<u16, u64>,
-    /// The building of each streamer of the list.
+    /// The building of each streamer of the list, and its cell.
     pub zones: BTreeMap<StreamerId, u16>,
+    pub cells: BTreeMap<StreamerId, u32>,
 }
 
 /// Media that went through since it was last counted.
@@ -119,6 +120,7 @@
             accounting,
             crossed_bytes: BTreeMap::new(),
             zones: BTreeMap::new(),
+            cells: BTreeMap::new(),
         }
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod accounting;
 mod budgeting;
+mod changing;
 mod ends;
 mod fetching;
 mod files;
--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -1,16 +1,19 @@
 //! Revisions among controllers, joined to the ends: words go with the gossip, texts and orders by streams at the
 //! gossip's own port, and what must outlive the process to the state folder before anything is said that rests on it.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::{bail, Context, Result};
+use badgerledge_catalogue::Catalogue;
+use badgerledge_changes::arrange;
 use badgerledge_core::chance::Chance;
 use badgerledge_core::interface::StreamerId;
-use badgerledge_deployment::kinds::{acted_on, canonical, may_follow};
-use badgerledge_deployment::{Deployment, Shared, SHARED_SECTIONS};
+use badgerledge_deployment::kinds::{acted_on, canonical, revised};
+use badgerledge_deployment::{Deployment, Shared, REVISED_SECTIONS};
 use badgerledge_keys::Keys;
 use badgerledge_reactor::{Line, Reactor};
 use badgerledge_revisions::lists::{ListPosition, Lists, Off};
@@ -20,6 +23,7 @@
 use badgerledge_settings::Sheet;
 use metrics::{counter, gauge};
 
+use crate::changing::Change;
 use crate::fetching::Fetching;
 use crate::gossiping::Gossiping;
 use crate::orders::{Asked, Orders};
@@ -36,14 +40,27 @@
 const TELL_OFF: Duration = Duration::from_millis(200);
 const TOLD_AT_ONCE: usize = 3;
 
+/// What a next text must fit here, for the check of texts.
+struct Fits {
+    /// The settings that subscriptions are held under: nothing while none are.
+    held: Option<Shared>,
+    /// The room types of the catalogue's own titles, where they do not go with the text.
+    titles: Option<BTreeSet<String>>,
+    /// The number of this controller's zone.
+    zone: usize,
+}
+
 pub struct Revising {
     revisions: Revisions<Keys>,
     orders: Orders,
     fetching: Fetching,
     state: PathBuf,
     regime: Regime,
-    /// The settings that a next text must fit, for the check of texts.
-    fits: Arc<Mutex<Shared>>,
+    fits: Arc<Mutex<Fits>>,
+    /// The number of this controller's zone.
+    zone: usize,
+    /// Whether texts hold the titles too.
+    catalogue: bool,
     /// What is acted on changed since it was last taken.
     changed: bool,
     /// What is prepared must not be acted on beside what is acted on.
@@ -61,7 +78,7 @@
 impl Revising {
     /// Nothing where the deployment has no such section.
     pub fn new(
-        reactor: &mut Reactor, deployment: &Deployment, gossiping: &Gossiping, seed: u64,
+        reactor: &mut Reactor, deployment: &Deployment, titles: &Catalogue, gossiping: &Gossiping, seed: u64,
     ) -> Result<Option<Self>> {
         let place = &deployment.place;
         let (Some(told), Some(state)) = (&deployment.revisions, &place.state) else { return Ok(None) };
@@ -70,25 +87,34 @@
         if keys.keepers().is_empty() {
             bail!("[revisions]: the ring names no keepers; `badgerledge-keys keepers` does");
         }
-        let own = deployment.shared_text.clone();
+        let mut own = deployment.shared_text.clone();
+        if told.catalogue {
+            own += &titles.text();
+        }
         let stored = read_stored(state);
         let texts = read_texts(&state.join(TEXTS));
         let source = match &stored {
             Some(stored) if stored.active > 0 => "store",
             _ => "file",
         };
-        let fits = Arc::new(Mutex::new(deployment.shared.clone()));
+        let zones = &deployment.shared.fleet.zones;
+        let zone = zones.iter().position(|zone| *zone == place.zone).unwrap_or(0);
         let regime = if told.regime == "hold" { Regime::Hold } else { Regime::Wait };
-        let (zone, held) = (place.zone.clone(), fits.clone());
+        let names = (!told.catalogue).then(|| titles.room_types());
+        let fits = Arc::new(Mutex::new(Fits { held: None, titles: names, zone }));
+        let checked = fits.clone();
         let terms = Terms {
             me: place.number as Member,
             life: gossiping.life(),
             regime,
             late: Duration::from_millis(2 * place.tick_ms),
-            check: Box::new(move |text| check(text, &zone, &held)),
+            check: Box::new(move |text| check(text, &checked)),
         };
         let now = reactor.now();
         let revisions = Revisions::new(keys, terms, Arc::from(own.as_bytes()), stored, texts, now, seed);
+        if let (0, Ok(mut fits)) = (revisions.acting(now).active, fits.lock()) {
+            fits.held = Some(deployment.shared.clone());
+        }
         let (active, regime_name) = (revisions.acting(now).active, told.regime.as_str());
         let bound = revisions.bound();
         tracing::info!(active, source, regime = regime_name, ?bound, "revisions begin");
@@ -99,6 +125,8 @@
             state: state.clone(),
             regime,
             fits,
+            zone,
+            catalogue: told.catalogue,
             changed: active > 0,
             exclusive: false,
             source,
@@ -345,8 +373,13 @@
         held.map(|_| COME_BACK)
     }
 
-    /// The settings to act on from now on, if they have changed.
-    pub fn take_change(&mut self) -> Option<Shared> {
+    /// The number of this controller's zone: the name may change.
+    pub fn zone(&self) -> usize {
+        self.zone
+    }
+
+    /// What to act on from now on, if it has changed.
+    pub fn take_change(&mut self) -> Option<Change> {
         if !std::mem::take(&mut self.changed) {
             return None;
         }
@@ -355,15 +388,28 @@
         let prepared = self.revisions.prepared_text().and_then(|text| sheet(text));
         let (text, exclusive) = acted_on(&active, prepared.as_ref());
         self.exclusive = exclusive;
-        let shared = Shared::of(&Sheet::parse("revision", &text).ok()?).ok()?;
-        if let Ok(mut fits) = self.fits.lock() {
-            *fits = shared.clone();
-        }
+        let (told, titles) = revised(&Sheet::parse("revision", &text).ok()?).ok()?;
+        let mut fits = self.fits.lock().ok()?;
+        let shared = match &fits.held {
+            Some(held) => arrange(held, told)
+                .map_err(|why| tracing::error!("a revision that was taken does not fit: {why}"))
+                .ok()?,
+            None => told,
+        };
+        fits.held = Some(shared.clone());
+        drop(fits);
         let acting = self.revisions.acting(self.now);
         let (active, prepared) = (acting.active, acting.prepared);
-        tracing::info!(active, prepared, exclusive, "acts on a revision");
+        tracing::info!(active, prepared, exclusive, titles = titles.len(), "acts on a revision");
         self.show();
-        Some(shared)
+        Some(Change { shared, titles: self.catalogue.then_some(titles) })
+    }
+
+    /// The catalogue's own file was read anew.
+    pub fn titles_read(&self, titles: &Catalogue) {
+        if let Ok(mut fits) = self.fits.lock() {
+            fits.titles = Some(titles.room_types());
+        }
     }
 
     pub fn take_keys(&mut self, keys: &Keys) {
@@ -428,20 +474,39 @@
     hex::decode(text).ok()?.try_into().ok()
 }
 
-/// A text that a controller of this zone can act on after what it acts on now.
-fn check(text: &[u8], zone: &str, fits: &Mutex<Shared>) -> Result<(), String> {
+/// Whether a controller can act on a text after what it acts on now.
+fn check(text: &[u8], fits: &Mutex<Fits>) -> Result<(), String> {
     let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
     let sheet = Sheet::parse("revision", text).map_err(|e| e.to_string())?;
-    sheet.only(&SHARED_SECTIONS).map_err(|e| e.to_string())?;
-    let shared = Shared::of(&sheet).map_err(|e| e.to_string())?;
+    sheet.only(&REVISED_SECTIONS).map_err(|e| e.to_string())?;
+    let (shared, titles) = revised(&sheet).map_err(|e| e.to_string())?;
     if canonical(&sheet) != text {
         return Err("it is not in the one form that all have for it".to_owned());
     }
-    if !shared.fleet.zones.iter().any(|known| known == zone) {
-        return Err(format!("[fleet] zones: this controller's own, {zone}, is not among them"));
+    let fits = fits.lock().map_err(|e| e.to_string())?;
+    let missing = fits.titles.iter().flatten().find(|name| shared.room_type(name).is_none());
+    match (&fits.titles, titles.is_empty()) {
+        (None, true) => {
+            return Err("it has no titles, and [revisions] catalogue = true has them go with it".to_owned())
+        }
+        (Some(_), false) => {
+            return Err("it has titles, and [revisions] catalogue = false has none go with it".to_owned())
+        }
+        _ => {}
+    }
+    if let Some(name) = missing {
+        return Err(format!(
+            "there is no room type {name} in it, and titles of this controller's catalogue have it"
+        ));
+    }
+    let zone = fits.zone;
+    if shared.fleet.zones.len() <= zone {
+        return Err(format!("[fleet] zones: this controller's own is number {zone}, and there is none"));
+    }
+    match &fits.held {
+        Some(held) => arrange(held, shared).map(drop),
+        None => Ok(()),
     }
-    let before = fits.lock().map_err(|e| e.to_string())?;
-    may_follow(&before, &shared)
 }
 
 /// What an earlier process stored. What can't be read is as if it were not there, and said.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -7,7 +7,7 @@
 use badgerledge_accounts::Key;
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
-use badgerledge_deployment::Deployment;
+use badgerledge_deployment::{Deployment, HALF_A_MINUTE};
 use badgerledge_discovery::Entry;
 use badgerledge_exchange::Exchange;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
@@ -16,6 +16,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::budgeting::Budgeting;
+use crate::changing::Changing;
 use crate::ends::{peer_at, Ends, CROWD};
 use crate::gossiping::{Came, Gossiping};
 use crate::list::{ListLine, ToFloor};
@@ -42,6 +43,7 @@
     list: ListLine,
     budgeting: Option<Budgeting>,
     revising: Option<Revising>,
+    changing: Changing,
     exchange: Exchange,
     listener: Line,
     readers: Vec<Line>,
@@ -99,13 +101,19 @@
             ends.gossiping = Some(gossiping);
         }
         let revising = match &ends.gossiping {
-            Some(gossiping) => {
-                Revising::new(&mut ends.reactor, &ends.deployment, gossiping, seed.rotate_left(23))?
-            }
+            Some(gossiping) => Revising::new(
+                &mut ends.reactor,
+                &ends.deployment,
+                &ends.catalogue,
+                gossiping,
+                seed.rotate_left(23),
+            )?,
             None => None,
         };
         let mut list = list;
         list.went = revising.as_ref().filter(|revising| revising.tells_lists()).map(|_| Vec::new());
+        let within = ends.deployment.revisions.as_ref().map_or(HALF_A_MINUTE, |told| told.leave_within_s);
+        let changing = Changing::new(Duration::from_secs(within), seed.rotate_left(31));
         let number = place.number;
         tracing::info!(number, %at, most, descriptors, "badgerledge-controller serves");
         let tick = Duration::from_millis(place.tick_ms);
@@ -115,6 +123,7 @@
             list,
             budgeting,
             revising,
+            changing,
             exchange,
             listener,
             readers,
@@ -177,14 +186,18 @@
         let plan_due = self.budgeting.as_ref().is_some_and(|budgeting| budgeting.next_due() <= now);
         let came =
             plan_due || !self.ends.arrivals.is_empty() || !list.came.is_empty() || list.lost || !self.born;
-        came || self.exchange.next_due().is_some_and(|at| at <= now)
+        let due = [self.exchange.next_due(), self.changing.next_due()];
+        came || due.into_iter().flatten().any(|at| at <= now)
     }
 
     /// When to wake at the latest.
     fn next_wake(&self) -> Option<Duration> {
         let round = match self.has_work(Duration::ZERO) {
             true => Some(self.next_round),
-            false => self.exchange.next_due().map(|at| at.max(self.next_round)),
+            false => {
+                let due = [self.exchange.next_due(), self.changing.next_due()];
+                due.into_iter().flatten().min().map(|at| at.max(self.next_round))
+            }
         };
         let plan = self.budgeting.as_ref().map(Budgeting::next_due);
         let gossip = self.ends.gossiping.as_ref().map(Gossiping::next_due);
@@ -301,10 +314,14 @@
         let now = self.ends.now;
         gossiping.take_new_keys().iter().for_each(|keys| revising.take_keys(keys));
         revising.tend(&mut self.ends.reactor, gossiping, now);
-        if let Some(shared) = revising.take_change() {
-            let budgets = shared.crossing != self.ends.deployment.shared.crossing;
-            self.ends.deployment.shared = shared;
-            self.exchange.retell(self.ends.deployment.told());
+        if let Some(change) = revising.take_change() {
+            let held = &mut self.ends.deployment;
+            let budgets = change.shared.crossing != held.shared.crossing;
+            held.shared = change.shared;
+            // Its zone's name may be another by now; its number is not.
+            held.place.zone.clone_from(&held.shared.fleet.zones[revising.zone()]);
+            change.titles.into_iter().for_each(|titles| self.ends.catalogue = titles);
+            self.changing.begins();
             if budgets {
                 self.budgeting =
                     Budgeting::new(&self.ends.deployment, now, u64::from(self.ends.deployment.place.number));
@@ -328,9 +345,11 @@
             let plans = budgeting.plan(&mut self.ends, self.exchange.book());
             plan = Some((budgeting.caps(&plans), plans));
         }
-        let list = &mut self.list;
+        let turn = self.changing.turn(&self.ends, self.exchange.book());
+        let (list, changing) = (&mut self.list, &mut self.changing);
         let mut whole = false;
         self.exchange.round(now, &mut self.ends, |floor| {
+            changing.carry_out(turn, floor, now);
             if !born {
                 list.book.tell_cached(&mut ToFloor { floor, known: Vec::new() });
             }
@@ -340,6 +359,7 @@
             }
             if !born || !lines.is_empty() {
                 floor.carrier().zones = list.book.entries().map(|(id, entry)| (id, entry.zone)).collect();
+                floor.carrier().cells = list.book.entries().map(|(id, entry)| (id, entry.cell)).collect();
             }
             if lost {
                 floor.list_begins(Listing::Failed, std::iter::empty());
@@ -370,14 +390,29 @@
 
     /// Reads the catalogue anew. One that is not in order changes nothing.
     fn read_catalogue(&mut self) {
+        if self.ends.deployment.revisions.as_ref().is_some_and(|told| told.catalogue) {
+            return tracing::warn!(
+                "the catalogue goes with revisions and is not read from its file: push it"
+            );
+        }
         let path = &self.ends.deployment.place.catalogue;
-        match Catalogue::read(path) {
-            Ok(catalogue) => {
-                tracing::info!(titles = catalogue.len(), "the catalogue was read anew");
-                self.ends.catalogue = catalogue;
-            }
-            Err(faults) => tracing::warn!("{faults}; the catalogue read before goes on counting"),
+        let catalogue = match Catalogue::read(path) {
+            Ok(catalogue) => catalogue,
+            Err(faults) => return tracing::warn!("{faults}; the catalogue read before goes on counting"),
+        };
+        let shared = &self.ends.deployment.shared;
+        let strange = catalogue.titles().find(|(_, title)| shared.room_type(&title.room_type).is_none());
+        if let Some((id, title)) = strange {
+            let (at, name) = (path.display(), &title.room_type);
+            return tracing::warn!(
+                "{at}: [title {id:x}] room_type = {name}: there is none; the catalogue read before goes on counting"
+            );
         }
+        tracing::info!(titles = catalogue.len(), "the catalogue was read anew");
+        self.revising.iter().for_each(|revising| revising.titles_read(&catalogue));
+        self.ends.catalogue = catalogue;
+        // What it takes away, or puts elsewhere, is taken from what is held as by a revision.
+        self.changing.begins();
     }
 
     fn sweep(&mut self) {
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -39,6 +39,8 @@
 pub const REVISION_WAITED_FOR: &str = "badgerledge_revision_waited_for";
 pub const REVISIONS_REFUSED: &str = "badgerledge_revisions_refused_total";
 pub const SAID_OFF: &str = "badgerledge_streamers_said_off_total";
+pub const MOVED_ON: &str = "badgerledge_moved_on_total";
+pub const TO_MOVE_ON: &str = "badgerledge_to_move_on";
 pub const ROUND_TIME: &str = "badgerledge_round_seconds";
 
 /// Starts the counting, and gives what renders the page.
@@ -73,6 +75,8 @@
         SAID_OFF,
         "Streamers that others said to be off their lists before this one's list did"
     );
+    describe_counter!(MOVED_ON, "Subscriptions whose time came to leave where their title lies no more");
+    describe_gauge!(TO_MOVE_ON, "Subscriptions that are still to leave so");
     describe_counter!(REVISIONS_REFUSED, "Revisions, texts and orders that were refused");
     describe_gauge!(MEMBERS, "Other controllers and this one, by how they stand here");
     describe_counter!(GOSSIP_SENT, "Gossip datagrams sent");
--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! The controller as a process on loopback: hard cases, bad input, bounds, and a client library of others.
 
 mod bad_input;
+mod changes;
 mod gossip;
 mod hard_cases;
 mod other_client;
--- a/crates/core/src/decide/sums.rs
+++ b/crates/core/src/decide/sums.rs
@@ -1,11 +1,38 @@
 //! What is listed and due, and what this instance asks of each pipe, summed. Nothing is decided here.
 
+use serde_json::{Map, Value};
+
 use super::{Controller, FRESH, TOKEN_DUE};
-use crate::interface::{JobId, Listing, StreamerId};
+use crate::interface::{JobId, Listing, StreamerId, Writer};
 use crate::state::{Pipe, Subscription};
-use crate::told::mean;
+use crate::told::{mean, Told};
 
 impl Controller {
+    /// Other settings from now on. Room types, zones, kinds and cells must keep their numbers: what is held is held
+    /// under them. Rungs that are over their new top count as that. Links and uplinks get their new size with the next
+    /// list.
+    pub fn retell(&mut self, options: Map<String, Value>) {
+        self.told = Told::new(options);
+        let Self { told, subs, .. } = self;
+        subs.values_mut().for_each(|sub| sub.rung = sub.rung.min(told.top(&sub.asked)));
+        // Sums hold what was asked at the rates of before.
+        self.sum_up();
+    }
+
+    /// A fact told: a subscription's title lies on so many cells from another one on.
+    pub fn relocate(&mut self, job: JobId, first_cell: u32, copies: u32) {
+        if let Some(sub) = self.subs.get_mut(&job) {
+            (sub.asked.first_cell, sub.asked.copies) = (first_cell, copies);
+        }
+    }
+
+    /// A fact told: no rung of a subscription over this one is left. Whatever caps it goes on counting.
+    pub fn ends_at<W: Writer>(&mut self, job: JobId, top: u8, out: &mut W) {
+        let Some(cap) = self.subs.get(&job).map(|sub| sub.cap) else { return };
+        self.cap(job, Some(cap.map_or(top, |cap| cap.min(top))), out);
+        self.subs.entry(job).and_modify(|sub| sub.cap = cap);
+    }
+
     pub fn fired(&mut self, token: u64) {
         if token == TOKEN_DUE {
             self.reminded = None;
--- a/crates/core/src/told.rs
+++ b/crates/core/src/told.rs
@@ -4,7 +4,6 @@
 
 use serde_json::{Map, Value};
 
-use crate::decide::Controller;
 use crate::interface::Asked;
 
 #[derive(Default)]
@@ -181,14 +180,6 @@
     }
 }
 
-impl Controller {
-    /// Other settings from now on, told between rounds. Room types, zones, kinds and cells must keep their numbers: what
-    /// is held is held under them. Links and uplinks get their new size with the next list.
-    pub fn retell(&mut self, options: Map<String, Value>) {
-        self.told = Told::new(options);
-    }
-}
-
 pub fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     (count > 0.0).then(|| sum / count)
--- a/crates/deployment/src/kinds.rs
+++ b/crates/deployment/src/kinds.rs
@@ -1,11 +1,12 @@
 //! What each key of the shared sections may be while controllers do not all act on the same revision, and the text
 //! that one acts on who has heard of a change that others may not have heard of.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use badgerledge_settings::Sheet;
+use badgerledge_catalogue::Catalogue;
+use badgerledge_settings::{Faults, Sheet};
 
-use crate::{Permissions, Rules, Shared, SHARED_SECTIONS};
+use crate::{Permissions, Rules, Shared, REVISED_SECTIONS, SHARED_SECTIONS};
 
 /// What two controllers may do with different values of a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,7 +34,7 @@
 use Side::{False, Higher, Lower, LowerBut0};
 
 /// Each key of each shared section, in the order of the sections. A test holds it against the sections themselves.
-pub const KINDS: [(&str, &str, Kind); 49] = [
+pub const KINDS: [(&str, &str, Kind); 52] = [
     // Names and places of all that is counted by number.
     ("fleet", "zones", Exclusive),
     ("fleet", "kinds", Exclusive),
@@ -88,11 +89,20 @@
     ("crossing", "rate_kb_s", Exclusive),
     ("crossing", "burst_kb", Exclusive),
     ("crossing", "per", Exclusive),
+    // Which streamers hold a title, and under which rules it plays. A title that comes or goes is free: one that is still
+    // served somewhere harms nobody elsewhere.
+    ("title", "room_type", Exclusive),
+    ("title", "first_cell", Exclusive),
+    ("title", "copies", Exclusive),
 ];
 
-/// The kind of a key; a section's own coming, going or place among its like has none here and is exclusive.
+/// The kind of a key; a section's own coming, going or place among its like has none here and is exclusive, but for a
+/// title's.
 pub fn kind_of(section: &str, key: &str) -> Kind {
-    let family = section.split(' ').next().unwrap_or(section);
+    let family = family(section);
+    if family == "title" && key.is_empty() {
+        return Free;
+    }
     let found = KINDS.iter().find(|(s, k, _)| (*s, *k) == (family, key));
     found.map_or(Exclusive, |found| found.2)
 }
@@ -107,20 +117,28 @@
     pub kind: Kind,
 }
 
-/// The shared sections of a sheet in one form for all who mean the same: sections in the order of [`SHARED_SECTIONS`],
-/// room types as they stand since their place is their number, keys by name, values without stray blanks.
+fn family(section: &str) -> &str {
+    section.split(' ').next().unwrap_or(section)
+}
+
+/// What a revision is made of: the shared sections of a sheet and its titles, in one form for all who mean the same:
+/// sections in the order of [`REVISED_SECTIONS`], room types as they stand, titles by their ids, keys by name, values
+/// without stray blanks.
 pub fn canonical(sheet: &Sheet) -> String {
     let mut text = String::new();
-    for family in SHARED_SECTIONS {
-        let ours = |section: &&str| section.split(' ').next() == Some(family);
-        for section in sheet.sections().filter(ours) {
+    for family_of in SHARED_SECTIONS {
+        for section in sheet.sections().filter(|section| family(section) == family_of) {
             text += &format!("[{}]\n", section.split_whitespace().collect::<Vec<_>>().join(" "));
             for (key, value) in sheet.keys(section) {
                 text += &format!("{key} = {}\n", plain(value));
             }
         }
     }
-    text
+    // Titles that are not in order have no form: whoever reads the text says what is wrong with them.
+    match Catalogue::among(sheet) {
+        Ok(titles) => text + &titles.text(),
+        Err(_) => text + &sheet.copy(&["title"]),
+    }
 }
 
 fn plain(value: &str) -> String {
@@ -134,44 +152,47 @@
         let keys = sheet.keys(section).into_iter();
         keys.map(|(key, value)| ((section.to_owned(), key.to_owned()), plain(value))).collect()
     };
-    sheet.sections().filter(|section| is_shared(section)).flat_map(of).collect()
+    sheet.sections().filter(|section| is_revised(section)).flat_map(of).collect()
 }
 
-fn is_shared(section: &str) -> bool {
-    section.split(' ').next().is_some_and(|family| SHARED_SECTIONS.contains(&family))
+fn is_revised(section: &str) -> bool {
+    REVISED_SECTIONS.contains(&family(section))
+}
+
+/// Each section with where it stands: that it is there, or its number among the room types.
+fn places(sheet: &Sheet) -> BTreeMap<&str, String> {
+    let mut room_types = 0..;
+    let place = |section| match family(section) {
+        "room_type" => format!("number {}", room_types.next().unwrap_or(0)),
+        _ => "there".to_owned(),
+    };
+    let sections: Vec<&str> = sheet.sections().filter(|section| is_revised(section)).collect();
+    let placed: Vec<String> = sections.iter().copied().map(place).collect();
+    sections.into_iter().zip(placed).collect()
 }
 
 /// All that differs, in the order of sections and keys. Sections that came, went or changed places stand first, with
 /// no key.
 pub fn changes(from: &Sheet, to: &Sheet) -> Vec<Change> {
-    let shared = |sheet: &Sheet| -> Vec<String> {
-        sheet.sections().filter(|section| is_shared(section)).map(str::to_owned).collect()
-    };
-    let (mut found, old, new) = (Vec::new(), shared(from), shared(to));
-    let numbered = |sections: &[String], section: &str| -> Option<String> {
-        let of_kind = |s: &&String| s.starts_with("room_type ");
-        let rank = sections.iter().filter(of_kind).position(|s| s == section);
-        sections
-            .iter()
-            .any(|s| s == section)
-            .then(|| rank.map_or("there".to_owned(), |n| format!("number {n}")))
-    };
-    let mut all: Vec<&String> =
-        old.iter().chain(new.iter().filter(|section| !old.contains(section))).collect();
-    all.sort();
-    for section in all {
-        let (from, to) = (numbered(&old, section), numbered(&new, section));
+    let mut found = Vec::new();
+    let (old, new) = (places(from), places(to));
+    let sections: BTreeSet<&str> = old.keys().chain(new.keys()).copied().collect();
+    for section in &sections {
+        let (from, to) = (old.get(section).cloned(), new.get(section).cloned());
         if from != to {
-            let (section, key) = (section.clone(), String::new());
-            found.push(Change { section, key, from, to, kind: Exclusive });
+            let kind = kind_of(section, "");
+            found.push(Change { section: (*section).to_owned(), key: String::new(), from, to, kind });
         }
     }
+    let stays = |section: &str| old.contains_key(section) && new.contains_key(section);
     let (old, new) = (values(from), values(to));
-    let keys: std::collections::BTreeSet<&(String, String)> = old.keys().chain(new.keys()).collect();
+    let keys: BTreeSet<&(String, String)> = old.keys().chain(new.keys()).collect();
     for at in keys {
         let (from, to) = (old.get(at).cloned(), new.get(at).cloned());
         if from != to {
-            let kind = kind_of(&at.0, &at.1);
+            // What a title has that comes or goes is as free as its coming.
+            let whole = family(&at.0) == "title" && !stays(&at.0);
+            let kind = if whole { Free } else { kind_of(&at.0, &at.1) };
             found.push(Change { section: at.0.clone(), key: at.1.clone(), from, to, kind });
         }
     }
@@ -196,14 +217,19 @@
         };
         match taken {
             // Only sections that are there already: one that comes is exclusive.
-            Some(value) if from.has(&change.section) => drop(chosen.insert(at, value)),
+            Some(value) if from.has(&change.section) || family(&change.section) == "title" => {
+                drop(chosen.insert(at, value))
+            }
             _ => drop(chosen.remove(&at)),
         }
     }
+    let titles = to.sections().filter(|section| family(section) == "title");
+    let sections = from.sections().filter(|section| is_revised(section) && family(section) != "title");
     let mut text = String::new();
-    for section in from.sections().filter(|section| is_shared(section)) {
+    for section in sections.chain(titles) {
         text += &format!("[{section}]\n");
-        for ((_, key), value) in chosen.iter().filter(|((of, _), _)| of == section) {
+        let (first, last) = ((section.to_owned(), String::new()), (format!("{section}\0"), String::new()));
+        for ((_, key), value) in chosen.range(first..last) {
             text += &format!("{key} = {value}\n");
         }
     }
@@ -248,12 +274,33 @@
     let exclusive = is_exclusive(active, prepared);
     let between = between(active, prepared, &default_of);
     // What is the stricter of each may not go together, such as an old top under a new floor: then all of it waits.
-    match Sheet::parse("between", &between).and_then(|sheet| Shared::of(&sheet)) {
+    match Sheet::parse("between", &between).and_then(|sheet| revised(&sheet)) {
         Ok(_) => (between, exclusive),
         Err(_) => (canonical(active), exclusive),
     }
 }
 
+/// The settings and titles of a revision's text.
+///
+/// # Errors
+/// Names what is not in order, by itself or beside the rest.
+pub fn revised(sheet: &Sheet) -> Result<(Shared, Catalogue), Faults> {
+    let (shared, titles) = Faults::both(Shared::of(sheet), Catalogue::among(sheet))?;
+    let strays = titles.titles().filter(|(_, title)| shared.room_type(&title.room_type).is_none());
+    // One is enough to refuse it, and each costs a look through the whole text for its line.
+    let stray = strays.take(1).map(|(id, title)| {
+        let section = sheet.named("title").find(|name| u64::from_str_radix(name, 16) == Ok(id));
+        let section = format!("title {}", section.unwrap_or_default());
+        sheet.fault(&section, "room_type", &title.room_type, "there is no room type of this name")
+    });
+    let faults: Vec<_> = stray.collect();
+    if faults.is_empty() {
+        Ok((shared, titles))
+    } else {
+        Err(Faults(faults))
+    }
+}
+
 /// Defaults of keys whose stricter value counts; nothing where no value is no bound.
 pub fn default_of(section: &str, key: &str) -> Option<String> {
     let (rules, permissions) = (Rules::default(), Permissions::default());
@@ -275,28 +322,3 @@
         _ => return None,
     })
 }
-
-/// Whether a text may take another's place while subscriptions are held: what they are held under keeps its number.
-///
-/// # Errors
-/// Names what would change its number.
-pub fn may_follow(before: &Shared, after: &Shared) -> Result<(), String> {
-    let names =
-        |shared: &Shared| -> Vec<String> { shared.room_types.iter().map(|(name, _)| name.clone()).collect() };
-    let keeps = |what: &str, old: &[String], new: &[String]| {
-        let moved = old.iter().enumerate().find(|(n, name)| new.get(*n) != Some(name));
-        moved.map_or(Ok(()), |(n, name)| {
-            Err(format!(
-                "{what} {name} has number {n}, under which subscriptions are held: new ones come behind it"
-            ))
-        })
-    };
-    keeps("room type", &names(before), &names(after))?;
-    keeps("zone", &before.fleet.zones, &after.fleet.zones)?;
-    keeps("kind", &before.fleet.kinds, &after.fleet.kinds)?;
-    let (old, new) = (before.ladder.rates_kb.len(), after.ladder.rates_kb.len());
-    if new < old {
-        return Err(format!("the ladder has {old} rungs, and subscriptions play at them: {new} are too few"));
-    }
-    Ok(())
-}
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -8,13 +8,14 @@
 mod sections;
 mod told;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 
 use badgerledge_settings::{Fault, Faults, Sheet};
 
 pub use sections::{
     ControllerPlace, Crossing, Fleet, GossipPlace, Ladder, Permissions, Prices, RevisionsPlace, RoomType,
-    Rules,
+    Rules, HALF_A_MINUTE,
 };
 
 /// All kinds of section that a controller's file may have.
@@ -34,6 +35,10 @@
 pub const SHARED_SECTIONS: [&str; 7] =
     ["fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing"];
 
+/// Those of a revision's text: what all are told, and the titles.
+pub const REVISED_SECTIONS: [&str; 8] =
+    ["fleet", "ladder", "room_type", "rules", "permissions", "prices", "crossing", "title"];
+
 /// A controller's file, checked.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -54,6 +59,8 @@
     pub ladder: Ladder,
     /// In the order of the file: a room type's number is its place here.
     pub room_types: Vec<(String, RoomType)>,
+    /// Those of them that take no new subscriptions: a change took them away, and what is held under them plays out.
+    pub retired: BTreeSet<String>,
     pub rules: Rules,
     pub permissions: Permissions,
     pub prices: Prices,
@@ -107,7 +114,8 @@
         let costs = Faults::both(sheet.section_or_default::<Prices>("prices"), crossing);
         let all = Faults::both(Faults::both(told, bounds), Faults::both(costs, room_types(sheet)));
         let (((fleet, ladder), (rules, permissions)), ((prices, crossing), room_types)) = all?;
-        let shared = Self { fleet, ladder, room_types, rules, permissions, prices, crossing };
+        let retired = BTreeSet::new();
+        let shared = Self { fleet, ladder, room_types, retired, rules, permissions, prices, crossing };
         let faults = shared.contradictions(sheet);
         if faults.is_empty() {
             Ok(shared)
@@ -153,8 +161,11 @@
         faults
     }
 
-    /// The number of a room type.
+    /// The number of a room type that takes subscriptions.
     pub fn room_type(&self, name: &str) -> Option<usize> {
+        if self.retired.contains(name) {
+            return None;
+        }
         self.room_types.iter().position(|(known, _)| known == name)
     }
 }
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -105,6 +105,22 @@
     #[garde(skip)]
     #[serde(default = "yes")]
     pub lists: bool,
+    /// Whether the titles go with the settings: then the catalogue's file counts only until the first revision, and is not
+    /// read again. To be the same at all.
+    #[garde(skip)]
+    #[serde(default)]
+    pub catalogue: bool,
+    /// Who plays where its title lies no more is moved within this.
+    #[garde(custom(within(0, 3600)))]
+    #[serde(default = "half_a_minute")]
+    pub leave_within_s: u64,
+}
+
+/// A few hundred that play leave at some ten a second: what a holder of a title takes in beside its usual joins.
+pub const HALF_A_MINUTE: u64 = 30;
+
+fn half_a_minute() -> u64 {
+    HALF_A_MINUTE
 }
 
 fn yes() -> bool {
--- a/crates/exchange/src/book.rs
+++ b/crates/exchange/src/book.rs
@@ -17,6 +17,8 @@
     pub sent: Duration,
     /// When it is given up, while it is not playing.
     pub until: Duration,
+    /// SETUP has gone, with this rung.
+    pub set_up: Option<Option<u8>>,
     /// The streamer granted PLAY; and a first packet of media came.
     pub granted: bool,
     pub media: bool,
@@ -177,7 +179,7 @@
         let held = self.held.get_mut(&job).filter(|held| held.join.is_none() && held.plays_to.is_none())?;
         let number = held.joins;
         held.joins += 1;
-        held.join = Some(Join { number, streamer, sent, until, granted: false, media: false });
+        held.join = Some(Join { number, streamer, sent, until, set_up: None, granted: false, media: false });
         self.due.insert((until, job));
         Some(number)
     }
@@ -199,6 +201,18 @@
         Some(held)
     }
 
+    /// Its title lies elsewhere from now on.
+    pub fn relocate(&mut self, job: JobId, first_cell: u32, copies: u32) {
+        if let Some(held) = self.held.get_mut(&job) {
+            (held.asked.first_cell, held.asked.copies) = (first_cell, copies);
+        }
+    }
+
+    /// All subscriptions, in order.
+    pub fn all(&self) -> impl Iterator<Item = (JobId, &Held)> + '_ {
+        self.held.iter().map(|(job, held)| (*job, held))
+    }
+
     /// The subscription plays: its newest line gets it, the others are told otherwise.
     pub fn play(&mut self, job: JobId) -> Option<(Line, Vec<Line>)> {
         let held = self.held.get_mut(&job)?;
--- a/crates/exchange/src/desk.rs
+++ b/crates/exchange/src/desk.rs
@@ -48,7 +48,7 @@
     /// What the module is still to be told, in order.
     pub owed: &'a mut Vec<Owed>,
     /// Room types that must not be set up twice.
-    pub unsafe_types: &'a [usize],
+    pub unsafe_types: &'a mut Vec<usize>,
     /// New joins are held back, and viewers are told to come back after this.
     pub hold: Option<Duration>,
 }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -33,12 +33,6 @@
         }
     }
 
-    /// Other settings from now on. What waits, joins or plays goes on.
-    pub fn retell(&mut self, told: Map<String, Value>) {
-        self.unsafe_types = unsafe_types(&told);
-        self.module.retell(told);
-    }
-
     /// Whether new joins are held back, and when viewers that are turned away for it may come back: to be said before
     /// anything that may send one. What plays plays on.
     pub fn hold(&mut self, hold: Option<Duration>) {
@@ -87,7 +81,7 @@
 }
 
 /// Room types that must not be set up twice.
-fn unsafe_types(told: &Map<String, Value>) -> Vec<usize> {
+pub(crate) fn unsafe_types(told: &Map<String, Value>) -> Vec<usize> {
     let profiles = told.get("profiles").and_then(Value::as_array);
     let types = profiles.into_iter().flatten().enumerate();
     types.filter(|(_, told)| told["effect"] == "single_shot").map(|(n, _)| n).collect()
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -178,9 +178,14 @@
 
     /// A subscription must not cross any more: its viewer comes back, and is placed by the module like any other.
     pub fn send_home(&mut self, job: JobId) {
+        self.sent_back(job, "sent home: the budget for crossing is spent");
+    }
+
+    /// Ends a subscription with a REDIRECT to this controller.
+    pub(crate) fn sent_back(&mut self, job: JobId, why: &str) {
         self.deliver();
         let Some(held) = self.desk.close(job) else { return };
-        held.span.in_scope(|| tracing::info!("sent home: the budget for crossing is spent"));
+        held.span.in_scope(|| tracing::info!("{why}"));
         match &held.join {
             Some(join) => {
                 let latency = self.desk.now - join.sent;
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 pub mod book;
+mod changing;
 mod desk;
 mod exchange;
 mod floor;
--- a/crates/exchange/src/steps.rs
+++ b/crates/exchange/src/steps.rs
@@ -20,7 +20,9 @@
             return self.join_ends(job, number, Ending::Moot, &[]);
         }
         if let Some(held) = self.desk.book.get(job) {
-            self.desk.carrier.set_up(job, number, &held.asked, held.rung);
+            let rung = held.rung;
+            self.desk.carrier.set_up(job, number, &held.asked, rung);
+            self.desk.book.current(job, number).into_iter().for_each(|join| join.set_up = Some(rung));
         }
     }
 
@@ -53,7 +55,7 @@
     /// The subscription plays once PLAY is granted and media has come, whichever was first.
     fn may_flow(&mut self, job: JobId, number: u16) {
         let Some(join) = self.desk.book.current(job, number).filter(|join| join.flows()) else { return };
-        let (streamer, latency) = (join.streamer, self.desk.now - join.sent);
+        let (streamer, latency, set_up) = (join.streamer, self.desk.now - join.sent, join.set_up);
         let Some((viewer, others)) = self.desk.book.play(job) else { return };
         if let Some(held) = self.desk.book.get(job) {
             let taken_ms = (self.desk.now - held.taken).as_millis() as u64;
@@ -61,6 +63,11 @@
         }
         self.desk.owed.push(Owed::Flowing(job, number, streamer, latency));
         self.desk.carrier.grant(viewer, job);
+        // A step that came while it was set up could not go to the streamer before it flows.
+        let rung = self.desk.book.get(job).and_then(|held| held.rung);
+        if let Some(rung) = rung.filter(|rung| set_up.flatten().is_some_and(|asked| asked != *rung)) {
+            self.desk.carrier.step(job, number, rung);
+        }
         // Lines that the viewer gave up for a newer one. Not throttled: that would say that a further try does no
         // harm, and for a room type that must not be set up twice it does.
         others.iter().for_each(|line| self.desk.carrier.terminate(*line, false));
--- a/crates/exchange/src/tests.rs
+++ b/crates/exchange/src/tests.rs
@@ -11,6 +11,8 @@
 
 use crate::{Admission, Carrier, Exchange, Floor, Line};
 
+mod changing;
+
 const CELLS: u32 = 6;
 const SEATS: usize = 2;
 
@@ -78,6 +80,7 @@
     asks: Vec<Duration>,
     further: Vec<Duration>,
     redirected: Vec<Line>,
+    steps: Vec<(JobId, u8)>,
     reminders: BTreeSet<(Duration, u64)>,
     granted: BTreeMap<Line, JobId>,
     throttled: Vec<Line>,
@@ -154,6 +157,7 @@
     fn step(&mut self, job: JobId, number: u16, rung: u8) {
         assert!(self.joins[&(job, number)].out);
         assert!(self.viewers[&job].1 != 0 || rung >= 1, "rule 5: a step under the floor");
+        self.steps.push((job, rung));
     }
 
     fn end_join(&mut self, job: JobId, number: u16) {
@@ -207,6 +211,8 @@
         complete: bool,
     },
     Wait(u16),
+    /// A change of settings or titles does something to one of the subscriptions.
+    Change(u8, u8),
     /// The next events come in the same round.
     Together(Box<Event>, Box<Event>),
 }
@@ -214,7 +220,7 @@
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
         let (a, b) = (u8::arbitrary(g), u8::arbitrary(g));
-        match u8::arbitrary(g) % 20 {
+        match u8::arbitrary(g) % 21 {
             0..=3 => Event::Ask { viewer: a % 5, again: b % 4 == 0 },
             4 => Event::Leave { line: a, orderly: b % 2 == 0 },
             5..=6 => Event::Opened(a),
@@ -226,6 +232,7 @@
             13 => Event::List { cell: a % CELLS as u8, health: b % 4, complete: a % 2 == 0 },
             14..=15 => Event::Flow(a),
             16..=17 => Event::Wait(u16::arbitrary(g) % 900),
+            18 => Event::Change(a, b),
             _ => Event::Together(Box::arbitrary(g), Box::arbitrary(g)),
         }
     }
@@ -372,6 +379,7 @@
                 });
             }
             Event::List { cell, health, complete } => self.list(u32::from(*cell), *health, *complete),
+            Event::Change(number, what) => self.change(*number, *what),
             Event::Wait(span) => self.wait(ms(u64::from(*span))),
             Event::Together(first, second) => {
                 self.act(first);
--- a/crates/replay/src/revisions.rs
+++ b/crates/replay/src/revisions.rs
@@ -206,7 +206,7 @@
     let file = folder.join(format!("push-{name}.ini"));
     std::fs::write(&file, text).with_context(|| file.display().to_string())?;
     badgerledge_revision_tool::push(
-        &Push { at, key: folder.join(AUTHOR), file, wait: 0 },
+        &Push { at, key: folder.join(AUTHOR), file, catalogue: None, wait: 0 },
         &Voice { json: true },
     )
 }
--- a/crates/revision_tool/src/lib.rs
+++ b/crates/revision_tool/src/lib.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Context, Result};
-use badgerledge_deployment::kinds::{canonical, changes, Change, Kind, Side};
-use badgerledge_deployment::Shared;
+use badgerledge_catalogue::Catalogue;
+use badgerledge_deployment::kinds::{canonical, changes, revised, Change, Kind, Side};
+use badgerledge_deployment::SHARED_SECTIONS;
 use badgerledge_keys::{PrivateKey, Role};
 use badgerledge_revisions::order::{self, Answer, Order, Report};
 use badgerledge_revisions::word::Gone;
@@ -38,7 +39,12 @@
 #[derive(Subcommand)]
 enum What {
     /// Says whether a file's shared sections are in order, and their digest
-    Check { file: PathBuf },
+    Check {
+        file: PathBuf,
+        /// A file of titles that goes with it, where the titles go with revisions
+        #[arg(long)]
+        catalogue: Option<PathBuf>,
+    },
     /// Says what changes from one file to another, or from what a controller acts on
     Diff {
         /// The file that counts now
@@ -50,6 +56,9 @@
         /// Take what the controller at this address acts on as what counts now
         #[arg(long, conflicts_with = "from")]
         at: Option<SocketAddr>,
+        /// A file of titles that goes with the one that is to count
+        #[arg(long)]
+        catalogue: Option<PathBuf>,
     },
     /// Makes a file's shared sections the next revision, and waits until they are acted on
     Push(Push),
@@ -86,8 +95,11 @@
     /// The author's private key
     #[arg(long)]
     pub key: PathBuf,
-    /// An INI file with all shared sections; others are passed over
+    /// An INI file with all shared sections, and where the titles go with revisions all titles; others are passed over
     pub file: PathBuf,
+    /// A file of titles that goes with it
+    #[arg(long)]
+    pub catalogue: Option<PathBuf>,
     /// How long to wait until that controller acts on it, in seconds; 0 does not wait
     #[arg(long, default_value_t = 60)]
     pub wait: u64,
@@ -126,8 +138,8 @@
 
 fn carry_out(what: What, voice: &Voice) -> Result<u8> {
     match what {
-        What::Check { file } => {
-            let text = canonical(&read(&file)?);
+        What::Check { file, catalogue } => {
+            let text = canonical(&read(&file, catalogue.as_deref())?);
             let of = hex::encode(digest(text.as_bytes()));
             let (path, bytes) = (file.display().to_string(), text.len());
             voice.say(
@@ -136,13 +148,13 @@
             );
             Ok(DONE)
         }
-        What::Diff { from, to, at } => {
+        What::Diff { from, to, at, catalogue } => {
             let from = match (from, at) {
-                (Some(from), _) => read(&from)?,
+                (Some(from), _) => read(&from, None)?,
                 (None, Some(at)) => Sheet::parse(&at.to_string(), &Client::connect(at)?.active()?)?,
                 (None, None) => bail!("a file or --at is wanted"),
             };
-            tell_changes(&changes(&from, &read(&to)?), voice);
+            tell_changes(&changes(&from, &read(&to, catalogue.as_deref())?), voice);
             Ok(DONE)
         }
         What::Push(told) | What::Back(told) => push(&told, voice),
@@ -162,10 +174,14 @@
     }
 }
 
-/// A file whose shared sections are in order.
-fn read(file: &Path) -> Result<Sheet> {
-    let sheet = Sheet::read(file)?;
-    Shared::of(&sheet)?;
+/// A file whose shared sections are in order, with its titles or those of another file.
+fn read(file: &Path, catalogue: Option<&Path>) -> Result<Sheet> {
+    let mut sheet = Sheet::read(file)?;
+    if let Some(titles) = catalogue {
+        let text = sheet.copy(&SHARED_SECTIONS) + &Catalogue::read(titles)?.text();
+        sheet = Sheet::parse(&format!("{} with {}", file.display(), titles.display()), &text)?;
+    }
+    revised(&sheet)?;
     Ok(sheet)
 }
 
@@ -183,7 +199,7 @@
 /// Where the key, the file or the controller is not in order; what the controller refuses is an exit code.
 pub fn push(told: &Push, voice: &Voice) -> Result<u8> {
     let (private, author) = author(&told.key)?;
-    let sheet = read(&told.file)?;
+    let sheet = read(&told.file, told.catalogue.as_deref())?;
     let text = canonical(&sheet);
     let mut client = Client::connect(told.at)?;
     let latest = Sheet::parse("certified", &client.latest()?)?;
