--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -54,6 +54,11 @@
         verifies(self.ring.author(author), bytes, signature)
     }
 
+    fn by_author_ever(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
+        verifies(self.ring.author(author), bytes, signature)
+            || verifies(self.ring.past_author(author), bytes, signature)
+    }
+
     fn members(&self) -> &[Member] {
         self.ring.members()
     }
--- a/crates/keys/src/ring.rs
+++ b/crates/keys/src/ring.rs
@@ -42,6 +42,8 @@
 pub struct Ring {
     keys: Public,
     authors: Public,
+    /// Keys of authors that hold no more.
+    past_authors: Public,
     members: Vec<Member>,
     keepers: Vec<Member>,
 }
@@ -74,7 +76,8 @@
             seen.push(*keeper);
         }
         if faults.is_empty() {
-            Ok(Self { keys, authors, members, keepers })
+            let past_authors = revoked_authors(sheet);
+            Ok(Self { keys, authors, past_authors, members, keepers })
         } else {
             Err(Faults(faults))
         }
@@ -85,6 +88,11 @@
         self.authors.get(&author).map_or(&[], Vec::as_slice)
     }
 
+    /// The keys of an author that held once.
+    pub fn past_author(&self, author: Member) -> &[VerifyingKey] {
+        self.past_authors.get(&author).map_or(&[], Vec::as_slice)
+    }
+
     /// The members that certify revisions.
     pub fn keepers(&self) -> &[Member] {
         &self.keepers
@@ -144,6 +152,20 @@
     all
 }
 
+/// The revoked keys of all authors. What is wrong with them was told before.
+fn revoked_authors(sheet: &Sheet) -> Public {
+    let of = |name: &str| {
+        let section = sheet.section::<Section>(&format!("author {name}")).ok()?;
+        let key = |text: &String| {
+            let mut bytes = [0; 32];
+            hex::decode_to_slice(text, &mut bytes).ok()?;
+            VerifyingKey::from_bytes(&bytes).ok().filter(|key| !key.is_weak())
+        };
+        Some((name.parse().ok()?, section.revoked.iter().filter_map(key).collect()))
+    };
+    sheet.named("author").filter_map(of).collect()
+}
+
 fn valid_keys(
     section: &Section, wrong: impl Fn(&str, &str, &str) -> Fault, faults: &mut Vec<Fault>,
 ) -> Vec<VerifyingKey> {
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -23,10 +23,15 @@
     state: PathBuf,
     child: Option<Child>,
     starts: u32,
+    /// It runs the other build.
+    other: bool,
+    /// Ended in order, and not gone yet.
+    ending: Option<Child>,
 }
 
 pub struct Controllers {
     program: PathBuf,
+    other_program: Option<PathBuf>,
     log_level: String,
     all: Vec<One>,
 }
@@ -52,8 +57,8 @@
     /// Writes the settings of all controllers. `peers` are the addresses at which each is reached by the others,
     /// and its own.
     pub fn new(
-        day: &Day, program: &Path, folder: &Path, log_level: &str, list: SocketAddr, own: &[SocketAddr],
-        reached: &[SocketAddr], keys: Option<&KeyFolder>,
+        day: &Day, (program, other_program): (&Path, Option<&Path>), folder: &Path, log_level: &str,
+        list: SocketAddr, own: &[SocketAddr], reached: &[SocketAddr], keys: Option<&KeyFolder>,
     ) -> Result<Self> {
         let mut all = Vec::new();
         for (number, own_at) in own.iter().enumerate() {
@@ -68,8 +73,12 @@
                 keys.map(|keys| gossip_section(keys, number, *own_at, reached)).unwrap_or_default();
             let state = folder.join(format!("state-{number}"));
             if let Some(script) = &day.revisions {
-                gossip +=
-                    &format!("[revisions]\nregime = {}\nlists = {}\n", script.told.regime, script.told.lists);
+                let told = &script.told;
+                gossip += &format!("[revisions]\nregime = {}\nlists = {}\n", told.regime, told.lists);
+                // An earlier build knows nothing of titles.
+                if told.catalogue {
+                    gossip += &format!("catalogue = true\nleave_within_s = {}\n", told.leave_within_s);
+                }
                 if number < usize::from(script.told.keepers) && !state.join(STORED).exists() {
                     found(&state)?;
                 }
@@ -87,9 +96,15 @@
             let settings = folder.join(format!("controller-{number}.ini"));
             std::fs::write(&settings, text).with_context(|| settings.display().to_string())?;
             let log = folder.join(format!("controller-{number}.log"));
-            all.push(One { listen, zone, settings, log, state, child: None, starts: 0 });
+            let (other, ending) = (false, None);
+            all.push(One { listen, zone, settings, log, state, child: None, starts: 0, other, ending });
         }
-        Ok(Self { program: program.to_owned(), log_level: log_level.to_owned(), all })
+        Ok(Self {
+            program: program.to_owned(),
+            other_program: other_program.map(Path::to_owned),
+            log_level: log_level.to_owned(),
+            all,
+        })
     }
 
     pub fn len(&self) -> usize {
@@ -114,14 +129,24 @@
         let one = &mut self.all[number];
         let log = File::options().create(true).append(true).open(&one.log);
         let log = log.with_context(|| one.log.display().to_string())?;
-        let child = Command::new(&self.program)
-            .args(["controller", "run", "--log-level", &self.log_level])
+        // One that was told to end may take its time; two of one number must not run.
+        if let Some(mut ending) = one.ending.take() {
+            let _ = ending.kill();
+            let _ = ending.wait();
+        }
+        let (program, first) = match &self.other_program {
+            Some(other) if one.other => (other, &["run"][..]),
+            _ => (&self.program, &["controller", "run"][..]),
+        };
+        let child = Command::new(program)
+            .args(first)
+            .args(["--log-level", &self.log_level])
             .arg(&one.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
-            .with_context(|| format!("starting {}", self.program.display()))?;
+            .with_context(|| format!("starting {}", program.display()))?;
         one.child = Some(child);
         one.starts += 1;
         Ok(())
@@ -151,6 +176,56 @@
         }
     }
 
+    /// Tells a controller to end in order.
+    pub fn end(&mut self, number: usize) {
+        self.signal(number, Signal::TERM);
+        self.all[number].ending = self.all[number].child.take();
+    }
+
+    /// The build that a controller is started with next.
+    ///
+    /// # Errors
+    /// Where there is no other build.
+    pub fn take_build(&mut self, number: usize, other: bool) -> Result<()> {
+        if other && self.other_program.is_none() {
+            bail!("the day starts controllers with another program, and is played without one");
+        }
+        self.all[number].other = other;
+        Ok(())
+    }
+
+    /// Those whose build is the other one, or this one.
+    pub fn of_build(&self, other: bool) -> Vec<usize> {
+        (0..self.len()).filter(|number| self.all[*number].other == other).collect()
+    }
+
+    /// A controller's file has another line from now on: `SECTION: KEY = VALUE`.
+    ///
+    /// # Errors
+    /// Where the line is not in order or the file has no such section.
+    pub fn change_file(&mut self, number: usize, line: &str) -> Result<()> {
+        let path = &self.all[number].settings;
+        let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+        let told = line.split_once(": ").and_then(|(section, rest)| Some((section, rest.split_once('=')?)));
+        let Some((section, (key, value))) = told else { bail!("{line}: SECTION: KEY = VALUE is taken") };
+        let (head, key) = (format!("[{section}]"), key.trim());
+        if !text.lines().any(|line| line == head) {
+            bail!("{line}: there is no such section");
+        }
+        let (mut within, mut changed) = (false, String::new());
+        for line in text.lines() {
+            within = if line.starts_with('[') { line == head } else { within };
+            let ours = line.split_once('=').is_some_and(|(name, _)| within && name.trim() == key);
+            if !ours {
+                changed += &format!("{line}\n");
+            }
+            if line == head {
+                changed += &format!("{key} = {}\n", value.trim());
+            }
+        }
+        std::fs::write(path, changed).with_context(|| path.display().to_string())
+    }
+
     /// All that a controller stored is gone.
     pub fn lose_disk(&mut self, number: usize) {
         let _ = std::fs::remove_dir_all(&self.all[number].state);
@@ -219,5 +294,9 @@
 impl Drop for Controllers {
     fn drop(&mut self) {
         (0..self.len()).for_each(|number| self.kill(number));
+        for ending in self.all.iter_mut().filter_map(|one| one.ending.as_mut()) {
+            let _ = ending.kill();
+            let _ = ending.wait();
+        }
     }
 }
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -9,10 +9,10 @@
 use serde::Deserialize;
 
 use crate::gossip::GossipDay;
-use crate::revisions::Script;
+use crate::script::Script;
 
 /// The kinds of trouble that can be played.
-pub const TROUBLES: [&str; 15] = [
+pub const TROUBLES: [&str; 16] = [
     "crash",
     "vanish",
     "report_late",
@@ -28,6 +28,7 @@
     "origin_slow",
     "ageing",
     "peer_down",
+    "list_restart",
 ];
 
 /// `[day]`.
@@ -233,6 +234,7 @@
         }
         let Some(script) = &mut self.revisions else { return };
         script.pushes.iter_mut().for_each(|(_, push)| push.at_s *= times);
+        script.revokes.iter_mut().for_each(|revoke| revoke.at_s *= times);
         for way in &mut script.ways {
             (way.at_s, way.for_s) = (way.at_s * times, way.for_s * times);
         }
@@ -247,8 +249,19 @@
 }
 
 /// Kinds of sections that a day has beside the shared ones.
-const KINDS: [&str; 10] =
-    ["day", "gossip", "revisions", "arrivals", "viewers", "trouble", "push", "way", "process", "old"];
+const KINDS: [&str; 11] = [
+    "day",
+    "gossip",
+    "revisions",
+    "arrivals",
+    "viewers",
+    "trouble",
+    "push",
+    "revoke",
+    "way",
+    "process",
+    "old",
+];
 
 /// What happens to revisions; nothing where the day has none.
 fn script(sheet: &Sheet) -> Result<Option<Script>, Faults> {
@@ -263,10 +276,12 @@
     for name in sheet.named("push") {
         pushes.push((name.to_owned(), sheet.section(&format!("push {name}"))?));
     }
+    let revokes = sheet.named("revoke").map(|name| sheet.section(&format!("revoke {name}")));
+    let revokes = revokes.collect::<Result<_, _>>()?;
     let ways = sheet.named("way").map(|name| sheet.section(&format!("way {name}")));
     let processes = sheet.named("process").map(|name| sheet.section(&format!("process {name}")));
     let (ways, processes) = (ways.collect::<Result<_, _>>()?, processes.collect::<Result<_, _>>()?);
-    Ok(Some(Script { told, pushes, ways, processes }))
+    Ok(Some(Script { told, pushes, revokes, ways, processes }))
 }
 
 /// What controllers of the old shape are told, checked as the rest is: each section `[old NAME]` in place of `[NAME]`.
--- a/crates/replay/src/gossip.rs
+++ b/crates/replay/src/gossip.rs
@@ -15,7 +15,7 @@
 use garde::Validate;
 use serde::Deserialize;
 
-use crate::revisions::AUTHOR;
+use crate::operators::author_key;
 
 /// `[gossip]` of a day.
 #[derive(Clone, Debug, Deserialize, Validate)]
@@ -37,6 +37,10 @@
     pub splits: bool,
 }
 
+const RING: &str = "ring.ini";
+/// Authors of a day, so that one is left when another's key is revoked.
+const AUTHORS: Member = 2;
+
 /// Where keys and ring of a day lie.
 pub struct KeyFolder(PathBuf);
 
@@ -53,23 +57,34 @@
             key.write(&made.key(member))?;
         }
         if keepers > 0 {
-            let author = PrivateKey::make(Role::Author(0))?;
+            for number in 0..AUTHORS {
+                let author = PrivateKey::make(Role::Author(number))?;
+                ring += &format!("[author {number}]\nkeys = {}\n", author.public());
+                let path = folder.join(author_key(number));
+                let _ = std::fs::remove_file(&path);
+                author.write(&path)?;
+            }
             let names: Vec<String> = (0..keepers).map(|keeper| keeper.to_string()).collect();
-            ring += &format!(
-                "[author 0]\nkeys = {}\n[keepers]\nmembers = {}\n",
-                author.public(),
-                names.join(", ")
-            );
-            let path = folder.join(AUTHOR);
-            let _ = std::fs::remove_file(&path);
-            author.write(&path)?;
+            ring += &format!("[keepers]\nmembers = {}\n", names.join(", "));
         }
         std::fs::write(made.ring(), ring).with_context(|| made.ring().display().to_string())?;
         Ok(made)
     }
 
+    /// An author's key holds no more from the next reading of the ring on.
+    pub fn revoke(folder: &Path, author: Member) -> Result<()> {
+        let path = folder.join(RING);
+        let ring = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+        let key = PrivateKey::read(&folder.join(author_key(author)))?.public();
+        let whole = format!("keys = {key}\n");
+        // In one step: whoever reads it reads the one or the other.
+        let beside = folder.join("ring.new");
+        std::fs::write(&beside, ring.replace(&whole, &format!("{whole}revoked = {key}\n")))?;
+        std::fs::rename(&beside, &path).with_context(|| path.display().to_string())
+    }
+
     pub fn ring(&self) -> PathBuf {
-        self.0.join("ring.ini")
+        self.0.join(RING)
     }
 
     pub fn key(&self, member: u32) -> PathBuf {
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -27,6 +27,9 @@
     /// Keeps the controllers' settings, state and logs in this folder
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
+    /// Another build's `badgerledge-controller`, for controllers that the day starts with it
+    #[arg(long, value_name = "PATH")]
+    old_program: Option<PathBuf>,
     /// Which log lines the controllers write
     #[arg(long, default_value = "info")]
     log_level: String,
@@ -59,6 +62,7 @@
         tempfile::Builder::new().prefix("badgerledge-replay-").tempdir().context("a folder for the day")?;
     let options = Options {
         program: std::env::current_exe().context("the path of this program")?,
+        other_program: command.old_program.clone(),
         folder: command.keep.clone().unwrap_or_else(|| folder.path().to_owned()),
         log_level: command.log_level.clone(),
     };
--- a/crates/replay/src/play.rs
+++ b/crates/replay/src/play.rs
@@ -11,22 +11,24 @@
 use badgerledge_core::interface::Health;
 use badgerledge_reactor::{raise_descriptors, Happening, Reactor};
 use badgerledge_standins::{Condition, Habits, ListService, Streamers, Told, Viewers};
-use badgerledge_ways::Way;
 use badgerledge_witness::Witness;
 
 use crate::controllers::Controllers;
 use crate::day::Day;
 use crate::gossip::{joins_lost, membership, KeyFolder, Liar};
 use crate::messages::Messages;
+use crate::operators::Operators;
 use crate::plan::{self, Draw, Title};
 use crate::report::{Crossed, Gossiped, Report};
-use crate::revisions::{day_bound, judge, Operators, Revised, SetUp};
+use crate::script::Script;
 use crate::troubles::{Strike, Strikes};
 
 /// What a day is played with.
 pub struct Options {
     /// The program that runs a controller when it is called with `controller run FILE`.
     pub program: PathBuf,
+    /// Another build, called with `run FILE`, for controllers that the day starts with it.
+    pub other_program: Option<PathBuf>,
     /// Settings, state and logs of the controllers.
     pub folder: PathBuf,
     pub log_level: String,
@@ -37,29 +39,29 @@
 /// After the last arrival a day goes on so long, that every answer can come.
 const RUNS_ON: Duration = Duration::from_secs(1);
 
-/// The tick of a day's controllers: their settings' default.
-const TICK: Duration = Duration::from_millis(10);
-
 /// All that a day consists of.
-struct Stage<'a> {
-    day: &'a Day,
-    reactor: Reactor,
-    streamers: Streamers,
-    list: ListService,
-    viewers: Viewers,
-    controllers: Controllers,
-    messages: Messages,
-    operators: Operators,
-    titles: Vec<Title>,
-    witness: Witness,
-    draw: Draw,
+pub(crate) struct Stage<'a> {
+    pub(crate) day: &'a Day,
+    pub(crate) reactor: Reactor,
+    pub(crate) streamers: Streamers,
+    pub(crate) list: ListService,
+    pub(crate) viewers: Viewers,
+    pub(crate) controllers: Controllers,
+    pub(crate) messages: Messages,
+    pub(crate) operators: Operators,
+    pub(crate) titles: Vec<Title>,
+    pub(crate) witness: Witness,
+    pub(crate) draw: Draw,
     /// Which streamer holds a place, after replacements.
-    holds: Vec<usize>,
-    folder: PathBuf,
-    liars: Vec<Liar>,
+    pub(crate) holds: Vec<usize>,
+    pub(crate) folder: PathBuf,
+    pub(crate) liars: Vec<Liar>,
     /// Controllers that are down, and when the last of them was killed.
-    killed: BTreeSet<usize>,
-    killed_at: Option<SystemTime>,
+    pub(crate) killed: BTreeSet<usize>,
+    pub(crate) killed_at: Option<SystemTime>,
+    /// Whom each process strike of the day struck: the same go on after it.
+    pub(crate) struck: BTreeMap<usize, Vec<usize>>,
+    pub(crate) struck_ways: BTreeMap<usize, (Vec<usize>, Vec<usize>)>,
 }
 
 /// Plays a day to its end, and says what came of it.
@@ -85,13 +87,21 @@
     list.tend(&mut reactor, ORIGIN, &mut witness);
     let messages = Messages::new(&mut reactor, day.course.controllers as usize, day.course.seed ^ 0x3e55)?;
     let (own, reached) = messages.places();
-    let Options { program, folder, log_level } = options;
+    let Options { program, other_program, folder, log_level } = options;
     let liars = day.gossip.as_ref().map_or(0, |gossip| gossip.liars);
     let members = day.course.controllers + liars;
     let keepers = day.revisions.as_ref().map_or(0, |script| script.told.keepers);
     let keys = day.gossip.as_ref().map(|_| KeyFolder::make(folder, members, keepers)).transpose()?;
-    let mut controllers =
-        Controllers::new(day, program, folder, log_level, list.at(), &own, &reached, keys.as_ref())?;
+    let mut controllers = Controllers::new(
+        day,
+        (program, other_program.as_deref()),
+        folder,
+        log_level,
+        list.at(),
+        &own,
+        &reached,
+        keys.as_ref(),
+    )?;
     for number in 0..controllers.len() {
         controllers.start(number)?;
         witness.controller_up(number as u32);
@@ -123,6 +133,10 @@
     let strikes = Strikes::new(day, start, &streamers, &controllers, &mut draw);
     let holds = (0..streamers.len()).collect();
     let folder = options.folder.clone();
+    let operators = Operators::new(&folder, &own);
+    if day.revisions.as_ref().is_some_and(Script::names_revisions) {
+        operators.watch();
+    }
     let stage = Stage {
         day,
         reactor,
@@ -131,7 +145,7 @@
         viewers,
         controllers,
         messages,
-        operators: Operators::new(&folder, &own),
+        operators,
         titles,
         witness,
         draw,
@@ -140,6 +154,8 @@
         liars: lying,
         killed: BTreeSet::new(),
         killed_at: None,
+        struck: BTreeMap::new(),
+        struck_ways: BTreeMap::new(),
     };
     stage.play(start, strikes)
 }
@@ -197,7 +213,7 @@
             peak = peak.max(self.viewers.playing());
             crashed.extend(self.controllers.ended());
         }
-        let revisions = self.revised();
+        let revisions = self.revised()?;
         let orderly = self.controllers.finish();
         let crossed = self.crossed();
         let gossip = self.gossip();
@@ -224,79 +240,6 @@
         })
     }
 
-    /// What revisions came to, by what reached the streamers and what the controllers say in the end.
-    fn revised(&mut self) -> Option<Revised> {
-        let script = self.day.revisions.as_ref()?;
-        let pushed = self.operators.all();
-        let changes =
-            script.pushes.iter().filter(|(_, p)| (p.section.as_str(), p.key.as_str()) == ("fleet", "cells"));
-        let told = changes.filter_map(|(_, push)| push.value.parse().ok());
-        let cells = told.chain([self.day.shared.fleet.cells]).collect();
-        let (overlap, seen, strays) = judge(&self.set_ups(), &cells);
-        let reports = self.operators.reports(&self.controllers.running());
-        let active = reports.into_iter().map(|(number, report)| {
-            (number, report.ok().map(|report| (report.active, report.held.is_some())))
-        });
-        Some(Revised {
-            told: script.told.clone(),
-            pushed,
-            overlap,
-            bound: day_bound(self.controllers.len(), TICK),
-            seen,
-            strays,
-            active: active.collect(),
-        })
-    }
-
-    /// All set-ups as they came to streamers.
-    fn set_ups(&self) -> Vec<SetUp> {
-        let titles: BTreeMap<u64, &Title> = self.titles.iter().map(|title| (title.id, title)).collect();
-        let cells: BTreeMap<_, u32> =
-            (0..self.streamers.len()).map(|n| (self.streamers.at(n), self.streamers.told(n).cell)).collect();
-        let made = self.witness.set_ups().iter().filter_map(|(at, streamer, title)| {
-            let title = titles.get(title)?;
-            let (first_cell, copies) = (title.first_cell, title.copies);
-            Some(SetUp { at: *at, cell: *cells.get(streamer)?, first_cell, copies })
-        });
-        made.collect()
-    }
-
-    /// Ends of a way, as the day names them.
-    fn ends(&self, names: &[String]) -> Vec<usize> {
-        let keepers = self.day.revisions.as_ref().map_or(0, |script| usize::from(script.told.keepers));
-        let zones = &self.day.shared.fleet.zones;
-        let one = |name: &String| -> Vec<usize> {
-            let all = 0..self.controllers.len();
-            match (name.as_str(), name.strip_prefix("zone ")) {
-                ("all", _) => all.collect(),
-                ("keepers", _) => all.take(keepers).collect(),
-                ("others", _) => all.skip(keepers).collect(),
-                (_, Some(zone)) => {
-                    let zone = zones.iter().position(|known| known == zone.trim());
-                    zone.map_or(Vec::new(), |zone| self.controllers.in_zone(zone))
-                }
-                (number, _) => {
-                    number.parse().ok().filter(|number| all.contains(number)).into_iter().collect()
-                }
-            }
-        };
-        names.iter().flat_map(one).collect()
-    }
-
-    /// A way of the day begins to fare otherwise, or is as usual again.
-    fn strike_way(&mut self, number: usize, begins: bool) {
-        let Some(told) = self.day.revisions.as_ref().and_then(|script| script.ways.get(number)) else {
-            return;
-        };
-        let (from, to) = (self.ends(&told.from), self.ends(&told.to));
-        let way = if begins { told.way() } else { Way::default() };
-        let ways = &mut self.messages.ways;
-        ways.strike(&from, &to, |one| *one = way);
-        if told.both {
-            ways.strike(&to, &from, |one| *one = way);
-        }
-    }
-
     /// What gossip came to, by the sockets, the logs and the streamers' counts; nothing where there was none.
     fn gossip(&self) -> Option<Gossiped> {
         let told = self.day.gossip.as_ref()?;
@@ -387,6 +330,34 @@
         learn(&mut self.list, &self.streamers, number, health, now, lag);
     }
 
+    pub(crate) fn kill(&mut self, number: usize) {
+        self.witness.controller_down(number as u32);
+        self.controllers.kill(number);
+        self.killed.insert(number);
+        self.killed_at = Some(SystemTime::now());
+    }
+
+    pub(crate) fn start(&mut self, number: usize) -> Result<()> {
+        if !self.controllers.runs(number) {
+            self.witness.controller_up(number as u32);
+            self.controllers.start(number)?;
+            self.killed.remove(&number);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn stop(&mut self, number: usize) {
+        self.witness.controller_down(number as u32);
+        self.controllers.stop(number);
+    }
+
+    pub(crate) fn go_on(&mut self, number: usize) {
+        self.controllers.go_on(number);
+        if self.controllers.runs(number) {
+            self.witness.controller_goes_on(number as u32);
+        }
+    }
+
     fn strike(&mut self, strike: Strike, now: Duration) -> Result<()> {
         let course = &self.day.course;
         let (ended, silent, started) = (&course.list_lag_ms, &course.silent_lag_ms, &course.start_lag_ms);
@@ -424,34 +395,19 @@
             Strike::Age(place, times) => self.streamers.age(self.holds[place], times),
             Strike::ReportsLate(by) => self.streamers.run_late(by),
             Strike::ListBehind(by) => self.list.run_behind(by),
-            Strike::Kill(number) => {
-                self.witness.controller_down(number as u32);
-                self.controllers.kill(number);
-                self.killed.insert(number);
-                self.killed_at = Some(SystemTime::now());
-            }
-            Strike::Start(number) if !self.controllers.runs(number) => {
-                self.witness.controller_up(number as u32);
-                self.controllers.start(number)?;
-                self.killed.remove(&number);
-            }
-            Strike::Start(_) => {}
-            Strike::Stop(number) => {
-                self.witness.controller_down(number as u32);
-                self.controllers.stop(number);
-            }
-            Strike::GoOn(number) => {
-                self.controllers.go_on(number);
-                if self.controllers.runs(number) {
-                    self.witness.controller_goes_on(number as u32);
-                }
-            }
+            Strike::Kill(number) => self.kill(number),
+            Strike::Start(number) => self.start(number)?,
+            Strike::Stop(number) => self.stop(number),
+            Strike::GoOn(number) => self.go_on(number),
+            Strike::ListEnds => self.list.end(&mut self.reactor),
+            Strike::ListStarts => self.list.start_anew(&mut self.reactor)?,
+            Strike::Process(number, begins) => self.strike_process(number, begins)?,
+            Strike::Revoke(number) => self.revoke(number)?,
             Strike::Push(number) => {
                 let push = self.day.revisions.as_ref().and_then(|script| script.pushes.get(number));
                 push.into_iter().for_each(|(name, push)| self.operators.push(name, push));
             }
             Strike::Way(number, begins) => self.strike_way(number, begins),
-            Strike::LoseDisk(number) => self.controllers.lose_disk(number),
             Strike::CutMessages(cut) => self.messages.cut(cut),
         }
         Ok(())
--- a/crates/replay/src/troubles.rs
+++ b/crates/replay/src/troubles.rs
@@ -8,7 +8,7 @@
 use crate::controllers::Controllers;
 use crate::day::{Day, Trouble};
 use crate::plan::Draw;
-use crate::revisions::Script;
+use crate::script::Script;
 
 /// One thing that happens at one time.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,10 +29,14 @@
     Stop(usize),
     GoOn(usize),
     CutMessages(bool),
-    /// The day's push, way (begins or ends) and lost disk, by number.
+    /// The list service ends, and starts anew with numbers from the first on.
+    ListEnds,
+    ListStarts,
+    /// The day's push, revoked key, way and struck processes (begins or ends), by number.
     Push(usize),
+    Revoke(usize),
     Way(usize, bool),
-    LoseDisk(usize),
+    Process(usize, bool),
 }
 
 /// Strikes by time, and in the order given at one time.
@@ -68,12 +72,12 @@
             strikes.add_trouble(day, &on, streamers, controllers, draw);
         }
         if let Some(script) = &day.revisions {
-            strikes.add_script(script, start, controllers.len());
+            strikes.add_script(script, start);
         }
         strikes
     }
 
-    fn add_script(&mut self, script: &Script, start: Duration, controllers: usize) {
+    fn add_script(&mut self, script: &Script, start: Duration) {
         let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
         for (number, (_, push)) in script.pushes.iter().enumerate() {
             self.add(at(push.at_s), Strike::Push(number));
@@ -82,21 +86,12 @@
             self.add(at(way.at_s), Strike::Way(number, true));
             self.add(at(way.at_s + way.for_s), Strike::Way(number, false));
         }
-        for process in &script.processes {
-            let (from, until) = (at(process.at_s), at(process.at_s + process.for_s));
-            for number in process.controllers.iter().copied().filter(|number| *number < controllers) {
-                let kills = process.what == "kill";
-                let (begins, ends) = if kills {
-                    (Strike::Kill(number), Strike::Start(number))
-                } else {
-                    (Strike::Stop(number), Strike::GoOn(number))
-                };
-                self.add(from, begins);
-                if kills && process.without_disk {
-                    self.add(from, Strike::LoseDisk(number));
-                }
-                self.add(until, ends);
-            }
+        for (number, revoke) in script.revokes.iter().enumerate() {
+            self.add(at(revoke.at_s), Strike::Revoke(number));
+        }
+        for (number, process) in script.processes.iter().enumerate() {
+            self.add(at(process.at_s), Strike::Process(number, true));
+            self.add(at(process.at_s + process.for_s), Strike::Process(number, false));
         }
     }
 
@@ -152,6 +147,10 @@
                 self.add(from, Strike::ListBehind(Duration::from_secs_f64(size)));
                 self.add(until, Strike::ListBehind(Duration::ZERO));
             }
+            "list_restart" => {
+                self.add(from, Strike::ListEnds);
+                self.add(until, Strike::ListStarts);
+            }
             "peer_down" => {
                 self.add(from, Strike::CutMessages(true));
                 self.add(until, Strike::CutMessages(false));
--- a/crates/replay/tests/short_days.rs
+++ b/crates/replay/tests/short_days.rs
@@ -74,11 +74,16 @@
 }
 
 fn kept_on(day: &str) -> Report {
+    kept_with(day, None)
+}
+
+fn kept_with(day: &str, other_program: Option<std::path::PathBuf>) -> Report {
     let sheet = Sheet::parse("short day", day).unwrap();
     let day = Day::of(&sheet).unwrap_or_else(|faults| panic!("{faults}"));
     let folder = tempfile::tempdir().unwrap();
     let options = Options {
         program: env!("CARGO_BIN_EXE_badgerledge-replay").into(),
+        other_program,
         folder: folder.path().to_owned(),
         log_level: "info".to_owned(),
     };
@@ -244,3 +249,41 @@
     assert!(revisions.good(), "{report}");
     assert!(report.viewers.throttled > 0, "{report}");
 }
+
+/// Another build for a day: this very one, called as another program is. What the rig does with it is what it does with an
+/// earlier one.
+fn other_build(folder: &std::path::Path) -> std::path::PathBuf {
+    use std::os::unix::fs::PermissionsExt;
+    let path = folder.join("other-build");
+    let text = format!("#!/bin/sh\nexec {} controller \"$@\"\n", env!("CARGO_BIN_EXE_badgerledge-replay"));
+    std::fs::write(&path, text).unwrap();
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
+    path
+}
+
+/// Titles go with the settings: one is put elsewhere, one is taken away, the highest rung goes, a zone gets another name. The
+/// list service begins anew with lower numbers, a controller is started with another program and file, ways of those
+/// that act on a revision lose datagrams. An author's key is stolen, floods numbers, and is revoked: what the thief pushes
+/// then is refused, and the other author's revision is acted on by all.
+#[test]
+fn titles_and_settings_change_under_a_stolen_key_and_a_reborn_list() {
+    let script = "kind = list_restart\nat_s = 10\nfor_s = 1\n[gossip]\nceiling_bytes = 8000\nsettled_within_s = 60\nsplits = true\n\
+        [revisions]\nkeepers = 3\nregime = wait\nsettles = true\nacted_on = 6\ncatalogue = true\nleave_within_s = 3\n\
+        [push elsewhere]\nat_s = 2\ncontroller = 3\nsection = title 1000\nkey = first_cell\nvalue = 6\ncomes_to = 0\n\
+        [push gone]\nat_s = 6\ncontroller = 1\nsection = title 1003\nremove = true\ncomes_to = 0\n\
+        [push rung]\nat_s = 8\ncontroller = 4\nsection = ladder\nkey = rates_kb\nvalue = 10, 20\nalso = ladder: benefit = 0.3, 0.6\ncomes_to = 0\n\
+        [process other]\nat_s = 9\nfor_s = 0.5\ncontrollers = 4\nwhat = restart\nbuild = other\nfile = controller: session_timeout_s = 50\n\
+        [push zone]\nat_s = 12.5\ncontroller = 2\nsection = fleet\nkey = zones\nvalue = north, west\ncomes_to = 0\n\
+        [way lossy]\nat_s = 12.5\nfor_s = 3\nfrom = revision 3, build other\nto = part 0.6\nloss = 0.3\n\
+        [push thief]\nat_s = 16\ncontroller = 1\nsection = room_type clip\nkey = benefit\nvalue = 9\nflood = 25\n\
+        [revoke thief]\nat_s = 17\nauthor = 0\n\
+        [push refused]\nat_s = 21\ncontroller = 1\nsection = room_type clip\nkey = benefit\nvalue = 8\ncomes_to = 2\n\
+        [push honest]\nat_s = 22\ncontroller = 2\nsection = room_type clip\nkey = benefit\nvalue = 1.5\nauthor = 1\ncomes_to = 0\n";
+    let calm = BASE.replace("length_s = 7", "length_s = 27").replace("controllers = 2", "controllers = 5");
+    let calm = calm.replace("copies = 3, 5", "copies = 3, 3").replace("per_s = 8", "per_s = 12");
+    let folder = tempfile::tempdir().unwrap();
+    let report = kept_with(&format!("{calm}{script}"), Some(other_build(folder.path())));
+    let revisions = report.revisions.as_ref().expect("a day with revisions");
+    assert!(revisions.good(), "{report}");
+    assert_eq!(report.controller_starts, [1, 1, 1, 1, 2], "{report}");
+}
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -76,11 +76,23 @@
         }
         proposal.again_at = now + AGAIN;
         let (number, ballot, chosen) = (proposal.number(), proposal.ballot, proposal.chosen);
+        let accepted_by = proposal.accepted_by.filter(|by| *by != self.terms.me);
+        let head = chosen.and_then(|digest| self.learned.head(&digest).copied());
+        if let (Some(signed), Some(by)) = (head, accepted_by) {
+            // Who votes for it asks for its text here.
+            if !self.texts.contains_key(&signed.head.text) {
+                out.push(Given::Fetch(signed, by));
+            }
+        }
+        // Where its author's key holds no more, a keeper's vote shows that it did.
+        let vote = head.filter(|signed| !signed.is_signed(&self.hand));
+        let vote = vote.and_then(|signed| self.learned.votes_for(&signed.head.digest()).next().copied());
         for keeper in self.hand.keepers().to_vec() {
             match chosen {
                 None => self.say(now, keeper, Word::Prepare { number, ballot }, out),
                 Some(digest) => {
-                    if let Some(signed) = self.learned.head(&digest).copied() {
+                    if let Some(signed) = head {
+                        vote.into_iter().for_each(|vote| self.say(now, keeper, Word::Vote(vote), out));
                         self.say(now, keeper, Word::Head(signed), out);
                         self.say(now, keeper, Word::Accept { number, ballot, digest }, out);
                     }
@@ -95,8 +107,11 @@
         // A ballot is its maker's alone.
         let reply =
             self.keeper.as_mut().filter(|_| ballot.by == from).and_then(|k| k.prepare(number, ballot));
-        if let Some(Reply::Promise { accepted: Some((_, digest)), .. }) = reply {
+        if let Some(Reply::Promise { accepted: Some((of, digest)), .. }) = reply {
             if let Some(signed) = self.learned.head(&digest).copied() {
+                // The vote first: it makes the head count where its author's key holds no more.
+                let vote = Vote::sign(&self.hand, self.terms.me, number, of, digest);
+                self.say(now, from, Word::Vote(vote), out);
                 self.say(now, from, Word::Head(signed), out);
             }
         }
--- a/crates/revisions/src/head.rs
+++ b/crates/revisions/src/head.rs
@@ -80,4 +80,9 @@
     pub fn is_signed(&self, hand: &impl Hand) -> bool {
         hand.by_author(self.head.author, &self.head.signed_bytes(), &self.signature)
     }
+
+    /// Whether its author signed it, by a key that holds or held.
+    pub fn was_signed(&self, hand: &impl Hand) -> bool {
+        hand.by_author_ever(self.head.author, &self.head.signed_bytes(), &self.signature)
+    }
 }
--- a/crates/revisions/src/learned.rs
+++ b/crates/revisions/src/learned.rs
@@ -72,11 +72,23 @@
         top.or_else(|| self.heads.get(digest))
     }
 
-    /// Keeps a head whose author signed it. Tells whether it is new.
+    /// Whether a head counts: its author's key holds, or held when a keeper voted for it. Such a one may be certified
+    /// already, so whoever proposes next must be able to name it: or the number would be stuck for good.
+    fn counts(&self, signed: &Signed, hand: &impl Hand) -> bool {
+        let digest = signed.head.digest();
+        signed.is_signed(hand) || signed.was_signed(hand) && self.votes_for(&digest).next().is_some()
+    }
+
+    /// The votes that are held for a head.
+    pub fn votes_for<'a>(&'a self, digest: &'a Digest) -> impl Iterator<Item = &'a Vote> {
+        self.votes.iter().filter(move |(key, _)| key.2 == *digest).map(|(_, vote)| vote)
+    }
+
+    /// Keeps a head that counts. Tells whether it is new.
     pub fn take_head(&mut self, signed: Signed, hand: &impl Hand) -> bool {
         let digest = signed.head.digest();
         let of_use = signed.head.number > self.number() && !self.heads.contains_key(&digest);
-        if !of_use || !signed.is_signed(hand) {
+        if !of_use || !self.counts(&signed, hand) {
             return false;
         }
         let author = signed.head.author;
@@ -151,9 +163,19 @@
         self.top = Some(top);
     }
 
-    /// Heads that are not certified and whose author's key holds no more are nothing.
-    pub fn recheck(&mut self, hand: &impl Hand) {
-        self.heads.retain(|_, held| held.is_signed(hand));
+    /// Heads whose author's key holds no more are nothing, but for those that a keeper voted for: this one itself, or
+    /// another.
+    pub fn recheck(&mut self, accepted: Option<Digest>, hand: &impl Hand) {
+        let heads = std::mem::take(&mut self.heads);
+        let stays = |(of, held): &(Digest, Signed)| accepted == Some(*of) || self.counts(held, hand);
+        self.heads = heads.into_iter().filter(stays).collect();
+    }
+
+    /// A head that this keeper voted for, as it finds it again.
+    pub fn recall_head(&mut self, signed: Signed) {
+        if signed.head.number > self.number() {
+            self.heads.insert(signed.head.digest(), signed);
+        }
     }
 
     /// Whether a quorum has given the word to act on the highest one.
--- a/crates/revisions/src/lib.rs
+++ b/crates/revisions/src/lib.rs
@@ -51,6 +51,8 @@
     fn sign(&self, bytes: &[u8]) -> Signature;
     fn by_member(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool;
     fn by_author(&self, author: Author, bytes: &[u8], signature: &Signature) -> bool;
+    /// The same by any key that the author ever had in the ring, one that holds no more among them.
+    fn by_author_ever(&self, author: Author, bytes: &[u8], signature: &Signature) -> bool;
     /// All members that have keys, in order.
     fn members(&self) -> &[Member];
     /// Those of them that certify.
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -186,6 +186,9 @@
             self.keeper.iter_mut().for_each(|keeper| keeper.certified(top.number()));
             self.learned.install(top);
         }
+        // It is its own word that its author's key held when it voted.
+        let accepted = stored.accepted_head.filter(|head| self.accepted() == Some(head.head.digest()));
+        accepted.into_iter().for_each(|head| self.learned.recall_head(head));
         if let Some(head) = stored.active_head.filter(|head| fit(&self.texts, head, &self.terms.check)) {
             (self.active, self.active_head) = (stored.active, Some(head));
         } else if stored.active > 0 {
@@ -201,11 +204,17 @@
     /// Takes another ring. Keepers that it names anew or no more count from now on.
     pub fn take_hand(&mut self, hand: H) {
         self.lease = lease_for(hand.members().len());
-        self.learned.recheck(&hand);
-        self.proposal.take_if(|proposal| !proposal.wanted.is_signed(&hand));
+        self.learned.recheck(self.accepted(), &hand);
+        let learned = &self.learned;
+        self.proposal.take_if(|proposal| learned.head(&proposal.wanted.head.digest()).is_none());
         self.hand = hand;
     }
 
+    /// What a keeper accepted last, while its number is open.
+    pub(crate) fn accepted(&self) -> Option<Digest> {
+        self.keeper.as_ref().and_then(|keeper| keeper.kept().accepted).map(|(_, digest)| digest)
+    }
+
     pub fn lease(&self) -> Duration {
         self.lease
     }
@@ -313,6 +322,7 @@
             top: self.learned.top.clone(),
             keeper: self.keeper.as_ref().filter(|keeper| !keeper.is_asking()).map(|k| k.kept().clone()),
             gone: self.gone.values().copied().collect(),
+            accepted_head: self.accepted().and_then(|digest| self.learned.head(&digest).copied()),
         };
         out.push(Given::Store(stored.write()));
     }
@@ -383,7 +393,12 @@
     fn heads_of_use(&self) -> Vec<Digest> {
         let wanted = self.proposal.as_ref().map(|proposal| proposal.wanted.head.text);
         let top = self.learned.top.as_ref().map(|top| top.signed.head.text);
-        self.active_head.map(|signed| signed.head.text).into_iter().chain(top).chain(wanted).collect()
+        // What it voted for may be certified by others' votes, and must then be had from somebody.
+        let chosen = self.proposal.as_ref().and_then(|proposal| proposal.chosen);
+        let open = [self.accepted(), chosen].into_iter().flatten();
+        let open = open.filter_map(|digest| self.learned.head(&digest)).map(|signed| signed.head.text);
+        let active = self.active_head.map(|signed| signed.head.text);
+        active.into_iter().chain(top).chain(wanted).chain(open).collect()
     }
 
     /// Something is new: it goes round faster for a while.
--- a/crates/revisions/src/propose.rs
+++ b/crates/revisions/src/propose.rs
@@ -21,6 +21,8 @@
     promised: BTreeMap<Member, Option<(Ballot, Digest)>>,
     /// Once a quorum has promised: what the ballot is for.
     pub chosen: Option<Digest>,
+    /// The keeper that accepted it before, and so has its text.
+    pub accepted_by: Option<Member>,
     pub again_at: Duration,
     pub over_at: Duration,
 }
@@ -28,7 +30,15 @@
 impl Proposal {
     pub fn new(wanted: Signed, ballot: Ballot, now: Duration, chance: &mut Chance) -> Self {
         let over_at = now + BALLOT * 2 + chance.span(BALLOT * 2);
-        Self { wanted, ballot, promised: BTreeMap::new(), chosen: None, again_at: now, over_at }
+        Self {
+            wanted,
+            ballot,
+            promised: BTreeMap::new(),
+            chosen: None,
+            accepted_by: None,
+            again_at: now,
+            over_at,
+        }
     }
 
     pub fn number(&self) -> Number {
@@ -53,8 +63,10 @@
         if self.promised.len() < quorum(keepers) {
             return false;
         }
-        let before = self.promised.values().flatten().max_by_key(|accepted| accepted.0);
-        self.chosen = Some(before.map_or(self.wanted.head.digest(), |accepted| accepted.1));
+        let accepted = self.promised.iter().filter_map(|(by, accepted)| accepted.map(|one| (one, *by)));
+        let before = accepted.max_by_key(|((ballot, _), _)| *ballot);
+        self.chosen = Some(before.map_or(self.wanted.head.digest(), |((_, digest), _)| digest));
+        self.accepted_by = before.map(|(_, by)| by);
         true
     }
 }
--- a/crates/revisions/src/store.rs
+++ b/crates/revisions/src/store.rs
@@ -7,7 +7,9 @@
 use crate::learned::Certified;
 use crate::{digest, Number};
 
-const MARK: &[u8; 4] = b"blr1";
+const MARK: &[u8; 4] = b"blr2";
+/// Without the head that a keeper accepted.
+const MARK_1: &[u8; 4] = b"blr1";
 
 /// All that outlives the process, texts apart.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +25,26 @@
     pub keeper: Option<Kept>,
     /// The latest words on members that are off for good.
     pub gone: Vec<crate::word::Gone>,
+    /// The head that a keeper accepted last, while it is not certified: it must name it, and others may not know it.
+    pub accepted_head: Option<crate::Signed>,
+}
+
+/// What the first version of it had.
+#[derive(Deserialize)]
+struct Stored1 {
+    active: Number,
+    active_head: Option<crate::Signed>,
+    told: Number,
+    top: Option<Certified>,
+    keeper: Option<Kept>,
+    gone: Vec<crate::word::Gone>,
+}
+
+impl From<Stored1> for Stored {
+    fn from(old: Stored1) -> Self {
+        let Stored1 { active, active_head, told, top, keeper, gone } = old;
+        Self { active, active_head, told, top, keeper, gone, accepted_head: None }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -44,11 +66,18 @@
     /// # Errors
     /// Where it is of another kind, torn, or not in order: it is as if nothing were stored.
     pub fn read(bytes: &[u8]) -> Result<Self, StoredFault> {
-        let rest = bytes.strip_prefix(MARK).ok_or(StoredFault::Kind)?;
+        let (rest, first) = match (bytes.strip_prefix(MARK), bytes.strip_prefix(MARK_1)) {
+            (Some(rest), _) => (rest, false),
+            (None, Some(rest)) => (rest, true),
+            (None, None) => return Err(StoredFault::Kind),
+        };
         let (seal, body) = rest.split_at_checked(32).ok_or(StoredFault::Seal)?;
         if digest(body)[..] != *seal {
             return Err(StoredFault::Seal);
         }
+        if first {
+            return postcard::from_bytes::<Stored1>(body).map(Self::from).map_err(|_| StoredFault::Form);
+        }
         postcard::from_bytes(body).map_err(|_| StoredFault::Form)
     }
 }
--- a/crates/revisions/src/tests/net.rs
+++ b/crates/revisions/src/tests/net.rs
@@ -19,6 +19,8 @@
     pub me: Member,
     pub members: Rc<Vec<Member>>,
     pub keepers: Rc<Vec<Member>>,
+    /// Authors whose keys hold no more.
+    pub revoked: Rc<BTreeSet<Author>>,
 }
 
 pub fn seal(who: u32, bytes: &[u8]) -> Signature {
@@ -39,6 +41,9 @@
         *signature == seal(u32::from(member), bytes)
     }
     fn by_author(&self, author: Author, bytes: &[u8], signature: &Signature) -> bool {
+        !self.revoked.contains(&author) && self.by_author_ever(author, bytes, signature)
+    }
+    fn by_author_ever(&self, author: Author, bytes: &[u8], signature: &Signature) -> bool {
         *signature == seal(AUTHORS + u32::from(author), bytes)
     }
     fn members(&self) -> &[Member] {
@@ -113,6 +118,7 @@
             me: 0,
             members: Rc::new((0..members).collect()),
             keepers: Rc::new((0..keepers).collect()),
+            revoked: Rc::default(),
         };
         let founded = Stored { keeper: Some(Kept::default()), ..Stored::default() };
         let seat = |n: Member| Seat {
@@ -317,6 +323,16 @@
         });
     }
 
+    /// An author's key holds no more: all members read the ring.
+    pub fn revoke(&mut self, author: Author) {
+        let revoked = self.hand.revoked.iter().copied().chain([author]).collect();
+        self.hand.revoked = Rc::new(revoked);
+        for me in 0..self.seats.len() as Member {
+            let hand = Sealed { me, ..self.hand.clone() };
+            self.with(me, |member, _, _| member.take_hand(hand));
+        }
+    }
+
     pub fn active(&self) -> Vec<Number> {
         let acting = |seat: &Seat| seat.member.as_ref().map(|member| member.acting(self.now).active);
         self.seats.iter().filter_map(acting).collect()
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -139,6 +139,10 @@
         flipped[cut] ^= 4;
         assert!(matches!(Stored::read(&flipped), Err(StoredFault::Kind | StoredFault::Seal)));
     }
+    // What the version before stored had no head behind it, and is read for good.
+    let body = &stored[36..stored.len() - 1];
+    let old = [&b"blr1"[..], &crate::digest(body), body].concat();
+    assert_eq!(Stored::read(&old).unwrap().keeper.unwrap().number, 3);
     let word = Word::Head(signed(1, [0; 32], 1, b"text")).write();
     assert!(word.len() <= 176, "it fits into a datagram of the gossip's");
     assert!(Word::read(&word).is_some());
@@ -249,3 +253,95 @@
     net.run(net.now + secs(8.0));
     assert_eq!(net.active(), [2; 5]);
 }
+
+/// Lets keepers accept what member 4 pushes, and none of their votes be heard.
+fn accepted_unheard(net: &mut Net, author: u16, text: &[u8]) {
+    net.push(4, author, text);
+    // The first call to accept has them fetch the text, the next one is accepted; but no answer is heard.
+    let has = |net: &Net, keeper: u16| {
+        let member = net.seats[usize::from(keeper)].member.as_ref().unwrap();
+        member.text_of(&crate::digest(text)).is_some()
+    };
+    for _ in 0..5_000 {
+        if (0..3).filter(|keeper| has(net, *keeper)).count() >= 2 {
+            break;
+        }
+        net.run(net.now + Duration::from_millis(1));
+    }
+    net.cut.extend((0..5).flat_map(|a| (0..5).map(move |b| (a, b))).filter(|(a, b)| a != b && *a != 4));
+    net.run(net.now + secs(1.0));
+    let accepted = |keeper: u16| net.keeper(keeper).unwrap().kept().accepted.is_some();
+    assert!(
+        (0..3).filter(|keeper| accepted(*keeper)).count() >= 2
+            && net.seats[4].member.as_ref().unwrap().next().0 == 2
+    );
+}
+
+/// Seen as a danger in a day with a stolen key: keepers had accepted a thief's text when its key was revoked. They must name
+/// it to whoever proposes next, for it may be certified, and nobody took its head any more. Harm: no revision is certified
+/// again, for good.
+#[test]
+fn what_was_accepted_before_its_author_was_revoked_does_not_stop_the_next() {
+    let mut net = settled(Regime::Wait);
+    accepted_unheard(&mut net, 9, b"thief");
+    net.kill(4, false);
+    net.revoke(9);
+    net.cut.clear();
+    net.start(4);
+    net.push(3, 1, b"good");
+    net.run(net.now + secs(15.0));
+    // The thief's may have been certified, and so it is; the next one is the other author's.
+    net.push(3, 1, b"good");
+    net.run(net.now + secs(15.0));
+    let texts: Vec<_> =
+        net.seats.iter().map(|seat| seat.member.as_ref().unwrap().active_text().to_vec()).collect();
+    assert_eq!(texts, vec![b"good".to_vec(); 5]);
+    assert!(net.certified.values().all(|digests| digests.len() == 1));
+    // And nobody takes a head of the key that holds no more, unless a keeper had voted for it.
+    let (number, before) = net.seats[2].member.as_ref().unwrap().next();
+    let late = Word::Head(signed(number, before, 9, b"late"));
+    net.with(2, |member, now, out| member.heard(now, 3, late, out));
+    let digest = signed(number, before, 9, b"late").head.digest();
+    assert!(net.seats[2].member.as_ref().unwrap().learned.head(&digest).is_none());
+}
+
+/// All keepers are killed once they have accepted, and whoever pushed is gone for good: the keepers find head and text again.
+/// Guards against votes for a head that nobody has. Harm: no revision is certified again, for good.
+#[test]
+fn keepers_killed_between_signing_and_telling_find_what_they_signed() {
+    let mut net = settled(Regime::Wait);
+    accepted_unheard(&mut net, 1, b"two");
+    net.kill(4, true);
+    (0..3).for_each(|keeper| net.kill(keeper, false));
+    net.cut.clear();
+    (0..3).for_each(|keeper| net.start(keeper));
+    net.run(net.now + secs(1.0));
+    net.push(3, 2, b"other");
+    net.run(net.now + secs(20.0));
+    net.start(4);
+    net.run(net.now + secs(20.0));
+    assert_eq!(net.active(), [2; 5]);
+    assert!(net.certified.values().all(|digests| digests.len() == 1));
+}
+
+/// A flood of texts between a keeper's vote and its certificate: the text that it voted for stays where others can fetch it.
+#[test]
+fn a_flood_does_not_take_the_text_that_was_accepted() {
+    let mut net = settled(Regime::Wait);
+    accepted_unheard(&mut net, 1, b"two");
+    net.kill(4, true);
+    for n in 0..20u8 {
+        for keeper in 0..3 {
+            net.with(keeper, |member, _, _| {
+                let text = [b'x', n];
+                member.keep_text(crate::digest(&text), Arc::from(&text[..]));
+            });
+        }
+    }
+    net.cut.clear();
+    net.push(3, 2, b"other");
+    net.run(net.now + secs(20.0));
+    net.start(4);
+    net.run(net.now + secs(20.0));
+    assert_eq!(net.active(), [2; 5]);
+}
--- a/crates/standins/src/list_service.rs
+++ b/crates/standins/src/list_service.rs
@@ -44,7 +44,8 @@
 }
 
 pub struct ListService {
-    listener: Line,
+    /// Nothing while it is down.
+    listener: Option<Line>,
     at: SocketAddr,
     epoch: u64,
     revision: u64,
@@ -64,9 +65,10 @@
 impl ListService {
     pub fn new(reactor: &mut Reactor, at: SocketAddr) -> Result<Self> {
         let (listener, at) = reactor.listen(at, BOUNDS).with_context(|| format!("list service at {at}"))?;
-        let epoch = 1;
+        // Counted down from here: a run's name says nothing of its order.
+        let epoch = 1000;
         Ok(Self {
-            listener,
+            listener: Some(listener),
             at,
             epoch,
             revision: 0,
@@ -88,6 +90,28 @@
         self.lines_sent
     }
 
+    /// Its process ends: all readers lose it.
+    pub fn end(&mut self, reactor: &mut Reactor) {
+        self.listener.take().into_iter().for_each(|listener| reactor.close(listener));
+        std::mem::take(&mut self.readers).into_keys().for_each(|line| reactor.close(line));
+        self.late.clear();
+    }
+
+    /// It starts anew at its address, counting changes from the first on.
+    ///
+    /// # Errors
+    /// Where its address can't be had.
+    pub fn start_anew(&mut self, reactor: &mut Reactor) -> Result<()> {
+        if self.listener.is_none() {
+            let at = self.at;
+            let (listener, _) =
+                reactor.listen(at, BOUNDS).with_context(|| format!("list service at {at}"))?;
+            (self.listener, self.epoch, self.revision) = (Some(listener), self.epoch - 1, 1);
+            self.listed.values_mut().for_each(|listed| listed.revision = 1);
+        }
+        Ok(())
+    }
+
     /// From now on changes reach each reader late by a part of this: some at once, others by all of it.
     pub fn spread(&mut self, spread: Duration) {
         self.spread = spread;
@@ -153,7 +177,7 @@
         &mut self, reactor: &mut Reactor, now: Duration, happening: &Happening, witness: &mut Witness,
     ) -> bool {
         match happening {
-            Happening::Accepted { line, listener, .. } if *listener == self.listener => {
+            Happening::Accepted { line, listener, .. } if Some(*listener) == self.listener => {
                 self.readers.insert(*line, Reader::default());
             }
             Happening::Readable(line) if self.readers.contains_key(line) => {
--- a/crates/standins/src/streamers.rs
+++ b/crates/standins/src/streamers.rs
@@ -238,6 +238,12 @@
         self.fleet[streamer].fell
     }
 
+    /// The streams that play now: their streamers' cells, and their titles.
+    pub fn streams(&self) -> impl Iterator<Item = (u32, u64)> + '_ {
+        let plays = self.streams.values().filter(|stream| stream.plays);
+        plays.map(|stream| (self.fleet[stream.streamer].told.cell, stream.title))
+    }
+
     pub fn playing(&self) -> usize {
         self.streams.values().filter(|stream| stream.plays).count()
     }
