--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -464,11 +464,16 @@
             }
             1 => {
                 join.crossed.control_bytes += carried.len() as u64;
+                let streamer = join.streamer;
                 let mut own = false;
                 for note in notes::notes(carried) {
                     own = true;
                     match note {
                         Note::Told(kind, value) => {
+                            let (now, at) = (self.now, streamer);
+                            self.gossiping
+                                .iter_mut()
+                                .for_each(|gossiping| gossiping.noted(now, at, kind, value));
                             self.arrives(move |floor| floor.join_note(id.0, id.1, kind, value));
                         }
                         Note::Bye => {
--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -10,7 +10,7 @@
 use badgerledge_deployment::{ControllerPlace, GossipPlace};
 use badgerledge_gossip::statement::Statement;
 use badgerledge_gossip::{Gossip, Member, News, Outside, Standing, LONGEST};
-use badgerledge_hearsay::Hearsay;
+use badgerledge_hearsay::{Hearsay, Kind};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Line, Reactor};
 use metrics::{counter, gauge};
@@ -26,6 +26,12 @@
 /// Lives count quarter seconds since 2026, or go on from the one before, whichever is later.
 const LIVES_FROM: u64 = 1_767_225_600;
 const LIFE_TICK_MS: u128 = 250;
+/// A stream that gets less of its rate, or a link that is asked for so much more than it gives, is strained; and at ease only
+/// well off that: notes scatter by some 0.1 about what is (docs/standing.md).
+const SHORT: f64 = 0.9;
+const AT_EASE_DELIVERED: f64 = 0.98;
+const FULL: f64 = 1.05;
+const AT_EASE_LINK: f64 = 0.9;
 /// Files in the state folder.
 const LIFE: &str = "gossip-life";
 const RECORDS: &str = "gossip-records";
@@ -180,10 +186,10 @@
                 News::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
                 News::Bulletin(bulletin, age) => {
                     let believed = self.hearsay.heard(now, bulletin.author, age, &bulletin.items);
-                    for streamer in &believed {
-                        tracing::info!(%streamer, by = bulletin.author, "believed to be in trouble");
+                    for (streamer, kind) in believed.into_iter().filter(|(_, kind)| self.listens_to(*kind)) {
+                        tracing::info!(%streamer, by = bulletin.author, ?kind, "believed to be in trouble");
+                        came.believed.push(streamer);
                     }
-                    came.believed.extend(believed);
                 }
                 News::Word(member, word) => came.words.push((member, word)),
             }
@@ -199,10 +205,38 @@
                 self.hearsay.seen(now, streamer, false);
                 self.publish(now);
             }
+            Some(Ending::Full) if self.place.strain => {
+                self.hearsay.strained(now, streamer, false);
+                self.publish(now);
+            }
             Some(_) => {}
         }
     }
 
+    /// A streamer's note on what it delivers, or on its link.
+    pub fn noted(&mut self, now: Duration, streamer: StreamerId, kind: u8, value: f64) {
+        let strained = match kind {
+            1 => value < SHORT,
+            3 => value > FULL,
+            _ => return,
+        };
+        // Between the two it is neither.
+        let at_ease = match kind {
+            1 => value >= AT_EASE_DELIVERED,
+            _ => value < AT_EASE_LINK,
+        };
+        if self.place.strain && (strained || at_ease) {
+            self.hearsay.strained(now, streamer, at_ease);
+            if strained {
+                self.publish(now);
+            }
+        }
+    }
+
+    fn listens_to(&self, kind: Kind) -> bool {
+        kind == Kind::Lost || self.place.strain
+    }
+
     /// Publishes own losses, as soon as a streamer comes to them that was not among them.
     fn publish(&mut self, now: Duration) {
         if now < self.publish_at {
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -90,6 +90,10 @@
     /// The file of this member's private key, which nobody else may read.
     #[garde(skip)]
     pub key: PathBuf,
+    /// Whether strain of streamers is told and listened to, beside lost joins.
+    #[garde(skip)]
+    #[serde(default)]
+    pub strain: bool,
 }
 
 /// `[revisions]`: the shared sections are agreed on among the members, and changed while they run.
--- a/crates/hearsay/src/tests.rs
+++ b/crates/hearsay/src/tests.rs
@@ -3,12 +3,16 @@
 
 use quickcheck::{Gen, QuickCheck};
 
-use crate::{write, Hearsay, FADES, LEAST_CREDIT};
+use crate::{Hearsay, Kind, FADES, LEAST_CREDIT};
 
 const T0: Duration = Duration::from_secs(1000);
 const A: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
 const B: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 2);
 
+fn write(streamer: SocketAddrV4, since: Duration) -> [u8; 8] {
+    crate::write((streamer, Kind::Lost), since)
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -29,7 +33,7 @@
 fn two_members_are_believed_until_their_words_fade() {
     let mut hearsay = Hearsay::default();
     assert!(hearsay.heard(T0, 1, ms(200), &[write(A, ms(300))]).is_empty());
-    assert_eq!(hearsay.heard(T0, 2, ms(200), &[write(A, ms(100))]), [A]);
+    assert_eq!(hearsay.heard(T0, 2, ms(200), &[write(A, ms(100))]), [(A, Kind::Lost)]);
     assert!(hearsay.believes(T0 + ms(500), A));
     assert!(!hearsay.believes(T0 + FADES, A));
     // Told late, it is as old as it is.
@@ -58,7 +62,7 @@
     let mut hearsay = Hearsay::default();
     hearsay.seen(T0, A, false);
     assert!(!hearsay.believes(T0, A));
-    assert_eq!(hearsay.heard(T0, 1, Duration::ZERO, &[write(A, Duration::ZERO)]), [A]);
+    assert_eq!(hearsay.heard(T0, 1, Duration::ZERO, &[write(A, Duration::ZERO)]), [(A, Kind::Lost)]);
 }
 
 #[test]
@@ -146,3 +150,21 @@
     let gen = Gen::from_size_and_seed(200, 5);
     QuickCheck::new().rng(gen).tests(500).quickcheck(harmless as fn(Vec<(u8, u16, bool)>) -> bool);
 }
+
+/// Strain is a matter of its own: it is believed by two, cleared by ease here and not by a join that works, and a loss goes
+/// before it where not all fits.
+#[test]
+fn strain_is_told_beside_losses() {
+    let mut hearsay = Hearsay::default();
+    let said = [crate::write((A, Kind::Strained), Duration::ZERO)];
+    assert!(hearsay.heard(T0, 1, Duration::ZERO, &said).is_empty());
+    hearsay.seen(T0, A, true);
+    assert_eq!(hearsay.heard(T0 + ms(10), 2, Duration::ZERO, &said), [(A, Kind::Strained)]);
+    assert!(!hearsay.believes(T0 + ms(10), A), "no join is said to be lost");
+    hearsay.strained(T0 + ms(20), A, true);
+    assert!(hearsay.heard(T0 + ms(30), 3, ms(100), &said).is_empty(), "it was seen at ease since");
+    (0..20).for_each(|n| hearsay.strained(T0, SocketAddrV4::new(Ipv4Addr::LOCALHOST, 100 + n), false));
+    hearsay.seen(T0, B, false);
+    let items = hearsay.items(T0);
+    assert_eq!((items.len(), items[0]), (11, write(B, Duration::ZERO)));
+}
--- a/crates/replay/src/controllers.rs
+++ b/crates/replay/src/controllers.rs
@@ -71,6 +71,10 @@
                 if keys.is_some() { String::new() } else { format!("peers = {}\n", peers.join(", ")) };
             let mut gossip =
                 keys.map(|keys| gossip_section(keys, number, *own_at, reached)).unwrap_or_default();
+            // An earlier build knows nothing of it.
+            if day.gossip.as_ref().is_some_and(|told| told.strain) {
+                gossip += "strain = true\n";
+            }
             let state = folder.join(format!("state-{number}"));
             if let Some(script) = &day.revisions {
                 let told = &script.told;
--- a/crates/replay/src/gossip.rs
+++ b/crates/replay/src/gossip.rs
@@ -35,6 +35,10 @@
     #[garde(skip)]
     #[serde(default)]
     pub splits: bool,
+    /// Whether strain of streamers is told beside lost joins.
+    #[garde(skip)]
+    #[serde(default)]
+    pub strain: bool,
 }
 
 const RING: &str = "ring.ini";
