--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -36,10 +36,13 @@
     };
     let (old, new) = (text_of(0)?, text_of(1)?);
     let read = |text: &str| Text::read(text.as_bytes()).map_err(anyhow::Error::msg);
-    let sheet = least(|| Ok(drop(Sheet::parse("text", &new)?)))?;
+    let sheet = least(|| Ok(Sheet::parse("text", &new).map(drop)?))?;
     let parse = least(|| read(&new).map(drop))?;
     let (old, text) = (read(&old)?, read(&new)?);
-    let compare = least(|| Ok(drop(old.acted_on(Some(&text)))))?;
+    let compare = least(|| {
+        std::hint::black_box(old.acted_on(Some(&text)));
+        Ok(())
+    })?;
     let (shared, known) = (text.shared(), text.titles());
     let fates = least(|| {
         let counts = Counts { shared, titles: known };
--- a/crates/bench/src/fixture.rs
+++ b/crates/bench/src/fixture.rs
@@ -2,11 +2,13 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Context, Result};
 use badgerledge_deployment::Shared;
+use badgerledge_keys::{PrivateKey, Role};
 use badgerledge_settings::Sheet;
 use badgerledge_standins::free_port;
 use rustix::process::{kill_process, Pid, Signal};
@@ -53,14 +55,30 @@
     child: Child,
 }
 
+/// The keys of a fleet of one, and what its settings say of gossip and of revisions.
+fn revisions(folder: &Path) -> Result<String> {
+    let key = PrivateKey::make(Role::Member(0))?;
+    key.write(&folder.join("key-0"))?;
+    let ring = format!("[member 0]\nkeys = {}\n[keepers]\nmembers = 0\n", key.public());
+    std::fs::write(folder.join("ring.ini"), ring)?;
+    badgerledge_controller::revising::found(&folder.join("state"))?;
+    Ok(format!(
+        "state = {}\n[gossip]\nlisten = {}\nring = ring.ini\nkey = key-0\n[revisions]\ncatalogue = true\n",
+        folder.join("state").display(),
+        free_port()?
+    ))
+}
+
 impl Controller {
-    pub fn start(list: SocketAddr) -> Result<Self> {
+    /// `revised`: its settings and titles are under revisions.
+    pub fn start(list: SocketAddr, revised: bool) -> Result<Self> {
         let folder = tempfile::tempdir()?;
         let (at, metrics) = (free_port()?, free_port()?);
+        let more = if revised { revisions(folder.path())? } else { String::new() };
         let settings = folder.path().join("controller.ini");
         let text = format!(
             "[controller]\ncontrollers = 1\nzone = a\nlisten = {at}\nlist = {list}\nmetrics = {metrics}\n\
-             catalogue = titles.ini\nseed = 3\n{SHARED}"
+             catalogue = titles.ini\nseed = 3\n{more}{SHARED}"
         );
         std::fs::write(&settings, text)?;
         let title = |id| format!("[title {id:x}]\nroom_type = clip\nfirst_cell = 0\ncopies = 4\n");
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -49,7 +49,7 @@
         #[arg(long, default_value_t = 8)]
         streams: usize,
     },
-    /// Allocations, system calls and copied bytes of each ordinary join and each relayed packet
+    /// Allocations, system calls and copied bytes of each ordinary join, with and without revisions, and each relayed packet
     Costs,
     /// Memory of the controller with so many subscriptions playing
     Memory {
@@ -116,14 +116,16 @@
         What::SetUps { seconds, viewers } => on_one_core(|| set_ups::measure(seconds, viewers)),
         What::Relay { seconds, streams } => on_one_core(|| relay::measure(seconds, streams)),
         What::Costs => on_one_core(|| {
-            set_ups::costs()?;
+            set_ups::costs(false)?;
+            set_ups::costs(true)?;
             relay::costs()
         }),
         What::Memory { subscriptions } => on_one_core(|| set_ups::memory(subscriptions)),
         What::All => on_one_core(|| {
             set_ups::measure(4.0, 64)?;
             relay::measure(4.0, 8)?;
-            set_ups::costs()?;
+            set_ups::costs(false)?;
+            set_ups::costs(true)?;
             relay::costs()?;
             set_ups::memory(2000)?;
             round::measure(300, 600)?;
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -152,7 +152,7 @@
     }
 
     fn controller(&mut self) -> Result<Controller> {
-        let controller = Controller::start(self.list.at())?;
+        let controller = Controller::start(self.list.at(), false)?;
         let mut nobody = Load::new(vec![controller.at], Then::Leave, 0)?;
         wait_for("the controller's list", || {
             std::thread::scope(|scope| {
--- a/crates/bench/src/set_ups.rs
+++ b/crates/bench/src/set_ups.rs
@@ -62,8 +62,8 @@
         Ok(())
     }
 
-    fn controller(&mut self) -> Result<Controller> {
-        let controller = Controller::start(self.list.at())?;
+    fn controller(&mut self, revised: bool) -> Result<Controller> {
+        let controller = Controller::start(self.list.at(), revised)?;
         let mut nobody = Load::new(self.streamers(), Then::Leave, 0)?;
         let mut fault = None;
         wait_for("the controller's list", || {
@@ -112,7 +112,7 @@
     let plain = straight.pace(to, seconds, viewers)?;
     drop(straight);
     let mut backdrop = Backdrop::new()?;
-    let controller = backdrop.controller()?;
+    let controller = backdrop.controller(false)?;
     let through = backdrop.pace(vec![controller.at], seconds, viewers)?;
     controller.finish()?;
     let show = |name: &str, load: &Load| {
@@ -131,34 +131,37 @@
 }
 
 /// Costs of each subscription from SETUP to TEARDOWN: two runs that differ by a number of them.
-pub fn costs() -> Result<()> {
-    let run = |count: u64| -> Result<(u64, f64, f64)> {
+pub fn costs(revised: bool) -> Result<()> {
+    let run = |count: u64| -> Result<[f64; 5]> {
         let mut backdrop = Backdrop::new()?;
-        let controller = backdrop.controller()?;
+        let controller = backdrop.controller(revised)?;
         backdrop.do_some(controller.at, count)?;
         let mut nobody = Load::new(vec![controller.at], Then::Leave, 0)?;
         let end = backdrop.reactor.clock() + Duration::from_millis(1500);
         while backdrop.reactor.clock() < end {
             backdrop.turn(&mut nobody, 0)?;
         }
-        let metric = |name| controller.metric(name).unwrap_or(0.0);
-        let (calls, copied) =
-            (metric("badgerledge_system_calls_total"), metric("badgerledge_copied_bytes_total"));
-        Ok((controller.finish()?, calls, copied))
+        let metric = |name: &str| controller.metric(name).unwrap_or(0.0);
+        let seen = ["system_calls_total", "copied_bytes_total", "round_seconds_sum", "round_seconds_count"];
+        let [calls, copied, rounds, count] = seen.map(|name| metric(&format!("badgerledge_{name}")));
+        Ok([controller.finish()? as f64, calls, copied, rounds, count])
     };
     let (few, many) = (500, 2500);
     let (first, second) = (run(few)?, run(many)?);
-    let each = |a: f64, b: f64| (b - a) / (many - few) as f64;
-    println!("each ordinary join, SETUP to TEARDOWN, as the difference of {many} and {few}");
-    println!("  {:>8.1} allocations", each(first.0 as f64, second.0 as f64));
-    println!("  {:>8.1} system calls of the loop", each(first.1, second.1));
-    println!("  {:>8.0} bytes copied between its buffers", each(first.2, second.2));
+    let each = |n: usize| (second[n] - first[n]) / (many - few) as f64;
+    let with = if revised { "with revisions" } else { "without revisions" };
+    println!("each ordinary join, SETUP to TEARDOWN, as the difference of {many} and {few}, {with}");
+    println!("  {:>8.1} allocations", each(0));
+    println!("  {:>8.1} system calls of the loop", each(1));
+    println!("  {:>8.0} bytes copied between its buffers", each(2));
+    let rounds = second[4] - first[4];
+    println!("  {:>8.1} us a round, of {rounds:.0} more", (second[3] - first[3]) * 1e6 / rounds.max(1.0));
     Ok(())
 }
 
 pub fn memory(subscriptions: usize) -> Result<()> {
     let mut backdrop = Backdrop::new()?;
-    let controller = backdrop.controller()?;
+    let controller = backdrop.controller(false)?;
     let before = controller.resident_kb()?;
     let mut load = Load::new(vec![controller.at], Then::Play, subscriptions as u64)?;
     let end = backdrop.reactor.clock() + Duration::from_secs(60);
--- /dev/null
+++ b/crates/rollout/src/tests/rolls.rs
@@ -0,0 +1,261 @@
+//! Whole rolls in simulated time: builds that are alike, and builds that are worse in one way each.
+
+use std::time::Duration;
+
+use badgerledge_core::chance::Chance;
+
+use super::limits;
+use crate::{judge, Counted, Measure, Place, Plan, Side, Stage, Verdict};
+
+/// What is wrong with the new build.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Worse {
+    Alike,
+    /// So much more of its joins are lost.
+    Loses(f64),
+    /// So much more of its answers are late.
+    Late(f64),
+    /// It loses them in one zone, or of one room type, only.
+    InZone(f64),
+    OfRoomType(f64),
+    /// It begins to lose them after a minute.
+    AfterAMinute(f64),
+}
+
+const LOOK: f64 = 5.0;
+const SHARES: [f64; 4] = [0.05, 0.2, 0.5, 1.0];
+/// Of what comes, the part of the second room type.
+const SECOND: f64 = 0.3;
+/// A stage that has told nothing by then is let go on by its operator, as far as this model goes.
+const GIVES_UP: f64 = 1800.0;
+
+struct One {
+    place: Place,
+    /// Requests a second: some see several times the mean.
+    pace: f64,
+    /// Its own part of joins lost and of answers late.
+    loses: f64,
+    late: f64,
+    changed_at: Option<f64>,
+    counted: [Counted; 2],
+    base: [Counted; 2],
+}
+
+/// A draw from Poisson's law, by the normal one where there are many.
+fn poisson(chance: &mut Chance, mean: f64) -> u64 {
+    if mean > 50.0 {
+        return (mean + mean.sqrt() * normal(chance)).round().max(0.0) as u64;
+    }
+    let (bound, mut product, mut count) = ((-mean).exp(), chance.share(), 0);
+    while product > bound && count < 1000 {
+        product *= chance.share();
+        count += 1;
+    }
+    count
+}
+
+fn normal(chance: &mut Chance) -> f64 {
+    (0..12).map(|_| chance.share()).sum::<f64>() - 6.0
+}
+
+fn fleet(chance: &mut Chance, members: u16) -> Vec<One> {
+    let zones: Vec<f64> = (0..3).map(|_| (0.3 * normal(chance)).exp()).collect();
+    let one = |member: u16| {
+        let zone = member % 3;
+        let own =
+            |chance: &mut Chance, usual: f64| usual * zones[usize::from(zone)] * (0.4 * normal(chance)).exp();
+        let (loses, late) = (own(chance, 0.01).min(0.3), own(chance, 0.02).min(0.3));
+        let pace = 1.5 * (0.6 * normal(chance)).exp();
+        let (changed_at, counted, base) = (None, Default::default(), Default::default());
+        One { place: Place { member, zone }, pace, loses, late, changed_at, counted, base }
+    };
+    (0..members).map(one).collect()
+}
+
+impl One {
+    /// What comes in one look's time; `stress` is what all suffer now.
+    fn serves(&mut self, chance: &mut Chance, now: f64, worse: Worse, stress: f64) {
+        for room_type in 0..2 {
+            let share = if room_type == 1 { SECOND } else { 1.0 - SECOND };
+            let asked = poisson(chance, self.pace * share * LOOK);
+            let more = match (self.changed_at, worse) {
+                (None, _) | (_, Worse::Alike | Worse::Late(_)) => 0.0,
+                (_, Worse::Loses(more)) => more,
+                (_, Worse::InZone(more)) => {
+                    if self.place.zone == 1 {
+                        more
+                    } else {
+                        0.0
+                    }
+                }
+                (_, Worse::OfRoomType(more)) => {
+                    if room_type == 1 {
+                        more
+                    } else {
+                        0.0
+                    }
+                }
+                (Some(at), Worse::AfterAMinute(more)) => {
+                    if now > at + 60.0 {
+                        more
+                    } else {
+                        0.0
+                    }
+                }
+            };
+            let late = match (self.changed_at, worse) {
+                (Some(_), Worse::Late(more)) => more,
+                _ => 0.0,
+            };
+            // One that has just begun knows nothing yet, and loses more whatever its build.
+            let young = if self.changed_at.is_some_and(|at| now < at + 10.0) { 0.05 } else { 0.0 };
+            let lost =
+                poisson(chance, asked as f64 * (self.loses * stress + more + young).min(1.0)).min(asked);
+            let late = poisson(chance, asked as f64 * (self.late * stress + late).min(1.0)).min(asked);
+            let unserved = asked as f64 * 1000.0 * (0.1 + 0.02 * normal(chance)).clamp(0.0, 1.0);
+            let fresh = Counted {
+                asked,
+                joins: asked,
+                lost,
+                late,
+                offered: asked * 1000,
+                served: asked * 1000 - (unserved as u64).min(asked * 1000),
+                ..Counted::default()
+            };
+            self.counted[room_type] = self.counted[room_type].plus(&fresh);
+        }
+    }
+
+    fn side(&self) -> Side {
+        let since = (0..2).map(|n| self.counted[n].since(&self.base[n])).collect();
+        let Place { member, zone } = self.place;
+        Side { member, zone, new: self.changed_at.is_some(), since, ..Side::default() }
+    }
+}
+
+/// What a roll came to: the stage that stopped it, when, and how many of those who asked at new controllers were harmed
+/// until then (by what the new build does more).
+struct Came {
+    stopped: Option<(usize, Measure)>,
+    at: f64,
+    harmed: f64,
+    waited: bool,
+}
+
+fn roll(seed: u64, members: u16, worse: Worse, judged: &dyn Fn(&Stage) -> Verdict) -> Came {
+    let mut chance = Chance(seed.wrapping_mul(0x9e37_79b9).wrapping_add(u64::from(members)));
+    let mut all = fleet(&mut chance, members);
+    let places: Vec<Place> = all.iter().map(|one| one.place).collect();
+    // Of a small fleet the first stages would be empty.
+    let shares: Vec<f64> =
+        SHARES.iter().copied().filter(|share| share * f64::from(members) / 3.0 >= 0.5).collect();
+    let plan = Plan::new(seed as u32, &places, &shares, &[]).expect("a plan");
+    let (mut now, mut harmed, mut waited) = (0.0, 0.0, false);
+    for (stage, changes) in plan.stages().iter().enumerate() {
+        let begun = now;
+        all.iter_mut()
+            .filter(|one| changes.contains(&one.place.member))
+            .for_each(|one| one.changed_at = Some(now));
+        // Counts are compared from the time on that the last restarted one has learned its streamers.
+        while now < begun + 20.0 {
+            now += LOOK;
+            all.iter_mut().for_each(|one| one.serves(&mut chance, now, worse, 1.0));
+        }
+        all.iter_mut().for_each(|one| one.base = one.counted);
+        // In one roll of four a burst hits all for half a minute.
+        let burst = (chance.share() < 0.25).then(|| now + 60.0 * chance.share());
+        loop {
+            now += LOOK;
+            let stress = if burst.is_some_and(|at| now > at && now < at + 30.0) { 3.0 } else { 1.0 };
+            all.iter_mut().for_each(|one| one.serves(&mut chance, now, worse, stress));
+            let sides: Vec<Side> = all.iter().map(One::side).collect();
+            let new: u64 =
+                sides.iter().filter(|side| side.new).flat_map(|side| &side.since).map(|c| c.asked).sum();
+            let usual =
+                [(Measure::JoinsLost, 0.011), (Measure::Late, 0.022), (Measure::Unserved, 0.1)].into();
+            let lasted = Duration::from_secs_f64(now - begun);
+            let verdict = judged(&Stage { lasted, sides, usual, ..Stage::default() });
+            let more = match worse {
+                Worse::Alike => 0.0,
+                Worse::Loses(more) | Worse::Late(more) | Worse::AfterAMinute(more) => more,
+                Worse::InZone(more) => more / 3.0,
+                Worse::OfRoomType(more) => more * SECOND,
+            };
+            let end = now > begun + GIVES_UP;
+            waited |= end;
+            match verdict {
+                Verdict::Stop(crate::Evidence::Worse { measure, .. }) => {
+                    return Came {
+                        stopped: Some((stage, measure)),
+                        at: now,
+                        harmed: harmed + new as f64 * more,
+                        waited,
+                    };
+                }
+                Verdict::Stop(other) => panic!("{other:?}"),
+                Verdict::Wait(_) if !end => {}
+                _ => {
+                    harmed += new as f64 * more;
+                    break;
+                }
+            }
+        }
+    }
+    Came { stopped: None, at: now, harmed, waited }
+}
+
+fn ours(stage: &Stage) -> Verdict {
+    judge(stage, &limits())
+}
+
+fn wrong_stops(seeds: std::ops::Range<u64>, members: u16) -> usize {
+    seeds.filter(|seed| roll(*seed, members, Worse::Alike, &ours).stopped.is_some()).count()
+}
+
+#[test]
+fn alike_builds_are_let_through_and_worse_ones_are_stopped() {
+    assert!(wrong_stops(0..60, 40) <= 2);
+    for worse in [
+        Worse::Loses(0.05),
+        Worse::Late(0.08),
+        Worse::InZone(0.1),
+        Worse::OfRoomType(0.12),
+        Worse::AfterAMinute(0.08),
+    ] {
+        let found = (0..12).filter(|seed| roll(*seed, 40, worse, &ours).stopped.is_some()).count();
+        assert!(found >= 11, "{worse:?}: {found} of 12");
+    }
+}
+
+/// Ten thousand rolls and more, run by hand: `cargo test --release -p badgerledge-rollout -- --ignored --nocapture`.
+#[test]
+#[ignore = "takes minutes; its figures are on docs/measured.md"]
+fn thousands_of_rolls() {
+    let plays = [(10u16, 4000u64), (40, 4000), (300, 1500), (1000, 500)];
+    std::thread::scope(|scope| {
+        for (members, rolls) in plays {
+            scope.spawn(move || {
+                let wrong = wrong_stops(0..rolls, members);
+                println!("{members} controllers: alike builds stopped in {wrong} of {rolls} rolls");
+                let kinds = [Worse::Loses(0.05), Worse::Late(0.05), Worse::InZone(0.05), Worse::OfRoomType(0.05), Worse::AfterAMinute(0.05)];
+                for worse in kinds {
+                    let rolls = rolls / 20;
+                    let came: Vec<Came> = (0..rolls).map(|seed| roll(seed, members, worse, &ours)).collect();
+                    let found: Vec<&Came> = came.iter().filter(|came| came.stopped.is_some()).collect();
+                    let mut stages = [0; 4];
+                    found.iter().filter_map(|came| came.stopped).for_each(|(stage, _)| stages[stage] += 1);
+                    let middle = |of: &dyn Fn(&Came) -> f64| {
+                        let mut all: Vec<f64> = found.iter().map(|came| of(came)).collect();
+                        all.sort_by(f64::total_cmp);
+                        all.get(all.len() / 2).copied().unwrap_or(f64::NAN)
+                    };
+                    let waited = came.iter().filter(|came| came.waited).count();
+                    println!(
+                        "{members} controllers, {worse:?}: {} of {rolls} found, by stage {stages:?}, {:.0} s at the median, {:.0} viewers harmed; {waited} waited to the end",
+                        found.len(), middle(&|came| came.at), middle(&|came| came.harmed)
+                    );
+                }
+            });
+        }
+    });
+}
