Rolls: each zone and room type must rule the harm out, and controllers differ by some of the rate

Stages then last longer, and 66 of 4,000 rolls of alike builds were stopped (87 at 10): by luck few old controllers seem not to differ, so they are held to differ by 0.6 of the rate, a hundredth at most. Tried without gain: a wider scatter where the new ones are few (86 and 109).

--- a/crates/rollout/src/always.rs
+++ b/crates/rollout/src/always.rs
@@ -17,6 +17,12 @@
 /// Events that are taken off the new side's: counts of few are skewed, and the boundary is made for a normal law.
 const CONTINUITY: f64 = 1.5;
 
+/// Controllers of one zone differ by this part of their rate at least. Without it 66 of 4,000 rolls of alike builds were stopped
+/// at 40 controllers, and 87 at 10; a wider scatter for few new ones made stages longer and no verdict better (86 and 109).
+const DIFFER: f64 = 0.6;
+/// Of what goes wrong often they differ by less of it: benefit that is not served, a tenth, by some hundredths of the whole.
+const DIFFER_AT_MOST: f64 = 0.01;
+
 /// The same without the new controller that has most of what goes wrong over the old side's rate: what one controller alone
 /// shows may be its own fault, or a lie.
 pub fn without_the_worst(new: &[Cell], old: &[Cell]) -> Option<Difference> {
@@ -47,8 +53,8 @@
     let seen = squares / (controllers - 1) as f64;
     let spread = old_of - old.iter().map(|cell| cell.of * cell.of).sum::<f64>() / old_of;
     let own = ((seen - chance) * (controllers - 1) as f64 / spread.max(1.0)).max(0.0);
-    // Of few controllers it is itself known badly.
-    let own = own * (1.0 + 4.0 / controllers as f64);
+    // Of few controllers it is itself known badly, and may look like none by luck: they always differ by some of the rate.
+    let own = (own * (1.0 + 4.0 / controllers as f64)).max((DIFFER * usual).min(DIFFER_AT_MOST).powi(2));
     let of_side = |cells: &[Cell], of: f64| -> f64 {
         cells.iter().map(|cell| cell.of * cell.of * own + cell.of * chance).sum::<f64>() / (of * of)
     };
--- a/crates/rollout/src/tests/rolls.rs
+++ b/crates/rollout/src/tests/rolls.rs
@@ -204,17 +204,60 @@
     Came { stopped: None, at: now, harmed, waited }
 }
 
+/// A stage lasts twice as long as what it guards against may take to show.
 fn ours(stage: &Stage) -> Verdict {
-    judge(stage, &limits())
+    judge(stage, &crate::Limits { at_least: Duration::from_secs(120), ..limits() })
+}
+
+/// Joins lost and of how many, of one side.
+fn lost(stage: &Stage, new: bool) -> (f64, f64) {
+    let sides = stage.sides.iter().filter(|side| side.new == new).flat_map(|side| &side.since);
+    sides.fold((0.0, 0.0), |(lost, of), counted| (lost + counted.lost as f64, of + counted.joins as f64))
+}
+
+fn stops(worse: bool, stage: &Stage) -> Verdict {
+    let measure = Measure::JoinsLost;
+    match worse {
+        true => Verdict::Stop(crate::Evidence::Worse {
+            measure,
+            zone: None,
+            room_type: None,
+            more: 0.0,
+            deviation: 0.0,
+        }),
+        false if stage.lasted < limits().at_least => Verdict::Wait(crate::Waits::Time),
+        false => Verdict::Pass,
+    }
+}
+
+/// What is often done: after against before. It stops where the new side loses over half of the harm more than was usual.
+fn before_and_after(stage: &Stage) -> Verdict {
+    let (bad, of) = lost(stage, true);
+    let usual = stage.usual.get(&Measure::JoinsLost).copied().unwrap_or(0.0);
+    stops(of > 30.0 && bad / of > usual + 0.015, stage)
+}
+
+/// A plain test of two rates at five in a hundred, with each request its own unit, looked at each five seconds.
+fn plain_test(stage: &Stage) -> Verdict {
+    let ((new, new_of), (old, old_of)) = (lost(stage, true), lost(stage, false));
+    let usual = (new + old) / (new_of + old_of).max(1.0);
+    let deviation = (usual * (1.0 - usual) * (1.0 / new_of.max(1.0) + 1.0 / old_of.max(1.0))).sqrt();
+    stops(old_of > 0.0 && new_of > 30.0 && (new / new_of - old / old_of) > 1.645 * deviation, stage)
+}
+
+fn wrong_by(judged: &dyn Fn(&Stage) -> Verdict, seeds: std::ops::Range<u64>, members: u16) -> usize {
+    seeds.filter(|seed| roll(*seed, members, Worse::Alike, judged).stopped.is_some()).count()
 }
 
 fn wrong_stops(seeds: std::ops::Range<u64>, members: u16) -> usize {
-    seeds.filter(|seed| roll(*seed, members, Worse::Alike, &ours).stopped.is_some()).count()
+    wrong_by(&ours, seeds, members)
 }
 
 #[test]
 fn alike_builds_are_let_through_and_worse_ones_are_stopped() {
     assert!(wrong_stops(0..60, 40) <= 2);
+    // What is beside it does far worse: the rolls are such that a verdict is not easy.
+    assert!(wrong_by(&plain_test, 0..60, 40) > 20 && wrong_by(&before_and_after, 0..60, 40) > 20);
     for worse in [
         Worse::Loses(0.05),
         Worse::Late(0.08),
@@ -227,35 +270,63 @@
     }
 }
 
-/// Ten thousand rolls and more, run by hand: `cargo test --release -p badgerledge-rollout -- --ignored --nocapture`.
+/// Thousands of rolls of one size, printed; run by hand: `cargo test --release -p badgerledge-rollout -- --ignored --nocapture`.
+fn rolls_at(members: u16, rolls: u64) {
+    let wrong = wrong_stops(0..rolls, members);
+    println!("{members} controllers: alike builds stopped in {wrong} of {rolls} rolls");
+    let few = rolls / 10;
+    let (plain, after) =
+        (wrong_by(&plain_test, 0..few, members), wrong_by(&before_and_after, 0..few, members));
+    println!("{members} controllers: by a plain test in {plain}, by after against before in {after} of {few} rolls");
+    let kinds = [
+        Worse::Loses(0.05),
+        Worse::Late(0.05),
+        Worse::InZone(0.05),
+        Worse::OfRoomType(0.05),
+        Worse::AfterAMinute(0.05),
+    ];
+    for worse in kinds {
+        let rolls = rolls / 20;
+        let came: Vec<Came> = (0..rolls).map(|seed| roll(seed, members, worse, &ours)).collect();
+        let found: Vec<&Came> = came.iter().filter(|came| came.stopped.is_some()).collect();
+        let mut stages = [0; 4];
+        found.iter().filter_map(|came| came.stopped).for_each(|(stage, _)| stages[stage] += 1);
+        let middle = |of: &dyn Fn(&Came) -> f64| {
+            let mut all: Vec<f64> = found.iter().map(|came| of(came)).collect();
+            all.sort_by(f64::total_cmp);
+            all.get(all.len() / 2).copied().unwrap_or(f64::NAN)
+        };
+        let waited = came.iter().filter(|came| came.waited).count();
+        println!(
+            "{members} controllers, {worse:?}: {} of {rolls} found, by stage {stages:?}, {:.0} s at the median, \
+             {:.0} viewers harmed; {waited} waited to the end",
+            found.len(),
+            middle(&|came| came.at),
+            middle(&|came| came.harmed)
+        );
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; its figures are on docs/measured.md"]
-fn thousands_of_rolls() {
-    let plays = [(10u16, 4000u64), (40, 4000), (300, 1500), (1000, 500)];
-    std::thread::scope(|scope| {
-        for (members, rolls) in plays {
-            scope.spawn(move || {
-                let wrong = wrong_stops(0..rolls, members);
-                println!("{members} controllers: alike builds stopped in {wrong} of {rolls} rolls");
-                let kinds = [Worse::Loses(0.05), Worse::Late(0.05), Worse::InZone(0.05), Worse::OfRoomType(0.05), Worse::AfterAMinute(0.05)];
-                for worse in kinds {
-                    let rolls = rolls / 20;
-                    let came: Vec<Came> = (0..rolls).map(|seed| roll(seed, members, worse, &ours)).collect();
-                    let found: Vec<&Came> = came.iter().filter(|came| came.stopped.is_some()).collect();
-                    let mut stages = [0; 4];
-                    found.iter().filter_map(|came| came.stopped).for_each(|(stage, _)| stages[stage] += 1);
-                    let middle = |of: &dyn Fn(&Came) -> f64| {
-                        let mut all: Vec<f64> = found.iter().map(|came| of(came)).collect();
-                        all.sort_by(f64::total_cmp);
-                        all.get(all.len() / 2).copied().unwrap_or(f64::NAN)
-                    };
-                    let waited = came.iter().filter(|came| came.waited).count();
-                    println!(
-                        "{members} controllers, {worse:?}: {} of {rolls} found, by stage {stages:?}, {:.0} s at the median, {:.0} viewers harmed; {waited} waited to the end",
-                        found.len(), middle(&|came| came.at), middle(&|came| came.harmed)
-                    );
-                }
-            });
-        }
-    });
+fn rolls_at_10() {
+    rolls_at(10, 4000);
+}
+
+#[test]
+#[ignore = "takes minutes; its figures are on docs/measured.md"]
+fn rolls_at_40() {
+    rolls_at(40, 4000);
+}
+
+#[test]
+#[ignore = "takes minutes; its figures are on docs/measured.md"]
+fn rolls_at_300() {
+    rolls_at(300, 1500);
+}
+
+#[test]
+#[ignore = "takes minutes; its figures are on docs/measured.md"]
+fn rolls_at_1000() {
+    rolls_at(1000, 500);
 }
--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -244,17 +244,20 @@
     }
     // In the last stage nobody is left to be held against: time and guards are all there is.
     let beside = stage.sides.iter().any(|side| !side.new);
-    let whole: Vec<&Scope> =
-        comparisons.iter().filter(|scope| scope.zone.is_none() && scope.room_type.is_none()).collect();
     let z = Normal::standard().inverse_cdf(0.95);
-    for scope in whole.iter().filter(|_| beside) {
+    for scope in comparisons.iter().filter(|_| beside) {
         let Some(harm) = limits.harm.get(&scope.measure) else { continue };
-        let Some(found) = scope.found else { return Some(Waits::Zones) };
-        if suffers(stage, scope.measure, *harm) {
-            return Some(Waits::BothSuffer(scope.measure));
-        }
-        if !found.rules_out(*harm, z) {
-            return Some(Waits::TooFew(scope.measure));
+        let whole = scope.zone.is_none() && scope.room_type.is_none();
+        match scope.found {
+            // A zone with one side only is judged by the others.
+            None if whole => return Some(Waits::Zones),
+            None => {}
+            Some(_) if whole && suffers(stage, scope.measure, *harm) => {
+                return Some(Waits::BothSuffer(scope.measure));
+            }
+            // Each zone and room type by itself: a build that is bad in one of them only must not pass by the others.
+            Some(found) if !found.rules_out(*harm, z) => return Some(Waits::TooFew(scope.measure)),
+            Some(_) => {}
         }
     }
     (stage.lasted < limits.at_least).then_some(Waits::Time)
