--- a/crates/controller/tests/it/changes.rs
+++ b/crates/controller/tests/it/changes.rs
@@ -2,46 +2,24 @@
 
 use std::time::Duration;
 
-use badgerledge_core::interface::Health;
 use badgerledge_deployment::kinds::canonical;
 use badgerledge_revisions::order::Answer;
 use badgerledge_settings::Sheet;
 use rustix::process::Signal;
 
 use crate::revisions::{pushes, Alone};
-use crate::rig::{first_join, header, status, Backdrop, Controller, Scripted, Talk, CATALOGUE, SHARED};
+use crate::rig::{first_join, flow, header, status, with_streamers, Talk, CATALOGUE, SHARED};
 
 fn text(of: &str) -> String {
     canonical(&Sheet::parse("text", of).unwrap())
 }
 
-/// A streamer on each of the first three cells, at a controller whose titles go with revisions.
-fn begin(settings: &str) -> (Backdrop, Controller, Vec<Scripted>) {
-    let backdrop = Backdrop::new(false);
-    let streamers: Vec<Scripted> = (0..3).map(|_| Scripted::new()).collect();
-    for (cell, streamer) in streamers.iter().enumerate() {
-        backdrop.learn(cell as u32, streamer.at, Health::Ready);
-    }
-    let controller = Controller::start(backdrop.list, settings);
-    controller.wait_listed(3);
-    (backdrop, controller, streamers)
-}
-
-/// Plays a join out to where media flows.
-fn flow(join: &mut Talk, asked: &str) {
-    join.answer(asked, "200 OK");
-    let play = join.hear();
-    assert!(play.starts_with("PLAY"), "{play}");
-    join.answer(&play, "200 OK");
-    join.media(b"first packet");
-}
-
 /// A title that lies elsewhere, a rung less and a title gone, in one change: what plays steps down and is moved within
 /// the second that is told, what was being set up is stepped once it flows, and what is new goes by the new text.
 #[test]
 fn a_change_reaches_what_waits_joins_and_plays() {
     let alone = Alone::new("catalogue = true\nleave_within_s = 1\n");
-    let (_list, controller, streamers) = begin(&alone.settings);
+    let (_list, controller, streamers) = with_streamers(3, &alone.settings);
     let mut plays = Talk::to(controller.at);
     plays.set_up(1, 8, 1, "Max-Rung: 1\n");
     let (mut played, asked) = streamers[0].join();
@@ -105,7 +83,7 @@
 /// with a title of no room type changes nothing.
 #[test]
 fn a_catalogue_read_anew_moves_what_plays() {
-    let (_list, mut controller, streamers) = begin("");
+    let (_list, mut controller, streamers) = with_streamers(3, "");
     let mut plays = Talk::to(controller.at);
     plays.set_up(1, 8, 1, "");
     let (mut played, asked) = streamers[0].join();
--- a/crates/controller/tests/it/hard_cases.rs
+++ b/crates/controller/tests/it/hard_cases.rs
@@ -5,28 +5,7 @@
 use badgerledge_core::interface::Health;
 use rustix::process::Signal;
 
-use crate::rig::{first_join, header, status, Backdrop, Controller, Scripted, Talk};
-
-/// A controller with scripted streamers on the first cells.
-fn with_streamers(count: usize, more: &str) -> (Backdrop, Controller, Vec<Scripted>) {
-    let backdrop = Backdrop::new(false);
-    let streamers: Vec<Scripted> = (0..count).map(|_| Scripted::new()).collect();
-    for (cell, streamer) in streamers.iter().enumerate() {
-        backdrop.learn(cell as u32, streamer.at, Health::Ready);
-    }
-    let controller = Controller::start(backdrop.list, more);
-    controller.wait_listed(count);
-    (backdrop, controller, streamers)
-}
-
-/// Plays a join out to where media flows.
-fn flow(join: &mut Talk, asked: &str) {
-    join.answer(asked, "200 OK");
-    let play = join.hear();
-    assert!(play.starts_with("PLAY"), "{play}");
-    join.answer(&play, "200 OK");
-    join.media(b"first packet");
-}
+use crate::rig::{first_join, flow, header, status, with_streamers, Talk};
 
 #[test]
 fn a_subscription_is_set_up_played_and_torn_down() {
--- a/crates/controller/tests/it/rig.rs
+++ b/crates/controller/tests/it/rig.rs
@@ -394,3 +394,24 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// A controller with scripted streamers on the first cells.
+pub fn with_streamers(count: usize, more: &str) -> (Backdrop, Controller, Vec<Scripted>) {
+    let backdrop = Backdrop::new(false);
+    let streamers: Vec<Scripted> = (0..count).map(|_| Scripted::new()).collect();
+    for (cell, streamer) in streamers.iter().enumerate() {
+        backdrop.learn(cell as u32, streamer.at, Health::Ready);
+    }
+    let controller = Controller::start(backdrop.list, more);
+    controller.wait_listed(count);
+    (backdrop, controller, streamers)
+}
+
+/// Plays a join out to where media flows.
+pub fn flow(join: &mut Talk, asked: &str) {
+    join.answer(asked, "200 OK");
+    let play = join.hear();
+    assert!(play.starts_with("PLAY"), "{play}");
+    join.answer(&play, "200 OK");
+    join.media(b"first packet");
+}
