Members' records are stored after a second: keepers all killed early find the others again

Seen: five controllers, all three keepers killed 6 s after their start and back 8 s later: a push was not acted on within 33 s. Checked: the keepers came back with their revisions and knew each other, but not members 3 and 4, whose words they so dropped; killed after 13 s it was acted on in 1.6 s. At fault: the first store of gossip's records 10 s after the start (Gossiping::tend); their only seeds are each other.

--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -23,6 +23,9 @@
 const PUBLISH_EVERY: Duration = Duration::from_millis(400);
 /// Records are stored this often: a member seldom moves.
 const STORE_EVERY: Duration = Duration::from_secs(10);
+/// The first time so soon, then after twice as long each time: one that is killed in its first seconds must find the others
+/// again, and its seeds may have been killed with it.
+const FIRST_STORE: Duration = Duration::from_secs(1);
 /// Lives count quarter seconds since 2026, or go on from the one before, whichever is later.
 const LIVES_FROM: u64 = 1_767_225_600;
 const LIFE_TICK_MS: u128 = 250;
@@ -48,6 +51,7 @@
     look_at: Duration,
     publish_at: Duration,
     store_at: Duration,
+    store_after: Duration,
     /// What was published last, so that nothing is said twice.
     published: Vec<StreamerId>,
     at: SocketAddr,
@@ -103,7 +107,8 @@
             ring_read,
             look_at: now + LOOK_EVERY,
             publish_at: now,
-            store_at: now + STORE_EVERY,
+            store_at: now + FIRST_STORE,
+            store_after: FIRST_STORE,
             published: Vec::new(),
             at: bound,
             new_keys: None,
@@ -157,7 +162,8 @@
             self.show();
         }
         if now >= self.store_at {
-            self.store_at = now + STORE_EVERY;
+            self.store_after = (self.store_after * 2).min(STORE_EVERY);
+            self.store_at = now + self.store_after;
             self.store();
         }
         self.take(now, news)
--- a/crates/replay/tests/short_days.rs
+++ b/crates/replay/tests/short_days.rs
@@ -253,6 +253,22 @@
     assert!(report.viewers.throttled > 0, "{report}");
 }
 
+/// All keepers are killed at once, with no change under way: the others serve on, and once the keepers are back a push is
+/// acted on. Found here: killed in their first ten seconds they came back without records of the others, their only seeds were each
+/// other, and they heard nobody's words for good. Harm: no change until they are told of the others by hand.
+#[test]
+fn all_keepers_are_lost_and_come_back() {
+    let script = "kind = burst\nat_s = 1\nfor_s = 1\nsize = 1\n[gossip]\nceiling_bytes = 8000\nsettled_within_s = 60\nsplits = true\n\
+        [revisions]\nkeepers = 3\nregime = wait\nsettles = true\nacted_on = 2\n\
+        [push cells]\nat_s = 2\ncontroller = 4\nsection = fleet\nkey = cells\nvalue = 5\ncomes_to = 0\n\
+        [process keepers]\nat_s = 7\nfor_s = 5\ncontrollers = keepers\nwhat = kill\n\
+        [push after]\nat_s = 14\ncontroller = 3\nsection = room_type clip\nkey = benefit\nvalue = 2\ncomes_to = 0\n";
+    let calm = BASE.replace("length_s = 7", "length_s = 24").replace("controllers = 2", "controllers = 5");
+    let report = kept_on(&format!("{}{script}", calm.replace("copies = 3, 5", "copies = 3, 3")));
+    assert!(report.revisions.as_ref().is_some_and(|revisions| revisions.good()), "{report}");
+    assert_eq!(report.controller_starts, [2, 2, 2, 1, 1], "{report}");
+}
+
 /// Another build for a day: this very one, called as another program is. What the rig does with it is what it does with an
 /// earlier one.
 fn other_build(folder: &std::path::Path) -> std::path::PathBuf {
