Turns at a cold streamer go by the list's own number of its start, the same for all processes

Seen, in a test of many instances each with a birth and a clock of its own (fleet_tests.rs, 3 to 350 of them): turns at a cold streamer overlapped, 5 joins where half the budget had counted out 4 (20 processes).

Seen in the same fleet: a streamer that broke while it warmed up and started again unseen was sent 120 joins in a window where 117 may be (20 processes, 400 places): decide.rs, cold_allows went on with the ramp of the start before. One that broke lately is now as cold as any.

Checked and held as it was: processes restarted within a window have no part twice (no join to a cold one for a window after a birth); seven in ten new-born with a start told 1.5 and 4.5 s late and all told that it is empty, at a budget of 1.5 of what is asked there. Each mend taken out: its test fails.

--- a/crates/bench/src/round.rs
+++ b/crates/bench/src/round.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, StreamerId};
+use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, Start, StreamerId};
 use badgerledge_exchange::{Carrier, Exchange, Line};
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
@@ -56,7 +56,7 @@
         floor.list_begins(Listing::Complete, std::iter::empty());
         for cell in 0..streamers {
             let at = SocketAddrV4::new(Ipv4Addr::from(0x7f00_0001 + cell), 554);
-            floor.list_entry(at, 0, 0, cell, Health::Ready, 1.0, Duration::ZERO);
+            floor.list_entry(at, 0, 0, cell, Health::Ready, 1.0, Start::default());
         }
         floor.list_ends(Listing::Complete);
     });
--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use badgerledge_core::interface::{Health, Listing, StreamerId};
+use badgerledge_core::interface::{Health, Listing, Start, StreamerId};
 use badgerledge_deployment::ControllerPlace;
 use badgerledge_discovery::{Backoff, ListBook, Sink, LONGEST_LINE};
 use badgerledge_exchange::{Carrier, Floor};
@@ -204,7 +204,7 @@
 
     fn list_entry(
         &mut self, streamer: StreamerId, zone: u16, kind: usize, cell: u32, health: Health, weight: f64,
-        came_up: Duration,
+        came_up: Start,
     ) {
         self.floor.list_entry(streamer, zone, kind, cell, health, weight, came_up);
     }
--- a/crates/core/src/chance.rs
+++ b/crates/core/src/chance.rs
@@ -21,8 +21,9 @@
     }
 }
 
-/// A whole number that differs by streamer and start, the same for every instance.
-pub fn scattered(id: StreamerId, came_up: Duration) -> f64 {
-    let mix = u32::from(*id.ip()).rotate_left(7) ^ u32::from(id.port()) ^ came_up.as_micros() as u32;
+/// A whole number that differs by streamer and start, the same for every instance: by the number that the list tells
+/// the start by.
+pub fn scattered(id: StreamerId, start: u64) -> f64 {
+    let mix = u32::from(*id.ip()).rotate_left(7) ^ u32::from(id.port()) ^ start as u32;
     f64::from(mix.wrapping_mul(2_654_435_769) >> 12)
 }
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -11,7 +11,7 @@
 use serde_json::{Map, Value};
 
 use crate::chance::{scattered, Chance};
-use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
+use crate::interface::{Asked, Ending, Health, JobId, Listing, Start, StreamerId, Writer};
 use crate::state::{forget, Pipe, Pipes, Streamer, Subscription};
 use crate::told::Told;
 use crate::words::{self, Named, Word};
@@ -243,16 +243,16 @@
 
     pub fn list_entry(
         &mut self, id: StreamerId, zone: u16, kind: usize, cell: u32, health: Health, weight: f64,
-        came_up: Duration,
+        came_up: Start,
     ) {
         let s = self.streamers.entry(id).or_insert_with(|| Streamer::new(health, self.now));
-        if came_up > s.came_up {
+        if came_up.at > s.came_up {
             // What was held against the old process is void.
             (s.served, s.terminated, s.away_until, s.broke) = (0.0, 0.0, Duration::ZERO, None);
             self.pipes.all.entry(Pipe::Link(id)).or_default().measured = false;
         }
-        (s.zone, s.kind, s.cell, s.health, s.weight, s.came_up) = (zone, kind, cell, health, weight, came_up);
-        s.listed = true;
+        (s.zone, s.kind, s.cell, s.health, s.weight) = (zone, kind, cell, health, weight);
+        (s.came_up, s.start, s.listed) = (came_up.at, came_up.number, true);
     }
 
     pub fn list_ends(&mut self, how: Listing) {
@@ -445,9 +445,9 @@
     fn cold_allows(&self, id: StreamerId, s: &Streamer) -> bool {
         let (whole, window) = (self.told.warm_up.as_secs_f64(), self.told.window);
         let sent_within = |span: Duration| s.sent.iter().filter(|t| **t + span > self.now).count() as f64;
-        let cold = !s.came_up.is_zero() && self.now < s.came_up + self.told.warm_up;
-        // Trouble may mean a start that the list has not told yet.
+        // Trouble may mean a start that the list has not told yet, also of one that warms up from the last.
         let broke = s.broke.is_some_and(|broke| self.now < broke + self.told.warm_up * 2);
+        let cold = !broke && !s.came_up.is_zero() && self.now < s.came_up + self.told.warm_up;
         if whole <= 0.0 || window.is_zero() || !cold && !broke {
             // So may a time before this instance's birth; who knows nothing spreads its joins by itself.
             let late_born = !self.handed_over && self.now < self.born + self.told.warm_up;
@@ -461,7 +461,7 @@
             pace * (from * age + grows * age.powi(3)) / self.told.balancers
         };
         let before = self.now.saturating_sub(window);
-        let first = (scattered(id, s.came_up) + self.told.figure("/me", 0.0)) / self.told.balancers;
+        let first = (scattered(id, s.start) + self.told.figure("/me", 0.0)) / self.told.balancers;
         let turns = |at: Duration| (0.5 * sendable(at) + first).floor();
         let part = f64::max(sendable(self.now) - sendable(before), turns(self.now) - turns(before));
         sent_within(window) + 1.0 <= part && self.now >= self.born + window
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -41,6 +41,15 @@
     Draining,
 }
 
+/// A streamer's latest start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Start {
+    /// When it was, on this instance's clock; zero is long past.
+    pub at: Duration,
+    /// What the list tells it by. It is the same for every instance, which the time is not: each has a clock of its own.
+    pub number: u64,
+}
+
 /// What a `Sync` brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod told;
 pub mod words;
 
+#[cfg(test)]
+mod fleet_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -164,6 +164,8 @@
     pub health: Health,
     pub weight: f64,
     pub came_up: Duration,
+    /// What the list tells that start by.
+    pub start: u64,
     /// Joins that ended well and badly of late, fading since then.
     pub served: f64,
     pub terminated: f64,
@@ -191,6 +193,7 @@
             health,
             weight: 1.0,
             came_up: Duration::ZERO,
+            start: 0,
             served: 0.0,
             terminated: 0.0,
             faded: now,
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 
 use crate::decide::Controller;
-use crate::interface::{Asked, Ending, Health, JobId, Listing, StreamerId, Writer};
+use crate::interface::{Asked, Ending, Health, JobId, Listing, Start, StreamerId, Writer};
 use crate::state::Pipe;
 use crate::words::{self, Named, Word};
 
@@ -19,6 +19,11 @@
     Duration::from_millis(n)
 }
 
+/// A start as all of a day's instances know it, on the one clock of the day.
+fn started(at: Duration) -> Start {
+    Start { at, number: at.as_micros() as u64 }
+}
+
 fn streamer(cell: u32) -> StreamerId {
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, cell as u16)
 }
@@ -233,7 +238,7 @@
         self.model.list.insert(streamer(cell), (cell, health, came_up));
         self.round(|c, _| {
             c.list_begins(Listing::Changes);
-            c.list_entry(streamer(cell), 0, 0, cell, health, 1.0, came_up);
+            c.list_entry(streamer(cell), 0, 0, cell, health, 1.0, started(came_up));
             c.list_ends(Listing::Changes);
         });
     }
@@ -571,7 +576,7 @@
     day.round(|c, _| {
         c.list_begins(Listing::Cached);
         let all = (0..1024).map(|cell| (streamer(cell), cell));
-        all.for_each(|(id, cell)| c.list_entry(id, 0, 0, cell, Health::Ready, 1.0, Duration::ZERO));
+        all.for_each(|(id, cell)| c.list_entry(id, 0, 0, cell, Health::Ready, 1.0, Start::default()));
         c.list_ends(Listing::Cached);
     });
     let all = (0..1024).map(|cell| (streamer(cell), (cell, Health::Ready, ms(0))));
@@ -669,7 +674,7 @@
         day.model.list.insert(streamer(cell), (cell, Health::Ready, Duration::ZERO));
         day.round(|c, _| {
             c.list_begins(Listing::Changes);
-            c.list_entry(streamer(cell), 1, 0, cell, Health::Ready, 1.0, Duration::ZERO);
+            c.list_entry(streamer(cell), 1, 0, cell, Health::Ready, 1.0, Start::default());
             c.list_ends(Listing::Changes);
             c.crossing(None, 1e9);
             c.crossing(Some(1), 150.0);
--- a/crates/discovery/src/book.rs
+++ b/crates/discovery/src/book.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use badgerledge_core::interface::{Health, Listing, StreamerId};
+use badgerledge_core::interface::{Health, Listing, Start, StreamerId};
 use serde_json::{json, Value};
 use thiserror::Error;
 
@@ -13,7 +13,7 @@
     #[allow(clippy::too_many_arguments)]
     fn list_entry(
         &mut self, streamer: StreamerId, zone: u16, kind: usize, cell: u32, health: Health, weight: f64,
-        came_up: Duration,
+        came_up: Start,
     );
     fn list_ends(&mut self, how: Listing);
 }
@@ -215,8 +215,8 @@
 }
 
 fn pass(sink: &mut impl Sink, id: StreamerId, entry: &Entry) {
-    let Entry { zone, kind, cell, health, weight, came_up, .. } = *entry;
-    sink.list_entry(id, zone, kind, cell, health, weight, came_up);
+    let Entry { zone, kind, cell, health, weight, start, came_up } = *entry;
+    sink.list_entry(id, zone, kind, cell, health, weight, Start { at: came_up, number: start });
 }
 
 fn malformed(what: &str) -> ListFault {
--- a/crates/discovery/src/tests.rs
+++ b/crates/discovery/src/tests.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use badgerledge_core::interface::{Health, Listing, StreamerId};
+use badgerledge_core::interface::{Health, Listing, Start, StreamerId};
 use quickcheck::Gen;
 use serde_json::{json, Value};
 
@@ -23,9 +23,9 @@
 
     fn list_entry(
         &mut self, id: StreamerId, _zone: u16, _kind: usize, _cell: u32, health: Health, _weight: f64,
-        came_up: Duration,
+        came_up: Start,
     ) {
-        self.streamers.insert(id, (health, came_up));
+        self.streamers.insert(id, (health, came_up.at));
         self.named.push(id);
     }
 
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use badgerledge_core::decide::Controller;
-use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, StreamerId};
+use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, Start, StreamerId};
 
 use crate::book::Join;
 use crate::desk::{Carrier, Desk, Owed};
@@ -226,7 +226,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn list_entry(
         &mut self, streamer: StreamerId, zone: u16, kind: usize, cell: u32, health: Health, weight: f64,
-        came_up: Duration,
+        came_up: Start,
     ) {
         self.desk.book.listed(streamer, health);
         self.module.list_entry(streamer, zone, kind, cell, health, weight, came_up);
--- a/crates/exchange/src/tests.rs
+++ b/crates/exchange/src/tests.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, StreamerId};
+use badgerledge_core::interface::{Asked, Ending, Health, JobId, Listing, Start, StreamerId};
 use quickcheck::{Arbitrary, Gen};
 use serde_json::{json, Value};
 
@@ -253,7 +253,7 @@
         rig.round(|floor| {
             floor.list_begins(Listing::Complete, std::iter::empty());
             for cell in 0..CELLS {
-                floor.list_entry(streamer(cell), 0, 0, cell, Health::Ready, 1.0, Duration::ZERO);
+                floor.list_entry(streamer(cell), 0, 0, cell, Health::Ready, 1.0, Start::default());
             }
             floor.list_ends(Listing::Complete);
         });
@@ -415,7 +415,7 @@
             for other in (0..CELLS).filter(|other| complete || *other == cell) {
                 let id = streamer(other);
                 let health = if off.contains(&id) { Health::Gone } else { Health::Ready };
-                floor.list_entry(id, 0, 0, other, health, 1.0, Duration::ZERO);
+                floor.list_entry(id, 0, 0, other, health, 1.0, Start::default());
             }
             floor.list_ends(how);
         });
@@ -601,7 +601,7 @@
     rig.ends.off.insert(at);
     rig.round(|floor| {
         floor.list_begins(Listing::Changes, std::iter::empty());
-        floor.list_entry(at, 0, 0, u32::from(at.port()) - 100, Health::Draining, 1.0, Duration::ZERO);
+        floor.list_entry(at, 0, 0, u32::from(at.port()) - 100, Health::Draining, 1.0, Start::default());
         floor.list_ends(Listing::Changes);
         floor.steps().join_opened(first.0, first.1);
         floor.steps().join_ends(first.0, first.1, Ending::Reset, &[]);
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{anyhow, bail, Context, Result};
 use badgerledge_core::decide::Controller;
-use badgerledge_core::interface::{Asked, Health, Listing};
+use badgerledge_core::interface::{Asked, Health, Listing, Start};
 use serde_json::Value;
 
 use crate::codec::{read_exactly, Fields, Reply};
@@ -202,7 +202,8 @@
     let (zone, kind, cell) = (fields.u16()?, fields.u8()?, fields.u16()?);
     let health = health(fields.u8()?).context("unknown health")?;
     let weight = fields.f32()?.into();
-    let came_up = Duration::from_micros(fields.u64()?);
+    let micros = fields.u64()?;
+    let came_up = Start { at: Duration::from_micros(micros), number: micros };
     controller.list_entry(streamer, zone, kind.into(), cell.into(), health, weight, came_up);
     Ok(())
 }
