What is owed to a streamer or a viewer waits for a connection and goes again where one breaks

Found by reading; each with a test that fails without it (pool_tests.rs, names/tests.rs): - pool.rs, close dropped the messages of a connection that was not made (late, turned down, no descriptor), and what was said on one that broke as it was said: a subscription that its viewer had left played on. They wait (8 s at most, 16 KiB a streamer) and go again. - front.rs, trust sent what was owed and forgot it, whether or not the connection took it or ended. - names: an answer counted for eight queries, 1.6 s, so a service that takes two seconds was never heard; now fifty. A list that holds one streamer twice with other words, or a host with two addresses, changes nothing. Readiness goes by when the answered query was asked.

--- a/crates/names/src/answer.rs
+++ b/crates/names/src/answer.rs
@@ -12,14 +12,16 @@
 /// A zone's tens of weight for each unit of size.
 const WEIGHT_UNIT: f64 = 10.0;
 
-/// The list and the number of its last event.
-pub fn read(bytes: &[u8], queries: &VecDeque<u16>) -> Result<(List, u64), Fault> {
+/// The list, the number of its last event, and the place of the query that is answered.
+pub fn read(bytes: &[u8], queries: &VecDeque<(u16, u64)>) -> Result<(List, u64, u64), Fault> {
     let packet = Packet::parse(bytes).map_err(|_| Fault::NotDns)?;
     let asked = packet.questions.first().filter(|q| q.qtype == srv() && same(&q.qname, FLEET));
-    let ours = packet.has_flags(PacketFlag::RESPONSE) && queries.contains(&packet.id());
-    if !ours || packet.questions.len() != 1 || asked.is_none() {
+    // Of two queries of one number the later: what is said of the earlier is no older than that.
+    let place = queries.iter().rev().find(|(number, _)| *number == packet.id()).map(|(_, place)| *place);
+    let ours = place.filter(|_| packet.has_flags(PacketFlag::RESPONSE));
+    let Some(place) = ours.filter(|_| packet.questions.len() == 1 && asked.is_some()) else {
         return Err(Fault::Foreign);
-    }
+    };
     if packet.rcode() != RCODE::NoError || packet.has_flags(PacketFlag::TRUNCATION) {
         return Err(Fault::Unanswered);
     }
@@ -32,7 +34,12 @@
     let mut texts = BTreeMap::new();
     for record in packet.additional_records.iter().chain(&packet.answers) {
         match &record.rdata {
-            RData::A(a) => drop(addresses.insert(label(&record.name, 0)?, Ipv4Addr::from(a.address))),
+            RData::A(a) => {
+                let address = Ipv4Addr::from(a.address);
+                if addresses.insert(label(&record.name, 0)?, address).is_some_and(|other| other != address) {
+                    return Err(Fault::Contradicts);
+                }
+            }
             RData::TXT(text) => drop(texts.insert(label(&record.name, 0)?, text)),
             _ => {}
         }
@@ -43,8 +50,14 @@
         held(record, *addresses.get(&id)?, texts.get(&id)?).map(|held| Some((id_of(&id)?, held)))
     };
     let records = packet.answers.iter().filter(|record| matches!(record.rdata, RData::SRV(_)));
-    let list = records.map(|record| entry(record).flatten());
-    Ok((list.collect::<Option<List>>().ok_or(Fault::NotWhole)?, serial))
+    let mut list = List::new();
+    for record in records {
+        let (id, held) = entry(record).flatten().ok_or(Fault::NotWhole)?;
+        if list.insert(id, held.clone()).is_some_and(|other| other != held) {
+            return Err(Fault::Contradicts);
+        }
+    }
+    Ok((list, serial, place))
 }
 
 fn same(name: &Name, text: &str) -> bool {
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -15,8 +15,9 @@
 
 /// What is asked for: the streamers, all of them.
 const FLEET: &str = "_work._tcp.fleet.local";
-/// Answers to this many of the latest queries count: those of a second or two, so that a slow service is heard.
-const OPEN_QUERIES: usize = 8;
+/// Answers to this many of the latest queries count: those of ten seconds at five a second, so that a slow service is
+/// heard. An answer that comes late does no harm, since its serial says how old it is.
+const OPEN_QUERIES: usize = 50;
 
 /// Why an answer or an event changes nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -29,6 +30,8 @@
     Unanswered,
     #[error("records of a streamer are missing or not of their kind")]
     NotWhole,
+    #[error("records that contradict each other")]
+    Contradicts,
     #[error("an older list than the one held")]
     Old,
     #[error("{0} is missing or not of its kind")]
@@ -71,7 +74,11 @@
     list: List,
     /// The number of the last event that the list holds.
     last: u64,
-    queries: VecDeque<u16>,
+    /// How many queries there were, and the latest of them by number, oldest first, each with its place among all.
+    asked: u64,
+    queries: VecDeque<(u16, u64)>,
+    /// The place of the latest query that was answered.
+    answered: u64,
 }
 
 impl Names {
@@ -97,7 +104,8 @@
 
     /// The next query, which has this number.
     pub fn query(&mut self, number: u16) -> Vec<u8> {
-        self.queries.push_back(number);
+        self.asked += 1;
+        self.queries.push_back((number, self.asked));
         while self.queries.len() > OPEN_QUERIES {
             self.queries.pop_front();
         }
@@ -112,10 +120,11 @@
     /// # Errors
     /// Where it is no answer to count; the list is then as it was.
     pub fn answer(&mut self, bytes: &[u8], tells: &mut impl Tells) -> Result<bool, Fault> {
-        let (list, last) = answer::read(bytes, &self.queries)?;
+        let (list, last, place) = answer::read(bytes, &self.queries)?;
         if last < self.last {
             return Err(Fault::Old);
         }
+        self.answered = self.answered.max(place);
         if last == self.last {
             return Ok(false);
         }
@@ -132,6 +141,16 @@
         Ok(true)
     }
 
+    /// How many queries there were so far.
+    pub fn asked(&self) -> u64 {
+        self.asked
+    }
+
+    /// Which of them, counted from one, was the latest that has an answer; zero for none.
+    pub fn answered(&self) -> u64 {
+        self.answered
+    }
+
     /// Forgets the queries that are out: another service is asked from now on.
     pub fn forget_queries(&mut self) {
         self.queries.clear();
--- a/crates/names/src/tests.rs
+++ b/crates/names/src/tests.rs
@@ -126,6 +126,33 @@
     assert_eq!(elsewhere.answer(&bytes(&good), &mut Told::default()), Err(Fault::Foreign));
 }
 
+/// Found by reading: of a service that takes two seconds no answer counted, since as many queries had followed by then.
+#[test]
+fn a_slow_service_is_heard_and_which_query_it_answers_is_known() {
+    let mut names = names();
+    (100..130).for_each(|number| drop(names.query(number)));
+    assert_eq!((names.asked(), names.answered()), (31, 1));
+    assert_eq!(names.answer(&bytes(&packet(100, 4, &[(1, 9, 0)])), &mut Told::default()), Ok(true));
+    assert_eq!(names.answered(), 2);
+    assert_eq!(names.answer(&bytes(&packet(101, 4, &[(1, 9, 0)])), &mut Told::default()), Ok(false));
+    assert_eq!(names.answered(), 3);
+    // One that comes after a later one is no newer than that.
+    assert_eq!(names.answer(&bytes(&packet(7, 4, &[(1, 9, 0)])), &mut Told::default()), Ok(false));
+    assert_eq!(names.answered(), 3);
+}
+
+#[test]
+fn an_answer_that_contradicts_itself_changes_nothing() {
+    for members in [[(5, 11, 0), (5, 12, 0)], [(5, 11, 0), (5, 11, 1)]] {
+        let (mut names, mut told) = (names(), Told::default());
+        assert_eq!(names.answer(&bytes(&packet(7, 9, &members)), &mut told), Err(Fault::Contradicts));
+        assert_eq!((told, names.last()), (Told::default(), 3));
+    }
+    // The same said twice is no contradiction.
+    let (mut names, mut told) = (names(), Told::default());
+    assert_eq!(names.answer(&bytes(&packet(7, 9, &[(5, 11, 0), (5, 11, 0)])), &mut told), Ok(true));
+}
+
 #[test]
 fn an_answer_cut_anywhere_changes_nothing() {
     let whole = bytes(&packet(7, 9, &[(5, 11, 0), (6, 12, 1)]));
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -49,7 +49,7 @@
     }
 
     fn say(&mut self, streamer: StreamerId, message: Vec<u8>) {
-        self.pool.say(streamer, &message, self.now, &mut self.reactor);
+        self.pool.say(streamer, message, self.now, &mut self.reactor);
     }
 
     fn probe(&mut self, streamer: StreamerId) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -46,11 +46,19 @@
     message: Vec<u8>,
 }
 
+/// A release that waits for a connection since then.
+struct Owed {
+    since: Duration,
+    line: Line,
+    wire_id: u64,
+    message: Vec<u8>,
+}
+
 pub struct Front {
     lines: BTreeMap<Line, Viewer>,
     /// Oldest first.
     unheard: VecDeque<Unheard>,
-    owed: Vec<(Duration, Vec<u8>)>,
+    owed: Vec<Owed>,
     most: usize,
 }
 
@@ -78,7 +86,7 @@
     /// Whether something is owed: a release that waits for a connection or whose connection may yet end before it is
     /// heard, or bytes that are not written.
     pub fn owes(&self, now: Duration, reactor: &Reactor) -> bool {
-        let waits = self.owed.iter().any(|(since, _)| now < *since + OWED_FOR);
+        let waits = self.owed.iter().any(|owed| now < owed.since + OWED_FOR);
         let unheard = self.unheard.iter().any(|unheard| now < unheard.sent + UNHEARD_FOR);
         waits || unheard || self.lines().any(|line| reactor.unwritten(line) > 0)
     }
@@ -155,8 +163,10 @@
     pub fn trust(&mut self, line: Line, now: Duration, reactor: &mut Reactor) {
         let Some(viewer) = self.lines.get_mut(&line) else { return };
         viewer.trusted = true;
-        for (_, message) in std::mem::take(&mut self.owed).iter().filter(|owed| now < owed.0 + OWED_FOR) {
-            reactor.send(line, &[message]);
+        for owed in std::mem::take(&mut self.owed) {
+            if now < owed.since + OWED_FOR {
+                self.release_owed(owed, now, reactor);
+            }
         }
     }
 
@@ -164,6 +174,11 @@
     pub fn release(
         &mut self, line: Line, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
     ) {
+        self.release_owed(Owed { since: now, line, wire_id, message }, now, reactor);
+    }
+
+    fn release_owed(&mut self, owed: Owed, now: Duration, reactor: &mut Reactor) {
+        let Owed { since, line, wire_id, message } = owed;
         let own = self.answer(line, &message, reactor).then_some(line);
         let sent = own.or_else(|| {
             let others = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
@@ -180,7 +195,7 @@
             Some(line) if self.unheard.len() < OWED => {
                 self.unheard.push_back(Unheard { sent: now, line, wire_id, message });
             }
-            None if self.owed.len() < OWED => self.owed.push((now, message)),
+            None if self.owed.len() < OWED => self.owed.push(Owed { since, line, wire_id, message }),
             _ => {}
         }
     }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -2,7 +2,7 @@
 //! join has one of its own while there are descriptors for it, and one that a join was given up on is used no
 //! more. Where subscriptions stand, one connection at least is kept, for notes and releases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -26,6 +26,13 @@
 const LONGEST_SILENCE: Duration = Duration::from_secs(6);
 /// The idle time where three quarters of the descriptors are taken: most joins end in much less.
 const CROWDED_IDLE: Duration = Duration::from_secs(2);
+/// How long a message counts as on its way: it goes again where its connection breaks before. Over a round trip and what
+/// a streamer takes to read it.
+const UNHEARD_FOR: Duration = Duration::from_secs(1);
+/// How long a message waits for a connection: what stands for longer than this after its end is lost anyway.
+const UNSAID_FOR: Duration = Duration::from_secs(8);
+/// Bytes that wait so for one streamer at most: some two hundred releases.
+const UNSAID: usize = MOST;
 /// Tries of a silent streamer, or of one that cut all connections, that must end in nothing.
 const TRIES: u32 = 2;
 
@@ -63,8 +70,8 @@
     retired: Option<Duration>,
     /// Probes that are out, with when they were sent.
     probes: Vec<(u64, Duration)>,
-    /// Other messages that wait for it to be made.
-    messages: Vec<u8>,
+    /// Other messages that were sent on it of late.
+    said: VecDeque<(Duration, Vec<u8>)>,
 }
 
 struct Peer {
@@ -74,6 +81,8 @@
     heard: Duration,
     /// Tries in a row that ended in nothing.
     tries: u32,
+    /// Messages that wait for a connection, and since when, oldest first.
+    unsaid: VecDeque<(Duration, Vec<u8>)>,
 }
 
 pub struct Pool {
@@ -112,7 +121,8 @@
         if !same {
             self.close_all(streamer, now, reactor);
             let lines = Vec::new();
-            self.peers.insert(streamer, Peer { at, listed: true, lines, heard: now, tries: 0 });
+            let unsaid = VecDeque::new();
+            self.peers.insert(streamer, Peer { at, listed: true, lines, heard: now, tries: 0, unsaid });
         }
         // One that is gone cannot be reached there any more.
         let others = self.peers.iter().filter(|(id, peer)| **id != streamer && peer.at == at && !peer.listed);
@@ -136,7 +146,10 @@
 
     fn lose(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         self.close_all(streamer, now, reactor);
-        self.peers.entry(streamer).and_modify(|peer| (peer.tries, peer.heard) = (0, now));
+        self.peers.entry(streamer).and_modify(|peer| {
+            (peer.tries, peer.heard) = (0, now);
+            peer.unsaid.clear();
+        });
         self.happened.push(Happened::Lost(streamer));
     }
 
@@ -159,8 +172,9 @@
     }
 
     /// Whether something is still to be written, or waits for a connection.
-    pub fn owes(&self, reactor: &Reactor) -> bool {
-        self.conns.iter().any(|(line, conn)| !conn.messages.is_empty() || reactor.unwritten(*line) > 0)
+    pub fn owes(&self, now: Duration, reactor: &Reactor) -> bool {
+        let waits = |peer: &Peer| peer.unsaid.iter().any(|(since, _)| now < *since + UNSAID_FOR);
+        self.peers.values().any(waits) || self.conns.keys().any(|line| reactor.unwritten(*line) > 0)
     }
 
     pub fn is(&self, line: Line) -> bool {
@@ -198,7 +212,7 @@
                 given_up: None,
                 retired: None,
                 probes: Vec::new(),
-                messages: Vec::new(),
+                said: VecDeque::new(),
             },
         );
         Ok(line)
@@ -303,19 +317,41 @@
         }
     }
 
-    /// A message on any connection, the one heard last before others.
-    pub fn say(&mut self, streamer: StreamerId, message: &[u8], now: Duration, reactor: &mut Reactor) {
-        let lines = self.peers.get(&streamer).map_or_else(Vec::new, |peer| peer.lines.clone());
+    /// A message on any connection, the one heard last before others, or as soon as there is one.
+    pub fn say(&mut self, streamer: StreamerId, message: Vec<u8>, now: Duration, reactor: &mut Reactor) {
+        let Some(peer) = self.peers.get_mut(&streamer) else { return };
+        peer.unsaid.retain(|(since, _)| now < *since + UNSAID_FOR);
+        if peer.unsaid.iter().map(|(_, message)| message.len()).sum::<usize>() < UNSAID {
+            peer.unsaid.push_back((now, message));
+        }
+        self.say_unsaid(streamer, now, reactor);
+    }
+
+    /// Says what waits, in its order, where a connection is open, and else begins one.
+    fn say_unsaid(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        let Some(peer) = self.peers.get_mut(&streamer) else { return };
+        peer.unsaid.retain(|(since, _)| now < *since + UNSAID_FOR);
+        if peer.unsaid.is_empty() {
+            return;
+        }
         let open = |line: &Line| self.conns.get(line).filter(|conn| conn.retired.is_none());
         let of = |line: &Line| open(line).map(|conn| (conn.made, conn.heard, *line));
-        let best = lines.iter().filter_map(of).max().map(|best| best.2);
-        let Some(line) = best.or_else(|| self.connect(streamer, now, reactor).ok()) else { return };
+        let best = peer.lines.iter().filter_map(of).max();
+        let Some((true, _, line)) = best else {
+            if best.is_none() {
+                // Where none can be begun now it is tried again with the next sweep.
+                let _ = self.connect(streamer, now, reactor);
+            }
+            return;
+        };
         let Some(conn) = self.conns.get_mut(&line) else { return };
-        if conn.made {
+        conn.said.retain(|(sent, _)| now < *sent + UNHEARD_FOR);
+        while let Some((_, message)) = peer.unsaid.front() {
+            if !reactor.send(line, &[message]) {
+                return;
+            }
             conn.used = now;
-            reactor.send(line, &[message]);
-        } else if conn.messages.len() + message.len() <= MOST {
-            conn.messages.extend_from_slice(message);
+            conn.said.extend(peer.unsaid.pop_front().map(|(_, message)| (now, message)));
         }
     }
 
@@ -355,10 +391,9 @@
         if let Some(peer) = self.peers.get_mut(&conn.streamer) {
             (peer.heard, peer.tries) = (now, 0);
         }
-        let messages = std::mem::take(&mut conn.messages);
-        if !messages.is_empty() {
-            reactor.send(line, &[&messages]);
-        }
+        let streamer = conn.streamer;
+        self.say_unsaid(streamer, now, reactor);
+        let Some(conn) = self.conns.get_mut(&line) else { return };
         for (probe, _) in &conn.probes {
             reactor.send(line, &[&streamers::test(*probe)]);
         }
@@ -419,8 +454,14 @@
 
     /// Ends a connection, and what is open on it with this ending.
     pub fn close(&mut self, line: Line, ending: Ending, now: Duration, reactor: &mut Reactor) {
-        let Some(conn) = self.forget(line) else { return };
+        let Some(mut conn) = self.forget(line) else { return };
         reactor.close(line);
+        // What was just said on it may not have been read; one that was closed by both ends has been.
+        let unheard =
+            conn.said.drain(..).filter(|(sent, _)| conn.retired.is_none() && now < *sent + UNHEARD_FOR);
+        if let Some(peer) = self.peers.get_mut(&conn.streamer) {
+            unheard.rev().for_each(|said| peer.unsaid.push_front(said));
+        }
         tracing::trace!(streamer = %conn.streamer, line, ?ending, retired = conn.retired.is_some(), "closed");
         let unsent = if ending == Ending::ConnectFailed { ending } else { Ending::Moot };
         let waiting = conn.waiting.iter().map(|(job, ..)| Happened::JoinEnded(*job, unsent));
@@ -480,7 +521,11 @@
                 self.tried(*streamer, false, true, now, reactor);
             }
         }
-        let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty();
+        let unsaid = self.peers.iter().filter(|(_, peer)| !peer.unsaid.is_empty());
+        for streamer in unsaid.map(|(streamer, _)| *streamer).collect::<Vec<_>>() {
+            self.say_unsaid(streamer, now, reactor);
+        }
+        let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty() && peer.unsaid.is_empty();
         self.peers.retain(|id, peer| !idle(peer) || stands_at.contains(id));
     }
 }
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -321,3 +321,74 @@
     assert_eq!(rig.happened(), [Happened::JoinEnded(2, Ending::ConnectFailed)]);
     drop(far);
 }
+
+/// Found by reading: the end of what a viewer had left was lost where its connection broke as it was said, or was not made,
+/// and it went on playing to nobody. Harm: a streamer may hear one twice.
+#[test]
+fn what_is_said_to_a_streamer_goes_again_where_its_connection_breaks_or_is_not_made() {
+    let mut rig = Rig::new(8);
+    let far = rig.joined(1);
+    let line = rig.pool_line();
+    rig.pool.join_done(line, 1);
+    rig.pool.say(id(), b"end 1\n".to_vec(), rig.now, &mut rig.reactor);
+    rig.reactor.flush();
+    assert_eq!(line_of(&far), "end 1");
+    rig.now += Duration::from_millis(900);
+    drop(far);
+    rig.ends(false);
+    assert!(rig.pool.owes(rig.now, &rig.reactor));
+    // No process listens there for now.
+    let place = rig.listener.local_addr().unwrap();
+    rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    if rig.pool.conns() > 0 {
+        rig.ends(false);
+    }
+    rig.pool.say(id(), b"end 2\n".to_vec(), rig.now, &mut rig.reactor);
+    if rig.pool.conns() > 0 {
+        rig.ends(false);
+    }
+    rig.listener = TcpListener::bind(place).unwrap();
+    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    let (far, _) = rig.listener.accept().unwrap();
+    rig.until(|rig, it| match it {
+        Happening::Opened(line) => {
+            rig.pool.opened(*line, true, rig.now, &mut rig.reactor);
+            Some(())
+        }
+        _ => None,
+    });
+    rig.reactor.flush();
+    let mut far = BufReader::new(far);
+    for expected in ["end 1\n", "end 2\n"] {
+        let mut heard = String::new();
+        far.read_line(&mut heard).unwrap();
+        assert_eq!(heard, expected);
+    }
+    assert!(!rig.pool.owes(rig.now, &rig.reactor));
+    // What was said long enough ago was heard, and does not go again.
+    rig.now += secs(1);
+    drop(far);
+    rig.ends(false);
+    assert!(!rig.pool.owes(rig.now, &rig.reactor));
+}
+
+/// Found by reading: a release that had waited for a viewers' connection went out on the first one, and was not looked after
+/// there.
+#[test]
+fn a_release_that_waited_for_a_connection_is_sent_again_where_that_one_goes_too() {
+    let (mut reactor, lines, mut far) = viewers(2);
+    let (mut front, now) = (Front::new(8), secs(1000));
+    front.release(77, 1, b"waits".to_vec(), now, &mut reactor);
+    assert!(front.owes(now + secs(7), &reactor) && !front.owes(now + secs(8), &reactor));
+    front.accepted(lines[0], now);
+    front.trust(lines[0], now + secs(2), &mut reactor);
+    front.gone(lines[0], now + secs(2), &mut reactor);
+    front.accepted(lines[1], now);
+    front.trust(lines[1], now + secs(2), &mut reactor);
+    reactor.flush();
+    let mut heard = [0; 64];
+    far[1].set_read_timeout(Some(WITHIN)).unwrap();
+    let count = far[1].read(&mut heard).unwrap();
+    assert_eq!(&heard[..count], b"waits");
+}
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -67,8 +67,9 @@
     path: PathBuf,
     /// The Unix time at the clock's zero, for starts that are told in it.
     epoch: Duration,
-    /// The list was heard of late enough to tell all starts before the birth.
+    /// The list was asked for and heard late enough to tell all starts before the birth; and the first such query.
     listed: bool,
+    fresh_from: Option<u64>,
     /// The configuration is read again at the first time, and no more after the second.
     read_again: Option<(Duration, Duration)>,
     ending: Option<Duration>,
@@ -132,6 +133,7 @@
             path,
             epoch,
             listed: false,
+            fresh_from: None,
             read_again: None,
             ending: None,
         };
@@ -188,7 +190,7 @@
             return true;
         }
         let Ends { front, pool, reactor, .. } = &mut self.ends;
-        let owes = front.owes(now, reactor) || pool.owes(reactor);
+        let owes = front.owes(now, reactor) || pool.owes(now, reactor);
         since >= STILL_COMING && self.book.is_empty() && !owes
     }
 
@@ -398,6 +400,9 @@
             // The random part keeps controllers that were started together from asking at one moment.
             self.ask_at = now + ASK_EVERY.mul_f64(0.9 + 0.2 * self.chance.share());
             let query = self.names.query((self.chance.share() * 65536.0) as u16);
+            if now >= ORIGIN + LIST_LATE {
+                self.fresh_from.get_or_insert(self.names.asked());
+            }
             let names = SocketAddr::V4(self.ends.place.names);
             self.ends.reactor.send_to(self.names_line, names, &query);
         }
@@ -422,7 +427,7 @@
         match self.names.answer(bytes, &mut list) {
             Ok(changed) => {
                 let entries = list.entries;
-                self.listed |= self.ends.now >= ORIGIN + LIST_LATE;
+                self.listed |= self.fresh_from.is_some_and(|place| self.names.answered() >= place);
                 if changed {
                     self.tell(Listing::Changes, entries);
                 }
