A guarded request is not repeated where the join could arrive out of its window

Found by reading: decide.rs, effect_allows compared the window with when a join is passed on; on sockets it counts when it arrives, and waits for its connection up to the settings' time first. Test: a second join after 0.7 s of a window of 0.9 s with connections of 0.25 s (fails without). Ruled out for the first join: its time of sending is the earlier one, which is the safe side.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -595,7 +595,9 @@
             "guarded" => {
                 let window =
                     self.told.span(&format!("/profiles/{}/windowUs", sub.asked.room_type), Duration::ZERO);
-                sub.ran.iter().all(|(at, sent)| same_group(*at) && self.now <= *sent + window)
+                // A join counts when it arrives, and may wait for its connection first.
+                let arrives = self.now + self.told.span("/permissions/connectTimeoutUs", Duration::ZERO);
+                sub.ran.iter().all(|(at, sent)| same_group(*at) && arrives <= *sent + window)
             }
             _ => true,
         }
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -566,6 +566,27 @@
     assert_eq!((day.out(job), day.model.probed.len()), (None, 1), "of a silent one nobody tells");
 }
 
+/// Found by reading: a join that waited for its connection arrived after the window in which it may be repeated. Harm: where
+/// the window is hardly longer than a connection takes, a connection that is open is not used either.
+#[test]
+fn a_guarded_request_is_not_repeated_where_that_could_arrive_out_of_its_window() {
+    let further = |lost_after: u64| {
+        let mut told = settings("guarded", "all");
+        told["permissions"]["connectTimeoutUs"] = json!(250_000);
+        let mut day = Day::new(told);
+        day.all_listed();
+        day.model.now += ms(30_000);
+        let job = day.take(asked(0, 0, 6), None);
+        assert!(day.out(job).is_some());
+        day.pass(ms(lost_after));
+        day.ends(job, Ending::Reset);
+        day.pass(ms(50));
+        day.out(job).is_some()
+    };
+    assert!(further(300), "a window of 0.9 s has time for it");
+    assert!(!further(450 + 250), "it could come 0.95 s after the first");
+}
+
 /// No list is capped: with 1,024 controllers and as many streamers joins are placed, and words are taken.
 #[test]
 fn a_fleet_of_1024_controllers_and_streamers_is_served() {
