Names: the session table and its dispatcher, the configuration, a module's request

No change of behaviour. Book, Desk and told.rs of the platform's way in are what the field calls a session table, a dispatcher and a configuration; the module's knock is a request.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -62,7 +62,7 @@
     taken: f64,
     /// The same, fading, and when it was last counted.
     lately: (Duration, f64),
-    knocks: VecDeque<Duration>,
+    requests: VecDeque<Duration>,
     further: VecDeque<Duration>,
     /// Sum and count of the lives seen, and of the hints.
     lived: (f64, f64),
@@ -123,8 +123,8 @@
         }
     }
 
-    pub fn knock(&mut self, job: JobId, asked: Asked) {
-        self.knocks.push_back(self.now);
+    pub fn request(&mut self, job: JobId, asked: Asked) {
+        self.requests.push_back(self.now);
         self.taken += 1.0;
         self.lately = (self.now, self.pace() * SURGE + 1.0);
         let hint = asked.hinted.map_or((0.0, 0.0), |hint| (hint.as_secs_f64(), 1.0));
@@ -624,10 +624,10 @@
         let span = self.told.span("/obligations/countedOverUs", Duration::ZERO);
         // One tick more is kept of the joins, so that an edge counted otherwise breaks nothing.
         let tick = self.told.span("/tickUs", Duration::from_millis(10));
-        self.knocks.retain(|t| *t + span > self.now);
+        self.requests.retain(|t| *t + span > self.now);
         self.further.retain(|t| *t + span + tick >= self.now);
         let ratio = self.told.figure("/obligations/extraRatio", 0.0);
-        let most = self.told.figure("/obligations/budgetFree", 0.0) + ratio * self.knocks.len() as f64;
+        let most = self.told.figure("/obligations/budgetFree", 0.0) + ratio * self.requests.len() as f64;
         span.is_zero() || self.further.len() as f64 + 1.0 <= most
     }
 
--- a/crates/core/src/fleet_tests.rs
+++ b/crates/core/src/fleet_tests.rs
@@ -233,7 +233,7 @@
             let job = process.next;
             let first_cell = (self.chance.share() * f64::from(CELLS)) as u32;
             let wanted = if self.spread { Asked { first_cell, ..asked(3) } } else { asked(1) };
-            self.round(me, |c| c.knock(job, wanted));
+            self.round(me, |c| c.request(job, wanted));
         }
         while let Some((at, token)) = self.processes[me].reminders.first().copied().filter(|r| r.0 <= now) {
             self.processes[me].reminders.remove(&(at, token));
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -79,7 +79,7 @@
     list: BTreeMap<StreamerId, (u32, Health, Duration)>,
     tries: BTreeMap<JobId, Try>,
     sends: Vec<(Duration, StreamerId)>,
-    knocks: Vec<Duration>,
+    requests: Vec<Duration>,
     further: Vec<Duration>,
     reminders: BTreeSet<(Duration, u64)>,
     steps: usize,
@@ -141,7 +141,7 @@
         if one.joins > 0 {
             self.further.push(self.now);
             let span = self.figure("/obligations/countedOverUs");
-            let most = 2.0 + 0.2 * self.within(&self.knocks, span - 1.0);
+            let most = 2.0 + 0.2 * self.within(&self.requests, span - 1.0);
             assert!(self.within(&self.further, span) <= most, "over the join budget");
         }
         let one = self.tries.get_mut(&job).unwrap();
@@ -218,7 +218,7 @@
             list: BTreeMap::new(),
             tries: BTreeMap::new(),
             sends: Vec::new(),
-            knocks: Vec::new(),
+            requests: Vec::new(),
             further: Vec::new(),
             reminders: BTreeSet::new(),
             steps: 0,
@@ -257,8 +257,8 @@
         match at {
             Some(at) => self.round(|c, _| c.resumed(job, asked, at)),
             None => {
-                self.model.knocks.push(now);
-                self.round(|c, _| c.knock(job, asked));
+                self.model.requests.push(now);
+                self.round(|c, _| c.request(job, asked));
             }
         }
         job
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -58,7 +58,7 @@
         if let Some(held) = self.desk.book.get(job) {
             held.span.in_scope(|| tracing::debug!(line, moved = asked.moved, "taken"));
         }
-        self.module.knock(job, asked);
+        self.module.request(job, asked);
     }
 
     /// A subscription plays to a line that its viewer has given up, though the line has not ended yet: the new line
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -5,16 +5,16 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::book::{trace, Call, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::session_table::{trace, Call, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
 use crate::unanswered::{By, Step};
 
-pub struct Desk<'a, W> {
+pub struct Dispatcher<'a, W> {
     pub now: Duration,
     pub calls: &'a mut Calls,
     pub wires: &'a mut W,
 }
 
-impl<W: Wires> Desk<'_, W> {
+impl<W: Wires> Dispatcher<'_, W> {
     /// The final answer to a call that no join is out for.
     fn answer(&mut self, job: JobId, cause: u8, cool_down: Duration) {
         let open = |call: &&Call| matches!(call.phase, Phase::Waiting | Phase::Out(_));
@@ -33,7 +33,7 @@
     }
 }
 
-impl<W: Wires> Writer for Desk<'_, W> {
+impl<W: Wires> Writer for Dispatcher<'_, W> {
     fn pass_on(&mut self, job: JobId, streamer: StreamerId, try_until: Duration) {
         let (now, most) = (self.now, self.calls.terms.most_joins);
         let Some(call) = self.calls.get_mut(job) else { return };
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -1,4 +1,4 @@
-//! Both ends' connections over the event loop, as the book's [`Wires`].
+//! Both ends' connections over the event loop, as the session table's [`Wires`].
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,10 +7,10 @@
 use badgerledge_reactor::{Line, Reactor};
 use badgerledge_signalling::viewers;
 
-use crate::book::Wires;
+use crate::configuration::Place;
 use crate::front::Front;
 use crate::pool::Pool;
-use crate::told::Place;
+use crate::session_table::Wires;
 
 /// A datagram between controllers holds this much at most.
 const DATAGRAM: usize = 256;
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -7,9 +7,9 @@
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Happening, Line, Reactor};
 
-use crate::book::streamer_id;
 use crate::front::{Front, BOUNDS};
 use crate::pool::{Happened, Pool};
+use crate::session_table::streamer_id;
 
 const WITHIN: Duration = Duration::from_secs(5);
 
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -1,4 +1,4 @@
-//! The way in's loop: what a wake brought goes to the book at once, and once a tick to a round of the module.
+//! The way in's loop: what a wake brought goes to the session table at once, and once a tick to a round of the module.
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -17,11 +17,11 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::asked::Terms;
-use crate::book::{streamer_id, Book, ListEntry, Wires, CUT};
+use crate::configuration;
 use crate::ends::Ends;
 use crate::front::{self, Front};
 use crate::pool::{Happened, Pool};
-use crate::told;
+use crate::session_table::{streamer_id, ListEntry, SessionTable, Wires, CUT};
 use crate::unanswered::{By, Lost, Step};
 
 /// The clock begins here, so that a streamer's start long before the process has a time.
@@ -54,7 +54,7 @@
 
 pub struct Service {
     ends: Ends,
-    book: Book,
+    sessions: SessionTable,
     names: Names,
     chance: Chance,
     /// Where viewers come.
@@ -77,13 +77,13 @@
 
 /// Runs until SIGTERM has been followed by an end of all that is held.
 pub fn run() -> Result<()> {
-    let path = told::path()?;
-    let place = told::read(&path)?;
+    let path = configuration::path()?;
+    let place = configuration::read(&path)?;
     Service::new(path, place)?.serve()
 }
 
 impl Service {
-    fn new(path: PathBuf, place: told::Place) -> Result<Self> {
+    fn new(path: PathBuf, place: configuration::Place) -> Result<Self> {
         let mut reactor = Reactor::new(ORIGIN).context("event loop")?;
         for signal in [SIGTERM, SIGINT, SIGHUP] {
             reactor.signal(signal).context("signals")?;
@@ -114,7 +114,7 @@
         if let Err(fault) = names.known(&place.known) {
             tracing::warn!(%fault, "known: not in order; the name service is asked for the list");
         }
-        let book = Book::new(module, terms, place.memory_mb);
+        let sessions = SessionTable::new(module, terms, place.memory_mb);
         let listen = SocketAddr::V4(place.listen);
         let name = place.name.clone();
         let (sockets, memory_mb, last) = (place.sockets, place.memory_mb, names.last());
@@ -122,7 +122,7 @@
         let chance = Chance(ends.place.seed.rotate_left(31));
         let mut service = Self {
             ends,
-            book,
+            sessions,
             names,
             chance,
             listener: 0,
@@ -138,7 +138,7 @@
             ending: None,
         };
         service.tell_whole(Listing::Cached);
-        service.book.round(ORIGIN, &mut service.ends);
+        service.sessions.round(ORIGIN, &mut service.ends);
         // Only now, so that the first test finds the list known and the module born.
         let listening = service.ends.reactor.listen(listen, front::BOUNDS);
         (service.listener, _) = listening.with_context(|| format!("listening at {listen}"))?;
@@ -156,26 +156,26 @@
             self.tend();
             self.settle();
             let now = self.ends.now;
-            self.book.fall_due(now, &mut self.ends);
-            if now >= self.next_round && self.book.has_news() {
-                self.next_round = now + self.book.calls.terms.tick;
-                self.book.round(now, &mut self.ends);
+            self.sessions.fall_due(now, &mut self.ends);
+            if now >= self.next_round && self.sessions.has_news() {
+                self.next_round = now + self.sessions.calls.terms.tick;
+                self.sessions.round(now, &mut self.ends);
             }
             self.settle();
             self.ends.reactor.flush();
         }
         self.part()?;
-        for (by, step, count) in self.book.calls.unanswered.all() {
+        for (by, step, count) in self.sessions.calls.unanswered.all() {
             tracing::info!(?by, %step, count, "set-ups whose connection ended without their answer");
         }
-        tracing::info!(held = self.book.len(), "ends");
+        tracing::info!(held = self.sessions.len(), "ends");
         Ok(())
     }
 
     fn next_wake(&self) -> Duration {
-        let round = match self.book.has_news() {
+        let round = match self.sessions.has_news() {
             true => Some(self.next_round),
-            false => self.book.next_due().map(|at| at.max(self.next_round)),
+            false => self.sessions.next_due().map(|at| at.max(self.next_round)),
         };
         round.into_iter().chain([self.ask_at, self.sweep_at]).min().unwrap_or(self.sweep_at)
     }
@@ -184,14 +184,14 @@
     fn is_over(&mut self) -> bool {
         let (now, Some(at)) = (self.ends.now, self.ending) else { return false };
         let since = now.saturating_sub(at);
-        if since >= LONGEST_END.max(self.book.calls.terms.longest_wait) {
-            self.book.end_all(now, &mut self.ends);
+        if since >= LONGEST_END.max(self.sessions.calls.terms.longest_wait) {
+            self.sessions.end_all(now, &mut self.ends);
             self.ends.reactor.flush();
             return true;
         }
         let Ends { front, pool, reactor, .. } = &mut self.ends;
         let owes = front.owes(now, reactor) || pool.owes(now, reactor);
-        since >= STILL_COMING && self.book.is_empty() && !owes
+        since >= STILL_COMING && self.sessions.is_empty() && !owes
     }
 
     /// Closes all connections towards their other ends, and waits until those have read what was said there and closed
@@ -228,7 +228,7 @@
             Happening::Readable(line) if self.ends.pool.is(line) => self.hear_streamer(line),
             Happening::Opened(line) => {
                 let streamer = self.ends.pool.streamer(line);
-                let takes = streamer.is_some_and(|streamer| self.book.takes_joins(streamer));
+                let takes = streamer.is_some_and(|streamer| self.sessions.takes_joins(streamer));
                 self.ends.pool.opened(line, takes, now, &mut self.ends.reactor);
             }
             Happening::Closed(line, why) if self.ends.front.is(line) => {
@@ -239,7 +239,7 @@
                 // Its last words may have come with the end.
                 self.hear_streamer(line);
                 let streamer = self.ends.pool.streamer(line);
-                let stands = streamer.is_some_and(|streamer| self.book.standing_at(streamer) > 0);
+                let stands = streamer.is_some_and(|streamer| self.sessions.standing_at(streamer) > 0);
                 self.ends.pool.closed(line, now, stands, &mut self.ends.reactor);
             }
             Happening::Datagram { line, from, bytes } if line == self.names_line => {
@@ -250,7 +250,7 @@
             Happening::Datagram { from, bytes, .. } => {
                 let peers = &self.ends.place.peers;
                 if let Some(peer) = peers.iter().position(|peer| SocketAddr::V4(*peer) == from) {
-                    self.book.peer(peer as u32, bytes);
+                    self.sessions.peer(peer as u32, bytes);
                 }
             }
             Happening::Signal(SIGHUP) => {
@@ -258,7 +258,7 @@
                 self.read_place();
             }
             Happening::Signal(signal) => {
-                tracing::info!(signal, held = self.book.len(), "told to end");
+                tracing::info!(signal, held = self.sessions.len(), "told to end");
                 self.ending.get_or_insert(now);
             }
             Happening::Readable(_) | Happening::Drained(_) | Happening::Due(_) => {}
@@ -270,7 +270,7 @@
     fn read_place(&mut self) {
         let now = self.ends.now;
         let Some((_, until)) = self.read_again.take_if(|(at, _)| *at <= now) else { return };
-        match told::read(&self.path) {
+        match configuration::read(&self.path) {
             Ok(place) => {
                 tracing::info!(names = %place.names, "the configuration was read anew");
                 self.ends.place.names = place.names;
@@ -289,7 +289,7 @@
         let mut input = self.ends.reactor.lift(line);
         let ready = (self.listed || now >= ORIGIN + READY_WITHOUT) && self.ending.is_none();
         let fault = loop {
-            let mut ear = ViewerEar { service: (&mut self.book, &mut self.ends), line, now, ready };
+            let mut ear = ViewerEar { service: (&mut self.sessions, &mut self.ends), line, now, ready };
             match viewers::hear(input.as_slice(), &mut ear) {
                 Ok(0) => break None,
                 Ok(count) => input.consume(count),
@@ -310,10 +310,10 @@
     fn take_viewer(&mut self, line: Line) {
         let now = self.ends.now;
         while self.ends.front.is_full() {
-            let missed = self.ends.front.missed(now, |line| self.book.open_on(line) > 0);
+            let missed = self.ends.front.missed(now, |line| self.sessions.open_on(line) > 0);
             let Some(missed) = missed else { return self.ends.reactor.close(line) };
             self.hear_last(missed);
-            if self.book.open_on(missed) == 0 {
+            if self.sessions.open_on(missed) == 0 {
                 tracing::trace!(line = missed, "gives way");
                 self.drop_viewer(missed, By::Us);
             }
@@ -332,13 +332,13 @@
 
     fn drop_viewer(&mut self, line: Line, by: By) {
         let now = self.ends.now;
-        self.book.viewer_gone(now, line, by, &mut self.ends);
+        self.sessions.viewer_gone(now, line, by, &mut self.ends);
         self.ends.reactor.flush_line(line);
         let answered = self.ends.front.answered_last(line);
         if let Some((wire_id, at)) = answered.filter(|_| self.ends.reactor.unwritten(line) > 0) {
             let held = now.saturating_sub(at);
             let lost = Lost { wire_id, by, step: Step::NotWritten, streamer: None, held };
-            self.book.calls.unanswered.note(now, &lost);
+            self.sessions.calls.unanswered.note(now, &lost);
         }
         self.ends.front.gone(line, now, &mut self.ends.reactor);
         self.ends.reactor.close(line);
@@ -352,7 +352,7 @@
             self.ends.pool.heard(line, now);
         }
         let fault = loop {
-            let service = (&mut self.book, &mut self.ends);
+            let service = (&mut self.sessions, &mut self.ends);
             let mut ear = StreamerEar { service, line, streamer, now, fault: None };
             match streamers::hear(input.as_slice(), &mut ear) {
                 Ok(0) => break None,
@@ -372,21 +372,21 @@
         }
     }
 
-    /// What the pool found goes to the book; one may bring another.
+    /// What the pool found goes to the session table; one may bring another.
     fn settle(&mut self) {
         let now = self.ends.now;
         while !self.ends.pool.happened.is_empty() {
             for happened in std::mem::take(&mut self.ends.pool.happened) {
                 match happened {
-                    Happened::JoinEnded(job, ending) => self.book.join_ended(now, job, ending, None),
+                    Happened::JoinEnded(job, ending) => self.sessions.join_ended(now, job, ending, None),
                     Happened::Echo(streamer, ending, waited) => {
-                        self.book.echo(streamer, ending, waited, None)
+                        self.sessions.echo(streamer, ending, waited, None)
                     }
                     Happened::Heard(line) => self.hear_streamer(line),
                     Happened::Lost(streamer) => {
-                        let held = self.book.standing_at(streamer);
+                        let held = self.sessions.standing_at(streamer);
                         tracing::debug!(%streamer, held, "lost with what stood there");
-                        self.book.lost(now, streamer, Duration::MAX, &mut self.ends);
+                        self.sessions.lost(now, streamer, Duration::MAX, &mut self.ends);
                     }
                 }
             }
@@ -411,14 +411,14 @@
         }
         self.read_place();
         self.sweep_at = now + SWEEP_EVERY;
-        for line in self.ends.front.late(now, |line| self.book.open_on(line) > 0) {
+        for line in self.ends.front.late(now, |line| self.sessions.open_on(line) > 0) {
             self.hear_last(line);
-            if self.ends.front.is_late(line, now, |line| self.book.open_on(line) > 0) {
+            if self.ends.front.is_late(line, now, |line| self.sessions.open_on(line) > 0) {
                 tracing::trace!(line, "a viewers' connection has had its time");
                 self.drop_viewer(line, By::Us);
             }
         }
-        let stands_at: Vec<StreamerId> = self.book.stands_at().collect();
+        let stands_at: Vec<StreamerId> = self.sessions.stands_at().collect();
         self.ends.pool.tend(now, &stands_at, &mut self.ends.reactor);
     }
 
@@ -453,15 +453,15 @@
         for entry in entries.iter().filter(|entry| entry.health != Health::Gone) {
             ends.pool.listed(entry.id, entry.at, now, &mut ends.reactor);
             if !entry.came_up.at.is_zero() {
-                self.book.lost(now, entry.id, entry.came_up.at, ends);
+                self.sessions.lost(now, entry.id, entry.came_up.at, ends);
             }
         }
         tracing::debug!(last = self.names.last(), changed = entries.len(), "list");
-        self.book.list(how, entries);
+        self.sessions.list(how, entries);
     }
 
     fn entries(&self) -> Entries {
-        let terms = &self.book.calls.terms;
+        let terms = &self.sessions.calls.terms;
         Entries {
             zones: terms.zones.clone(),
             kinds: terms.kinds.clone(),
@@ -498,7 +498,7 @@
 
 /// Hears a viewers' connection.
 struct ViewerEar<'a> {
-    service: (&'a mut Book, &'a mut Ends),
+    service: (&'a mut SessionTable, &'a mut Ends),
     line: Line,
     now: Duration,
     ready: bool,
@@ -506,19 +506,19 @@
 
 impl viewers::Heard for ViewerEar<'_> {
     fn set_up(&mut self, wire_id: u64, parameters: Parameters<'_>) {
-        let (book, ends) = &mut self.service;
+        let (sessions, ends) = &mut self.service;
         ends.front.asked(self.line, self.now);
-        book.set_up(self.now, self.line, wire_id, parameters, *ends);
+        sessions.set_up(self.now, self.line, wire_id, parameters, *ends);
     }
 
     fn spoilt_set_up(&mut self, wire_id: u64) {
-        let (book, ends) = &mut self.service;
-        book.turn_away(self.now, self.line, wire_id, *ends);
+        let (sessions, ends) = &mut self.service;
+        sessions.turn_away(self.now, self.line, wire_id, *ends);
     }
 
     fn ended(&mut self, wire_id: u64) {
-        let (book, ends) = &mut self.service;
-        book.ended_by_viewer(self.now, self.line, wire_id, *ends);
+        let (sessions, ends) = &mut self.service;
+        sessions.ended_by_viewer(self.now, self.line, wire_id, *ends);
     }
 
     fn tested(&mut self, wire_id: u64) {
@@ -534,7 +534,7 @@
 
 /// Hears a streamer's connection.
 struct StreamerEar<'a> {
-    service: (&'a mut Book, &'a mut Ends),
+    service: (&'a mut SessionTable, &'a mut Ends),
     line: Line,
     streamer: StreamerId,
     now: Duration,
@@ -543,15 +543,15 @@
 
 impl streamers::Heard for StreamerEar<'_> {
     fn answered(&mut self, wire_id: u64, description: &str) {
-        let (book, ends) = &mut self.service;
+        let (sessions, ends) = &mut self.service;
         match ends.pool.join_on(self.line, wire_id) {
             Some(job) => {
                 ends.pool.join_done(self.line, wire_id);
-                book.answered(self.now, job, description, *ends);
+                sessions.answered(self.now, job, description, *ends);
             }
             // An answer that crossed the end of its join must not stand; a second copy means nothing.
             // Nor does it concern a further join to the same streamer: to end that id there would end the new one.
-            None if !book.is_at(self.streamer, wire_id) => {
+            None if !sessions.is_at(self.streamer, wire_id) => {
                 tracing::debug!(wire_id = format!("{wire_id:016x}"), "an answer nobody waits for");
                 ends.reactor.send(self.line, &[&streamers::end(wire_id, CUT)]);
             }
@@ -560,9 +560,9 @@
     }
 
     fn ended(&mut self, wire_id: u64, cause: u64, load: Option<&str>) {
-        let (book, ends) = &mut self.service;
+        let (sessions, ends) = &mut self.service;
         let Some(job) = ends.pool.join_on(self.line, wire_id) else {
-            return book.ended_by_streamer(self.now, self.streamer, wire_id, cause, load, *ends);
+            return sessions.ended_by_streamer(self.now, self.streamer, wire_id, cause, load, *ends);
         };
         ends.pool.join_done(self.line, wire_id);
         let ending = match cause {
@@ -571,19 +571,19 @@
             102 => Ending::Moot,
             _ => Ending::Reset,
         };
-        book.join_ended(self.now, job, ending, load);
+        sessions.join_ended(self.now, job, ending, load);
     }
 
     fn tested(&mut self, wire_id: u64, passed: bool, load: Option<&str>) {
-        let (book, ends) = &mut self.service;
+        let (sessions, ends) = &mut self.service;
         let Some(sent) = ends.pool.probed(self.line, wire_id) else { return };
         let ending = if passed { Ending::Served } else { Ending::Error };
-        book.echo(self.streamer, ending, self.now.saturating_sub(sent), load);
+        sessions.echo(self.streamer, ending, self.now.saturating_sub(sent), load);
     }
 
     fn noted(&mut self, wire_id: u64, note: &str, value: f64) {
-        let (book, ends) = &mut self.service;
-        match book.noted(self.streamer, wire_id, note, value) {
+        let (sessions, ends) = &mut self.service;
+        match sessions.noted(self.streamer, wire_id, note, value) {
             Ok(true) => {}
             // What was taken for lost, or given up, still stands there: nobody watches it.
             Ok(false) => {
--- a/crates/platform/src/book.rs
+++ b/crates/platform/src/session_table.rs
@@ -1,4 +1,4 @@
-//! The calls' book: what became of each viewer's request, from its set-up to its release. It joins viewers,
+//! The session table: what became of each viewer's request, from its set-up to its release. It joins viewers,
 //! streamers and the module, decides nothing, and is free of I/O: what goes out goes into a [`Wires`].
 //!
 //! What the simulator's wire brings the module is made here with the same meanings: one outcome for each join
@@ -16,7 +16,7 @@
 use badgerledge_signalling::{streamers, Fault};
 
 use crate::asked::{self, Terms};
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 use crate::unanswered::{By, Lost, Step, Unanswered};
 
 /// Causes on the wire.
@@ -29,7 +29,7 @@
 /// How much sooner than the viewer gives up the module is told to have answered, for the way back and a loop
 /// that is late; a tenth where that is less. Harm: a join that would have been answered in this part is lost.
 const MARGIN: Duration = Duration::from_millis(120);
-/// How much sooner the book answers in the module's place; a twentieth where that is less.
+/// How much sooner the session table answers in the module's place; a twentieth where that is less.
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// Set-ups without an answer of all connections together, and subscriptions that stand, for each megabyte of memory:
 /// with the longest descriptions a quarter of it, and a tenth.
@@ -37,12 +37,12 @@
 /// Which part of them one connection may have open: four floods at once leave the others none, three some.
 const OPEN_ON_LINE: usize = 4;
 const STANDING_PER_MB: usize = 200;
-/// What the book names as time to stay away when it has no room itself.
+/// What the session table names as time to stay away when it has no room itself.
 const FULL_FOR: Duration = Duration::from_millis(500);
 /// How long a streamer has to end what was moved before it is told to.
 pub const MOVED_WITHIN: Duration = Duration::from_millis(600);
 
-/// The sockets, as the book sees them.
+/// The sockets, as the session table sees them.
 pub trait Wires {
     /// Gives a message to a viewer's connection, or tells that it takes none any more.
     fn answer(&mut self, line: Line, message: &[u8]) -> bool;
@@ -232,7 +232,7 @@
     SocketAddrV4::new(Ipv4Addr::from(bits), 0)
 }
 
-pub struct Book {
+pub struct SessionTable {
     module: Controller,
     pub calls: Calls,
     most_open: usize,
@@ -242,7 +242,7 @@
     lists: Vec<Arrival>,
 }
 
-impl Book {
+impl SessionTable {
     pub fn new(module: Controller, terms: Terms, memory_mb: usize) -> Self {
         let calls = Calls {
             terms,
@@ -341,7 +341,7 @@
         let job = self.calls.keep(call);
         trace(wire_id, "set-up", (line, asked.path_key));
         self.calls.due.insert((until, Due::LastCall(job)));
-        self.calls.arrivals.push(Box::new(move |module| module.knock(job, asked)));
+        self.calls.arrivals.push(Box::new(move |module| module.request(job, asked)));
     }
 
     /// A subscription that plays already is handed over. It wants no answer; one at a streamer that is not
@@ -631,10 +631,10 @@
     pub fn round(&mut self, now: Duration, wires: &mut impl Wires) {
         let mut arrivals = std::mem::take(&mut self.lists);
         arrivals.append(&mut self.calls.arrivals);
-        let mut desk = Desk { now, calls: &mut self.calls, wires };
+        let mut dispatcher = Dispatcher { now, calls: &mut self.calls, wires };
         let feed =
-            |module: &mut Controller, _: &mut Desk<'_, _>| arrivals.into_iter().for_each(|a| a(module));
-        self.module.round(now, feed, &mut desk);
+            |module: &mut Controller, _: &mut Dispatcher<'_, _>| arrivals.into_iter().for_each(|a| a(module));
+        self.module.round(now, feed, &mut dispatcher);
     }
 }
 
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -1,4 +1,4 @@
-//! The calls' book beside a slow, plain model of what viewers and streamers see, on generated events in any order;
+//! The session table beside a slow, plain model of what viewers and streamers see, on generated events in any order;
 //! and a small test for each hard case.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,8 +13,8 @@
 use serde_json::{json, Value};
 
 use crate::asked::Terms;
-use crate::book::{streamer_id, Book, ListEntry, Wires};
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
+use crate::session_table::{streamer_id, ListEntry, SessionTable, Wires};
 use crate::unanswered::{By, Lost, Step as Stood, Unanswered};
 
 const ORIGIN: Duration = Duration::from_secs(1000);
@@ -97,7 +97,7 @@
 }
 
 struct Play {
-    book: Book,
+    sessions: SessionTable,
     ends: Ends,
     now: Duration,
     next_round: Duration,
@@ -107,10 +107,10 @@
     fn new() -> Self {
         let Value::Object(options) = options() else { unreachable!("an object") };
         let terms = Terms::new(&options);
-        let book = Book::new(Controller::new(ORIGIN, 7, options), terms, 32);
-        let mut play = Self { book, ends: Ends::default(), now: ORIGIN, next_round: ORIGIN };
+        let sessions = SessionTable::new(Controller::new(ORIGIN, 7, options), terms, 32);
+        let mut play = Self { sessions, ends: Ends::default(), now: ORIGIN, next_round: ORIGIN };
         let entries = (0..STREAMERS).map(|n| entry(n, Health::Ready)).collect();
-        play.book.list(Listing::Cached, entries);
+        play.sessions.list(Listing::Cached, entries);
         play.pass(10);
         play
     }
@@ -119,10 +119,10 @@
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis.div_ceil(10) {
             self.now += ms(10);
-            self.book.fall_due(self.now, &mut self.ends);
-            if self.now >= self.next_round && self.book.has_news() {
+            self.sessions.fall_due(self.now, &mut self.ends);
+            if self.now >= self.next_round && self.sessions.has_news() {
                 self.next_round = self.now + ms(10);
-                self.book.round(self.now, &mut self.ends);
+                self.sessions.round(self.now, &mut self.ends);
             }
         }
     }
@@ -154,13 +154,13 @@
 
     fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
         let (job, streamer) = self.ends.out.remove(&wire_id)?;
-        self.book.answered(self.now, job, "a500\r\nc=IN", &mut self.ends);
+        self.sessions.answered(self.now, job, "a500\r\nc=IN", &mut self.ends);
         Some(streamer)
     }
 
     fn join_ends(&mut self, wire_id: u64, ending: Ending) {
         if let Some((job, _)) = self.ends.out.remove(&wire_id) {
-            self.book.join_ended(self.now, job, ending, Some("x0:0.4;x1:0.2"));
+            self.sessions.join_ended(self.now, job, ending, Some("x0:0.4;x1:0.2"));
         }
     }
 }
@@ -173,13 +173,13 @@
 impl viewers::Heard for Ear<'_> {
     fn set_up(&mut self, wire_id: u64, parameters: Parameters<'_>) {
         let play = &mut *self.play;
-        play.book.set_up(play.now, self.line, wire_id, parameters, &mut play.ends);
+        play.sessions.set_up(play.now, self.line, wire_id, parameters, &mut play.ends);
     }
     fn spoilt_set_up(&mut self, wire_id: u64) {
-        self.play.book.turn_away(self.play.now, self.line, wire_id, &mut self.play.ends);
+        self.play.sessions.turn_away(self.play.now, self.line, wire_id, &mut self.play.ends);
     }
     fn ended(&mut self, wire_id: u64) {
-        self.play.book.ended_by_viewer(self.play.now, self.line, wire_id, &mut self.play.ends);
+        self.play.sessions.ended_by_viewer(self.play.now, self.line, wire_id, &mut self.play.ends);
     }
     fn tested(&mut self, _session: u64) {}
     fn release_heard(&mut self, _session: u64) {}
@@ -247,13 +247,13 @@
             Step::GiveUp(wire_id, elsewhere) => {
                 let Some(call) = seen.get_mut(&wire_id) else { continue };
                 let line = call.line + u64::from(elsewhere);
-                play.book.ended_by_viewer(play.now, line, wire_id, &mut play.ends);
+                play.sessions.ended_by_viewer(play.now, line, wire_id, &mut play.ends);
                 if call.stands.take().is_some() || !elsewhere && !call.stood {
                     call.left = true;
                 }
             }
             Step::Gone(line) => {
-                play.book.viewer_gone(play.now, line, By::Viewer, &mut play.ends);
+                play.sessions.viewer_gone(play.now, line, By::Viewer, &mut play.ends);
                 seen.values_mut().filter(|c| c.line == line && !c.stood).for_each(|c| c.left = true);
             }
             Step::Full(line) => drop(play.ends.full.insert(line)),
@@ -272,20 +272,20 @@
             Step::Release(wire_id, n) => {
                 let Some(streamer) = seen.get(&wire_id).and_then(|call| call.stands) else { continue };
                 let cause = [16, 31, 41][usize::from(n) % 3];
-                play.book.ended_by_streamer(play.now, streamer, wire_id, cause, None, &mut play.ends);
+                play.sessions.ended_by_streamer(play.now, streamer, wire_id, cause, None, &mut play.ends);
                 let call = seen.get_mut(&wire_id).expect("known");
                 (call.stands, call.left, call.over) = (None, call.left || cause == 31, cause != 31);
             }
             Step::Lost(number) => {
                 let streamer = streamer_id(number);
-                play.book.lost(play.now, streamer, Duration::MAX, &mut play.ends);
+                play.sessions.lost(play.now, streamer, Duration::MAX, &mut play.ends);
                 for call in seen.values_mut().filter(|call| call.stands == Some(streamer)) {
                     (call.stands, call.over) = (None, true);
                 }
             }
             Step::Listed(number, ready) => {
                 let health = if ready { Health::Ready } else { Health::Draining };
-                play.book.list(Listing::Changes, vec![entry(number, health)]);
+                play.sessions.list(Listing::Changes, vec![entry(number, health)]);
             }
             Step::Pass(n) => play.pass(u64::from(n) * 4),
         }
@@ -300,15 +300,15 @@
         assert_eq!(answers, usize::from(call.stood), "{wire_id}: {told:?}");
         let owed = usize::from(if call.stood { call.over } else { !call.left && !full });
         assert!(releases == owed || full || call.left && releases <= 1, "{wire_id}: {releases} of {owed}");
-        assert_eq!(play.book.stands_at().count() > 0, seen.values().any(|call| call.stands.is_some()));
+        assert_eq!(play.sessions.stands_at().count() > 0, seen.values().any(|call| call.stands.is_some()));
     }
     assert!(play.ends.out.is_empty(), "a join is left out");
     let standing = seen.values().filter(|call| call.stands.is_some()).count();
-    assert_eq!(play.book.len(), standing, "what the book holds stands");
+    assert_eq!(play.sessions.len(), standing, "what the session table holds stands");
     for number in 0..STREAMERS {
-        play.book.lost(play.now, streamer_id(number), Duration::MAX, &mut play.ends);
+        play.sessions.lost(play.now, streamer_id(number), Duration::MAX, &mut play.ends);
     }
-    assert!(play.book.is_empty() && play.book.next_due().is_some());
+    assert!(play.sessions.is_empty() && play.sessions.next_due().is_some());
 }
 
 #[test]
@@ -330,11 +330,11 @@
     assert_eq!(play.ends.told(5), [(9, 0)]);
     // A note or a release of another streamer means nothing.
     let other = streamer_id(99);
-    play.book.noted(other, 5, "wire", 0.5).unwrap();
-    play.book.ended_by_streamer(play.now, other, 5, 16, None, &mut play.ends);
-    assert!(play.book.stands(streamer, 5) && play.book.noted(streamer, 5, "wine", 0.5).is_err());
-    play.book.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
-    play.book.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
+    play.sessions.noted(other, 5, "wire", 0.5).unwrap();
+    play.sessions.ended_by_streamer(play.now, other, 5, 16, None, &mut play.ends);
+    assert!(play.sessions.stands(streamer, 5) && play.sessions.noted(streamer, 5, "wine", 0.5).is_err());
+    play.sessions.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
+    play.sessions.ended_by_streamer(play.now, streamer, 5, 16, None, &mut play.ends);
     assert_eq!(play.ends.told(5), [(9, 0), (12, 16)]);
 }
 
@@ -372,7 +372,7 @@
     play.set_up(1, 99, &[("desc", &"\u{1}".repeat(3000))]);
     assert_eq!(play.ends.told(99), [(12, 96)], "too long once it is escaped");
     play.pass(50);
-    assert!(play.ends.out.is_empty() && play.book.is_empty());
+    assert!(play.ends.out.is_empty() && play.sessions.is_empty());
 }
 
 /// Guards against a hostile viewer that names another's open request. Harm: none, usual ids are new each time.
@@ -400,9 +400,9 @@
     play.set_up(1, 5, &[]);
     play.pass(10);
     assert!(play.ends.out.contains_key(&5));
-    play.book.ended_by_viewer(play.now, 2, 5, &mut play.ends);
-    assert!(play.ends.out.is_empty() && play.book.is_empty());
-    play.book.ended_by_viewer(play.now, 1, 5, &mut play.ends);
+    play.sessions.ended_by_viewer(play.now, 2, 5, &mut play.ends);
+    assert!(play.ends.out.is_empty() && play.sessions.is_empty());
+    play.sessions.ended_by_viewer(play.now, 1, 5, &mut play.ends);
     play.pass(3000);
     assert_eq!(play.ends.sent.iter().map(|(line, _)| *line).collect::<Vec<_>>(), [1]);
     assert_eq!(play.ends.told(5), [(12, 41)]);
@@ -419,8 +419,8 @@
     play.pass(10);
     assert!(play.answer(1).is_some());
     play.set_up(1, 4, &[]);
-    play.book.end_all(play.now, &mut play.ends);
-    assert!(play.book.is_empty() && play.ends.out.is_empty());
+    play.sessions.end_all(play.now, &mut play.ends);
+    assert!(play.sessions.is_empty() && play.ends.out.is_empty());
     assert_eq!(play.ends.told(1), [(9, 0), (12, 41)]);
     for wire_id in 2..=4 {
         assert_eq!(play.ends.told(wire_id), [(12, 41)]);
@@ -429,7 +429,7 @@
     assert!(ends.len() == 1 && ends[0].1.contains("0000000000000001"), "{ends:?}");
 }
 
-/// What the settings allow bounds what the book names itself, and memory bounds what one connection may have open.
+/// What the settings allow bounds what the session table names itself, and memory bounds what one connection may have open.
 #[test]
 fn a_flood_is_told_to_stay_away_only_as_long_as_the_settings_allow() {
     let named = |change: &dyn Fn(&mut Value)| {
@@ -437,7 +437,7 @@
         change(&mut told);
         let Value::Object(told) = told else { unreachable!("an object") };
         let mut play = Play::new();
-        play.book = Book::new(Controller::new(ORIGIN, 7, told.clone()), Terms::new(&told), 64);
+        play.sessions = SessionTable::new(Controller::new(ORIGIN, 7, told.clone()), Terms::new(&told), 64);
         (0..300).for_each(|wire_id| play.set_up(1, wire_id, &[]));
         (play.ends.sent.len(), play.ends.sent[0].1[15..].to_vec())
     };
@@ -456,11 +456,11 @@
     play.set_up(1, 5, &[("extras", at), ("left", "4294967")]);
     play.set_up(1, 6, &[("extras", &at.replace("0002", "0077"))]);
     assert_eq!((play.ends.told(5), play.ends.told(6)), (vec![], vec![(12, 41)]));
-    assert!(play.book.stands(streamer_id(2), 5) && play.book.len() == 1);
+    assert!(play.sessions.stands(streamer_id(2), 5) && play.sessions.len() == 1);
     // A start told later than what stands there ends it; one told earlier is the one it stands on.
-    play.book.lost(play.now, streamer_id(2), ORIGIN, &mut play.ends);
-    assert!(play.book.stands(streamer_id(2), 5));
-    play.book.lost(play.now, streamer_id(2), play.now + ms(1), &mut play.ends);
+    play.sessions.lost(play.now, streamer_id(2), ORIGIN, &mut play.ends);
+    assert!(play.sessions.stands(streamer_id(2), 5));
+    play.sessions.lost(play.now, streamer_id(2), play.now + ms(1), &mut play.ends);
     assert_eq!(play.ends.told(5), [(12, 41)]);
 }
 
@@ -480,7 +480,7 @@
 fn what_is_given_up_on_is_answered_in_that_round() {
     let mut play = Play::new();
     let gone = (0..STREAMERS).map(|n| entry(n, Health::Gone)).collect();
-    play.book.list(Listing::Changes, gone);
+    play.sessions.list(Listing::Changes, gone);
     play.set_up(1, 5, &[]);
     play.pass(20);
     assert_eq!(play.ends.told(5), [(12, 42)]);
@@ -494,15 +494,15 @@
 fn an_end_that_crosses_a_move_is_told_and_the_moves_own_end_is_not() {
     for (cause, told) in [(31, vec![(51, 0)]), (16, vec![(51, 0), (12, 16)]), (41, vec![(51, 0), (12, 41)])] {
         let mut play = moving();
-        play.book.ended_by_streamer(play.now, streamer_id(0), 5, cause, None, &mut play.ends);
+        play.sessions.ended_by_streamer(play.now, streamer_id(0), 5, cause, None, &mut play.ends);
         assert_eq!(play.ends.told(5), told);
-        assert!(play.book.is_empty());
+        assert!(play.sessions.is_empty());
     }
     // A streamer that says nothing is told, and so is the viewer.
     let mut play = moving();
     play.pass(700);
     assert_eq!((play.ends.told(5), play.ends.said.len()), (vec![(51, 0), (12, 16)], 1));
-    assert!(play.book.is_empty());
+    assert!(play.sessions.is_empty());
 }
 
 /// A subscription that the module has just moved.
@@ -510,8 +510,8 @@
     let mut play = Play::new();
     let at = "home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-00000000";
     play.set_up(1, 5, &[("extras", at), ("left", "4294967")]);
-    let job = play.book.calls.job(5).expect("it is held");
-    Desk { now: play.now, calls: &mut play.book.calls, wires: &mut play.ends }.shift(job);
+    let job = play.sessions.calls.job(5).expect("it is held");
+    Dispatcher { now: play.now, calls: &mut play.sessions.calls, wires: &mut play.ends }.shift(job);
     play
 }
 
@@ -524,21 +524,21 @@
 #[test]
 fn a_set_up_whose_connection_ends_without_its_answer_is_counted_with_its_step() {
     let mut play = Play::new();
-    let lost = |play: &Play, by, step| counted(&play.book.calls.unanswered, by, step);
+    let lost = |play: &Play, by, step| counted(&play.sessions.calls.unanswered, by, step);
     play.set_up(1, 0xa1, &[]);
-    play.book.viewer_gone(play.now, 1, By::Viewer, &mut play.ends);
+    play.sessions.viewer_gone(play.now, 1, By::Viewer, &mut play.ends);
     assert_eq!(lost(&play, By::Viewer, Stood::Unplaced), 1);
 
     play.set_up(2, 0xa2, &[]);
     play.pass(20);
     assert!(play.ends.out.contains_key(&0xa2));
-    play.book.viewer_gone(play.now, 2, By::Us, &mut play.ends);
+    play.sessions.viewer_gone(play.now, 2, By::Us, &mut play.ends);
     assert_eq!(lost(&play, By::Us, Stood::JoinOut), 1);
 
     play.set_up(3, 0xa3, &[]);
     play.pass(20);
     play.join_ends(0xa3, Ending::Error);
-    play.book.viewer_gone(play.now, 3, By::Unreadable, &mut play.ends);
+    play.sessions.viewer_gone(play.now, 3, By::Unreadable, &mut play.ends);
     assert_eq!(lost(&play, By::Unreadable, Stood::Between), 1);
 
     play.set_up(4, 0xa4, &[]);
@@ -550,8 +550,8 @@
     play.set_up(5, 0xa5, &[]);
     play.pass(20);
     assert!(play.answer(0xa5).is_some());
-    play.book.viewer_gone(play.now, 5, By::Us, &mut play.ends);
-    assert_eq!(play.book.calls.unanswered.all().map(|(_, _, count)| count).sum::<u64>(), 4);
+    play.sessions.viewer_gone(play.now, 5, By::Us, &mut play.ends);
+    assert_eq!(play.sessions.calls.unanswered.all().map(|(_, _, count)| count).sum::<u64>(), 4);
 }
 
 /// A crowd that asks and closes is counted whole, and costs the log a line a second.
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -96,7 +96,7 @@
                 let token = fields.u64()?;
                 Box::new(move |c, _| c.fired(token))
             }
-            6 => knock(fields)?,
+            6 => request(fields)?,
             7 => outcome(fields)?,
             8 => {
                 let job = fields.u32()?;
@@ -212,7 +212,7 @@
     (bits & 1 != 0 && !effort.is_zero()).then_some(effort)
 }
 
-fn knock(fields: &mut Fields) -> Result<Arrival> {
+fn request(fields: &mut Fields) -> Result<Arrival> {
     let job = fields.u32()?;
     let (title, client_timeout, first_cell) = (fields.u64()?, fields.micros()?, fields.count()?);
     let (room_type, path_key, bits) = (fields.u8()?.into(), fields.u64()?, fields.u8()?);
@@ -221,7 +221,7 @@
     let (hinted, moved) = (hinted(bits, effort), bits & 8 != 0);
     let asked =
         Asked { title, path_key, room_type, client_timeout, first_cell, copies, max_rung, hinted, moved };
-    Ok(Box::new(move |c, _| c.knock(job, asked)))
+    Ok(Box::new(move |c, _| c.request(job, asked)))
 }
 
 fn resumed(fields: &mut Fields) -> Result<Arrival> {
