--- a/crates/controller/tests/it/crossings.rs
+++ b/crates/controller/tests/it/crossings.rs
@@ -186,6 +186,31 @@
     controller.ends_within(PATIENCE);
 }
 
+/// Told to end before it was ready, a process ends in order, and turns nobody away before.
+#[test]
+fn a_process_that_is_told_to_end_before_its_first_list_still_answers() {
+    let one = Streamer::new(1);
+    let silent = Arc::new(AtomicBool::new(true));
+    let names = counted_name_service(list(2, &[&one]), Arc::default(), silent.clone());
+    let mut controller =
+        Controller::begin(names, &[], |told| told["known"] = json!({"pos": 0, "entries": []}));
+    let begun = Instant::now();
+    while TcpStream::connect(controller.at).is_err() {
+        assert!(begun.elapsed() < PATIENCE, "it listens");
+        std::thread::sleep(millis(10));
+    }
+    let mut viewer = controller.viewer();
+    controller.signal(Signal::TERM);
+    viewer.set_up(10);
+    assert_eq!(viewer.hears().0, 12, "turned away, since there is no list");
+    silent.store(false, Ordering::SeqCst);
+    std::thread::sleep(millis(600));
+    viewer.plays(11);
+    viewer.ends(11);
+    drop(viewer);
+    controller.ends_within(PATIENCE);
+}
+
 /// Found by reading: a release that waits for a viewers' connection ended with the process.
 #[test]
 fn a_process_that_is_told_to_end_waits_with_a_release_for_its_viewers() {
@@ -197,7 +222,11 @@
     std::thread::sleep(millis(100));
     controller.signal(Signal::TERM);
     one.say(&json!({"op": "end", "call": format!("{:016x}", 10), "with": {}, "why": 16}));
-    std::thread::sleep(millis(2500));
+    // Neither a second one nor a configuration that is read anew meanwhile is anything more.
+    std::thread::sleep(millis(1000));
+    controller.signal(Signal::TERM);
+    controller.signal(Signal::HUP);
+    std::thread::sleep(millis(1500));
     let mut back = controller.viewer();
     back.set_up(11);
     let heard = [back.hears(), back.hears()];
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -5,7 +5,8 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::session_table::{trace, Call, Calls, Due, Offered, Phase, Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::calls::{trace, Call, Calls, Due, Offered, Phase};
+use crate::session_table::{Wires, CUT, MOVED_WITHIN, THROTTLED};
 use crate::unanswered::{By, Step};
 
 pub struct Dispatcher<'a, W> {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,12 +3,14 @@
 //! and why: `docs/platform.md`. Every decision comes from the module in `core`.
 
 mod asked;
+mod calls;
 mod configuration;
 #[cfg(test)]
 mod configuration_tests;
 mod dispatcher;
 mod ends;
 mod front;
+mod hearing;
 mod pool;
 #[cfg(test)]
 mod pool_tests;
