--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -350,6 +350,7 @@
     }
     rig.listener = TcpListener::bind(place).unwrap();
     rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    assert_eq!(rig.pool.conns(), 1, "a connection is begun for what waits");
     let (far, _) = rig.listener.accept().unwrap();
     rig.until(|rig, it| match it {
         Happening::Opened(line) => {
