--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -38,16 +38,8 @@
     part: Option<Duration>,
 }
 
-/// A release that was sent, and that its viewer has not said to have heard.
-struct Unheard {
-    sent: Duration,
-    line: Line,
-    wire_id: u64,
-    message: Vec<u8>,
-}
-
-/// A release that waits for a connection since then.
-struct Owed {
+/// A release, since when it is where it is, and the connection that it belongs to or went out on.
+struct Release {
     since: Duration,
     line: Line,
     wire_id: u64,
@@ -56,9 +48,10 @@
 
 pub struct Front {
     lines: BTreeMap<Line, Viewer>,
-    /// Oldest first.
-    unheard: VecDeque<Unheard>,
-    owed: Vec<Owed>,
+    /// Sent, and not said to have been heard by their viewers; oldest first.
+    unheard: VecDeque<Release>,
+    /// They wait for a connection.
+    owed: Vec<Release>,
     most: usize,
 }
 
@@ -87,7 +80,7 @@
     /// heard, or bytes that are not written.
     pub fn owes(&self, now: Duration, reactor: &Reactor) -> bool {
         let waits = self.owed.iter().any(|owed| now < owed.since + OWED_FOR);
-        let unheard = self.unheard.iter().any(|unheard| now < unheard.sent + UNHEARD_FOR);
+        let unheard = self.unheard.iter().any(|unheard| now < unheard.since + UNHEARD_FOR);
         waits || unheard || self.lines().any(|line| reactor.unwritten(line) > 0)
     }
 
@@ -126,7 +119,7 @@
         self.lines.remove(&line);
         let (lost, others) = self.unheard.drain(..).partition(|unheard| unheard.line == line);
         self.unheard = others;
-        for unheard in VecDeque::into_iter(lost).filter(|unheard| now < unheard.sent + UNHEARD_FOR) {
+        for unheard in VecDeque::into_iter(lost).filter(|unheard| now < unheard.since + UNHEARD_FOR) {
             self.release(line, unheard.wire_id, unheard.message, now, reactor);
         }
     }
@@ -165,7 +158,7 @@
         viewer.trusted = true;
         for owed in std::mem::take(&mut self.owed) {
             if now < owed.since + OWED_FOR {
-                self.release_owed(owed, now, reactor);
+                self.release_since(owed, now, reactor);
             }
         }
     }
@@ -174,11 +167,12 @@
     pub fn release(
         &mut self, line: Line, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
     ) {
-        self.release_owed(Owed { since: now, line, wire_id, message }, now, reactor);
+        self.release_since(Release { since: now, line, wire_id, message }, now, reactor);
     }
 
-    fn release_owed(&mut self, owed: Owed, now: Duration, reactor: &mut Reactor) {
-        let Owed { since, line, wire_id, message } = owed;
+    /// The same, for one that was owed since some time: where it has to wait it does not wait anew.
+    fn release_since(&mut self, release: Release, now: Duration, reactor: &mut Reactor) {
+        let Release { since, line, wire_id, message } = release;
         let own = self.answer(line, &message, reactor).then_some(line);
         let sent = own.or_else(|| {
             let others = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
@@ -188,14 +182,14 @@
             others.find(|line| self.answer(*line, &message, reactor))
         });
         tracing::trace!(wire_id = format_args!("{wire_id:016x}"), own = line, ?sent, "a release");
-        while self.unheard.front().is_some_and(|unheard| unheard.sent + UNHEARD_FOR <= now) {
+        while self.unheard.front().is_some_and(|unheard| unheard.since + UNHEARD_FOR <= now) {
             self.unheard.pop_front();
         }
         match sent {
             Some(line) if self.unheard.len() < OWED => {
-                self.unheard.push_back(Unheard { sent: now, line, wire_id, message });
+                self.unheard.push_back(Release { since: now, line, wire_id, message });
             }
-            None if self.owed.len() < OWED => self.owed.push(Owed { since, line, wire_id, message }),
+            None if self.owed.len() < OWED => self.owed.push(Release { since, line, wire_id, message }),
             _ => {}
         }
     }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -188,9 +188,11 @@
             self.ends.reactor.flush();
             return true;
         }
-        let Ends { front, pool, reactor, .. } = &mut self.ends;
-        let owes = front.owes(now, reactor) || pool.owes(now, reactor);
-        since >= STILL_COMING && self.sessions.is_empty() && !owes
+        if since < STILL_COMING || !self.sessions.is_empty() {
+            return false;
+        }
+        let Ends { front, pool, reactor, .. } = &self.ends;
+        !front.owes(now, reactor) && !pool.owes(now, reactor)
     }
 
     /// Closes all connections towards their other ends, and waits until those have read what was said there and closed
