--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -22,6 +22,9 @@
 pub mod transfer;
 pub mod watcher;
 
+#[cfg(test)]
+mod tests;
+
 pub use badgerledge_revisions::{
     digest, quorum, Author, Certified, Digest, Hand, Member as MachineId, Number, Signature, Signed,
 };
--- /dev/null
+++ b/crates/distribution/src/tests.rs
@@ -0,0 +1,4 @@
+mod change;
+mod log;
+mod message;
+mod state;
