Deployment: the canonical text of a configuration as entries of a state, and back

Control machines and controllers hold the configuration as a map of keys to values; programs read its text. Settings and titles are one entry each. A section's own entry holds its place among its like, since a room type's number is its place in the file.

Quickcheck takes texts with room types in random order and random titles there and back; entries that could bring another line or section into a text are refused by name.

--- /dev/null
+++ b/crates/deployment/src/entries_tests.rs
@@ -0,0 +1,122 @@
+//! A configuration goes into entries and back without loss; entries that are none are refused by name.
+
+use badgerledge_distribution::state::Entry;
+use quickcheck::{quickcheck, TestResult};
+
+use crate::entries::{entries_of, text_of, EntriesFault};
+use crate::Text;
+
+const SETTINGS: &str = "\
+[fleet]
+cells = 12
+kind_streams = 20
+kinds = small
+link_unit_kb = 1000
+links_kb = 12000
+racks = 4
+uplink_kb = 3000
+zones = north, south
+[ladder]
+benefit = 0.3, 0.6, 1
+rates_kb = 100, 200, 400
+";
+
+fn room_type(name: &str, benefit: u8) -> String {
+    format!("[room_type {name}]\nbenefit = {benefit}\nclient_timeout_ms = 4000\njoin_objective_ms = 1500\n")
+}
+
+fn title(id: u64, first_cell: u16) -> String {
+    format!("[title {id:x}]\ncopies = 2\nfirst_cell = {first_cell}\nroom_type = zoo\n")
+}
+
+fn text_of_entries(entries: &[Entry]) -> Result<String, EntriesFault> {
+    text_of(entries.iter().map(|entry| (entry.key.as_str(), entry.value.as_slice())))
+}
+
+/// A text whose room types stand in the order of `types`, with as many titles as there are ids.
+fn text(types: &[u8], ids: &[u64], rules: bool) -> String {
+    let mut text = SETTINGS.to_owned() + &room_type("zoo", 1);
+    for (at, name) in types.iter().enumerate().filter(|(at, name)| !types[..*at].contains(name)) {
+        text += &room_type(&format!("{} {name}", at % 2), *name);
+    }
+    if rules {
+        // A section without keys is a section all the same.
+        text += "[rules]\n[permissions]\njoins = 2\n";
+    }
+    let ids: std::collections::BTreeSet<u64> = ids.iter().copied().collect();
+    ids.iter().for_each(|id| text += &title(*id, (*id % 12) as u16));
+    text
+}
+
+quickcheck! {
+    fn a_text_comes_back_as_it_was(types: Vec<u8>, ids: Vec<u64>, rules: bool, turn: usize) -> TestResult {
+        let text = text(&types, &ids, rules);
+        if let Err(why) = Text::read(text.as_bytes()) {
+            return TestResult::error(why);
+        }
+        let Ok(mut entries) = entries_of(&text) else { return TestResult::failed() };
+        // Their order says nothing, and the protocol's own are passed over.
+        let turn = turn % entries.len();
+        entries.rotate_left(turn);
+        entries.push(Entry { key: "\0author 3".to_owned(), value: vec![0xff] });
+        TestResult::from_bool(text_of_entries(&entries).as_deref() == Ok(text.as_str()))
+    }
+}
+
+#[test]
+fn the_order_of_room_types_is_kept() {
+    let text = text(&[9, 3, 200, 1], &[5], true);
+    let entries = entries_of(&text).unwrap();
+    let place = |key: &str| entries.iter().find(|entry| entry.key == key).map(|entry| entry.value.clone());
+    assert_eq!(place("room_type 0 9\t"), Some(b"1".to_vec()));
+    assert_eq!(place("room_type 0 200\t"), Some(b"3".to_vec()));
+    assert_eq!(text_of_entries(&entries).unwrap(), text);
+    // Two authors that each add a room type as the last one: both come, in the order of their names.
+    let added = [room_type("b", 1), room_type("a", 2)].map(|added| {
+        let whole = text.replacen("[rules]", &format!("{added}[rules]"), 1);
+        entries_of(&whole).unwrap().into_iter().filter(|entry| !entries.contains(entry)).collect::<Vec<_>>()
+    });
+    let both = text_of_entries(&[entries.clone(), added.concat()].concat()).unwrap();
+    let wanted = format!("{}{}[rules]", room_type("a", 2), room_type("b", 1));
+    assert_eq!(both, text.replacen("[rules]", &wanted, 1));
+}
+
+#[test]
+fn one_setting_or_title_is_one_entry() {
+    let before = entries_of(&text(&[1, 2], &[7, 8], true)).unwrap();
+    let changed = |text: &str| -> Vec<Entry> {
+        entries_of(text).unwrap().into_iter().filter(|entry| !before.contains(entry)).collect()
+    };
+    let one = |key: &str, value: &str| vec![Entry { key: key.to_owned(), value: value.as_bytes().to_vec() }];
+    let text = text(&[1, 2], &[7, 8], true);
+    assert_eq!(changed(&text.replace("joins = 2", "joins = 1")), one("permissions\tjoins", "1"));
+    let moved = "copies = 2\nfirst_cell = 3\nroom_type = zoo\n";
+    assert_eq!(changed(&text.replace("first_cell = 8", "first_cell = 3")), one("title 8", moved));
+}
+
+#[test]
+fn entries_that_are_none_of_a_configuration_are_refused() {
+    let whole = entries_of(&text(&[1], &[7], false)).unwrap();
+    let with = |key: &str, value: &str| {
+        let mut entries = whole.clone();
+        entries.retain(|entry| entry.key != key);
+        entries.push(Entry { key: key.to_owned(), value: value.as_bytes().to_vec() });
+        text_of_entries(&entries).map_err(|fault| fault.to_string()).unwrap_err()
+    };
+    assert!(with("stray", "1").contains("no key of a setting or a title"));
+    assert!(with("controller\tnumber", "1").contains("no such section"));
+    assert!(with("rules\tdrain_grace_ms", "1").contains("there is no entry for its section"));
+    assert!(with("rules\t", "first").contains("whole number"));
+    assert!(with("room_type zoo\t", "01").contains("whole number"));
+    assert!(with("fleet\tcells", "1\n[rules]").contains("control characters"));
+    assert!(with("fleet\tzones", "a,b").contains("canonical form"));
+    assert!(with("fleet\t;cells", "1").contains("no setting has such a name"));
+    assert!(with("fleet\ta=b", "1").contains("no setting has such a name"));
+    assert!(with("fleet]\n[rules\tx", "1").contains("control characters"));
+    assert!(with("title 07", &title(7, 0)).contains("no key"));
+    assert!(with("title 7", "copies = 2\n").contains("this key is missing"));
+    // A value can't bring another title in.
+    let two = format!("copies = 2\nfirst_cell = 3\nroom_type = zoo\n{}", title(9, 1));
+    assert!(with("title 7", &two).contains("and no others"));
+    assert!(entries_of("[fleet]\ncells = 0\n").is_err());
+}
--- a/crates/deployment/src/kinds.rs
+++ b/crates/deployment/src/kinds.rs
@@ -141,7 +141,8 @@
     }
 }
 
-fn plain(value: &str) -> String {
+/// A value without stray blanks.
+pub(crate) fn plain(value: &str) -> String {
     value.split(',').map(str::trim).collect::<Vec<_>>().join(", ")
 }
 
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,6 +4,7 @@
 //! types, rules and permissions. [`Deployment::told`] makes the plain map of names to values that the module takes,
 //! under the names that the module knows.
 
+pub mod entries;
 pub mod kinds;
 mod sections;
 mod text;
@@ -189,5 +190,7 @@
     }
 }
 
+#[cfg(test)]
+mod entries_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/deployment/src/text.rs
+++ b/crates/deployment/src/text.rs
@@ -31,9 +31,7 @@
     /// Says what is not in order, with its line where it has one.
     pub fn read(bytes: &[u8]) -> Result<Self, String> {
         let text = std::str::from_utf8(bytes).map_err(|e| e.to_string())?;
-        let from =
-            if text.starts_with("[title ") { Some(0) } else { text.find("\n[title ").map(|at| at + 1) };
-        let (settings, tail) = text.split_at(from.unwrap_or(text.len()));
+        let (settings, tail) = Self::split(text);
         let titles = Catalogue::of_text(tail).filter(|titles| titles.text() == tail);
         let Some(titles) = titles else {
             return Err(Self::fault(text));
@@ -48,6 +46,13 @@
         Ok(Self { sheet, shared, titles })
     }
 
+    /// A text's settings, and its titles behind them.
+    pub(crate) fn split(text: &str) -> (&str, &str) {
+        let from =
+            if text.starts_with("[title ") { Some(0) } else { text.find("\n[title ").map(|at| at + 1) };
+        text.split_at(from.unwrap_or(text.len()))
+    }
+
     /// What is wrong with a text that is wrong: the sheet knows the line.
     fn fault(text: &str) -> String {
         let whole = Sheet::parse("revision", text).and_then(|sheet| {
