--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -29,7 +29,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToRelay {
     /// The first message of a connection: who asks, and what it holds. `held` is the highest certified revision whose
-    /// state it has (equal to `active`, or the prepared one), `root` the root of that state.
+    /// state it has (equal to `active`, or the prepared one), `root` the root of that state. It comes again on the same
+    /// connection after a delta on a base that the watcher does not hold: the relay goes by it from then on, and offers
+    /// a delta on that base or a snapshot.
     Hello { controller: ControllerId, active: Number, held: Number, root: Digest },
     /// The state of a revision is verified and stored.
     Prepared { number: Number },
