--- a/crates/distribution/src/change.rs
+++ b/crates/distribution/src/change.rs
@@ -1,20 +1,29 @@
 //! Authors' changes, batches of them, and the summary of a batch that acceptors certify.
 
+mod batch;
+mod history;
+
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use serde_big_array::BigArray;
 use thiserror::Error;
 
 use crate::state::{Edit, State};
-use crate::{Author, Digest, Hand, Number, Signature};
+use crate::{Author, Hand, Number, Signature};
+
+pub use batch::{Batch, BatchFault, Built, Limits, Summary, LARGEST_BATCH, MOST_CHANGES, SUMMARY};
+pub use history::{History, MOST_KEYS};
 
 /// Edits of one change at most.
 pub const MOST_EDITS: usize = 1024;
 /// Signed bytes of one change at most.
 pub const LARGEST_CHANGE: usize = 128 * 1024;
-/// Encoded bytes of a batch at most.
-pub const LARGEST_BATCH: usize = 256 * 1024;
-/// Changes of a batch at most.
-pub const MOST_CHANGES: usize = 1024;
+/// Keys that begin with it are the protocol's own: authors can't edit them.
+pub const RESERVED: char = '\0';
+
+/// What an author signs begins with it.
+const DOMAIN: &[u8] = b"badgerledge change 1";
 
 /// What names a change: an author numbers its changes upwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -34,26 +43,6 @@
     pub signature: Signature,
 }
 
-/// The changes that make a revision of the one before it, in order.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Batch {
-    pub number: Number,
-    /// The root of the state that the batch applies to.
-    pub previous_root: Digest,
-    pub changes: Vec<Change>,
-}
-
-/// What the head of a revision names as its text: the state that it leads to, and the batch that does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Summary {
-    /// The root of the state after the batch.
-    pub root: Digest,
-    /// The digest of the encoded batch.
-    pub batch: Digest,
-    /// The length of the encoded batch.
-    pub length: u32,
-}
-
 /// Why a change does not become part of a revision. Nothing has changed then.
 #[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum Rejection {
@@ -81,183 +70,140 @@
     Unknown,
 }
 
-/// Bounds of a batch that is built; a batch over [`LARGEST_BATCH`] or [`MOST_CHANGES`] is taken by nobody.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    pub bytes: usize,
-    pub changes: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self { bytes: LARGEST_BATCH, changes: MOST_CHANGES }
-    }
-}
-
-/// Why a batch is not taken. Nothing has changed then.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum BatchFault {
-    #[error("a batch of {0} bytes, where {LARGEST_BATCH} at most are taken")]
-    TooLong(usize),
-    #[error("a batch that can't be decoded")]
-    Form,
-    #[error("a batch of {0} changes, where {MOST_CHANGES} at most are taken")]
-    TooMany(usize),
-    #[error("a batch without changes")]
-    Empty,
-    #[error("a batch of revision {found}, where {expected} is the next one")]
-    Number { found: Number, expected: Number },
-    #[error("a batch on another state than this one")]
-    PreviousRoot,
-    #[error("change {} of author {}: {rejection}", .change.sequence, .change.author)]
-    Change { change: ChangeId, rejection: Rejection },
-    #[error("the state it leads to is not taken: {0}")]
-    State(crate::state::StateFault),
-}
-
-/// What became of the changes that waited for a batch.
-#[derive(Clone, Debug)]
-pub struct Built {
-    /// The batch; without changes where all were rejected, and then not to be proposed.
-    pub batch: Batch,
-    /// The batch, encoded.
-    pub bytes: Vec<u8>,
-    pub summary: Summary,
-    /// The state that the batch leads to.
-    pub state: State,
-    /// What the batch changes, each key once, by key; the protocol's own keys too.
-    pub edits: Vec<Edit>,
-    pub rejected: Vec<(ChangeId, Rejection)>,
-    /// Changes over the limits, for the next batch, in their order.
-    pub left: Vec<Change>,
-}
-
-/// Which revision last changed each key, as far back as the window reaches.
-#[derive(Clone, Debug)]
-pub struct History {}
-
-#[allow(unused_variables)]
-impl History {
-    /// A history that knows nothing up to and with revision `floor`, and `most_revisions` after it at most.
-    pub fn new(floor: Number, most_revisions: usize) -> Self {
-        todo!()
-    }
-
-    /// All changes after this revision are known.
-    pub fn floor(&self) -> Number {
-        todo!()
-    }
-
-    /// The last revision that was recorded; the floor before the first.
-    pub fn top(&self) -> Number {
-        todo!()
-    }
-
-    /// Records what a revision changed. Where it is not the next one, all before it is forgotten.
-    pub fn record(&mut self, number: Number, edits: &[Edit]) {
-        todo!()
+impl Change {
+    /// Makes a change with the signature that `sign` gives for its bytes.
+    pub fn sign(
+        author: Author, sequence: u64, base: Number, edits: Vec<Edit>, sign: impl FnOnce(&[u8]) -> Signature,
+    ) -> Self {
+        let mut change = Self { id: ChangeId { author, sequence }, base, edits, signature: [0; 64] };
+        change.signature = sign(&change.signed_bytes());
+        change
     }
 
-    /// The last revision that changed a key, if one after the floor did.
-    pub fn changed_in(&self, key: &str) -> Option<Number> {
-        todo!()
-    }
-}
-
-/// The protocol's own key at which the last sequence number of an author stands.
+    /// What the author signs: a domain string, author (2), sequence (8), base (4), number of edits (4), and for each edit the
+    /// length of the key (4), the key, and 0 for a removal or 1, the length of the value (4) and the value. Numbers are
+    /// big-endian.
+    pub fn signed_bytes(&self) -> Vec<u8> {
+        let mut bytes = DOMAIN.to_vec();
+        bytes.extend_from_slice(&self.id.author.to_be_bytes());
+        bytes.extend_from_slice(&self.id.sequence.to_be_bytes());
+        bytes.extend_from_slice(&self.base.to_be_bytes());
+        bytes.extend_from_slice(&(self.edits.len() as u32).to_be_bytes());
+        for edit in &self.edits {
+            push_with_length(&mut bytes, edit.key.as_bytes());
+            bytes.push(u8::from(edit.value.is_some()));
+            if let Some(value) = &edit.value {
+                push_with_length(&mut bytes, value);
+            }
+        }
+        bytes
+    }
+
+    /// Whether its author signed it by a key that holds.
+    pub fn is_signed(&self, hand: &impl Hand) -> bool {
+        hand.by_author(self.id.author, &self.signed_bytes(), &self.signature)
+    }
+
+    /// Whether its author signed it, by a key that holds or held.
+    pub fn was_signed(&self, hand: &impl Hand) -> bool {
+        hand.by_author_ever(self.id.author, &self.signed_bytes(), &self.signature)
+    }
+
+    /// Whether its edits are within their bounds and of keys that authors may edit, no key twice.
+    fn check_edits(&self) -> Result<(), Rejection> {
+        if self.edits.is_empty() {
+            return Err(Rejection::Empty);
+        }
+        if self.edits.len() > MOST_EDITS {
+            return Err(Rejection::TooLarge(self.edits.len(), MOST_EDITS));
+        }
+        let length = self.signed_bytes().len();
+        if length > LARGEST_CHANGE {
+            return Err(Rejection::TooLarge(length, LARGEST_CHANGE));
+        }
+        let mut keys = BTreeSet::new();
+        for edit in &self.edits {
+            let refused = |reason: String| Rejection::Edit { key: edit.key.clone(), reason };
+            edit.check().map_err(|fault| refused(fault.to_string()))?;
+            if edit.key.starts_with(RESERVED) {
+                return Err(refused("it begins with NUL, as only the protocol's own keys do".to_owned()));
+            }
+            if !keys.insert(&edit.key) {
+                return Err(refused("it is edited twice".to_owned()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether it is the author's next one, and made against a revision that there is.
+    fn check_position(&self, state: &State, highest: Number) -> Result<(), Rejection> {
+        let last = last_sequence(state, self.id.author);
+        if self.id.sequence <= last {
+            return Err(Rejection::Sequence(self.id.sequence, last));
+        }
+        if self.base > highest {
+            return Err(Rejection::BaseAhead(self.base, highest));
+        }
+        Ok(())
+    }
+
+    /// Whether none of its keys was changed after its base.
+    fn check_conflicts(&self, history: &History) -> Result<(), Rejection> {
+        if self.base < history.floor() {
+            return Err(Rejection::BaseTooOld(self.base, history.floor()));
+        }
+        for edit in &self.edits {
+            if let Some(changed_in) = history.changed_in(&edit.key).filter(|number| *number > self.base) {
+                return Err(Rejection::Conflict { key: edit.key.clone(), base: self.base, changed_in });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn push_with_length(bytes: &mut Vec<u8>, part: &[u8]) {
+    bytes.extend_from_slice(&(part.len() as u32).to_be_bytes());
+    bytes.extend_from_slice(part);
+}
+
+/// The protocol's own key at which the last sequence number of an author stands, as eight bytes big-endian.
 pub fn author_key(author: Author) -> String {
-    format!("\0author/{author}")
+    format!("{RESERVED}author/{author}")
 }
 
-/// The sequence number of the last change of an author that the state has; 0 before the first.
-pub fn last_sequence(_state: &State, _author: Author) -> u64 {
-    todo!()
+/// The sequence number of the last change of an author that the state has; 0 before the first. A value of another form
+/// counts as the highest number, so that nothing is applied twice.
+pub fn last_sequence(state: &State, author: Author) -> u64 {
+    let Some(value) = state.get(&author_key(author)) else { return 0 };
+    value.try_into().map_or(u64::MAX, u64::from_be_bytes)
 }
 
-/// Whether a change can become part of the revision after `highest`.
+/// Whether a change can become part of the revision after `highest`, whose state this is.
+///
+/// An author's changes are numbered upwards, not without gaps: of two that come in the wrong order, the lower one is
+/// rejected.
 ///
 /// # Errors
 /// Why it can't.
 pub fn admit(
-    _change: &Change, _state: &State, _history: &History, _highest: Number, _hand: &impl Hand,
+    change: &Change, state: &State, history: &History, highest: Number, hand: &impl Hand,
 ) -> Result<(), Rejection> {
-    todo!()
-}
-
-#[allow(unused_variables)]
-impl Change {
-    pub fn sign(
-        author: Author, sequence: u64, base: Number, edits: Vec<Edit>, sign: impl FnOnce(&[u8]) -> Signature,
-    ) -> Self {
-        todo!()
-    }
-
-    pub fn signed_bytes(&self) -> Vec<u8> {
-        todo!()
-    }
-
-    pub fn is_signed(&self, hand: &impl Hand) -> bool {
-        todo!()
+    change.check_edits()?;
+    if !change.is_signed(hand) {
+        return Err(Rejection::Author(change.id.author));
     }
+    change.check_position(state, highest)?;
+    change.check_conflicts(history)
 }
 
-#[allow(unused_variables)]
-impl Batch {
-    /// Builds revision `number` from waiting changes, in their order.
-    pub fn build(
-        number: Number, state: &State, history: &History, waiting: Vec<Change>, hand: &impl Hand,
-        limits: Limits,
-    ) -> Built {
-        todo!()
-    }
-
-    pub fn encode(&self) -> Vec<u8> {
-        todo!()
-    }
-
-    /// # Errors
-    /// Where the bytes are no batch, or one out of bounds.
-    pub fn decode(bytes: &[u8]) -> Result<Self, BatchFault> {
-        todo!()
-    }
-
-    /// Checks a batch that is proposed and applies it: the state that it leads to, and its edits, each key once, by
-    /// key, the protocol's own keys too.
-    ///
-    /// # Errors
-    /// Where it is not the next batch of this state, or one of its changes can't be admitted.
-    pub fn apply(
-        &self, state: &State, history: &History, hand: &impl Hand,
-    ) -> Result<(State, Vec<Edit>), BatchFault> {
-        todo!()
-    }
-
-    /// The same for a batch that is certified: a key that was revoked since takes nothing back, and conflicts, which
-    /// those who certified it have checked, are not looked for.
-    ///
-    /// # Errors
-    /// As [`Batch::apply`].
-    pub fn apply_certified(&self, state: &State, hand: &impl Hand) -> Result<(State, Vec<Edit>), BatchFault> {
-        todo!()
-    }
-}
-
-/// Bytes of a summary's text.
-pub const SUMMARY: usize = 68;
-
-#[allow(unused_variables)]
-impl Summary {
-    /// The summary of an encoded batch that leads to a state with this root.
-    pub fn of(root: Digest, bytes: &[u8]) -> Self {
-        todo!()
-    }
-
-    /// The text of a revision's head: root, digest of the batch, length of the batch (big-endian).
-    pub fn text(&self) -> [u8; SUMMARY] {
-        todo!()
-    }
-
-    pub fn read(text: &[u8]) -> Option<Self> {
-        todo!()
+/// The same for a change that stands in a certified batch: a key that was revoked since takes nothing back, and
+/// conflicts were checked by those who certified it.
+fn admit_certified(
+    change: &Change, state: &State, highest: Number, hand: &impl Hand,
+) -> Result<(), Rejection> {
+    change.check_edits()?;
+    if !change.was_signed(hand) {
+        return Err(Rejection::Author(change.id.author));
     }
+    change.check_position(state, highest)
 }
