--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -1,1 +1,1 @@
-//! To be written.
+//! The relay of a control machine: hands certified revisions and leases down to watchers.
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -85,7 +85,8 @@
             }
         }
         // Where its author's key holds no more, a keeper's vote shows that it did.
-        let vote = head.filter(|signed| !signed.is_signed(&self.hand));
+        // Under a gate it shows that what the text stands for was in order.
+        let vote = head.filter(|signed| self.gate.is_some() || !signed.is_signed(&self.hand));
         let vote = vote.and_then(|signed| self.learned.votes_for(&signed.head.digest()).next().copied());
         for keeper in self.hand.keepers().to_vec() {
             match chosen {
@@ -132,6 +133,7 @@
         match self.texts.get(&signed.head.text).cloned() {
             None if !over => out.push(Given::Fetch(signed, from)),
             Some(text) if !over && (self.terms.check)(&text).is_err() => {}
+            Some(_) if !over && !self.lets_vote(&signed) => {}
             text => {
                 if let Some(text) = text {
                     out.push(Given::StoreText(signed.head.text, text));
@@ -196,6 +198,16 @@
             return;
         }
         let number = self.learned.number();
+        if self.proposal.as_ref().is_some_and(|proposal| proposal.number() == number) {
+            self.tell_certified(now, out);
+        }
+        self.certified_now(now, out);
+    }
+
+    /// Goes on from a number that has just become known certified.
+    pub(crate) fn certified_now(&mut self, now: Duration, out: &mut Vec<Given>) {
+        let number = self.learned.number();
+        self.gate.iter_mut().for_each(|gate| gate.certified(now));
         if let Some(keeper) = &mut self.keeper {
             keeper.certified(number);
             self.store(out);
@@ -225,7 +237,7 @@
         let number = self.learned.number();
         let waits = |member: &Member| {
             let has = if *member == self.terms.me {
-                number == 0 || self.prepared >= Some(number)
+                number == 0 || self.is_prepared(number)
             } else {
                 self.positions
                     .get(member)
@@ -233,7 +245,8 @@
             };
             let off = self.gone.get(member).is_some_and(|gone| gone.gone);
             let hold = self.terms.regime == Regime::Hold && *member != self.terms.me;
-            !(has || off || hold && self.granted.is_over(*member, now, self.lease))
+            let late = self.gate.as_ref().is_some_and(|gate| gate.is_over(now));
+            !(has || off || hold && (late || self.granted.is_over(*member, now, self.lease)))
         };
         self.hand.members().iter().copied().filter(waits).collect()
     }
@@ -252,11 +265,7 @@
         let go = Go::sign(&self.hand, self.terms.me, number, digest);
         self.learned.take_go(go, &self.hand);
         self.store(out);
-        for keeper in self.hand.keepers().to_vec() {
-            if keeper != self.terms.me {
-                self.say(now, keeper, Word::Go(go), out);
-            }
-        }
+        self.tell_go(now, go, out);
         self.news(now);
         self.act(now, out);
     }
--- a/crates/revisions/src/lib.rs
+++ b/crates/revisions/src/lib.rs
@@ -8,6 +8,7 @@
 //! quorum of keepers for a lease, holds back what the change governs ([`Acting::held`]).
 
 mod certify;
+mod gate;
 mod head;
 mod keeper;
 mod learned;
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -6,6 +6,7 @@
 
 use badgerledge_core::chance::Chance;
 
+use crate::gate::Gate;
 use crate::learned::Learned;
 use crate::lease::{Granted, Held, ASKS_IN_A_LEASE};
 use crate::propose::Proposal;
@@ -123,6 +124,8 @@
     pub(crate) busy_until: Duration,
     /// When each member was last given what it lacked.
     pub(crate) gave: BTreeMap<Member, Duration>,
+    /// What the driver decides, where the text stands for more than itself.
+    pub(crate) gate: Option<Gate>,
 }
 
 impl<H: Hand> Revisions<H> {
@@ -164,6 +167,7 @@
             next_rescue: None,
             busy_until: now,
             gave: BTreeMap::new(),
+            gate: None,
             hand,
             terms,
         };
@@ -288,7 +292,7 @@
         Position {
             active: self.active,
             certified,
-            has_text: certified == 0 || self.prepared == Some(certified),
+            has_text: certified == 0 || self.is_prepared(certified),
             refuses: self.unfit == Some(certified) && certified > 0,
             held: self.hold(now).is_some(),
         }
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -224,7 +224,7 @@
         let position = self.position(now);
         // What was just prepared is said again until each keeper has answered: the change waits for it.
         let urgent = self.ask_again < self.lease / (ASKS_IN_A_LEASE + 1);
-        let since = self.told.1;
+        let since = self.told_since();
         let asked = |keeper: &Member| !urgent || !self.leases.answered_since(*keeper, since);
         let keepers: Vec<Member> = self.hand.keepers().iter().copied().filter(asked).collect();
         for keeper in keepers {
