Scale: scenario files, their reckoning, observations and figures of a run

What a run of the distribution tier at the plan's size needs before it has members: the fleet, network, load, failures and budgets as an INI file that is refused with place and reason, what it takes of the machine, one timeline from a seed for all kinds of members, and the figures with their budgets.

--- /dev/null
+++ b/crates/scale/src/figures.rs
@@ -0,0 +1,323 @@
+//! The figures of a run, and whether its budgets were kept.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use badgerledge_distribution::{ControllerId, Number};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::machine::Machine;
+use crate::observations::{histogram, Observations, Transition, Used};
+use crate::scenario::Scenario;
+
+/// Of a distribution, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    pub count: u64,
+    pub p50: f64,
+    pub p99: f64,
+    pub last: f64,
+}
+
+impl Spread {
+    fn of(histogram: &Histogram<u64>) -> Self {
+        let seconds = |micros: u64| micros as f64 / 1e6;
+        Self {
+            count: histogram.len(),
+            p50: seconds(histogram.value_at_quantile(0.5)),
+            p99: seconds(histogram.value_at_quantile(0.99)),
+            last: seconds(histogram.max()),
+        }
+    }
+}
+
+/// What members of one role used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    pub bytes_in_per_s: f64,
+    pub bytes_out_per_s: f64,
+    /// Of the member with the most, in and out together.
+    pub most_bytes_per_s: f64,
+    /// As a part of a core, on the mean and of the member with the most.
+    pub cpu: f64,
+    pub most_cpu: f64,
+    pub messages_per_s: f64,
+    pub memory_bytes: u64,
+}
+
+/// The figures of a run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Figures {
+    pub version: String,
+    pub seed: u64,
+    pub machine: Machine,
+    pub scenario: String,
+    /// `simulated`, `hollow` or `real`.
+    pub kind: String,
+    pub controllers: u32,
+    pub control_machines: u16,
+    /// How long the run was in its own time, and on the clock.
+    pub run_s: f64,
+    pub took_s: f64,
+    pub changes: u64,
+    pub changes_taken: u64,
+    pub turned_down: Vec<String>,
+    pub revisions: Number,
+    /// From the push of a change until a reachable controller acted on it.
+    pub in_force: Spread,
+    /// Pairs of a change and a controller that was reachable all the time and never acted on it.
+    pub never: u64,
+    /// From the return of a controller until it acts on what others acted on when it returned.
+    pub caught_up: Spread,
+    pub never_caught_up: u64,
+    /// The share of time that reachable controllers held back.
+    pub held_back: f64,
+    pub longest_contradiction_s: f64,
+    pub bound_s: f64,
+    pub controller: Usage,
+    /// Bytes of one controller in one second: 99 in 100, and the worst.
+    pub second_p99_bytes: u64,
+    pub second_worst_bytes: u64,
+    pub control_machine: Usage,
+    pub budgets: Vec<Budget>,
+}
+
+/// One budget beside what was measured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Budget {
+    pub name: String,
+    pub allowed: f64,
+    pub measured: f64,
+    pub unit: String,
+    pub kept: bool,
+}
+
+impl Budget {
+    fn at_most(name: &str, allowed: f64, measured: f64, unit: &str) -> Self {
+        let kept = measured <= allowed;
+        Self { name: name.to_owned(), allowed, measured, unit: unit.to_owned(), kept }
+    }
+}
+
+/// What a run is named by in its figures.
+pub struct Title<'a> {
+    pub scenario: &'a Scenario,
+    pub kind: &'a str,
+    /// The bound on contradictions that the protocol states.
+    pub bound: Duration,
+    pub took: Duration,
+}
+
+impl Figures {
+    pub fn of(title: &Title<'_>, seen: &Observations) -> Self {
+        let scenario = title.scenario;
+        let (from, until) = (scenario.warm_up(), scenario.end());
+        let span = until.saturating_sub(from);
+        let courses = courses(&seen.transitions);
+        let (in_force, never) = in_force(seen, &courses, scenario.fleet.controllers);
+        let (caught_up, never_caught_up) = caught_up(seen, &courses);
+        let taken = seen.changes.iter().filter(|change| change.1.is_some());
+        let revisions = seen.changes.iter().filter_map(|change| change.1).max().unwrap_or(0);
+        let mut figures = Self {
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            seed: scenario.run.seed,
+            machine: Machine::here(),
+            scenario: scenario.name.clone(),
+            kind: title.kind.to_owned(),
+            controllers: scenario.fleet.controllers,
+            control_machines: scenario.fleet.control_machines,
+            run_s: until.as_secs_f64(),
+            took_s: title.took.as_secs_f64(),
+            changes: seen.changes.len() as u64,
+            changes_taken: taken.count() as u64,
+            turned_down: seen.turned_down.clone(),
+            revisions,
+            in_force: Spread::of(&in_force),
+            never,
+            caught_up: Spread::of(&caught_up),
+            never_caught_up,
+            held_back: held_back(seen, &courses, from, until),
+            longest_contradiction_s: seen.acted_on.longest_contradiction().0.as_secs_f64(),
+            bound_s: title.bound.as_secs_f64(),
+            controller: usage(&seen.controllers, span, seen.controller_memory),
+            second_p99_bytes: seen.seconds.p99(),
+            second_worst_bytes: seen.seconds.worst(),
+            control_machine: usage(&seen.machines, span, seen.machine_memory),
+            budgets: Vec::new(),
+        };
+        figures.budgets = figures.held_against(scenario);
+        figures
+    }
+
+    fn held_against(&self, scenario: &Scenario) -> Vec<Budget> {
+        let budgets = &scenario.budgets;
+        let megabytes = |bytes: u64| bytes as f64 / 1e6;
+        let (controller, machine) = (&self.controller, &self.control_machine);
+        let untaken = (self.changes - self.changes_taken) as f64;
+        vec![
+            Budget::at_most("changes not taken", 0.0, untaken, ""),
+            Budget::at_most("in force everywhere", budgets.in_force_s, self.in_force.last, "s"),
+            Budget::at_most("changes never in force at a reachable controller", 0.0, self.never as f64, ""),
+            Budget::at_most("returned and never current", 0.0, self.never_caught_up as f64, ""),
+            Budget::at_most(
+                "longest contradiction, against T",
+                self.bound_s,
+                self.longest_contradiction_s,
+                "s",
+            ),
+            Budget::at_most(
+                "bytes of the worst controller",
+                budgets.controller_bytes_per_s,
+                controller.most_bytes_per_s,
+                "B/s",
+            ),
+            Budget::at_most(
+                "core of the worst controller",
+                budgets.controller_cpu,
+                controller.most_cpu,
+                "cores",
+            ),
+            Budget::at_most(
+                "memory of a controller",
+                budgets.controller_memory_mb,
+                megabytes(controller.memory_bytes),
+                "MB",
+            ),
+            Budget::at_most(
+                "core of the worst control machine",
+                budgets.machine_cpu,
+                machine.most_cpu,
+                "cores",
+            ),
+            Budget::at_most(
+                "memory of a control machine",
+                budgets.machine_memory_mb,
+                megabytes(machine.memory_bytes),
+                "MB",
+            ),
+            Budget::at_most(
+                "bytes of the worst control machine",
+                budgets.machine_bytes_per_s,
+                machine.most_bytes_per_s,
+                "B/s",
+            ),
+        ]
+    }
+
+    pub fn all_kept(&self) -> bool {
+        self.budgets.iter().all(|budget| budget.kept)
+    }
+}
+
+type Courses = BTreeMap<ControllerId, Vec<Transition>>;
+
+fn courses(transitions: &[Transition]) -> Courses {
+    let mut courses = Courses::new();
+    for transition in transitions {
+        courses.entry(transition.controller).or_default().push(*transition);
+    }
+    for course in courses.values_mut() {
+        course.sort_by_key(|transition| transition.at);
+    }
+    courses
+}
+
+/// When a controller first acted on this revision or a later one, not before that time.
+fn acts_on_at(course: &[Transition], number: Number, from: Duration) -> Option<Duration> {
+    let mut state = None;
+    for transition in course {
+        if transition.at <= from {
+            state = transition.acts_on;
+            continue;
+        }
+        if state.is_some_and(|acts_on| acts_on >= number) {
+            return Some(from);
+        }
+        if transition.acts_on.is_some_and(|acts_on| acts_on >= number) {
+            return Some(transition.at);
+        }
+        state = None;
+    }
+    state.filter(|acts_on| *acts_on >= number).map(|_| from)
+}
+
+fn record(times: &mut Histogram<u64>, span: Duration) {
+    // It grows as needed.
+    let _ = times.record(span.as_micros() as u64);
+}
+
+fn in_force(seen: &Observations, courses: &Courses, controllers: u32) -> (Histogram<u64>, u64) {
+    let (mut times, mut never) = (histogram(), 0);
+    let nothing = Vec::new();
+    for controller in 0..controllers {
+        let course = courses.get(&controller).unwrap_or(&nothing);
+        let away = seen.away.get(&controller).map_or(&[][..], Vec::as_slice);
+        for (pushed, number) in &seen.changes {
+            let Some(number) = number else { continue };
+            let acted = acts_on_at(course, *number, *pushed);
+            let until = acted.unwrap_or(Duration::MAX);
+            if away.iter().any(|(from, to)| *from <= until && *to >= *pushed) {
+                continue;
+            }
+            match acted {
+                Some(at) => record(&mut times, at.saturating_sub(*pushed)),
+                None => never += 1,
+            }
+        }
+    }
+    (times, never)
+}
+
+fn caught_up(seen: &Observations, courses: &Courses) -> (Histogram<u64>, u64) {
+    let (mut times, mut never) = (histogram(), 0);
+    for (controller, away) in &seen.away {
+        for (n, (_, back)) in away.iter().enumerate() {
+            let target = seen.acted_on.highest_at(*back);
+            let course = courses.get(controller).map_or(&[][..], Vec::as_slice);
+            let acted = acts_on_at(course, target, *back);
+            let gone_again = away.get(n + 1).map(|next| next.0);
+            match (acted, gone_again) {
+                (Some(at), again) if again.is_none_or(|again| at <= again) => {
+                    record(&mut times, at.saturating_sub(*back));
+                }
+                (_, Some(_)) => {}
+                (_, None) => never += 1,
+            }
+        }
+    }
+    (times, never)
+}
+
+/// The share of time that controllers which are not away hold back.
+fn held_back(seen: &Observations, courses: &Courses, from: Duration, until: Duration) -> f64 {
+    let (mut held, mut all) = (Duration::ZERO, Duration::ZERO);
+    let between = |a: Duration, b: Duration| b.min(until).saturating_sub(a.max(from));
+    for (controller, course) in courses {
+        let away = seen.away.get(controller).map_or(&[][..], Vec::as_slice);
+        all += until.saturating_sub(from);
+        all = away.iter().fold(all, |all, (a, b)| all.saturating_sub(between(*a, *b)));
+        for (n, transition) in course.iter().enumerate().filter(|(_, t)| t.acts_on.is_none()) {
+            let end = course.get(n + 1).map_or(until, |next| next.at);
+            let off = away.iter().map(|(a, b)| between(transition.at.max(*a), end.min(*b))).sum();
+            held += between(transition.at, end).saturating_sub(off);
+        }
+    }
+    held.as_secs_f64() / all.as_secs_f64().max(1e-9)
+}
+
+fn usage(members: &[Used], span: Duration, memory_bytes: u64) -> Usage {
+    let span = span.as_secs_f64().max(1e-9);
+    let count = members.len().max(1) as f64;
+    let mean = |of: &dyn Fn(&Used) -> f64| members.iter().map(of).sum::<f64>() / count / span;
+    let most = |of: &dyn Fn(&Used) -> f64| members.iter().map(of).fold(0.0, f64::max) / span;
+    Usage {
+        bytes_in_per_s: mean(&|used| used.bytes_in as f64),
+        bytes_out_per_s: mean(&|used| used.bytes_out as f64),
+        most_bytes_per_s: most(&|used| (used.bytes_in + used.bytes_out) as f64),
+        cpu: mean(&|used| used.cpu.as_secs_f64()),
+        most_cpu: most(&|used| used.cpu.as_secs_f64()),
+        messages_per_s: mean(&|used| used.messages as f64),
+        memory_bytes,
+    }
+}
--- /dev/null
+++ b/crates/scale/src/tests.rs
@@ -0,0 +1,1 @@
+mod scenarios;
