Deployment: section [distribution], checked; keys: a verifier that signs nothing

A controller needs the control machines' ring and where each of them serves controllers. Off where the section is not there, refused beside [revisions] and without a state folder. A watcher checks what acceptors signed and has no key of its own.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -113,6 +113,9 @@
             *path = settings.parent().unwrap_or(Path::new("")).join(&*path);
         }
     }
+    if let Some(distribution) = &mut deployment.distribution {
+        distribution.ring = settings.parent().unwrap_or(Path::new("")).join(&distribution.ring);
+    }
     let catalogue = Catalogue::read(&deployment.place.catalogue)?;
     for (id, title) in catalogue.titles() {
         if deployment.shared.room_type(&title.room_type).is_none() {
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -4,6 +4,7 @@
 //! types, rules and permissions. [`Deployment::told`] makes the plain map of names to values that the module takes,
 //! under the names that the module knows.
 
+mod distribution_place;
 pub mod entries;
 pub mod kinds;
 mod sections;
@@ -15,6 +16,7 @@
 
 use badgerledge_settings::{Fault, Faults, Sheet};
 
+pub use distribution_place::{DistributionPlace, RelayPlace};
 pub use sections::{
     ControllerPlace, Crossing, Fleet, GossipPlace, Ladder, Permissions, Prices, RevisionsPlace, RoomType,
     Rules, HALF_A_MINUTE,
@@ -23,10 +25,11 @@
 pub use text::{ActedOn, Text};
 
 /// All kinds of section that a controller's file may have.
-pub const SECTIONS: [&str; 10] = [
+pub const SECTIONS: [&str; 11] = [
     "controller",
     "gossip",
     "revisions",
+    "distribution",
     "fleet",
     "ladder",
     "room_type",
@@ -51,6 +54,8 @@
     pub gossip: Option<GossipPlace>,
     /// Without it the shared sections are what the file says, for good.
     pub revisions: Option<RevisionsPlace>,
+    /// The same, where control machines hand the shared sections down; never beside `revisions`.
+    pub distribution: Option<DistributionPlace>,
     pub shared: Shared,
     /// The sections that it was read from, in the one form that all have for them.
     pub shared_text: String,
@@ -88,6 +93,18 @@
             let why = "is taken only beside [gossip] and [controller] state";
             return Err(sheet.fault("revisions", "", "", why).into());
         }
+        let distribution = sheet
+            .has("distribution")
+            .then(|| sheet.section::<DistributionPlace>("distribution"))
+            .transpose()?;
+        if distribution.is_some() && revisions.is_some() {
+            let why = "is not taken beside [revisions]: both would say what is acted on";
+            return Err(sheet.fault("distribution", "", "", why).into());
+        }
+        if distribution.is_some() && place.state.is_none() {
+            let why = "is taken only beside [controller] state";
+            return Err(sheet.fault("distribution", "", "", why).into());
+        }
         let wrong = |key: &str, value: &str, why: String| sheet.fault("controller", key, value, &why).into();
         if place.number >= place.controllers {
             let why = format!("0 to {} is taken, for there are {}", place.controllers - 1, place.controllers);
@@ -102,7 +119,7 @@
             return Err(wrong("peers", "", why));
         }
         let shared_text = kinds::canonical(sheet);
-        Ok(Self { place, gossip, revisions, shared, shared_text })
+        Ok(Self { place, gossip, revisions, distribution, shared, shared_text })
     }
 }
 
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -123,7 +123,7 @@
 /// A few hundred that play leave at some ten a second: what a holder of a title takes in beside its usual joins.
 pub const HALF_A_MINUTE: u64 = 30;
 
-fn half_a_minute() -> u64 {
+pub(crate) fn half_a_minute() -> u64 {
     HALF_A_MINUTE
 }
 
--- a/crates/deployment/src/tests.rs
+++ b/crates/deployment/src/tests.rs
@@ -4,8 +4,8 @@
 use badgerledge_settings::Sheet;
 
 use crate::{
-    kinds, Crossing, Deployment, Fleet, Ladder, Permissions, Prices, RoomType, Rules, Text, REVISED_SECTIONS,
-    SHARED_SECTIONS,
+    kinds, Crossing, Deployment, Fleet, Ladder, Permissions, Prices, RelayPlace, RoomType, Rules, Text,
+    REVISED_SECTIONS, SHARED_SECTIONS,
 };
 
 const WHOLE: &str = "\
@@ -136,6 +136,42 @@
     );
 }
 
+#[test]
+fn relays_are_read_and_what_is_wrong_with_them_is_placed() {
+    let with = |more: &str| {
+        let told = format!("[distribution]\nring = ring.ini\n{more}");
+        read(&WHOLE.replace("[fleet]", &format!("state = here\n{told}[fleet]")))
+    };
+    let told = with("relays = 3 south 127.0.0.1:7400, 4 north 127.0.0.1:7401\n").unwrap();
+    let distribution = told.distribution.unwrap();
+    let wanted = RelayPlace { machine: 4, zone: "north".to_owned(), at: "127.0.0.1:7401".parse().unwrap() };
+    assert_eq!(distribution.relays[1], wanted);
+    assert_eq!((distribution.titles, distribution.leave_within_s), (false, 30));
+    assert!(read(WHOLE).unwrap().distribution.is_none());
+
+    let fault = |more: &str| with(more).unwrap_err();
+    let place = "d.ini:10: [distribution] relays";
+    assert_eq!(fault("titles = true\n"), "d.ini:8: [distribution] relays: this key is missing");
+    assert!(fault("relays =\n").starts_with(place));
+    let form = format!("{place} = 3 south: NUMBER ZONE ADDRESS is taken for each");
+    assert_eq!(fault("relays = 3 south\n"), form);
+    assert!(fault("relays = x south 127.0.0.1:7400\n").ends_with("a control machine's number is taken first"));
+    assert!(fault("relays = 3 south 127.0.0.1\n").ends_with("an address with a port is taken last"));
+    let twice = "relays = 3 south 127.0.0.1:7400, 3 north 127.0.0.1:7401\n";
+    assert!(fault(twice).ends_with("3 at 127.0.0.1:7401 is given twice"));
+    let revisions =
+        "relays = 3 south 127.0.0.1:7400\n[gossip]\nlisten = 127.0.0.1:1\nring = r\nkey = k\n[revisions]\n";
+    assert_eq!(
+        fault(revisions),
+        "d.ini:8: [distribution]: is not taken beside [revisions]: both would say what is acted on"
+    );
+    let stateless = "[distribution]\nring = ring.ini\nrelays = 3 south 127.0.0.1:7400\n[fleet]";
+    assert_eq!(
+        read(&WHOLE.replace("[fleet]", stateless)).unwrap_err(),
+        "d.ini:7: [distribution]: is taken only beside [controller] state"
+    );
+}
+
 /// Found by trying it: only the faults of the first section were told.
 #[test]
 fn all_that_is_wrong_is_told_at_once() {
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -68,6 +68,46 @@
     }
 }
 
+/// A ring alone, for who checks what others signed and signs nothing itself.
+#[derive(Clone)]
+pub struct Verifier {
+    ring: Ring,
+}
+
+impl Verifier {
+    pub fn new(ring: Ring) -> Self {
+        Self { ring }
+    }
+}
+
+impl badgerledge_revisions::Hand for Verifier {
+    /// It has no key: what it gives is no signature of anybody's.
+    fn sign(&self, _bytes: &[u8]) -> Signature {
+        [0; 64]
+    }
+
+    fn by_member(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool {
+        verifies(self.ring.keys(member), bytes, signature)
+    }
+
+    fn by_author(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
+        verifies(self.ring.author(author), bytes, signature)
+    }
+
+    fn by_author_ever(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
+        verifies(self.ring.author(author), bytes, signature)
+            || verifies(self.ring.past_author(author), bytes, signature)
+    }
+
+    fn members(&self) -> &[Member] {
+        self.ring.members()
+    }
+
+    fn keepers(&self) -> &[Member] {
+        self.ring.keepers()
+    }
+}
+
 impl Hand for Keys {
     fn sign(&self, bytes: &[u8]) -> Signature {
         self.private.sign(bytes)
