Files: what outlives a process and the number of its life, shared by programs

The control machines' program needs the same durable replacing and life numbers as the controller; they move from the controller's own module to a package without dependencies. Behaviour is unchanged.

--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -26,9 +26,6 @@
 /// The first time so soon, then after twice as long each time: one that is killed in its first seconds must find the others
 /// again, and its seeds may have been killed with it.
 const FIRST_STORE: Duration = Duration::from_secs(1);
-/// Lives count quarter seconds since 2026, or go on from the one before, whichever is later.
-const LIVES_FROM: u64 = 1_767_225_600;
-const LIFE_TICK_MS: u128 = 250;
 /// A stream that gets less of its rate, or a link that is asked for so much more than it gives, is strained; and at ease only
 /// well off that: notes scatter by some 0.1 about what is (docs/standing.md).
 const SHORT: f64 = 0.9;
@@ -336,13 +333,9 @@
 
 /// A life later than all before it, as far as a store or the clock can tell; stored before anything is said in it.
 fn next_life(state: Option<&Path>) -> u32 {
-    let wall = files::wall().saturating_sub(Duration::from_secs(LIVES_FROM)).as_millis() / LIFE_TICK_MS;
     let file = state.map(|state| state.join(LIFE));
-    let stored =
-        file.as_ref().and_then(|file| std::fs::read_to_string(file).ok()?.trim().parse::<u32>().ok());
-    let life =
-        stored.map_or(0, |stored| stored.saturating_add(1)).max(wall.min(u32::MAX.into()) as u32).max(1);
-    if let Some(Err(e)) = file.map(|file| std::fs::write(file, format!("{life}\n"))) {
+    let life = files::next_life(file.as_deref());
+    if let Some(Err(e)) = file.map(|file| std::fs::write(file, files::written_life(life))) {
         tracing::warn!("this life could not be stored: {e}; the next one is told by the clock");
     }
     life
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,7 +6,6 @@
 mod changing;
 mod ends;
 mod fetching;
-mod files;
 mod gossiping;
 mod join;
 mod list;
@@ -24,6 +23,7 @@
 use anyhow::{Context, Result};
 use badgerledge_catalogue::Catalogue;
 use badgerledge_deployment::Deployment;
+use badgerledge_files as files;
 use clap::{Parser, Subcommand, ValueEnum};
 use tracing_subscriber::EnvFilter;
 
