--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -98,6 +98,16 @@
         (Self { titles }, moved)
     }
 
+    /// Puts some titles in, and takes those out for which there is none.
+    pub fn change(&mut self, changed: Vec<(u64, Option<Title>)>) {
+        for (id, title) in changed {
+            match title {
+                Some(title) => drop(self.titles.insert(id, title)),
+                None => drop(self.titles.remove(&id)),
+            }
+        }
+    }
+
     pub fn title(&self, id: u64) -> Option<&Title> {
         self.titles.get(&id)
     }
--- a/crates/deployment/src/entries.rs
+++ b/crates/deployment/src/entries.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use badgerledge_catalogue::Catalogue;
+use badgerledge_catalogue::{Catalogue, Title};
 use badgerledge_distribution::state::Entry;
 use badgerledge_settings::Sheet;
 use thiserror::Error;
@@ -100,7 +100,7 @@
 pub fn text_of<'a>(entries: impl IntoIterator<Item = (&'a str, &'a [u8])>) -> Result<String, EntriesFault> {
     let mut sections: BTreeMap<&str, Section> = BTreeMap::new();
     let mut titles = Vec::new();
-    for (key, value) in entries.into_iter().filter(|(key, _)| !key.starts_with(RESERVED)) {
+    for (key, value) in entries.into_iter().filter(|(key, _)| !is_reserved(key)) {
         if key.starts_with(TITLE) {
             titles.push((key, value_text(key, value)?));
             continue;
@@ -139,16 +139,42 @@
     Ok(text)
 }
 
+/// The title that an entry's key and value stand for; nothing where the key is not one of a title.
+///
+/// # Errors
+/// Where the key or the value is not in canonical form.
+pub fn title_of(key: &str, value: &[u8]) -> Result<Option<(u64, Title)>, EntriesFault> {
+    let Some(id) = title_id(key)? else { return Ok(None) };
+    let text = format!("[{key}]\n{}", value_text(key, value)?);
+    let catalogue = Catalogue::of_text(&text).filter(|read| read.len() == 1 && read.text() == text);
+    let title = catalogue.as_ref().and_then(|read| read.title(id));
+    match title {
+        Some(title) => Ok(Some((id, title.clone()))),
+        None => Err(EntriesFault::Titles(titles_fault(&text))),
+    }
+}
+
+/// The id in the key of a title; nothing where the key is not one of a title.
+///
+/// # Errors
+/// Where the id is not in canonical form.
+pub fn title_id(key: &str) -> Result<Option<u64>, EntriesFault> {
+    let Some(digits) = key.strip_prefix(TITLE) else { return Ok(None) };
+    let id = u64::from_str_radix(digits, 16).ok().filter(|id| format!("{id:x}") == digits);
+    id.map(Some).ok_or_else(|| EntriesFault::Key(key.to_owned()))
+}
+
+/// Whether a key is the protocol's own.
+pub fn is_reserved(key: &str) -> bool {
+    key.starts_with(RESERVED)
+}
+
 /// Titles by their ids. Each entry must be exactly one title, so that no value can bring another section in.
 fn titles_text(titles: Vec<(&str, &str)>) -> Result<String, EntriesFault> {
     let count = titles.len();
     let mut by_id = Vec::with_capacity(count);
     for (key, value) in titles {
-        let digits = key.strip_prefix(TITLE).unwrap_or_default();
-        let id = u64::from_str_radix(digits, 16).map_err(|_| EntriesFault::Key(key.to_owned()))?;
-        if format!("{id:x}") != digits {
-            return Err(EntriesFault::Key(key.to_owned()));
-        }
+        let id = title_id(key)?.ok_or_else(|| EntriesFault::Key(key.to_owned()))?;
         by_id.push((id, value));
     }
     by_id.sort_unstable_by_key(|(id, _)| *id);
--- a/crates/deployment/src/entries_tests.rs
+++ b/crates/deployment/src/entries_tests.rs
@@ -3,7 +3,7 @@
 use badgerledge_distribution::state::Entry;
 use quickcheck::{quickcheck, TestResult};
 
-use crate::entries::{entries_of, text_of, EntriesFault};
+use crate::entries::{entries_of, text_of, title_of, EntriesFault};
 use crate::Text;
 
 const SETTINGS: &str = "\
@@ -34,7 +34,7 @@
 }
 
 /// A text whose room types stand in the order of `types`, with as many titles as there are ids.
-fn text(types: &[u8], ids: &[u64], rules: bool) -> String {
+pub(crate) fn text(types: &[u8], ids: &[u64], rules: bool) -> String {
     let mut text = SETTINGS.to_owned() + &room_type("zoo", 1);
     for (at, name) in types.iter().enumerate().filter(|(at, name)| !types[..*at].contains(name)) {
         text += &room_type(&format!("{} {name}", at % 2), *name);
@@ -120,3 +120,16 @@
     assert!(with("title 7", &two).contains("and no others"));
     assert!(entries_of("[fleet]\ncells = 0\n").is_err());
 }
+
+#[test]
+fn one_title_is_changed_without_the_others() {
+    let text = Text::read(text(&[1], &[7, 8], false).as_bytes()).unwrap();
+    let moved = "copies = 2\nfirst_cell = 3\nroom_type = zoo\n";
+    let (id, title) = title_of("title 8", moved.as_bytes()).unwrap().unwrap();
+    assert_eq!(title_of("rules\tjoins", b"1"), Ok(None));
+    assert!(title_of("title 08", moved.as_bytes()).is_err() && title_of("title 8", b"copies = 2\n").is_err());
+    let changed = text.with_titles(vec![(id, Some(title.clone())), (7, None)]).unwrap();
+    assert_eq!(changed.titles().titles().collect::<Vec<_>>(), [(8, &title)]);
+    let stray = badgerledge_catalogue::Title { room_type: "none".to_owned(), ..title };
+    assert!(text.with_titles(vec![(9, Some(stray))]).unwrap_err().contains("[title 9] room_type = none"));
+}
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entries;
 pub mod kinds;
 mod sections;
+mod state_reader;
 mod text;
 mod told;
 
@@ -22,6 +23,7 @@
     Rules, HALF_A_MINUTE,
 };
 
+pub use state_reader::StateReader;
 pub use text::{ActedOn, Text};
 
 /// All kinds of section that a controller's file may have.
@@ -210,4 +212,6 @@
 #[cfg(test)]
 mod entries_tests;
 #[cfg(test)]
+mod state_reader_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/deployment/src/text.rs
+++ b/crates/deployment/src/text.rs
@@ -1,18 +1,26 @@
 //! A revision's text, read: its settings as a sheet, its titles as a catalogue. A text is read between two rounds, so the
 //! titles, of which there may be 100,000, are not taken through the sheet.
 
-use badgerledge_catalogue::Catalogue;
+use std::sync::Arc;
+
+use badgerledge_catalogue::{Catalogue, Title};
 use badgerledge_settings::Sheet;
 
 use crate::kinds::{between, canonical, default_of, is_exclusive, revised};
 use crate::{Shared, REVISED_SECTIONS};
 
 /// A text that is in order and in its one form.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Text {
+    settings: Arc<Settings>,
+    titles: Catalogue,
+}
+
+/// The settings of a text, which one with other titles shares.
+#[derive(Debug)]
+struct Settings {
     sheet: Sheet,
     shared: Shared,
-    titles: Catalogue,
 }
 
 /// What is acted on by who has heard of a change, or of none.
@@ -43,7 +51,27 @@
         if stray || canonical(&sheet) != settings {
             return Err(Self::fault(text));
         }
-        Ok(Self { sheet, shared, titles })
+        Ok(Self { settings: Arc::new(Settings { sheet, shared }), titles })
+    }
+
+    /// The same settings with some titles put in, or taken out where there is none.
+    ///
+    /// # Errors
+    /// Names a title whose room type is not in the settings.
+    pub fn with_titles(&self, changed: Vec<(u64, Option<Title>)>) -> Result<Self, String> {
+        for (id, title) in &changed {
+            if let Some(title) =
+                title.as_ref().filter(|title| self.shared().room_type(&title.room_type).is_none())
+            {
+                return Err(format!(
+                    "[title {id:x}] room_type = {}: there is no room type of this name",
+                    title.room_type
+                ));
+            }
+        }
+        let mut titles = self.titles.clone();
+        titles.change(changed);
+        Ok(Self { settings: self.settings.clone(), titles })
     }
 
     /// A text's settings, and its titles behind them.
@@ -66,7 +94,7 @@
     }
 
     pub fn shared(&self) -> &Shared {
-        &self.shared
+        &self.settings.shared
     }
 
     pub fn titles(&self) -> &Catalogue {
@@ -75,11 +103,13 @@
 
     /// What a controller acts on whose text this is, and that has prepared another, if any.
     pub fn acted_on(&self, prepared: Option<&Self>) -> ActedOn {
-        let own = |exclusive| ActedOn { shared: self.shared.clone(), titles: self.titles.clone(), exclusive };
+        let own =
+            |exclusive| ActedOn { shared: self.shared().clone(), titles: self.titles.clone(), exclusive };
         let Some(next) = prepared else { return own(false) };
+        let (sheet, next_sheet) = (&self.settings.sheet, &next.settings.sheet);
         let (titles, moved) = self.titles.between(&next.titles);
-        let exclusive = moved || is_exclusive(&self.sheet, &next.sheet);
-        let settings = between(&self.sheet, &next.sheet, &default_of);
+        let exclusive = moved || is_exclusive(sheet, next_sheet);
+        let settings = between(sheet, next_sheet, &default_of);
         // What is the stricter of each may not go together, such as an old top under a new floor, or a new title whose room
         // type is still to come: then all of it waits.
         match Sheet::parse("between", &settings).and_then(|sheet| Shared::of(&sheet)) {
