--- a/crates/distribution/src/transfer.rs
+++ b/crates/distribution/src/transfer.rs
@@ -5,9 +5,11 @@
 //! ([`Transfer::disconnected`]) and when a newer root is the target ([`Transfer::retarget`]). Used by watchers and by
 //! control machines that are behind.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use thiserror::Error;
 
-use crate::state::{Entry, State, StateFault};
+use crate::state::{bucket_digest, group_digest, root_of_groups, Entry, State, StateFault, GROUP, GROUPS};
 use crate::Digest;
 
 /// Groups that are asked for and have not come, at most.
@@ -66,25 +68,71 @@
 /// A snapshot that is being received.
 #[derive(Clone, Debug)]
 pub struct Transfer {
+    /// The own state, with each bucket that was checked in place of its own.
+    state: State,
     root: Digest,
+    groups: Vec<Digest>,
+    /// Groups that differ and whose buckets are not known yet.
+    groups_left: BTreeSet<u8>,
+    /// Buckets that differ, with the digest that each is to have.
+    buckets_left: BTreeMap<u16, Digest>,
+    groups_asked: BTreeSet<u8>,
+    buckets_asked: BTreeSet<u16>,
+    /// How often each part was asked for on this connection while an earlier root was the target.
+    groups_outdated: BTreeMap<u8, u32>,
+    buckets_outdated: BTreeMap<u16, u32>,
+    buckets_taken: usize,
+    bytes_taken: usize,
 }
 
-#[allow(unused_variables)]
 impl Transfer {
     /// A transfer that leads from the own state to the one with this root.
     ///
     /// # Errors
     /// Where the digests of the groups don't lead to that root.
     pub fn begin(own: State, root: Digest, groups: &[Digest]) -> Result<Self, TransferFault> {
-        todo!()
+        check_groups(&root, groups)?;
+        let mut transfer = Self {
+            state: own,
+            root,
+            groups: groups.to_vec(),
+            groups_left: BTreeSet::new(),
+            buckets_left: BTreeMap::new(),
+            groups_asked: BTreeSet::new(),
+            buckets_asked: BTreeSet::new(),
+            groups_outdated: BTreeMap::new(),
+            buckets_outdated: BTreeMap::new(),
+            buckets_taken: 0,
+            bytes_taken: 0,
+        };
+        transfer.compare_groups();
+        Ok(transfer)
     }
 
-    /// Another root is the target from now on; what was verified stays.
+    /// Another root is the target from now on, or the same one is offered again; what was verified stays. Parts that were
+    /// asked for before are asked for anew, and may come once more.
     ///
     /// # Errors
     /// Where the digests of the groups don't lead to that root; the target stays as it was.
     pub fn retarget(&mut self, root: Digest, groups: &[Digest]) -> Result<(), TransferFault> {
-        todo!()
+        check_groups(&root, groups)?;
+        for group in std::mem::take(&mut self.groups_asked) {
+            *self.groups_outdated.entry(group).or_default() += 1;
+        }
+        for bucket in std::mem::take(&mut self.buckets_asked) {
+            *self.buckets_outdated.entry(bucket).or_default() += 1;
+        }
+        self.root = root;
+        self.groups = groups.to_vec();
+        self.buckets_left.clear();
+        self.compare_groups();
+        Ok(())
+    }
+
+    fn compare_groups(&mut self) {
+        let own = self.state.group_digests();
+        let differs = |group: &u8| own.get(usize::from(*group)) != self.groups.get(usize::from(*group));
+        self.groups_left = (0..GROUPS).filter(differs).collect();
     }
 
     /// The root that it leads to.
@@ -94,12 +142,29 @@
 
     /// What to ask for now: within the window, each part once.
     pub fn next_requests(&mut self) -> Vec<PartRequest> {
-        todo!()
+        let mut requests = Vec::new();
+        let room = GROUP_WINDOW.saturating_sub(self.groups_asked.len());
+        let groups: Vec<u8> = self.groups_left.difference(&self.groups_asked).copied().take(room).collect();
+        if !groups.is_empty() {
+            self.groups_asked.extend(&groups);
+            requests.push(PartRequest::Groups(groups));
+        }
+        let room = BUCKET_WINDOW.saturating_sub(self.buckets_asked.len());
+        let not_asked = |bucket: &u16| !self.buckets_asked.contains(bucket);
+        let buckets: Vec<u16> = self.buckets_left.keys().copied().filter(not_asked).take(room).collect();
+        if !buckets.is_empty() {
+            self.buckets_asked.extend(&buckets);
+            requests.push(PartRequest::Buckets(buckets));
+        }
+        requests
     }
 
     /// The connection that parts were asked for on is gone: they will be asked for again.
     pub fn disconnected(&mut self) {
-        todo!()
+        self.groups_asked.clear();
+        self.buckets_asked.clear();
+        self.groups_outdated.clear();
+        self.buckets_outdated.clear();
     }
 
     /// The digests of the non-empty buckets of a group came.
@@ -107,7 +172,38 @@
     /// # Errors
     /// Where it was not asked for, or is not what the root says.
     pub fn take_group(&mut self, group: u8, buckets: Vec<(u16, Digest)>) -> Result<Taken, TransferFault> {
-        todo!()
+        match self.checked_group(group, &buckets) {
+            Ok(()) => {}
+            Err(_) if use_outdated(&mut self.groups_outdated, group) => return Ok(Taken::Outdated),
+            Err(fault) => return Err(fault),
+        }
+        self.groups_asked.remove(&group);
+        self.groups_left.remove(&group);
+        let own: BTreeMap<u16, Digest> = self.state.group(group).into_iter().collect();
+        for bucket in own.keys().filter(|bucket| buckets.iter().all(|(other, _)| other != *bucket)) {
+            self.put_bucket(*bucket, Vec::new())?;
+        }
+        let differs = |(bucket, digest): &(u16, Digest)| own.get(bucket) != Some(digest);
+        self.buckets_left.extend(buckets.into_iter().filter(differs));
+        Ok(Taken::Verified)
+    }
+
+    fn checked_group(&self, group: u8, buckets: &[(u16, Digest)]) -> Result<(), TransferFault> {
+        if !self.groups_asked.contains(&group) {
+            return Err(TransferFault::UnaskedGroup(group));
+        }
+        let mut at_least = u16::from(group) * GROUP;
+        let end = at_least + GROUP;
+        for (bucket, _) in buckets {
+            if *bucket < at_least || *bucket >= end {
+                return Err(TransferFault::GroupBucket { group, bucket: *bucket });
+            }
+            at_least = bucket + 1;
+        }
+        match self.groups.get(usize::from(group)) == Some(&group_digest(buckets)) {
+            true => Ok(()),
+            false => Err(TransferFault::GroupDigest(group)),
+        }
     }
 
     /// The entries of a bucket came.
@@ -115,15 +211,64 @@
     /// # Errors
     /// Where it was not asked for, or is not what the root says.
     pub fn take_bucket(&mut self, bucket: u16, entries: Vec<Entry>) -> Result<Taken, TransferFault> {
-        todo!()
+        match self.checked_bucket(bucket, &entries) {
+            Ok(()) => {}
+            Err(_) if use_outdated(&mut self.buckets_outdated, bucket) => return Ok(Taken::Outdated),
+            Err(fault) => return Err(fault),
+        }
+        let bytes: usize = entries.iter().map(|entry| entry.key.len() + entry.value.len()).sum();
+        self.put_bucket(bucket, entries)?;
+        self.buckets_asked.remove(&bucket);
+        self.buckets_left.remove(&bucket);
+        self.buckets_taken += 1;
+        self.bytes_taken += bytes;
+        Ok(Taken::Verified)
+    }
+
+    fn checked_bucket(&self, bucket: u16, entries: &[Entry]) -> Result<(), TransferFault> {
+        if !self.buckets_asked.contains(&bucket) {
+            return Err(TransferFault::UnaskedBucket(bucket));
+        }
+        match self.buckets_left.get(&bucket) == Some(&bucket_digest(entries)) {
+            true => Ok(()),
+            false => Err(TransferFault::BucketDigest(bucket)),
+        }
+    }
+
+    fn put_bucket(&mut self, bucket: u16, entries: Vec<Entry>) -> Result<(), TransferFault> {
+        let put = self.state.replace_bucket(bucket, entries);
+        put.map_err(|fault| TransferFault::BucketState { bucket, fault })
     }
 
     /// The state, once it has the root that it was to lead to.
     pub fn finished(&self) -> Option<&State> {
-        todo!()
+        let all_here = self.groups_left.is_empty() && self.buckets_left.is_empty();
+        (all_here && self.state.root() == self.root).then_some(&self.state)
     }
 
     pub fn progress(&self) -> Progress {
-        todo!()
+        Progress {
+            groups_left: self.groups_left.len(),
+            buckets_left: self.buckets_left.len(),
+            buckets_taken: self.buckets_taken,
+            bytes_taken: self.bytes_taken,
+        }
+    }
+}
+
+fn check_groups(root: &Digest, groups: &[Digest]) -> Result<(), TransferFault> {
+    match root_of_groups(groups) == Some(*root) {
+        true => Ok(()),
+        false => Err(TransferFault::Root(groups.len())),
+    }
+}
+
+/// Whether one more answer to a request under an earlier target may still come; it is counted off then.
+fn use_outdated<K: Ord>(outdated: &mut BTreeMap<K, u32>, part: K) -> bool {
+    let Some(count) = outdated.get_mut(&part) else { return false };
+    *count -= 1;
+    if *count == 0 {
+        outdated.remove(&part);
     }
+    true
 }
--- /dev/null
+++ b/crates/distribution/src/watcher/difference.rs
@@ -0,0 +1,37 @@
+//! The edits that lead from one state to another.
+
+use std::collections::BTreeMap;
+
+use crate::state::{Edit, State, GROUPS};
+use crate::Digest;
+
+/// The edits that lead from one state to another. Only buckets whose digests differ are looked at.
+pub(super) fn difference(from: &State, to: &State) -> Vec<Edit> {
+    let (old, new) = (from.group_digests(), to.group_digests());
+    let differs = |group: &u8| old.get(usize::from(*group)) != new.get(usize::from(*group));
+    let mut edits = Vec::new();
+    for group in (0..GROUPS).filter(differs) {
+        let old: BTreeMap<u16, Digest> = from.group(group).into_iter().collect();
+        let new: BTreeMap<u16, Digest> = to.group(group).into_iter().collect();
+        let mut buckets: Vec<u16> = old.keys().chain(new.keys()).copied().collect();
+        buckets.sort_unstable();
+        buckets.dedup();
+        for bucket in buckets.into_iter().filter(|bucket| old.get(bucket) != new.get(bucket)) {
+            difference_of_bucket(from, to, bucket, &mut edits);
+        }
+    }
+    edits
+}
+
+fn difference_of_bucket(from: &State, to: &State, bucket: u16, edits: &mut Vec<Edit>) {
+    for old in from.bucket(bucket) {
+        if to.get(&old.key).is_none() {
+            edits.push(Edit { key: old.key, value: None });
+        }
+    }
+    for new in to.bucket(bucket) {
+        if from.get(&new.key) != Some(&new.value[..]) {
+            edits.push(Edit { key: new.key, value: Some(new.value) });
+        }
+    }
+}
--- a/crates/distribution/src/watcher/interface.rs
+++ b/crates/distribution/src/watcher/interface.rs
@@ -96,4 +96,6 @@
     pub transfer: Option<Progress>,
     /// Connections that were left because of what came on them.
     pub relays_refused: u64,
+    /// The place of the relay that was refused last, and why.
+    pub last_refusal: Option<(usize, String)>,
 }
