--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -10,9 +10,11 @@
 pub mod observations;
 pub mod reckoning;
 pub mod scenario;
+pub mod simulation;
 pub mod slopes;
 pub mod summary;
 pub mod timeline;
+pub mod workload;
 
 #[cfg(test)]
 mod tests;
--- a/crates/scale/src/timeline.rs
+++ b/crates/scale/src/timeline.rs
@@ -13,9 +13,10 @@
     Push {
         author: u16,
     },
-    /// Controllers are killed.
+    /// Controllers end; `silent` where their machines go with them, so that nothing tells others.
     KillControllers {
         controllers: Vec<u32>,
+        silent: bool,
     },
     StartControllers {
         controllers: Vec<u32>,
@@ -23,6 +24,7 @@
     },
     KillMachines {
         machines: Vec<u16>,
+        silent: bool,
     },
     StartMachines {
         machines: Vec<u16>,
@@ -92,7 +94,10 @@
         }
         free_at[controller] = at + off * 2;
         let controllers = vec![controller as u32];
-        all.push(At { at, what: Happening::KillControllers { controllers: controllers.clone() } });
+        all.push(At {
+            at,
+            what: Happening::KillControllers { controllers: controllers.clone(), silent: false },
+        });
         all.push(At { at: at + off, what: Happening::StartControllers { controllers, without_disk } });
     }
 }
@@ -109,9 +114,10 @@
     }
     let (machines, controllers) = struck(&scenario.fleet, failure);
     let without_disk = failure.without_disk;
+    let silent = matches!(failure.what.as_str(), "rack" | "zone");
     vec![
-        At { at: from, what: Happening::KillMachines { machines: machines.clone() } },
-        At { at: from, what: Happening::KillControllers { controllers: controllers.clone() } },
+        At { at: from, what: Happening::KillMachines { machines: machines.clone(), silent } },
+        At { at: from, what: Happening::KillControllers { controllers: controllers.clone(), silent } },
         At { at: to, what: Happening::StartMachines { machines, without_disk } },
         At { at: to, what: Happening::StartControllers { controllers, without_disk } },
     ]
