--- a/crates/scale/src/simulation.rs
+++ b/crates/scale/src/simulation.rs
@@ -264,7 +264,7 @@
             "  {:>6.1} s: {acting} of {} controllers act, on {highest} at most; {} connections",
             self.now.as_secs_f64(),
             self.watchers.len(),
-            self.connections.len()
+            self.connections.count()
         );
     }
 
--- a/crates/scale/src/simulation/connections.rs
+++ b/crates/scale/src/simulation/connections.rs
@@ -88,14 +88,10 @@
         self.all.get_mut(&id)
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.all.len()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
-
     /// Sends a frame, or the end, from a side; nothing where that side is closed or the frame waits.
     pub fn send(
         &mut self, paths: &mut Paths, now: Duration, id: ConnectionId, from: usize, frame: Option<Vec<u8>>,
