--- a/crates/deployment/src/entries.rs
+++ b/crates/deployment/src/entries.rs
@@ -50,6 +50,13 @@
     Text::read(text.as_bytes()).map_err(EntriesFault::Text)?;
     let (settings, titles) = Text::split(text);
     let mut entries = settings_entries(settings)?;
+    entries.extend(title_entries(titles));
+    Ok(entries)
+}
+
+/// The entries of titles in canonical form.
+pub fn title_entries(titles: &str) -> Vec<Entry> {
+    let mut entries = Vec::new();
     let mut lines = titles.split_inclusive('\n').peekable();
     while let Some(heading) = lines.next() {
         let name = heading.trim_end().trim_start_matches('[').trim_end_matches(']');
@@ -59,7 +66,7 @@
         }
         entries.push(Entry { key: name.to_owned(), value });
     }
-    Ok(entries)
+    entries
 }
 
 fn settings_entries(settings: &str) -> Result<Vec<Entry>, EntriesFault> {
@@ -79,7 +86,12 @@
 }
 
 fn setting(section: &str, key: &str, value: &str) -> Entry {
-    Entry { key: format!("{section}{SEPARATOR}{key}"), value: value.as_bytes().to_vec() }
+    Entry { key: setting_key(section, key), value: value.as_bytes().to_vec() }
+}
+
+/// The key of a setting's entry; of the entry of its section where the setting's name is empty.
+pub fn setting_key(section: &str, name: &str) -> String {
+    format!("{section}{SEPARATOR}{name}")
 }
 
 fn family(section: &str) -> &str {
--- a/crates/deployment/src/kinds.rs
+++ b/crates/deployment/src/kinds.rs
@@ -142,7 +142,7 @@
 }
 
 /// A value without stray blanks.
-pub(crate) fn plain(value: &str) -> String {
+pub fn plain(value: &str) -> String {
     value.split(',').map(str::trim).collect::<Vec<_>>().join(", ")
 }
 
