--- /dev/null
+++ b/crates/relay/src/main.rs
@@ -0,0 +1,7 @@
+//! The control machine's program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    badgerledge_relay::main_with(std::env::args_os())
+}
--- /dev/null
+++ b/crates/relay/src/verbs/check.rs
@@ -0,0 +1,32 @@
+//! `check`: says all that is wrong with a settings file and what it names.
+
+use std::path::Path;
+
+use anyhow::{bail, Result};
+use badgerledge_distribution::Hand;
+
+use crate::settings::{read_genesis, RelaySettings};
+use crate::Outcome;
+
+/// # Errors
+/// All that is wrong, a line each.
+pub fn run(file: &Path) -> Result<Outcome> {
+    let settings = RelaySettings::read(file)?;
+    let (keys, genesis) = (settings.read_keys(), read_genesis(&settings.place.genesis));
+    match (keys, genesis) {
+        (Ok(keys), Ok(genesis)) => {
+            let (peers, entries) = (settings.peers.len(), genesis.len());
+            let acceptors = keys.keepers().len();
+            let root = hex::encode(genesis.root());
+            println!(
+                "{}: in order, {peers} control machines, {acceptors} of them acceptors, {entries} entries, root {root}",
+                file.display()
+            );
+            Ok(Outcome::Done)
+        }
+        (keys, genesis) => {
+            let faults = [keys.err(), genesis.err()].into_iter().flatten();
+            bail!("{}", faults.map(|fault| format!("{fault:#}")).collect::<Vec<_>>().join("\n"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/verbs/watch.rs
@@ -0,0 +1,66 @@
+//! `watch`: shows how a revision comes into force.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use badgerledge_distribution::message::ControlStatus;
+use badgerledge_distribution::Number;
+
+use crate::client::Client;
+use crate::verbs::status::listed;
+use crate::Outcome;
+
+/// What is shown changes no faster than this is worth reading.
+const ASK_EVERY: Duration = Duration::from_millis(250);
+
+#[derive(clap::Args)]
+pub struct Arguments {
+    /// A control machine: where it takes controllers and tools
+    #[arg(long)]
+    relay: SocketAddr,
+    /// The revision that is to come into force; without it the highest that is certified at the start
+    #[arg(long)]
+    revision: Option<Number>,
+    /// How long to wait, in seconds
+    #[arg(long, default_value_t = 120)]
+    wait: u64,
+}
+
+/// # Errors
+/// Where the relay does not answer.
+pub fn run(arguments: &Arguments) -> Result<Outcome> {
+    let begun = Instant::now();
+    let mut client = Client::connect(arguments.relay)?;
+    let mut status = client.status()?;
+    let wanted = arguments.revision.unwrap_or(status.certified);
+    let mut shown = String::new();
+    while status.active < wanted && begun.elapsed() < Duration::from_secs(arguments.wait) {
+        let line = progress(&status, wanted);
+        if line != shown {
+            println!("{:>7} ms  {line}", begun.elapsed().as_millis());
+            shown = line;
+        }
+        std::thread::sleep(ASK_EVERY);
+        status = client.status()?;
+    }
+    let ms = begun.elapsed().as_millis();
+    if status.active < wanted {
+        println!("{ms:>7} ms  revision {wanted} is not in force: {}", progress(&status, wanted));
+        return Ok(Outcome::NotYet);
+    }
+    println!("{ms:>7} ms  revision {} is in force", status.active);
+    Ok(Outcome::Done)
+}
+
+fn progress(status: &ControlStatus, wanted: Number) -> String {
+    let ControlStatus { active, certified, watchers, prepared, lagging, waited_for, .. } = status;
+    if *certified < wanted {
+        return format!("revision {wanted} is not certified, {certified} is the highest");
+    }
+    format!(
+        "certified {certified}, active {active}, {prepared} of {watchers} watchers prepared, lagging {}, waits for {}",
+        listed(lagging),
+        listed(waited_for)
+    )
+}
