Control machine and relay: batches, forwarding, catch-up, leases and updates of watchers

What a control machine does without I/O, in modules with one job each. Not tested yet but for compiling and lints.

--- /dev/null
+++ b/crates/distribution/src/control/serving.rs
@@ -0,0 +1,69 @@
+//! Gives other control machines batches and states.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::control::ledger::Revision;
+use crate::control::{ControlMachine, ControlOutput};
+use crate::message::{PeerMessage, ToWatcher};
+use crate::state::{BUCKETS, GROUPS};
+use crate::{Digest, Hand, MachineId, Number};
+
+/// Parts of a state that are asked for in one message at most.
+const MOST_PARTS: usize = 128;
+
+/// The states that other machines were offered as snapshots. A state shares what did not change with later ones.
+#[derive(Default)]
+pub(crate) struct Serving {
+    offers: BTreeMap<MachineId, Arc<Revision>>,
+}
+
+impl Serving {
+    pub fn down(&mut self, peer: MachineId) {
+        self.offers.remove(&peer);
+    }
+}
+
+impl<H: Hand> ControlMachine<H> {
+    pub(super) fn serve_batch(
+        &mut self, now: Duration, from: MachineId, text: &Digest, out: &mut Vec<ControlOutput>,
+    ) {
+        let Some(held) = self.batches.get(text) else { return };
+        let message = PeerMessage::Batch { summary: held.summary, bytes: held.bytes.clone() };
+        if self.peers.may_ask(now, from) {
+            out.push(ControlOutput::ToPeer(from, message));
+        }
+    }
+
+    /// Gives a machine what leads from its state to the latest here.
+    pub(super) fn serve_state(
+        &mut self, now: Duration, from: MachineId, held: Number, root: &Digest, out: &mut Vec<ControlOutput>,
+    ) {
+        if self.ledger.number() <= held || !self.peers.may_ask(now, from) {
+            return;
+        }
+        let latest = self.ledger.latest().clone();
+        let message = self.ledger.delta(held, root).or_else(|| latest.snapshot());
+        if matches!(message, Some(ToWatcher::Snapshot { .. })) {
+            self.serving.offers.insert(from, latest);
+        }
+        let message = message.map(|message| PeerMessage::State(Box::new(message)));
+        out.extend(message.map(|message| ControlOutput::ToPeer(from, message)));
+    }
+
+    pub(super) fn serve_parts(
+        &mut self, now: Duration, from: MachineId, groups: &[u8], buckets: &[u16],
+        out: &mut Vec<ControlOutput>,
+    ) {
+        let Some(offer) = self.serving.offers.get(&from) else { return };
+        if groups.len() + buckets.len() > MOST_PARTS || !self.peers.may_ask(now, from) {
+            return;
+        }
+        let groups = groups.iter().filter(|group| **group < GROUPS).map(|group| offer.group(*group));
+        let buckets = buckets.iter().filter(|bucket| **bucket < BUCKETS).map(|bucket| offer.bucket(*bucket));
+        for part in groups.chain(buckets) {
+            out.push(ControlOutput::ToPeer(from, PeerMessage::State(Box::new(part))));
+        }
+    }
+}
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod message;
 pub mod relay;
 pub mod state;
+mod tokens;
 pub mod transfer;
 pub mod watcher;
 
--- /dev/null
+++ b/crates/distribution/src/relay/lease_rounds.rs
@@ -0,0 +1,106 @@
+//! Gathers watchers' nonces into trees, and acceptors' grants over their roots.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::control::ConnectionId;
+use crate::lease::{leaf, Grant, LeaseProof, Nonce, NonceTree};
+use crate::{ControllerId, Digest, MachineId};
+
+/// Acceptors that have not answered are asked again after this: a round trip between regions, and some more.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// A round is given up after this: its watchers have asked anew.
+const GIVE_UP: Duration = Duration::from_millis(2500);
+
+struct Request {
+    connection: ConnectionId,
+    nonce: Nonce,
+}
+
+struct Round {
+    root: Digest,
+    tree: NonceTree,
+    requests: Vec<Request>,
+    grants: BTreeMap<MachineId, Grant>,
+    begun_at: Duration,
+    ask_at: Duration,
+}
+
+/// Nonces that are gathered, and rounds that wait for grants: as many as begin until the first is given up.
+#[derive(Default)]
+pub(crate) struct LeaseRounds {
+    gathered: BTreeMap<ConnectionId, (ControllerId, Nonce)>,
+    rounds: VecDeque<Round>,
+}
+
+impl LeaseRounds {
+    /// A watcher's request; it takes the place of an earlier one that is not under way.
+    pub fn gather(&mut self, connection: ConnectionId, controller: ControllerId, nonce: Nonce) {
+        self.gathered.insert(connection, (controller, nonce));
+    }
+
+    pub fn forget(&mut self, connection: ConnectionId) {
+        self.gathered.remove(&connection);
+    }
+
+    pub fn is_busy(&self) -> bool {
+        !self.gathered.is_empty() || !self.rounds.is_empty()
+    }
+
+    /// Begins a round with what was gathered. Gives the roots that acceptors are to be asked for, with those that have
+    /// granted.
+    pub fn tend(&mut self, now: Duration) -> Vec<(Digest, Vec<MachineId>)> {
+        self.rounds.retain(|round| now < round.begun_at + GIVE_UP);
+        if !self.gathered.is_empty() {
+            self.begin(now);
+        }
+        let mut asks = Vec::new();
+        for round in self.rounds.iter_mut().filter(|round| now >= round.ask_at) {
+            round.ask_at = now + ASK_AGAIN;
+            asks.push((round.root, round.grants.keys().copied().collect()));
+        }
+        asks
+    }
+
+    fn begin(&mut self, now: Duration) {
+        let gathered = std::mem::take(&mut self.gathered);
+        let leaves = gathered.values().map(|(controller, nonce)| leaf(*controller, nonce)).collect();
+        let tree = NonceTree::new(leaves);
+        let request = |(connection, (_, nonce))| Request { connection, nonce };
+        let requests = gathered.into_iter().map(request).collect();
+        let grants = BTreeMap::new();
+        self.rounds.push_back(Round {
+            root: tree.root(),
+            tree,
+            requests,
+            grants,
+            begun_at: now,
+            ask_at: now,
+        });
+    }
+
+    /// Whether a round waits for this grant.
+    pub fn awaits(&self, grant: &Grant) -> bool {
+        let waits = |round: &Round| round.root == grant.root && !round.grants.contains_key(&grant.acceptor);
+        self.rounds.iter().any(waits)
+    }
+
+    /// An acceptor's grant, which was checked. Once a quorum has granted, each watcher of the round gets its proof.
+    pub fn granted(&mut self, grant: Grant, quorum: usize) -> Vec<(ConnectionId, LeaseProof)> {
+        let Some(at) = self.rounds.iter().position(|round| round.root == grant.root) else {
+            return Vec::new();
+        };
+        let round = &mut self.rounds[at];
+        round.grants.insert(grant.acceptor, grant);
+        if round.grants.len() < quorum {
+            return Vec::new();
+        }
+        let Some(round) = self.rounds.remove(at) else { return Vec::new() };
+        let grants: Vec<Grant> = round.grants.into_values().collect();
+        let proof = |(index, request): (usize, &Request)| {
+            let (path, grants) = (round.tree.path(index), grants.clone());
+            (request.connection, LeaseProof { nonce: request.nonce, index: index as u32, path, grants })
+        };
+        round.requests.iter().enumerate().map(proof).collect()
+    }
+}
--- a/crates/revisions/src/gate.rs
+++ b/crates/revisions/src/gate.rs
@@ -3,6 +3,7 @@
 //! this member. Without a gate ([`Revisions::gated`] was never called) nothing here has an effect.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::member::{Given, Revisions};
@@ -51,9 +52,13 @@
 
     /// Another number is open now.
     pub(crate) fn certified(&mut self, now: Duration) {
+        self.forget_votable();
+        self.certified_at = now;
+    }
+
+    fn forget_votable(&mut self) {
         self.votable.clear();
         self.votable_again.clear();
-        self.certified_at = now;
     }
 }
 
@@ -83,6 +88,25 @@
         }
     }
 
+    /// Whether this text was named to [`Revisions::let_vote`] for the next number.
+    pub fn lets_vote_for(&self, text: &Digest) -> bool {
+        self.gate.as_ref().is_some_and(|gate| gate.lets_vote(text, true))
+    }
+
+    /// Takes back all that [`Revisions::let_vote`] named: it was looked at by another ring.
+    pub fn forget_votable(&mut self) {
+        self.gate.iter_mut().for_each(Gate::forget_votable);
+    }
+
+    /// The driver holds what this text stands for.
+    pub fn take_own_text(&mut self, now: Duration, text: Arc<[u8]>, out: &mut Vec<Given>) {
+        let of = crate::digest(&text);
+        if !self.texts.contains_key(&of) {
+            self.keep_text(of, text);
+        }
+        self.prepare(now, out);
+    }
+
     /// All that hangs below this member is ready for a number, or has been waited for long enough.
     pub fn subtree_ready(&mut self, now: Duration, number: Number, out: &mut Vec<Given>) {
         let Some(gate) = self.gate.as_mut().filter(|gate| gate.ready < number) else { return };
--- a/crates/scale/src/simulation/machines.rs
+++ b/crates/scale/src/simulation/machines.rs
@@ -87,7 +87,7 @@
             for output in &out {
                 match output {
                     ControlOutput::ToPeer(_, message) => frames.push(encode(message)),
-                    ControlOutput::ToWatcher(_, message) => frames.push(encode(message)),
+                    ControlOutput::ToWatcher(_, message) => frames.push(encode(message.as_ref())),
                     _ => {}
                 }
             }
@@ -107,7 +107,7 @@
                 }
                 ControlOutput::ToWatcher(connection, message) => {
                     let Some(frame) = frames.next() else { continue };
-                    let lost = self.broken.no_deltas && matches!(message, ToWatcher::Delta { .. });
+                    let lost = self.broken.no_deltas && matches!(*message, ToWatcher::Delta { .. });
                     if !lost {
                         self.count_machine(machine, frame.len(), false);
                         self.send(connection, TAKER, frame);
--- a/crates/scale/src/simulation/members.rs
+++ b/crates/scale/src/simulation/members.rs
@@ -62,16 +62,7 @@
 
 impl MachineSeat {
     pub fn store(&mut self, item: StoredItem) {
-        match item {
-            StoredItem::Agreement(bytes) => self.disk.agreement = Some(bytes),
-            StoredItem::Batch { .. } => self.disk.batches.push(item),
-            StoredItem::Checkpoint { number: covered, .. } => {
-                self.disk
-                    .batches
-                    .retain(|batch| matches!(batch, StoredItem::Batch { number, .. } if *number > covered));
-                self.disk.checkpoint = Some(item);
-            }
-        }
+        self.disk.take(item);
     }
 }
 
