Controller: a watcher of the control machines, beside revisions by one path

With [distribution] a controller holds the control machines' configuration: connects to relays in its order of preference, stores before it says, acts on the stricter of what is acted on and what is prepared, and holds new joins back without a lease. The check of a next configuration is shared with revisions (fits), and the loop has one path for both (configuration_source). Without randomness for nonces, and where a taken revision can't be carried out, new joins are held back.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,8 +4,11 @@
 pub mod accounting;
 mod budgeting;
 mod changing;
+mod configuration_source;
+mod distributing;
 mod ends;
 mod fetching;
+mod fits;
 mod gossiping;
 mod join;
 mod list;
--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -1,7 +1,6 @@
 //! Revisions among controllers, joined to the ends: words go with the gossip, texts and orders by streams at the
 //! gossip's own port, and what must outlive the process to the state folder before anything is said that rests on it.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
@@ -9,10 +8,9 @@
 
 use anyhow::{bail, Context, Result};
 use badgerledge_catalogue::Catalogue;
-use badgerledge_changes::arrange;
 use badgerledge_core::chance::Chance;
 use badgerledge_core::interface::StreamerId;
-use badgerledge_deployment::{ActedOn, Deployment, Shared, Text};
+use badgerledge_deployment::{ActedOn, Deployment, Text};
 use badgerledge_keys::Keys;
 use badgerledge_reactor::{Line, Reactor};
 use badgerledge_revisions::lists::{ListPosition, Lists, Off};
@@ -23,6 +21,7 @@
 
 use crate::changing::Change;
 use crate::fetching::Fetching;
+use crate::fits::Fits;
 use crate::gossiping::Gossiping;
 use crate::orders::{Asked, Orders};
 use crate::{files, watch};
@@ -38,16 +37,6 @@
 const TELL_OFF: Duration = Duration::from_millis(200);
 const TOLD_AT_ONCE: usize = 3;
 
-/// What a next text must fit here, for the check of texts.
-struct Fits {
-    /// The settings that subscriptions are held under: nothing while none are.
-    held: Option<Shared>,
-    /// The room types of the catalogue's own titles, where they do not go with the text.
-    titles: Option<BTreeSet<String>>,
-    /// The number of this controller's zone.
-    zone: usize,
-}
-
 pub struct Revising {
     revisions: Revisions<Keys>,
     orders: Orders,
@@ -95,11 +84,10 @@
             Some(stored) if stored.active > 0 => "store",
             _ => "file",
         };
-        let zones = &deployment.shared.fleet.zones;
-        let zone = zones.iter().position(|zone| *zone == place.zone).unwrap_or(0);
         let regime = if told.regime == "hold" { Regime::Hold } else { Regime::Wait };
-        let names = (!told.catalogue).then(|| titles.room_types());
-        let fits = Arc::new(Mutex::new(Fits { held: None, titles: names, zone }));
+        let fits = Fits::new(deployment, (!told.catalogue).then_some(titles), "[revisions] catalogue");
+        let zone = fits.zone();
+        let fits = Arc::new(Mutex::new(fits));
         let checked = fits.clone();
         let terms = Terms {
             me: place.number as Member,
@@ -111,7 +99,7 @@
         let now = reactor.now();
         let revisions = Revisions::new(keys, terms, Arc::from(own.as_bytes()), stored, texts, now, seed);
         if let (0, Ok(mut fits)) = (revisions.acting(now).active, fits.lock()) {
-            fits.held = Some(deployment.shared.clone());
+            fits.hold(deployment.shared.clone());
         }
         let (active, regime_name) = (revisions.acting(now).active, told.regime.as_str());
         let bound = revisions.bound();
@@ -386,17 +374,10 @@
         };
         let active = read(self.revisions.active_text())?;
         let prepared = self.revisions.prepared_text().and_then(|text| read(text));
-        let ActedOn { shared: told, titles, exclusive } = active.acted_on(prepared.as_ref());
+        let acted_on = self.fits.lock().ok()?.act_on(&active, prepared.as_ref());
+        let ActedOn { shared, titles, exclusive } =
+            acted_on.map_err(|why| tracing::error!("a revision that was taken does not fit: {why}")).ok()?;
         self.exclusive = exclusive;
-        let mut fits = self.fits.lock().ok()?;
-        let shared = match &fits.held {
-            Some(held) => arrange(held, told)
-                .map_err(|why| tracing::error!("a revision that was taken does not fit: {why}"))
-                .ok()?,
-            None => told,
-        };
-        fits.held = Some(shared.clone());
-        drop(fits);
         let acting = self.revisions.acting(self.now);
         let (active, prepared) = (acting.active, acting.prepared);
         tracing::info!(active, prepared, exclusive, titles = titles.len(), "acts on a revision");
@@ -407,7 +388,7 @@
     /// The catalogue's own file was read anew.
     pub fn titles_read(&self, titles: &Catalogue) {
         if let Ok(mut fits) = self.fits.lock() {
-            fits.titles = Some(titles.room_types());
+            fits.titles_read(titles);
         }
     }
 
@@ -476,31 +457,7 @@
 /// Whether a controller can act on a text after what it acts on now.
 fn check(text: &[u8], fits: &Mutex<Fits>) -> Result<(), String> {
     let text = Text::read(text)?;
-    let (shared, titles) = (text.shared(), text.titles());
-    let fits = fits.lock().map_err(|e| e.to_string())?;
-    let missing = fits.titles.iter().flatten().find(|name| shared.room_type(name).is_none());
-    match (&fits.titles, titles.is_empty()) {
-        (None, true) => {
-            return Err("it has no titles, and [revisions] catalogue = true has them go with it".to_owned())
-        }
-        (Some(_), false) => {
-            return Err("it has titles, and [revisions] catalogue = false has none go with it".to_owned())
-        }
-        _ => {}
-    }
-    if let Some(name) = missing {
-        return Err(format!(
-            "there is no room type {name} in it, and titles of this controller's catalogue have it"
-        ));
-    }
-    let zone = fits.zone;
-    if shared.fleet.zones.len() <= zone {
-        return Err(format!("[fleet] zones: this controller's own is number {zone}, and there is none"));
-    }
-    match &fits.held {
-        Some(held) => arrange(held, shared.clone()).map(drop),
-        None => Ok(()),
-    }
+    fits.lock().map_err(|e| e.to_string())?.check(&text)
 }
 
 /// What an earlier process stored. What can't be read is as if it were not there, and said.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -7,7 +7,7 @@
 use badgerledge_accounts::Key;
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
-use badgerledge_deployment::{Deployment, HALF_A_MINUTE};
+use badgerledge_deployment::Deployment;
 use badgerledge_discovery::Entry;
 use badgerledge_exchange::Exchange;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
@@ -17,10 +17,10 @@
 
 use crate::budgeting::Budgeting;
 use crate::changing::Changing;
+use crate::configuration_source::ConfigurationSource;
 use crate::ends::{peer_at, Ends, CROWD};
 use crate::gossiping::{Came, Gossiping};
 use crate::list::{ListLine, ToFloor};
-use crate::revising::Revising;
 use crate::watch;
 
 /// The clock begins here, so that a streamer's start long before the process has a time.
@@ -42,7 +42,7 @@
     ends: Ends,
     list: ListLine,
     budgeting: Option<Budgeting>,
-    revising: Option<Revising>,
+    configuration: Option<ConfigurationSource>,
     changing: Changing,
     exchange: Exchange,
     listener: Line,
@@ -100,19 +100,17 @@
             let gossiping = Gossiping::new(&mut ends.reactor, &place, told, seed.rotate_left(7))?;
             ends.gossiping = Some(gossiping);
         }
-        let revising = match &ends.gossiping {
-            Some(gossiping) => Revising::new(
-                &mut ends.reactor,
-                &ends.deployment,
-                &ends.catalogue,
-                gossiping,
-                seed.rotate_left(23),
-            )?,
-            None => None,
-        };
+        let mut configuration = ConfigurationSource::new(
+            &mut ends.reactor,
+            &ends.deployment,
+            &ends.catalogue,
+            ends.gossiping.as_ref(),
+            seed.rotate_left(23),
+        )?;
         let mut list = list;
-        list.went = revising.as_ref().filter(|revising| revising.tells_lists()).map(|_| Vec::new());
-        let within = ends.deployment.revisions.as_ref().map_or(HALF_A_MINUTE, |told| told.leave_within_s);
+        let revisions = configuration.as_mut().and_then(ConfigurationSource::revisions);
+        list.went = revisions.filter(|revising| revising.tells_lists()).map(|_| Vec::new());
+        let within = ends.deployment.leave_within_s();
         let changing = Changing::new(Duration::from_secs(within), seed.rotate_left(31));
         let number = place.number;
         tracing::info!(number, %at, most, descriptors, "badgerledge-controller serves");
@@ -122,7 +120,7 @@
             ends,
             list,
             budgeting,
-            revising,
+            configuration,
             changing,
             exchange,
             listener,
@@ -146,7 +144,7 @@
             self.ends.reactor.wait(until, &mut told).context("event loop")?;
             self.ends.now = self.ends.reactor.now();
             let now = self.ends.now;
-            self.revising.iter_mut().for_each(|revising| revising.wakes(now));
+            self.configuration.iter_mut().for_each(|source| source.wakes(now));
             told.drain(..).for_each(|happening| self.take(happening));
             self.list.tend(&mut self.ends.reactor, now);
             let ends = &mut self.ends;
@@ -201,8 +199,8 @@
         };
         let plan = self.budgeting.as_ref().map(Budgeting::next_due);
         let gossip = self.ends.gossiping.as_ref().map(Gossiping::next_due);
-        let revising = self.revising.as_ref().map(Revising::next_due);
-        let due = [round, plan, gossip, revising, self.list.next_due(), self.ends.probes.next_late()];
+        let configuration = self.configuration.as_ref().map(ConfigurationSource::next_due);
+        let due = [round, plan, gossip, configuration, self.list.next_due(), self.ends.probes.next_late()];
         due.into_iter().flatten().min()
     }
 
@@ -211,7 +209,7 @@
             Happening::Accepted { line, listener, .. } if listener == self.listener => {
                 self.ends.accepted(line)
             }
-            Happening::Accepted { line, listener, .. } if self.is_revising(line, listener) => {}
+            Happening::Accepted { line, listener, .. } if self.is_for_configuration(line, listener) => {}
             Happening::Accepted { line, .. } if self.readers.len() < READERS => self.readers.push(line),
             Happening::Accepted { line, .. } => self.ends.reactor.close(line),
             Happening::Readable(line) if self.readers.contains(&line) => self.show_metrics(line),
@@ -219,9 +217,9 @@
                 self.readers.retain(|reader| *reader != line);
             }
             Happening::Readable(line) | Happening::Opened(line) | Happening::Closed(line, _)
-                if self.revising.as_ref().is_some_and(|revising| revising.is(line)) =>
+                if self.configuration.as_ref().is_some_and(|source| source.is(line)) =>
             {
-                self.revising_line(line, &happening);
+                self.configuration_line(line, &happening);
             }
             Happening::Readable(line) if self.list.is(line) => {
                 self.list.read(&mut self.ends.reactor, self.ends.now)
@@ -264,7 +262,8 @@
     fn gossip_came(&mut self, came: Option<Came>) {
         let Some(came) = came else { return };
         for (peer, word) in came.words {
-            if let (Some(revising), Some(gossiping)) = (&mut self.revising, &mut self.ends.gossiping) {
+            let revisions = self.configuration.as_mut().and_then(ConfigurationSource::revisions);
+            if let (Some(revising), Some(gossiping)) = (revisions, &mut self.ends.gossiping) {
                 if let Some(off) = revising.heard(&mut self.ends.reactor, gossiping, peer, &word) {
                     for off in off {
                         let id = StreamerId::new(off.ip.into(), off.port);
@@ -288,38 +287,28 @@
         }
     }
 
-    fn is_revising(&mut self, line: Line, listener: Line) -> bool {
+    fn is_for_configuration(&mut self, line: Line, listener: Line) -> bool {
         let reactor = &mut self.ends.reactor;
-        self.revising.as_mut().is_some_and(|revising| revising.accepts(reactor, line, listener))
+        self.configuration.as_mut().is_some_and(|source| source.accepts(reactor, line, listener))
     }
 
-    fn revising_line(&mut self, line: Line, happening: &Happening) {
-        let Some(revising) = &mut self.revising else { return };
-        let reactor = &mut self.ends.reactor;
-        match happening {
-            Happening::Opened(_) => revising.opened(reactor, line),
-            Happening::Closed(..) => revising.closed(line),
-            _ => {
-                let gossiping = self.ends.gossiping.as_mut();
-                gossiping.into_iter().for_each(|gossiping| revising.readable(reactor, gossiping, line));
-            }
-        }
+    fn configuration_line(&mut self, line: Line, happening: &Happening) {
+        let Some(source) = &mut self.configuration else { return };
+        let ends = &mut self.ends;
+        source.take(&mut ends.reactor, ends.gossiping.as_mut(), line, happening);
     }
 
-    /// What revisions are due, and what they change, before anything is decided in this wake.
+    /// What the source of the configuration has due, and what it changes, before anything is decided in this wake.
     fn revise(&mut self) {
-        let (Some(revising), Some(gossiping)) = (&mut self.revising, &mut self.ends.gossiping) else {
-            return;
-        };
+        let Some(source) = &mut self.configuration else { return };
         let now = self.ends.now;
-        gossiping.take_new_keys().iter().for_each(|keys| revising.take_keys(keys));
-        revising.tend(&mut self.ends.reactor, gossiping, now);
-        if let Some(change) = revising.take_change() {
+        source.tend(&mut self.ends.reactor, self.ends.gossiping.as_mut(), now);
+        if let Some(change) = source.take_change() {
             let held = &mut self.ends.deployment;
             let budgets = change.shared.crossing != held.shared.crossing;
             held.shared = change.shared;
             // Its zone's name may be another by now; its number is not.
-            held.place.zone.clone_from(&held.shared.fleet.zones[revising.zone()]);
+            held.place.zone.clone_from(&held.shared.fleet.zones[source.zone()]);
             change.titles.into_iter().for_each(|titles| self.ends.catalogue = titles);
             self.changing.begins();
             if budgets {
@@ -327,9 +316,12 @@
                     Budgeting::new(&self.ends.deployment, now, u64::from(self.ends.deployment.place.number));
             }
         }
-        self.exchange.hold(revising.holds_back(now));
-        let asks = revising.asks_list();
-        self.list.ask(&mut self.ends.reactor, (None, asks));
+        // By the clock: a process that stood still in this wake has no lease any more.
+        self.exchange.hold(source.holds_back(self.ends.reactor.clock()));
+        if let Some(revising) = source.revisions() {
+            let asks = revising.asks_list();
+            self.list.ask(&mut self.ends.reactor, (None, asks));
+        }
     }
 
     fn round(&mut self) {
@@ -378,7 +370,8 @@
         wants.1 |= whole;
         self.list.ask(&mut self.ends.reactor, wants);
         let went = self.list.went.as_mut().map(std::mem::take).unwrap_or_default();
-        if let (Some(revising), Some(gossiping)) = (&mut self.revising, &mut self.ends.gossiping) {
+        let revisions = self.configuration.as_mut().and_then(ConfigurationSource::revisions);
+        if let (Some(revising), Some(gossiping)) = (revisions, &mut self.ends.gossiping) {
             revising.list_reached(&self.ends.reactor, gossiping, self.list.book.position(), went);
         }
         for (at, token) in std::mem::take(&mut self.ends.reminders) {
@@ -390,9 +383,9 @@
 
     /// Reads the catalogue anew. One that is not in order changes nothing.
     fn read_catalogue(&mut self) {
-        if self.ends.deployment.revisions.as_ref().is_some_and(|told| told.catalogue) {
+        if self.ends.deployment.titles_go_with_configuration() {
             return tracing::warn!(
-                "the catalogue goes with revisions and is not read from its file: push it"
+                "the titles go with the configuration and are not read from their file: push them"
             );
         }
         let path = &self.ends.deployment.place.catalogue;
@@ -409,7 +402,7 @@
             );
         }
         tracing::info!(titles = catalogue.len(), "the catalogue was read anew");
-        self.revising.iter().for_each(|revising| revising.titles_read(&catalogue));
+        self.configuration.iter().for_each(|source| source.titles_read(&catalogue));
         self.ends.catalogue = catalogue;
         // What it takes away, or puts elsewhere, is taken from what is held as by a revision.
         self.changing.begins();
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -38,6 +38,11 @@
 pub const REVISION_BOUND: &str = "badgerledge_revision_bound_seconds";
 pub const REVISION_WAITED_FOR: &str = "badgerledge_revision_waited_for";
 pub const REVISIONS_REFUSED: &str = "badgerledge_revisions_refused_total";
+pub const DISTRIBUTION_RELAY: &str = "badgerledge_distribution_relay";
+pub const DISTRIBUTION_LEASE: &str = "badgerledge_distribution_lease_seconds";
+pub const DISTRIBUTION_RELAYS_REFUSED: &str = "badgerledge_distribution_relays_refused_total";
+pub const DISTRIBUTION_SENT_BYTES: &str = "badgerledge_distribution_sent_bytes_total";
+pub const DISTRIBUTION_RECEIVED_BYTES: &str = "badgerledge_distribution_received_bytes_total";
 pub const SAID_OFF: &str = "badgerledge_streamers_said_off_total";
 pub const MOVED_ON: &str = "badgerledge_moved_on_total";
 pub const TO_MOVE_ON: &str = "badgerledge_to_move_on";
@@ -71,6 +76,14 @@
     describe_gauge!(REVISION_HELD, "1 while new joins are held back for want of a lease or a text");
     describe_gauge!(REVISION_BOUND, Unit::Seconds, "How long two may act on contradicting revisions at most");
     describe_gauge!(REVISION_WAITED_FOR, "Members that have not said to have the certified revision");
+    describe_gauge!(
+        DISTRIBUTION_RELAY,
+        "The control machine that serves this controller; -1 while none does"
+    );
+    describe_gauge!(DISTRIBUTION_LEASE, Unit::Seconds, "How long the present lease still lasts");
+    describe_counter!(DISTRIBUTION_RELAYS_REFUSED, "Times that a relay was left for what it said");
+    describe_counter!(DISTRIBUTION_SENT_BYTES, Unit::Bytes, "Bytes of frames to relays");
+    describe_counter!(DISTRIBUTION_RECEIVED_BYTES, Unit::Bytes, "Bytes of frames from relays");
     describe_counter!(
         SAID_OFF,
         "Streamers that others said to be off their lists before this one's list did"
--- a/crates/deployment/src/distribution_place.rs
+++ b/crates/deployment/src/distribution_place.rs
@@ -1,6 +1,6 @@
 //! `[distribution]`: the shared sections come from control machines, and change while controllers run.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
 
@@ -24,6 +24,9 @@
     /// The control machines that serve controllers, in any order: `NUMBER ZONE ADDRESS` each.
     #[garde(length(min = 1, max = MOST_RELAYS), custom(each_machine_once))]
     pub relays: Vec<RelayPlace>,
+    /// The address of this machine that connections to relays go out from; any where none is named.
+    #[garde(skip)]
+    pub from: Option<IpAddr>,
     /// Whether the titles go with the settings: then the catalogue's file counts only until the first revision, and is not
     /// read again. To be the same at all.
     #[garde(skip)]
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -16,11 +16,12 @@
 use std::path::Path;
 
 use badgerledge_settings::{Fault, Faults, Sheet};
+use sections::HALF_A_MINUTE;
 
 pub use distribution_place::{DistributionPlace, RelayPlace};
 pub use sections::{
     ControllerPlace, Crossing, Fleet, GossipPlace, Ladder, Permissions, Prices, RevisionsPlace, RoomType,
-    Rules, HALF_A_MINUTE,
+    Rules,
 };
 
 pub use state_reader::StateReader;
@@ -125,6 +126,21 @@
     }
 }
 
+impl Deployment {
+    /// Whether the titles change with the shared sections, and the catalogue's file is not read again.
+    pub fn titles_go_with_configuration(&self) -> bool {
+        self.revisions.as_ref().is_some_and(|told| told.catalogue)
+            || self.distribution.as_ref().is_some_and(|told| told.titles)
+    }
+
+    /// Who plays where its title lies no more is moved within this, in seconds.
+    pub fn leave_within_s(&self) -> u64 {
+        let revisions = self.revisions.as_ref().map(|told| told.leave_within_s);
+        let distribution = self.distribution.as_ref().map(|told| told.leave_within_s);
+        revisions.or(distribution).unwrap_or(HALF_A_MINUTE)
+    }
+}
+
 impl Shared {
     /// Reads the sections that all controllers share; others are passed over.
     pub fn of(sheet: &Sheet) -> Result<Self, Faults> {
