--- a/crates/distribution/src/tests.rs
+++ b/crates/distribution/src/tests.rs
@@ -1,8 +1,12 @@
+mod certified;
 mod change;
 mod edits;
 mod hand;
+mod lease;
 mod log;
 mod measure;
 mod message;
 mod sample;
 mod state;
+mod transfer;
+mod watcher;
--- /dev/null
+++ b/crates/distribution/src/tests/certified.rs
@@ -0,0 +1,78 @@
+//! Certified revisions, words to act and leases for tests, as acceptors would sign them.
+
+use badgerledge_revisions::word::{Go, Vote};
+use badgerledge_revisions::{Ballot, Head};
+
+use super::hand::DigestHand;
+use crate::change::Summary;
+use crate::lease::{leaf, Grant, LeaseProof, Nonce, NonceTree};
+use crate::state::{Edit, State};
+use crate::{digest, quorum, Certified, ControllerId, Hand, MachineId, Number, Signed};
+
+/// Acceptors of the ring.
+pub const ACCEPTORS: MachineId = 5;
+
+pub fn hand(me: MachineId) -> DigestHand {
+    DigestHand::new(me, ACCEPTORS)
+}
+
+/// The acceptors that are enough.
+pub fn a_quorum() -> std::ops::Range<MachineId> {
+    0..quorum(usize::from(ACCEPTORS)) as MachineId
+}
+
+/// A certified revision with its state.
+#[derive(Clone)]
+pub struct Version {
+    pub certificate: Certified,
+    pub summary: Summary,
+    pub state: State,
+}
+
+/// Revision `number` with this state; `variant` tells two of one number apart.
+pub fn version_of(number: Number, state: State, variant: u8) -> Version {
+    let summary = Summary { root: state.root(), batch: digest(&[variant]), length: 1 };
+    let head = Head::new(number, [variant; 32], 0, &summary.text());
+    let ballot = Ballot { round: 1, by: 0, life: 1 };
+    let vote = |acceptor| Vote::sign(&hand(acceptor), acceptor, number, ballot, head.digest());
+    let signed = Signed { head, signature: hand(0).sign(&head.signed_bytes()) };
+    let certificate = Certified { signed, votes: a_quorum().map(vote).collect(), goes: vec![] };
+    Version { certificate, summary, state }
+}
+
+pub fn version(number: Number, state: State) -> Version {
+    version_of(number, state, 0)
+}
+
+/// The revision after this state, with some edits.
+pub fn edited(number: Number, before: &State, edits: &[Edit]) -> Version {
+    let mut state = before.clone();
+    state.apply(edits).unwrap();
+    version(number, state)
+}
+
+impl Version {
+    pub fn number(&self) -> Number {
+        self.certificate.number()
+    }
+
+    /// These acceptors' words that it may be acted on.
+    pub fn goes(&self, acceptors: impl Iterator<Item = MachineId>) -> Vec<Go> {
+        let (number, digest) = (self.number(), self.certificate.digest());
+        acceptors.map(|acceptor| Go::sign(&hand(acceptor), acceptor, number, digest)).collect()
+    }
+}
+
+/// A lease for the watcher at `index` of these, from acceptors that each had allowed a revision.
+pub fn proof(requests: &[(ControllerId, Nonce)], index: usize, grants: &[(MachineId, Number)]) -> LeaseProof {
+    let tree = NonceTree::new(requests.iter().map(|(controller, nonce)| leaf(*controller, nonce)).collect());
+    let grant = |&(acceptor, allowed)| Grant::sign(&hand(acceptor), acceptor, tree.root(), allowed);
+    let grants = grants.iter().map(grant).collect();
+    LeaseProof { nonce: requests[index].1, index: index as u32, path: tree.path(index), grants }
+}
+
+/// A quorum's lease, where all have allowed the same.
+pub fn good_proof(controller: ControllerId, nonce: Nonce, allowed: Number) -> LeaseProof {
+    let grants: Vec<(MachineId, Number)> = a_quorum().map(|acceptor| (acceptor, allowed)).collect();
+    proof(&[(controller + 1, [9; 16]), (controller, nonce)], 1, &grants)
+}
--- /dev/null
+++ b/crates/distribution/src/tests/transfer.rs
@@ -0,0 +1,199 @@
+//! Transfers of snapshots: whole, cut off, to a target that moves, and with parts that are not in order.
+
+use quickcheck::QuickCheck;
+
+use super::edits::{entry, plain, put, titles, AnyEdit};
+use crate::state::{Entry, State, GROUP};
+use crate::transfer::{PartRequest, Progress, Taken, Transfer, TransferFault, BUCKET_WINDOW, GROUP_WINDOW};
+
+fn begin(own: &State, target: &State) -> Transfer {
+    Transfer::begin(own.clone(), target.root(), &target.group_digests()).unwrap()
+}
+
+/// Answers from `source` all that is asked for now. Tells how many parts these were.
+fn answer(transfer: &mut Transfer, source: &State) -> usize {
+    let requests = transfer.next_requests();
+    let mut parts = 0;
+    for request in requests {
+        match request {
+            PartRequest::Groups(groups) => {
+                assert!(groups.len() <= GROUP_WINDOW);
+                parts += groups.len();
+                for group in groups {
+                    transfer.take_group(group, source.group(group)).unwrap();
+                }
+            }
+            PartRequest::Buckets(buckets) => {
+                assert!(buckets.len() <= BUCKET_WINDOW);
+                parts += buckets.len();
+                for bucket in buckets {
+                    transfer.take_bucket(bucket, source.bucket(bucket)).unwrap();
+                }
+            }
+        }
+    }
+    parts
+}
+
+/// Goes on until nothing is asked for any more. Tells how many parts came.
+fn complete(transfer: &mut Transfer, source: &State) -> usize {
+    std::iter::from_fn(|| Some(answer(transfer, source)).filter(|parts| *parts > 0)).sum()
+}
+
+/// The first buckets that are asked for.
+fn first_buckets(transfer: &mut Transfer, source: &State) -> Vec<u16> {
+    loop {
+        let requests = transfer.next_requests();
+        assert!(!requests.is_empty());
+        for request in requests {
+            match request {
+                PartRequest::Groups(groups) => groups.iter().for_each(|group| {
+                    transfer.take_group(*group, source.group(*group)).unwrap();
+                }),
+                PartRequest::Buckets(buckets) => return buckets,
+            }
+        }
+    }
+}
+
+#[test]
+fn from_any_state_to_any_other() {
+    fn property(from: Vec<AnyEdit>, to: Vec<AnyEdit>) -> bool {
+        let (mut own, mut target) = (State::new(), State::new());
+        own.apply(&plain(&from)).unwrap();
+        target.apply(&plain(&to)).unwrap();
+        let mut transfer = begin(&own, &target);
+        complete(&mut transfer, &target);
+        transfer.finished() == Some(&target) && transfer.progress().groups_left == 0
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<AnyEdit>, Vec<AnyEdit>) -> bool);
+}
+
+#[test]
+fn only_what_differs_is_asked_for() {
+    let own = titles(20_000);
+    let mut target = own.clone();
+    target.apply(&[put("title 00000007", "other"), put("new", "1")]).unwrap();
+    let mut transfer = begin(&own, &target);
+    assert_eq!(complete(&mut transfer, &target), 4);
+    assert_eq!(transfer.finished(), Some(&target));
+    let Progress { buckets_taken, bytes_taken, .. } = transfer.progress();
+    assert!(buckets_taken == 2 && bytes_taken < 2 * 20_000 * 80 / 4096 * 3, "{:?}", transfer.progress());
+    assert_eq!(begin(&own, &own).finished(), Some(&own));
+}
+
+#[test]
+fn the_window_bounds_what_is_outstanding() {
+    let target = titles(20_000);
+    let mut transfer = begin(&State::new(), &target);
+    let first = transfer.next_requests();
+    assert_eq!(first, [PartRequest::Groups((0..GROUP_WINDOW as u8).collect())]);
+    assert_eq!(transfer.next_requests(), []);
+    transfer.take_group(3, target.group(3)).unwrap();
+    let next = transfer.next_requests();
+    assert!(matches!(&next[..], [PartRequest::Groups(groups), PartRequest::Buckets(buckets)]
+        if groups.len() == 1 && buckets.len() == BUCKET_WINDOW));
+    assert_eq!(transfer.next_requests(), []);
+}
+
+#[test]
+fn groups_that_do_not_lead_to_the_root_are_refused_at_once() {
+    let target = titles(100);
+    let mut groups = target.group_digests();
+    let begun = |groups: &[_]| Transfer::begin(State::new(), target.root(), groups).map(|_| ());
+    assert_eq!(begun(&groups[..63]), Err(TransferFault::Root(63)));
+    assert_eq!(begun(&[]), Err(TransferFault::Root(0)));
+    groups.swap(0, 1);
+    assert_eq!(begun(&groups), Err(TransferFault::Root(64)));
+    let mut transfer = begin(&State::new(), &target);
+    assert!(transfer.retarget(titles(101).root(), &groups).is_err());
+    assert_eq!(transfer.root(), target.root());
+    complete(&mut transfer, &target);
+    assert_eq!(transfer.finished(), Some(&target));
+}
+
+#[test]
+fn parts_that_are_unasked_twice_there_or_altered_are_refused() {
+    let target = titles(20_000);
+    let mut transfer = begin(&State::new(), &target);
+    assert_eq!(transfer.take_group(0, target.group(0)), Err(TransferFault::UnaskedGroup(0)));
+    assert_eq!(transfer.take_bucket(0, target.bucket(0)), Err(TransferFault::UnaskedBucket(0)));
+    transfer.next_requests();
+    let mut short = target.group(0);
+    short.pop();
+    assert_eq!(transfer.take_group(0, short), Err(TransferFault::GroupDigest(0)));
+    let outside = vec![(GROUP, [0; 32])];
+    assert_eq!(transfer.take_group(0, outside), Err(TransferFault::GroupBucket { group: 0, bucket: GROUP }));
+    let twice = vec![target.group(0)[0]; 2];
+    let bucket = twice[0].0;
+    assert_eq!(transfer.take_group(0, twice), Err(TransferFault::GroupBucket { group: 0, bucket }));
+    assert_eq!(transfer.take_group(200, vec![]), Err(TransferFault::UnaskedGroup(200)));
+    transfer.take_group(0, target.group(0)).unwrap();
+    assert_eq!(transfer.take_group(0, target.group(0)), Err(TransferFault::UnaskedGroup(0)));
+
+    let bucket = first_buckets(&mut transfer, &target)[0];
+    let mut altered = target.bucket(bucket);
+    altered[0].value.push(0);
+    assert_eq!(transfer.take_bucket(bucket, altered), Err(TransferFault::BucketDigest(bucket)));
+    assert_eq!(transfer.take_bucket(bucket, vec![]), Err(TransferFault::BucketDigest(bucket)));
+    transfer.take_bucket(bucket, target.bucket(bucket)).unwrap();
+    let again = transfer.take_bucket(bucket, target.bucket(bucket));
+    assert_eq!(again, Err(TransferFault::UnaskedBucket(bucket)));
+    assert_eq!(transfer.take_bucket(5000, vec![]), Err(TransferFault::UnaskedBucket(5000)));
+}
+
+/// A bucket with the certified digest whose keys belong elsewhere: acceptors would have had to certify it.
+#[test]
+fn a_bucket_of_foreign_keys_is_refused() {
+    let foreign: Vec<Entry> = vec![entry("a", b"1")];
+    let bucket = (crate::state::bucket_of("a") + 1) % 4096;
+    let listed = vec![(bucket, crate::state::bucket_digest(&foreign))];
+    let group = (bucket / GROUP) as u8;
+    let mut groups = State::new().group_digests();
+    groups[usize::from(group)] = crate::state::group_digest(&listed);
+    let root = crate::state::root_of_groups(&groups).unwrap();
+    let mut transfer = Transfer::begin(State::new(), root, &groups).unwrap();
+    transfer.next_requests();
+    transfer.take_group(group, listed).unwrap();
+    transfer.next_requests();
+    let taken = transfer.take_bucket(bucket, foreign);
+    assert!(matches!(taken, Err(TransferFault::BucketState { .. })), "{taken:?}");
+    assert_eq!(transfer.finished(), None);
+}
+
+#[test]
+fn a_broken_connection_loses_nothing_that_came() {
+    let target = titles(5_000);
+    let mut whole = begin(&State::new(), &target);
+    let parts = complete(&mut whole, &target);
+    let mut broken = begin(&State::new(), &target);
+    let mut came = 0;
+    while broken.finished().is_none() {
+        came += answer(&mut broken, &target);
+        // Asked for, and lost with the connection.
+        broken.next_requests();
+        broken.disconnected();
+    }
+    assert_eq!((came, broken.progress()), (parts, whole.progress()));
+}
+
+#[test]
+fn buckets_that_came_stay_for_a_newer_target() {
+    let (old, mut new) = (titles(5_000), titles(5_000));
+    new.apply(&[put("title 00000007", "other"), put("new", "1")]).unwrap();
+    let mut transfer = begin(&State::new(), &old);
+    while transfer.progress().buckets_taken < 2000 {
+        answer(&mut transfer, &old);
+    }
+    let outstanding = first_buckets(&mut transfer, &old);
+    transfer.retarget(new.root(), &new.group_digests()).unwrap();
+    // Answers to what was asked for before may come once, and one more of them is too much.
+    let late = outstanding[0];
+    assert_eq!(transfer.take_bucket(late, old.bucket(late)), Ok(Taken::Outdated));
+    let twice = transfer.take_bucket(late, old.bucket(late));
+    assert_eq!(twice, Err(TransferFault::UnaskedBucket(late)));
+    complete(&mut transfer, &new);
+    assert_eq!(transfer.finished(), Some(&new));
+    let all: usize = (0..64).map(|group| new.group(group).len()).sum();
+    assert!(transfer.progress().buckets_taken <= all + 2, "{:?} of {all}", transfer.progress());
+}
