--- a/crates/distribution/src/watcher/links.rs
+++ b/crates/distribution/src/watcher/links.rs
@@ -29,7 +29,7 @@
 /// After so much good service a more preferred relay is tried, and after as much chance again.
 const RETURN_AFTER: Duration = Duration::from_secs(60);
 const RETURN_SPREAD: Duration = Duration::from_secs(15);
-/// After so much good service a relay's failures are forgotten.
+/// After so much good service of one relay the failures of all are forgotten.
 const FORGIVE_AFTER: Duration = Duration::from_secs(10);
 /// A relay that broke the protocol is not tried for so long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(60);
@@ -460,9 +460,7 @@
         }
         if now >= self.good_since + FORGIVE_AFTER {
             self.attempts = 0;
-            if let Some(link) = self.links.get_mut(serving) {
-                link.failures = 0;
-            }
+            self.links.iter_mut().for_each(|link| link.failures = 0);
         }
         if self.returning.is_none() {
             if let Some(place) = self.trying.filter(|trying| !self.has_overtaken(*trying, serving)) {
@@ -500,13 +498,14 @@
         }
     }
 
-    /// Tries the most preferred relay that is not left alone.
+    /// Tries the most preferred one of the relays that failed least often and are not left alone.
     fn attempt(&mut self, now: Duration, wanted: &Wanted, actions: &mut Vec<LinkAction>) {
         if self.trying.is_some() || now < self.next_attempt {
             return;
         }
         let may_try = |place: &usize| self.links.get(*place).is_some_and(|link| now >= link.avoid_until);
-        let found = self.candidates(now, wanted).into_iter().find(may_try);
+        let failures = |place: &usize| self.links.get(*place).map(|link| link.failures);
+        let found = self.candidates(now, wanted).into_iter().filter(may_try).min_by_key(failures);
         match found {
             Some(place) => {
                 self.trying = Some(place);
--- a/crates/distribution/src/watcher/updates.rs
+++ b/crates/distribution/src/watcher/updates.rs
@@ -188,6 +188,8 @@
         out.push(WatcherOutput::Store(self.storage.activated(number)));
         out.push(WatcherOutput::Changed);
         self.requests.activated();
+        // The program's own file does not matter any more.
+        self.sure = true;
         if !self.requests.is_held(now) {
             self.links.ask_soon(now);
         }
