--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,7 +6,7 @@
 //! that shows who it is, and that it is not of an earlier life.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use badgerledge_core::chance::Chance;
@@ -78,6 +78,8 @@
     identity: Identity,
     keys: Keys,
     listener: Line,
+    /// The address that streams are made from, if one is told: others know this machine by it.
+    from: Option<IpAddr>,
     bounds: Bounds,
     outgoing: BTreeMap<MachineId, Outgoing>,
     by_line: BTreeMap<Line, MachineId>,
@@ -95,8 +97,8 @@
 
     /// Streams to these peers, which are begun with the first call of [`Peers::tend`].
     pub fn new(
-        identity: Identity, keys: Keys, listener: Line, peers: &BTreeMap<MachineId, SocketAddr>,
-        output_bytes: usize, now: Duration, seed: u64,
+        identity: Identity, keys: Keys, (listener, listens_at): (Line, SocketAddr),
+        peers: &BTreeMap<MachineId, SocketAddr>, output_bytes: usize, now: Duration, seed: u64,
     ) -> Self {
         let outgoing = |(number, address): (&MachineId, &SocketAddr)| {
             let made =
@@ -107,6 +109,7 @@
             identity,
             keys,
             listener,
+            from: Some(listens_at.ip()).filter(|ip| !ip.is_unspecified()),
             bounds: Bounds { input: PONG_BYTES, output: output_bytes },
             outgoing: peers.iter().filter_map(outgoing).collect(),
             by_line: BTreeMap::new(),
@@ -137,8 +140,10 @@
         if listener != self.listener {
             return false;
         }
-        let most = 2 * self.outgoing.len() + SPARE_STREAMS;
-        let Some(session) = draw_session().filter(|_| self.incoming.len() < most) else {
+        if self.incoming.len() >= 2 * self.outgoing.len() + SPARE_STREAMS {
+            self.close_a_stranger(reactor);
+        }
+        let Some(session) = draw_session() else {
             reactor.close(line);
             return true;
         };
@@ -148,6 +153,15 @@
         true
     }
 
+    /// Closes the oldest stream that has not shown whose it is: strangers must not take the machines' room.
+    fn close_a_stranger(&mut self, reactor: &mut Reactor) {
+        let stranger = self.incoming.iter().find(|(_, stream)| stream.sealer.is_none());
+        if let Some(line) = stranger.map(|(line, _)| *line) {
+            self.incoming.remove(&line);
+            reactor.close(line);
+        }
+    }
+
     /// A stream of this side is made.
     pub fn opened(&mut self, line: Line, now: Duration) {
         let peer = self.by_line.get(&line).and_then(|number| self.outgoing.get_mut(number));
@@ -312,7 +326,7 @@
         for (number, peer) in &mut self.outgoing {
             match &mut peer.state {
                 State::Waiting(at) if now >= *at => {
-                    match reactor.connect(peer.address, CONNECT_WITHIN, self.bounds) {
+                    match reactor.connect_from(self.from, peer.address, CONNECT_WITHIN, self.bounds) {
                         Ok(line) => {
                             peer.state = State::Connecting;
                             self.by_line.insert(line, *number);
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -88,7 +88,7 @@
         let peers = Peers::new(
             identity,
             keys.clone(),
-            peer_listener,
+            (peer_listener, peer_listen),
             &settings.peers,
             place.peer_bytes,
             now,
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -11,6 +11,7 @@
 
 pub const REFUSED: &str = "badgerledge_relay_refused_frames_total";
 pub const BYTES: &str = "badgerledge_relay_bytes_total";
+const CLOSED: &str = "badgerledge_relay_closed_connections_total";
 pub const DROPPED: &str = "badgerledge_relay_dropped_messages_total";
 pub const GRANTS: &str = "badgerledge_relay_grants_total";
 pub const LEASES: &str = "badgerledge_relay_leases_total";
@@ -41,6 +42,7 @@
     metrics::set_global_recorder(recorder).context("metrics")?;
     describe_counter!(REFUSED, "Frames refused, by the stream's kind and the reason");
     describe_counter!(BYTES, Unit::Bytes, "Bytes of frames, by the stream's kind and direction");
+    describe_counter!(CLOSED, "Connections of watchers and tools closed by this side, by the reason");
     describe_counter!(DROPPED, "Messages that did not go, by the stream's kind");
     describe_counter!(GRANTS, "Grants of leases signed as an acceptor");
     describe_counter!(LEASES, "Leases handed to watchers");
@@ -98,6 +100,11 @@
     counter!(REFUSED, "stream" => kind, "reason" => reason).increment(1);
 }
 
+/// Counts a watcher's or tool's connection that this side closed.
+pub fn count_closed(reason: &'static str) {
+    counter!(CLOSED, "reason" => reason).increment(1);
+}
+
 /// Counts bytes of a stream.
 pub fn count_bytes(kind: &'static str, direction: &'static str, bytes: usize) {
     counter!(BYTES, "stream" => kind, "direction" => direction).increment(bytes as u64);
--- /dev/null
+++ b/crates/relay/src/tests/settings.rs
@@ -0,0 +1,63 @@
+//! What is wrong with a settings file is said with its place.
+
+use badgerledge_settings::Sheet;
+
+use crate::settings::RelaySettings;
+
+const WHOLE: &str = "\
+[relay]
+number = 1
+listen = 127.0.0.1:7100
+peer_listen = 127.0.0.1:7101
+state = state
+ring = ring.ini
+key = member-1.key
+genesis = genesis.ini
+[peers]
+0 = 127.0.0.1:7001
+1 = 127.0.0.1:7101
+";
+
+fn read(text: &str) -> Result<RelaySettings, String> {
+    let sheet = Sheet::parse("relay.ini", text).map_err(|faults| faults.to_string())?;
+    RelaySettings::of(&sheet).map_err(|faults| faults.to_string())
+}
+
+#[test]
+fn a_whole_file_is_taken_with_its_defaults() {
+    let settings = read(WHOLE).unwrap();
+    assert_eq!((settings.place.number, settings.peers.len(), settings.place.watchers), (1, 2, 1500));
+    assert_eq!(settings.place.metrics, None);
+}
+
+#[test]
+fn a_fault_names_file_line_and_key() {
+    let fault = |from: &str, to: &str| read(&WHOLE.replace(from, to)).unwrap_err();
+    assert_eq!(
+        fault("number = 1", "number = one"),
+        "relay.ini:2: [relay] number = one: a whole number of 0 to 65535 is taken"
+    );
+    assert_eq!(
+        fault("ring =", "rings ="),
+        "relay.ini:6: [relay] rings: no such key; there are number, listen, peer_listen, state, ring, key, genesis, \
+         metrics, watchers, watcher_bytes, all_watchers_bytes, peer_bytes"
+    );
+    assert_eq!(fault("genesis = genesis.ini\n", ""), "relay.ini:1: [relay] genesis: this key is missing");
+    assert_eq!(
+        fault("genesis = genesis.ini", "genesis = genesis.ini\nwatchers = 0"),
+        "relay.ini:9: [relay] watchers = 0: 1 to 16384 is taken"
+    );
+    assert_eq!(
+        fault("0 = 127.0.0.1:7001", "0 = here"),
+        "relay.ini:10: [peers] 0 = here: an address and a port are taken"
+    );
+    assert_eq!(
+        fault("0 = 127.0.0.1:7001", "zero = 127.0.0.1:7001"),
+        "relay.ini:10: [peers] zero = 127.0.0.1:7001: a key is a control machine's number"
+    );
+    assert_eq!(
+        fault("1 = 127.0.0.1:7101", "2 = 127.0.0.1:7101"),
+        "relay.ini:9: [peers] 1: the address of each control machine is wanted, this one's too"
+    );
+    assert_eq!(fault("[peers]", "[peer]"), "relay.ini:9: [peer]: no such section; there are relay, peers");
+}
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -126,7 +126,7 @@
         self.held = self.held - connection.held + held;
         connection.held = held;
         if self.held > self.limits.all {
-            telemetry::count_refused(KIND, "memory");
+            telemetry::count_closed("memory");
             self.close(reactor, line, events);
         }
     }
@@ -145,13 +145,14 @@
             return self.account(reactor, line, events);
         }
         telemetry::count_dropped(KIND);
+        telemetry::count_closed("slow");
         self.close(reactor, line, events);
     }
 
     /// Ends a connection for the control machine, once what was sent on it is written.
     pub fn finish(&mut self, reactor: &mut Reactor, line: Line, reason: CloseReason, now: Duration) {
         if self.remove(line) {
-            telemetry::count_refused(KIND, close_label(reason));
+            telemetry::count_closed(close_label(reason));
             if let Some(suppressed) = self.lines.allows(now, close_label(reason)) {
                 tracing::info!(line, suppressed, "a watcher's connection is closed: {reason}");
             }
@@ -182,7 +183,7 @@
         let silent: Vec<Line> =
             self.connections.iter().filter(|(_, it)| now >= it.until).map(|(line, _)| *line).collect();
         for line in silent {
-            telemetry::count_refused(KIND, "silent");
+            telemetry::count_closed("silent");
             self.close(reactor, line, events);
         }
         for line in self.connections.keys().copied().collect::<Vec<_>>() {
