--- a/crates/distribution/src/control/stored.rs
+++ b/crates/distribution/src/control/stored.rs
@@ -1,15 +1,12 @@
-//! What a control machine stores, and how it is written: a mark, a SHA-256 digest of the rest, the rest.
+//! What a control machine stores, and how it is encoded. The driver seals each record, so that a torn one is none.
 
 use badgerledge_revisions::Kept;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::change::Summary;
-use crate::state::State;
-use crate::{digest, Certified, Digest, Number};
-
-const MARK: &[u8; 4] = b"bdc1";
-const DIGEST: usize = 32;
+use crate::state::{State, StateFault};
+use crate::{Certified, Number};
 
 /// Something that must outlive the process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,14 +41,14 @@
 }
 
 /// Why bytes are no stored item: it is as if it were not there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum StoredFault {
-    #[error("it is not what a control machine stores, or of another version (bdc1 is read here)")]
-    Mark,
-    #[error("it is torn or changed: its digest does not fit")]
-    Digest,
-    #[error("its digest fits, and it can't be read")]
+    #[error("they can't be decoded")]
     Form,
+    #[error("{0} bytes are left over behind an item")]
+    Trailing(usize),
+    #[error("a checkpoint: {0}")]
+    State(#[from] StateFault),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -62,8 +59,8 @@
 }
 
 impl StoredItem {
-    /// Encodes an item for a file.
-    pub fn write(&self) -> Vec<u8> {
+    /// Encodes an item.
+    pub fn encode(&self) -> Vec<u8> {
         let written = match self.clone() {
             Self::Agreement(bytes) => Written::Agreement(bytes),
             Self::Batch { number, summary, bytes } => Written::Batch { number, summary, bytes },
@@ -73,25 +70,23 @@
             }
         };
         // The types hold nothing that the encoding can't express.
-        let body = postcard::to_stdvec(&written).unwrap_or_default();
-        [&MARK[..], &digest(&body), &body].concat()
+        postcard::to_stdvec(&written).unwrap_or_default()
     }
 
-    /// Decodes what [`StoredItem::write`] made.
+    /// Decodes what [`StoredItem::encode`] made.
     ///
     /// # Errors
-    /// Where it is of another kind or version, torn, or out of bounds.
-    pub fn read(bytes: &[u8]) -> Result<Self, StoredFault> {
-        let rest = bytes.strip_prefix(MARK).ok_or(StoredFault::Mark)?;
-        let (seal, body) = rest.split_first_chunk::<DIGEST>().ok_or(StoredFault::Digest)?;
-        if digest(body) != *seal as Digest {
-            return Err(StoredFault::Digest);
+    /// Where the bytes are no item, or one out of bounds.
+    pub fn decode(bytes: &[u8]) -> Result<Self, StoredFault> {
+        let (written, left) = postcard::take_from_bytes(bytes).map_err(|_| StoredFault::Form)?;
+        if !left.is_empty() {
+            return Err(StoredFault::Trailing(left.len()));
         }
-        Ok(match postcard::from_bytes(body).map_err(|_| StoredFault::Form)? {
+        Ok(match written {
             Written::Agreement(bytes) => Self::Agreement(bytes),
             Written::Batch { number, summary, bytes } => Self::Batch { number, summary, bytes },
             Written::Checkpoint { certificate, summary, state } => {
-                let state = State::read(&state).map_err(|_| StoredFault::Form)?;
+                let state = State::read(&state)?;
                 Self::Checkpoint(Box::new(Checkpoint { certificate, summary, state }))
             }
         })
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -307,7 +307,7 @@
             Ok(keys) => {
                 tracing::info!("the ring of keys was read anew");
                 self.peers.take_keys(keys.clone());
-                self.control.take_hand(now, keys);
+                self.control.take_hand(now, keys, &mut self.outputs);
             }
             Err(fault) => tracing::error!("{fault:#}; the keys read before go on holding"),
         }
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -8,7 +8,7 @@
 //! | `life` | the number of the process's life |
 //!
 //! Each record is a mark, the length of its body (4 bytes, big-endian), SHA-256 of the body, and the body: a
-//! [`StoredItem`] in `postcard`'s encoding. A record that is torn or changed is none; in `batches` what follows it is not
+//! [`StoredItem`], encoded. A record that is torn or changed is none; in `batches` what follows it is not
 //! found either, and cut off before anything is appended.
 
 use std::fs::File;
@@ -51,7 +51,10 @@
             _ => None,
         });
         let checkpoint = read_first(&folder.join(CHECKPOINT))?;
-        let checkpoint = checkpoint.filter(|item| matches!(item, StoredItem::Checkpoint { .. }));
+        let checkpoint = checkpoint.and_then(|item| match item {
+            StoredItem::Checkpoint(checkpoint) => Some(*checkpoint),
+            _ => None,
+        });
         let bytes = read_or_empty(&folder.join(BATCHES))?;
         let (records, batches_length) = records(&bytes);
         let mut batches = Vec::new();
@@ -96,8 +99,8 @@
             let record = sealed(item);
             match item {
                 StoredItem::Agreement(_) => files::replace_durably(&self.folder.join(AGREEMENT), &record)?,
-                StoredItem::Checkpoint { number, .. } => {
-                    let number = *number;
+                StoredItem::Checkpoint(checkpoint) => {
+                    let number = checkpoint.certificate.number();
                     files::replace_durably(&self.folder.join(CHECKPOINT), &record)?;
                     self.drop_batches_up_to(number)?;
                 }
@@ -116,8 +119,8 @@
     fn forget_replaced(&mut self, by: &StoredItem) {
         match by {
             StoredItem::Agreement(_) => self.waiting.retain(|item| !matches!(item, StoredItem::Agreement(_))),
-            StoredItem::Checkpoint { .. } => {
-                self.waiting.retain(|item| !matches!(item, StoredItem::Checkpoint { .. }));
+            StoredItem::Checkpoint(_) => {
+                self.waiting.retain(|item| !matches!(item, StoredItem::Checkpoint(_)));
             }
             StoredItem::Batch { .. } => {}
         }
@@ -176,8 +179,7 @@
 }
 
 fn sealed(item: &StoredItem) -> Vec<u8> {
-    // The types hold nothing that the encoding can't express.
-    let body = postcard::to_stdvec(item).unwrap_or_default();
+    let body = item.encode();
     let mut record = Vec::with_capacity(HEADER + body.len());
     record.extend_from_slice(MARK);
     record.extend_from_slice(&(body.len() as u32).to_be_bytes());
@@ -195,7 +197,7 @@
     if Sha256::digest(body)[..] != *seal {
         return None;
     }
-    Some((postcard::from_bytes(body).ok()?, HEADER + body.len()))
+    Some((StoredItem::decode(body).ok()?, HEADER + body.len()))
 }
 
 /// All whole records from the beginning, and how many bytes they take.
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -195,6 +195,7 @@
 fn close_label(reason: CloseReason) -> &'static str {
     match reason {
         CloseReason::Full(_) => "full",
+        CloseReason::Queue(_) => "queue",
         CloseReason::Replaced => "replaced",
         CloseReason::Silent => "unacknowledged",
         CloseReason::Flood => "flood",
