--- a/crates/distribution/src/relay/admission.rs
+++ b/crates/distribution/src/relay/admission.rs
@@ -11,8 +11,9 @@
 /// Watchers that are let in a second, and at once.
 const PER_SECOND: f64 = 100.0;
 const AT_ONCE: f64 = 100.0;
-/// Watchers that wait to be let in at most: four seconds' worth. Others are told to come back.
-const MOST_WAITING: usize = 400;
+/// Watchers that wait to be let in at most: a watcher goes on to its next relay after a second without an answer, so
+/// those behind would wait in vain. They are told at once to come back.
+const MOST_WAITING: usize = 80;
 /// Who is sent away comes back at the earliest after this, and within as long again for each full queue.
 const COME_BACK: Duration = Duration::from_secs(4);
 
--- a/crates/distribution/src/transfer.rs
+++ b/crates/distribution/src/transfer.rs
@@ -140,16 +140,17 @@
         self.root
     }
 
-    /// What to ask for now: within the window, each part once.
+    /// What to ask for now: within the window, each part once. Nothing while half a window is outstanding, so that there
+    /// are few requests.
     pub fn next_requests(&mut self) -> Vec<PartRequest> {
         let mut requests = Vec::new();
-        let room = GROUP_WINDOW.saturating_sub(self.groups_asked.len());
+        let room = room_in(GROUP_WINDOW, self.groups_asked.len());
         let groups: Vec<u8> = self.groups_left.difference(&self.groups_asked).copied().take(room).collect();
         if !groups.is_empty() {
             self.groups_asked.extend(&groups);
             requests.push(PartRequest::Groups(groups));
         }
-        let room = BUCKET_WINDOW.saturating_sub(self.buckets_asked.len());
+        let room = room_in(BUCKET_WINDOW, self.buckets_asked.len());
         let not_asked = |bucket: &u16| !self.buckets_asked.contains(bucket);
         let buckets: Vec<u16> = self.buckets_left.keys().copied().filter(not_asked).take(room).collect();
         if !buckets.is_empty() {
@@ -256,6 +257,14 @@
     }
 }
 
+/// How many parts to ask for with so many outstanding.
+fn room_in(window: usize, outstanding: usize) -> usize {
+    if outstanding > window / 2 {
+        return 0;
+    }
+    window - outstanding
+}
+
 fn check_groups(root: &Digest, groups: &[Digest]) -> Result<(), TransferFault> {
     match root_of_groups(groups) == Some(*root) {
         true => Ok(()),
--- a/crates/distribution/src/watcher/links.rs
+++ b/crates/distribution/src/watcher/links.rs
@@ -23,7 +23,8 @@
 /// A relay that has sent no part for so long, while parts are asked for, lags.
 const PART_PATIENCE: Duration = Duration::from_secs(15);
 /// A relay under which an update is wanted for so long lags, whatever it sends.
-const UPDATE_PATIENCE: Duration = Duration::from_secs(60);
+/// Longer than most snapshots take at the rate at which relays send them.
+const UPDATE_PATIENCE: Duration = Duration::from_secs(600);
 /// A relay that has been silent for so long is left, also where no other serves.
 const SILENCE_PATIENCE: Duration = Duration::from_secs(30);
 /// After so much good service a more preferred relay is tried, and after as much chance again.
