--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`figures::Figures`] are made.
 
 pub mod figures;
+pub mod flat;
 pub mod machine;
 pub mod observations;
 pub mod reckoning;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -47,6 +47,12 @@
         #[arg(long)]
         into: Option<PathBuf>,
     },
+    /// Plays the baseline, the agreement among all controllers without a tier, at several sizes.
+    Flat {
+        scenario: PathBuf,
+        #[arg(long, value_delimiter = ',', default_value = "30,100,300,1000")]
+        sizes: Vec<u32>,
+    },
     /// Holds two runs' figures, the last lines of two files, against each other.
     Compare { first: PathBuf, second: PathBuf },
 }
@@ -83,6 +89,7 @@
         Command::Slopes { scenario, sizes, seed, at, charts, into } => {
             fit(&scenario, &sizes, seed, at, charts.as_deref(), into.as_deref()).map(|()| true)
         }
+        Command::Flat { scenario, sizes } => flat(&scenario, &sizes).map(|()| true),
         Command::Compare { first, second } => compare(&first, &second),
     };
     match outcome {
@@ -147,6 +154,17 @@
     Ok(())
 }
 
+fn flat(path: &Path, sizes: &[u32]) -> Result<()> {
+    let scenario = Scenario::read(path)?;
+    for size in sizes {
+        if !(1..=u32::from(u16::MAX)).contains(size) {
+            bail!("--sizes: {size}, where 1 to {} is taken", u16::MAX);
+        }
+        println!("{}", serde_json::to_string(&badgerledge_scale::flat::play(&scenario, *size))?);
+    }
+    Ok(())
+}
+
 fn compare(first: &Path, second: &Path) -> Result<bool> {
     let (first, second) = (last_figures(first)?, last_figures(second)?);
     print!("{}", summary::overlap_lines(&first, &second));
--- a/crates/scale/src/simulation.rs
+++ b/crates/scale/src/simulation.rs
@@ -4,8 +4,8 @@
 mod hand;
 mod machines;
 mod members;
-mod network;
-mod queue;
+pub mod network;
+pub mod queue;
 mod strikes;
 mod tools;
 mod watchers;
@@ -343,6 +343,6 @@
 }
 
 /// A seed for something else.
-fn seed_of(chance: &mut Chance) -> u64 {
+pub fn seed_of(chance: &mut Chance) -> u64 {
     (chance.share() * (1u64 << 32) as f64) as u64 ^ ((chance.share() * (1u64 << 32) as f64) as u64) << 32
 }
--- a/crates/scale/src/simulation/network.rs
+++ b/crates/scale/src/simulation/network.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    fn one_way(&mut self, from: u16, to: u16) -> Duration {
+    /// How long one datagram takes.
+    pub fn one_way(&mut self, from: u16, to: u16) -> Duration {
         let ms = self.base_ms(from, to) + self.network.jitter_ms * self.chance.share();
         Duration::from_secs_f64(ms / 1000.0)
     }
