--- a/crates/scale/src/flat.rs
+++ b/crates/scale/src/flat.rs
@@ -276,7 +276,7 @@
         self.acted_on.note(acting.active, self.now);
         let before = seat.active;
         seat.active = before.max(acting.active);
-        for (_, pushed) in self.pushed.range(before + 1..=seat.active) {
+        for (_, pushed) in self.pushed.range(before + 1..seat.active + 1) {
             // It grows as needed.
             let _ = self.acted.record(self.now.saturating_sub(*pushed).as_micros() as u64);
             self.acted_count += 1;
--- a/crates/scale/src/simulation.rs
+++ b/crates/scale/src/simulation.rs
@@ -5,6 +5,7 @@
 mod machines;
 mod members;
 pub mod network;
+mod peers;
 pub mod queue;
 mod strikes;
 mod tools;
@@ -39,9 +40,7 @@
 use queue::Queue;
 
 /// How long a connection to a machine that does not answer is tried.
-const CONNECT_WITHIN: Duration = Duration::from_secs(3);
-/// Control machines try again so often to connect to each other.
-const PEER_RETRY: Duration = Duration::from_secs(1);
+const CONNECT_WITHIN: Duration = Duration::from_secs(2);
 /// What all controllers act on is looked at so often beside their own events: so exact are times at which they cease to.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Members start spread over this.
@@ -63,8 +62,10 @@
     TendMachine(u16, u32),
     TendTool(u16),
     StartWatcher(ControllerId, bool),
-    /// The machine with the lower number connects to the other.
-    ConnectPeers(u16, u16),
+    /// A machine, in this life, connects to another.
+    ConnectPeer(u16, u16, u32),
+    PeerUp(ConnectionId),
+    PingPeers,
     Look,
     Timeline(usize),
 }
@@ -185,6 +186,7 @@
             self.queue.push(entry.at, Event::Timeline(index));
         }
         self.queue.push(LOOK_EVERY, Event::Look);
+        self.queue.push(peers::PING_EVERY, Event::PingPeers);
     }
 
     /// Controllers that come back with their disks in this run: only their disks are kept.
@@ -207,6 +209,7 @@
             due: Duration::MAX,
             zone: self.scenario.fleet.zone_of_machine(machine),
             peers: Default::default(),
+            failed_tries: Default::default(),
             disk: control::Stored { agreement, ..Default::default() },
             used: Used::default(),
         }
@@ -297,7 +300,9 @@
             Event::TendMachine(machine, life) => self.tend_machine(machine, life),
             Event::TendTool(tool) => self.tend_tool(tool),
             Event::StartWatcher(controller, with_disk) => self.start_watcher(controller, with_disk),
-            Event::ConnectPeers(low, high) => self.connect_peers(low, high),
+            Event::ConnectPeer(machine, other, life) => self.connect_peer(machine, other, life),
+            Event::PeerUp(connection) => self.peer_up(connection),
+            Event::PingPeers => self.ping_peers(),
             Event::Look => self.look(),
             Event::Timeline(index) => {
                 let what = self.timeline[index].what.clone();
--- a/crates/scale/src/simulation/machines.rs
+++ b/crates/scale/src/simulation/machines.rs
@@ -5,10 +5,10 @@
 use badgerledge_distribution::control::{self, ControlMachine, ControlOutput};
 use badgerledge_distribution::message::{encode, ToWatcher};
 
-use super::connections::{ConnectionId, End, OPENER, TAKER};
+use super::connections::{End, TAKER};
 use super::hand::SimulatedHand;
 use super::network::wire_bytes;
-use super::{seed_of, timed, Event, Simulation, LEAST_STEP, PEER_RETRY};
+use super::{seed_of, timed, Event, Simulation, LEAST_STEP};
 
 impl Simulation {
     pub(super) fn start_machine(&mut self, machine: u16) {
@@ -22,12 +22,7 @@
         let config = control::Config::new(machine, seat.life);
         let (stored, genesis) = (seat.disk.clone(), self.genesis.clone());
         seat.state = Some(ControlMachine::new(config, hand, stored, genesis, seed, self.now));
-        for other in 0..self.machines.len() as u16 {
-            if other != machine {
-                let (low, high) = (machine.min(other), machine.max(other));
-                self.queue.push(self.now + LEAST_STEP, Event::ConnectPeers(low, high));
-            }
-        }
+        self.connect_all_peers(machine);
         self.schedule_machine(machine);
     }
 
@@ -98,12 +93,8 @@
             match output {
                 ControlOutput::Store(item) => self.machines[usize::from(machine)].store(item),
                 ControlOutput::ToPeer(peer, _) => {
-                    let connection = self.machines[usize::from(machine)].peers.get(&peer).copied();
-                    if let (Some(connection), Some(frame)) = (connection, frames.next()) {
-                        self.count_machine(machine, frame.len(), false);
-                        let side = if machine < peer { OPENER } else { TAKER };
-                        self.send(connection, side, frame);
-                    }
+                    let Some(frame) = frames.next() else { continue };
+                    self.send_to_peer(machine, peer, frame);
                 }
                 ControlOutput::ToWatcher(connection, message) => {
                     let Some(frame) = frames.next() else { continue };
@@ -118,35 +109,4 @@
         }
         self.schedule_machine(machine);
     }
-
-    pub(super) fn connect_peers(&mut self, low: u16, high: u16) {
-        let [first, second] = [low, high].map(|machine| &self.machines[usize::from(machine)]);
-        // Who comes back connects again; what the other end still has of the former life breaks then.
-        if first.state.is_none() || second.state.is_none() || first.peers.contains_key(&high) {
-            return;
-        }
-        let zone = first.zone;
-        let connection = self.dial(End::Machine(low), zone, high);
-        self.machines[usize::from(low)].peers.insert(high, connection);
-    }
-
-    pub(super) fn peers_opened(&mut self, id: ConnectionId, low: u16, high: u16) {
-        let before = self.machines[usize::from(high)].peers.insert(low, id);
-        if let Some(before) = before.filter(|before| *before != id) {
-            self.connections.shut_both(before);
-            self.with_machine(high, |state, now, _| state.peer_down(now, low));
-        }
-        self.with_machine(high, |state, now, out| state.peer_up(now, low, out));
-        self.with_machine(low, |state, now, out| state.peer_up(now, high, out));
-    }
-
-    pub(super) fn peer_lost(&mut self, id: ConnectionId, machine: u16, peer: u16) {
-        let peers = &mut self.machines[usize::from(machine)].peers;
-        if peers.get(&peer) == Some(&id) {
-            peers.remove(&peer);
-            self.with_machine(machine, |state, now, _| state.peer_down(now, peer));
-        }
-        let (low, high) = (machine.min(peer), machine.max(peer));
-        self.queue.push(self.now + PEER_RETRY, Event::ConnectPeers(low, high));
-    }
 }
--- a/crates/scale/src/simulation/members.rs
+++ b/crates/scale/src/simulation/members.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// A control machine's stream to another one, on which its messages go.
+pub struct PeerLink {
+    pub connection: ConnectionId,
+    /// The other end has answered a ping.
+    pub up: bool,
+    /// When it last did.
+    pub heard: Duration,
+}
+
 /// A simulated control machine.
 pub struct MachineSeat {
     pub state: Option<ControlMachine<SimulatedHand>>,
@@ -54,8 +63,10 @@
     pub host_off: bool,
     pub due: Duration,
     pub zone: u16,
-    /// Connections to other control machines.
-    pub peers: BTreeMap<u16, ConnectionId>,
+    /// Its own streams to other control machines.
+    pub peers: BTreeMap<u16, PeerLink>,
+    /// Tries to connect to each that failed in a row.
+    pub failed_tries: BTreeMap<u16, u32>,
     pub disk: control::Stored,
     pub used: Used,
 }
--- a/crates/scale/src/simulation/wiring.rs
+++ b/crates/scale/src/simulation/wiring.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use badgerledge_distribution::message::{PeerMessage, ToRelay, LONGEST_FROM_RELAY, LONGEST_FROM_WATCHER};
+use badgerledge_distribution::message::{ToRelay, LONGEST_FROM_WATCHER};
 
 use super::connections::{Arrival, ConnectionId, Due, End, OPENER, TAKER};
 use super::{decoded, Event, Simulation, CONNECT_WITHIN};
@@ -76,7 +76,7 @@
             (connection.made, connection.lives[TAKER]) = (true, life);
         }
         match opener {
-            End::Machine(low) => self.peers_opened(id, low, machine),
+            End::Machine(from) => self.peer_opened(id, from, machine),
             End::Watcher { controller, relay } => {
                 self.with_machine(machine, |state, now, out| state.watcher_opened(now, id, out));
                 self.with_watcher(controller, |state, now, out| state.opened(now, relay, out));
@@ -160,14 +160,7 @@
         match (end, other) {
             (End::Watcher { controller, relay }, _) => self.watcher_frame(controller, relay, bytes),
             (End::Tool(tool), _) => self.tool_frame(tool, bytes),
-            (End::Machine(machine), End::Machine(peer)) => {
-                self.count_machine(machine, bytes.len(), true);
-                self.with_machine(machine, |state, now, out| {
-                    if let Some(message) = decoded::<PeerMessage>(bytes, LONGEST_FROM_RELAY * 4) {
-                        state.peer_message(now, peer, message, out);
-                    }
-                });
-            }
+            (End::Machine(machine), End::Machine(peer)) => self.peer_frame(machine, peer, bytes),
             (End::Machine(machine), _) => {
                 self.count_machine(machine, bytes.len(), true);
                 self.with_machine(machine, |state, now, out| {
