Relay: stores the machine's items as it seals them, checkpoints by a thread beside the loop

A checkpoint of up to 64 MB would hold the loop; nothing that is said rests on it, since batches are dropped only once it is on the disk.

--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -95,6 +95,7 @@
             seed.rotate_left(17),
         );
         let config = Config { connections, ..Config::new(place.number, life) };
+        config.check()?;
         let control = ControlMachine::new(config, keys, stored, genesis, seed, now);
         let ring_read = modified(&place.ring);
         tracing::info!(machine = place.number, life, %listen, %peer_listen, connections, "badgerledge-relay serves");
@@ -137,6 +138,7 @@
         // What was decided is stored and goes out; the others notice the rest by the streams' end.
         self.settle();
         self.reactor.flush();
+        self.storage.finish().context("storing what was decided")?;
         tracing::info!(machine = self.settings.place.number, "badgerledge-relay ends");
         Ok(())
     }
@@ -277,10 +279,8 @@
     fn sweep(&mut self, now: Duration) {
         self.reactor.due(now + SWEEP_EVERY, SWEEP);
         self.with_watchers(|watchers, reactor, events| watchers.sweep(reactor, now, events));
-        if !self.storage.is_clean() {
-            let done = self.storage.retry();
-            self.note_stored(done, now);
-        }
+        let done = self.storage.tend();
+        self.note_stored(done, now);
         if modified(&self.settings.place.ring) != self.ring_read {
             self.read_ring(now);
         }
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -7,18 +7,21 @@
 //! | `batches` | batches after the checkpoint, appended; written anew without older ones at each checkpoint |
 //! | `life` | the number of the process's life |
 //!
-//! Each record is a mark, the length of its body (4 bytes, big-endian), SHA-256 of the body, and the body: a
-//! [`StoredItem`], encoded. A record that is torn or changed is none; in `batches` what follows it is not
-//! found either, and cut off before anything is appended.
+//! Each record is a mark, the length of its body (4 bytes, big-endian), SHA-256 of the body, and the body: an encoded
+//! [`StoredItem`]. A record that is torn or changed is none; in `batches` what follows it is not found either, and cut off
+//! before anything is appended.
+//!
+//! A checkpoint is tens of megabytes and is written by a thread beside the loop: nothing that is said rests on it, since
+//! batches are dropped only once it is on the disk.
 
 use std::fs::File;
 use std::io::{self, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::thread::JoinHandle;
 
-use badgerledge_distribution::control::{Stored, StoredItem};
-use badgerledge_distribution::Number;
+use badgerledge_distribution::control::{Checkpoint, Stored, StoredItem};
+use badgerledge_distribution::{digest, Number};
 use badgerledge_files as files;
-use sha2::{Digest as _, Sha256};
 
 const MARK: &[u8; 4] = b"bcs1";
 const SEAL: usize = 32;
@@ -28,15 +31,24 @@
 const BATCHES: &str = "batches";
 const LIFE: &str = "life";
 
+/// A checkpoint that a thread writes.
+struct Writing {
+    number: Number,
+    thread: JoinHandle<io::Result<()>>,
+}
+
 /// The folder of a control machine's state.
 pub struct Storage {
     folder: PathBuf,
     /// Bytes of whole records in the file of batches.
     batches_length: u64,
-    /// What is on the disk of the batches, for the next checkpoint: the number and place of each record.
+    /// The records there, with their revisions' numbers, for when it is written anew.
     batches: Vec<(Number, Vec<u8>)>,
     /// Items that could not be written yet, in their order.
     waiting: Vec<StoredItem>,
+    writing: Option<Writing>,
+    /// A checkpoint that is to be written next.
+    next_checkpoint: Option<Box<Checkpoint>>,
 }
 
 impl Storage {
@@ -46,23 +58,17 @@
     /// Where the folder can't be made or read.
     pub fn open(folder: &Path) -> io::Result<(Self, Stored)> {
         std::fs::create_dir_all(folder)?;
-        let agreement = read_first(&folder.join(AGREEMENT))?.and_then(|item| match item {
-            StoredItem::Agreement(bytes) => Some(bytes),
-            _ => None,
-        });
-        let checkpoint = read_first(&folder.join(CHECKPOINT))?;
-        let checkpoint = checkpoint.and_then(|item| match item {
-            StoredItem::Checkpoint(checkpoint) => Some(*checkpoint),
-            _ => None,
-        });
+        let mut stored = Stored::default();
+        for name in [AGREEMENT, CHECKPOINT] {
+            read_item(&folder.join(name))?.into_iter().for_each(|item| stored.take(item));
+        }
         let bytes = read_or_empty(&folder.join(BATCHES))?;
         let (records, batches_length) = records(&bytes);
         let mut batches = Vec::new();
-        let mut found = Vec::new();
         for (item, record) in records {
             if let StoredItem::Batch { number, .. } = &item {
                 batches.push((*number, record.to_vec()));
-                found.push(item);
+                stored.take(item);
             }
         }
         let storage = Self {
@@ -70,59 +76,102 @@
             batches_length: batches_length as u64,
             batches,
             waiting: Vec::new(),
+            writing: None,
+            next_checkpoint: None,
         };
-        Ok((storage, Stored { agreement, checkpoint, batches: found }))
+        Ok((storage, stored))
     }
 
-    /// Whether all that was to be stored is on the disk.
+    /// Whether all that what is said may rest on is on the disk.
     pub fn is_clean(&self) -> bool {
         self.waiting.is_empty()
     }
 
-    /// Stores an item durably, after those that could not be stored before.
+    /// Stores an item durably, after those that could not be stored before. A checkpoint is begun to be written.
     ///
     /// # Errors
-    /// Where it is not on the disk: it is tried again with the next one, or by [`Storage::retry`]. Until then nothing may be
+    /// Where it is not on the disk: it is tried again with the next one, or by [`Storage::tend`]. Until then nothing may be
     /// said.
     pub fn store(&mut self, item: StoredItem) -> io::Result<()> {
-        self.forget_replaced(&item);
-        self.waiting.push(item);
-        self.retry()
+        match item {
+            StoredItem::Checkpoint(checkpoint) => {
+                self.next_checkpoint = Some(checkpoint);
+                self.tend_checkpoint()
+            }
+            item => {
+                self.forget_replaced(&item);
+                self.waiting.push(item);
+                self.write_waiting()
+            }
+        }
     }
 
-    /// Stores what could not be stored before.
+    /// Stores what could not be stored before, and ends what a thread has written. To be called about once a second.
     ///
     /// # Errors
     /// Where something is still not on the disk.
-    pub fn retry(&mut self) -> io::Result<()> {
+    pub fn tend(&mut self) -> io::Result<()> {
+        self.write_waiting().and(self.tend_checkpoint())
+    }
+
+    /// Waits until a checkpoint that is being written is on the disk.
+    ///
+    /// # Errors
+    /// Where it could not be written.
+    pub fn finish(&mut self) -> io::Result<()> {
+        self.write_waiting()?;
+        while self.writing.is_some() || self.next_checkpoint.is_some() {
+            self.end_writing()?;
+            self.tend_checkpoint()?;
+        }
+        Ok(())
+    }
+
+    fn write_waiting(&mut self) -> io::Result<()> {
         while let Some(item) = self.waiting.first() {
             let record = sealed(item);
             match item {
-                StoredItem::Agreement(_) => files::replace_durably(&self.folder.join(AGREEMENT), &record)?,
-                StoredItem::Checkpoint(checkpoint) => {
-                    let number = checkpoint.certificate.number();
-                    files::replace_durably(&self.folder.join(CHECKPOINT), &record)?;
-                    self.drop_batches_up_to(number)?;
-                }
                 StoredItem::Batch { number, .. } => {
                     let number = *number;
                     self.append(&record)?;
                     self.batches.push((number, record));
                 }
+                _ => files::replace_durably(&self.folder.join(AGREEMENT), &record)?,
             }
             self.waiting.remove(0);
         }
         Ok(())
     }
 
+    fn tend_checkpoint(&mut self) -> io::Result<()> {
+        if self.writing.as_ref().is_some_and(|writing| !writing.thread.is_finished()) {
+            return Ok(());
+        }
+        let ended = self.end_writing();
+        if let Some(checkpoint) = self.next_checkpoint.take() {
+            let number = checkpoint.certificate.number();
+            let path = self.folder.join(CHECKPOINT);
+            let write = move || {
+                let item = StoredItem::Checkpoint(checkpoint);
+                files::replace_durably(&path, &sealed(&item))
+            };
+            let thread = std::thread::Builder::new().name("checkpoint".to_owned()).spawn(write)?;
+            self.writing = Some(Writing { number, thread });
+        }
+        ended
+    }
+
+    fn end_writing(&mut self) -> io::Result<()> {
+        let Some(Writing { number, thread }) = self.writing.take() else { return Ok(()) };
+        let written =
+            thread.join().unwrap_or_else(|_| Err(io::Error::other("the thread that wrote it ended")));
+        written.and_then(|()| self.drop_batches_up_to(number))
+    }
+
     /// Of what is replaced whole only the last need be written.
     fn forget_replaced(&mut self, by: &StoredItem) {
-        match by {
-            StoredItem::Agreement(_) => self.waiting.retain(|item| !matches!(item, StoredItem::Agreement(_))),
-            StoredItem::Checkpoint(_) => {
-                self.waiting.retain(|item| !matches!(item, StoredItem::Checkpoint(_)));
-            }
-            StoredItem::Batch { .. } => {}
+        if matches!(by, StoredItem::Agreement(_)) {
+            self.waiting.retain(|item| !matches!(item, StoredItem::Agreement(_)));
         }
     }
 
@@ -173,8 +222,7 @@
     if path.exists() {
         return Err(io::Error::new(io::ErrorKind::AlreadyExists, "there is a state already"));
     }
-    let agreement =
-        badgerledge_revisions::Stored { keeper: Some(Default::default()), ..Default::default() }.write();
+    let agreement = Stored::founding().agreement.unwrap_or_default();
     files::replace_durably(&path, &sealed(&StoredItem::Agreement(agreement)))
 }
 
@@ -183,7 +231,7 @@
     let mut record = Vec::with_capacity(HEADER + body.len());
     record.extend_from_slice(MARK);
     record.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    record.extend_from_slice(&Sha256::digest(&body));
+    record.extend_from_slice(&digest(&body));
     record.extend_from_slice(&body);
     record
 }
@@ -194,7 +242,7 @@
     let (length, rest) = rest.split_first_chunk::<4>()?;
     let (seal, rest) = rest.split_at_checked(SEAL)?;
     let body = rest.get(..u32::from_be_bytes(*length) as usize)?;
-    if Sha256::digest(body)[..] != *seal {
+    if digest(body)[..] != *seal {
         return None;
     }
     Some((StoredItem::decode(body).ok()?, HEADER + body.len()))
@@ -217,7 +265,8 @@
     }
 }
 
-fn read_first(path: &Path) -> io::Result<Option<StoredItem>> {
+/// The item of a file; one that is not whole is as if it were not there, and said.
+fn read_item(path: &Path) -> io::Result<Option<StoredItem>> {
     let bytes = read_or_empty(path)?;
     let found = unsealed(&bytes).map(|(item, _)| item);
     if found.is_none() && !bytes.is_empty() {
--- a/crates/relay/src/tests/storage.rs
+++ b/crates/relay/src/tests/storage.rs
@@ -3,8 +3,10 @@
 use std::path::Path;
 
 use badgerledge_distribution::change::Summary;
-use badgerledge_distribution::control::StoredItem;
-use badgerledge_distribution::state::Entry;
+use badgerledge_distribution::control::{Checkpoint, StoredItem};
+use badgerledge_distribution::state::{Entry, State};
+use badgerledge_distribution::Certified;
+use badgerledge_revisions::{Head, Signed};
 
 use crate::storage::{begin_life, found, Storage};
 
@@ -14,9 +16,12 @@
     StoredItem::Batch { number, summary, bytes }
 }
 
-fn checkpoint(number: u32) -> StoredItem {
-    let entries = vec![Entry { key: "fleet\tcells".to_owned(), value: b"12".to_vec() }];
-    StoredItem::Checkpoint { certificate: None, summary: None, number, entries }
+fn checkpoint(number: u32) -> Checkpoint {
+    let signed = Signed { head: Head::new(number, [0; 32], 1, b""), signature: [0; 64] };
+    let certificate = Certified { signed, votes: Vec::new(), goes: Vec::new() };
+    let entry = Entry { key: "fleet\tcells".to_owned(), value: b"12".to_vec() };
+    let state = State::from_entries([entry]).unwrap();
+    Checkpoint { certificate, summary: Summary { root: state.root(), batch: [0; 32], length: 0 }, state }
 }
 
 fn store(folder: &Path, items: &[StoredItem]) -> Storage {
@@ -34,8 +39,10 @@
     let (mut storage, stored) = Storage::open(folder.path()).unwrap();
     assert_eq!(stored.agreement.as_deref(), Some(&b"second"[..]));
     assert_eq!(stored.batches, [batch(1), batch(2), batch(2), batch(3)]);
-    storage.store(checkpoint(2)).unwrap();
+    storage.store(StoredItem::Checkpoint(Box::new(checkpoint(1)))).unwrap();
+    storage.store(StoredItem::Checkpoint(Box::new(checkpoint(2)))).unwrap();
     storage.store(batch(4)).unwrap();
+    storage.finish().unwrap();
     let (_, stored) = Storage::open(folder.path()).unwrap();
     assert_eq!((stored.checkpoint, stored.batches), (Some(checkpoint(2)), vec![batch(3), batch(4)]));
 }
@@ -71,7 +78,7 @@
     assert!(storage.store(StoredItem::Agreement(b"b".to_vec())).is_err());
     assert!(!storage.is_clean());
     std::fs::remove_dir(&obstacle).unwrap();
-    storage.retry().unwrap();
+    storage.tend().unwrap();
     assert!(storage.is_clean());
     let (_, stored) = Storage::open(folder.path()).unwrap();
     assert_eq!((stored.agreement.as_deref(), stored.batches), (Some(&b"b"[..]), vec![batch(1), batch(2)]));
