--- a/crates/distribution/src/watcher.rs
+++ b/crates/distribution/src/watcher.rs
@@ -20,6 +20,8 @@
 mod stored;
 mod updates;
 
+#[cfg(test)]
+pub(crate) use difference::difference;
 pub use interface::{
     Acting, Check, DrawNonce, HoldReason, StoreRequest, WatcherConfig, WatcherOutput, WatcherStatus,
 };
--- a/crates/distribution/src/watcher/difference.rs
+++ b/crates/distribution/src/watcher/difference.rs
@@ -6,7 +6,7 @@
 use crate::Digest;
 
 /// The edits that lead from one state to another. Only buckets whose digests differ are looked at.
-pub(super) fn difference(from: &State, to: &State) -> Vec<Edit> {
+pub(crate) fn difference(from: &State, to: &State) -> Vec<Edit> {
     let (old, new) = (from.group_digests(), to.group_digests());
     let differs = |group: &u8| old.get(usize::from(*group)) != new.get(usize::from(*group));
     let mut edits = Vec::new();
--- a/crates/distribution/src/watcher/links.rs
+++ b/crates/distribution/src/watcher/links.rs
@@ -73,6 +73,8 @@
     Busy(Duration),
     /// It broke the protocol, or sent what does not verify.
     Refused,
+    /// It has no more than the relay that serves.
+    NoBetter,
     /// Another relay serves; there is nothing against this one.
     NotNeeded,
 }
@@ -108,6 +110,8 @@
     /// It is not tried before that.
     avoid_until: Duration,
     failures: u32,
+    /// It showed grants when it was left, and would serve where no other does.
+    is_spare: bool,
     machine: Option<MachineId>,
     /// The highest revision that it says it holds, and since when it says so.
     claimed: Number,
@@ -132,6 +136,7 @@
             since: now,
             avoid_until: now,
             failures: 0,
+            is_spare: false,
             machine: None,
             claimed: 0,
             claimed_at: now,
@@ -358,19 +363,22 @@
         let share = self.chance.share();
         let Some(link) = self.links.get_mut(place) else { return };
         link.enter(now, Phase::Closed);
+        link.is_spare = matches!(why, Leave::NoBetter | Leave::NotNeeded);
         let pause = match why {
             Leave::NotNeeded => Duration::ZERO,
             Leave::Refused => REFUSED_PAUSE,
             Leave::Busy(pause) => pause.clamp(BUSY_PAUSE.0, BUSY_PAUSE.1).mul_f64(1.0 + share / 4.0),
-            Leave::Failed => growing_pause(RELAY_PAUSE, link.failures, share),
+            Leave::Failed | Leave::NoBetter => growing_pause(RELAY_PAUSE, link.failures, share),
         };
         link.avoid_until = now + pause;
-        if why == Leave::Failed {
+        let served = link.granted.is_some();
+        if matches!(why, Leave::Failed | Leave::NoBetter) {
             link.failures = link.failures.saturating_add(1);
         }
         self.refused += u64::from(why == Leave::Refused);
         if self.serving == Some(place) {
             self.serving = None;
+            self.recall_spares(now, served);
         }
         if self.trying == Some(place) {
             self.trying = None;
@@ -385,6 +393,16 @@
         }
     }
 
+    /// Nobody serves any more: relays that were left only because another one served may be tried at once.
+    fn recall_spares(&mut self, now: Duration, served: bool) {
+        for link in self.links.iter_mut().filter(|link| link.is_spare) {
+            link.avoid_until = now;
+        }
+        if served {
+            (self.attempts, self.next_attempt) = (0, now);
+        }
+    }
+
     fn leave_and_close(&mut self, now: Duration, place: usize, why: Leave, actions: &mut Vec<LinkAction>) {
         self.leave(now, place, why);
         actions.push(LinkAction::Close(place));
@@ -432,8 +450,9 @@
             return;
         }
         let no_better = link.claimed < wanted.certified || self.lags(now, serving, wanted, link.claimed);
-        if no_better && !self.is_silent(now, serving) {
-            return self.leave_and_close(now, place, Leave::Failed, actions);
+        let overtaken = self.has_overtaken(place, serving);
+        if no_better && !overtaken && !self.is_silent(now, serving) {
+            return self.leave_and_close(now, place, Leave::NoBetter, actions);
         }
         // Another one is tried while it is suspect, or to return to a more preferred one.
         let why = if self.returning.is_none() { Leave::Failed } else { Leave::NotNeeded };
