--- a/crates/distribution/src/tests/watcher/network.rs
+++ b/crates/distribution/src/tests/watcher/network.rs
@@ -24,7 +24,7 @@
 enum Event {
     Opened(usize),
     ToRelay(usize, ToRelay),
-    ToWatcher(usize, ToWatcher),
+    ToWatcher(usize, Box<ToWatcher>),
     Ended(usize),
 }
 
@@ -134,8 +134,8 @@
                 self.say(relay, said);
             }
             Event::ToWatcher(_, message) => {
-                self.parts += usize::from(matches!(message, ToWatcher::Bucket { .. }));
-                self.call(|watcher, now, out| watcher.heard(now, relay, message, out));
+                self.parts += usize::from(matches!(*message, ToWatcher::Bucket { .. }));
+                self.call(|watcher, now, out| watcher.heard(now, relay, *message, out));
             }
             Event::Ended(_) => {
                 self.connections[relay] += 1;
--- a/crates/distribution/src/tests/watcher/relays.rs
+++ b/crates/distribution/src/tests/watcher/relays.rs
@@ -85,7 +85,7 @@
 
 /// The end of a connection, among what is said on it.
 pub enum Said {
-    Message(ToWatcher),
+    Message(Box<ToWatcher>),
     End,
 }
 
@@ -113,7 +113,10 @@
             _ if self.kind == Kind::Silent => return Vec::new(),
             ToRelay::Hello { held, root, .. } => {
                 if self.kind == Kind::Full {
-                    return vec![Said::Message(ToWatcher::Busy { retry_after_ms: 20_000 }), Said::End];
+                    return vec![
+                        Said::Message(Box::new(ToWatcher::Busy { retry_after_ms: 20_000 })),
+                        Said::End,
+                    ];
                 }
                 if !self.session.greeted {
                     let more = if self.kind == Kind::Contradicting { 5 } else { 0 };
@@ -220,10 +223,10 @@
                 }
                 (ToWatcher::Activate { .. }, Kind::NoWordsToAct) => continue,
                 (ToWatcher::Welcome { .. }, _) => {}
-                (_, Kind::Doubled) => spoiled.push(Said::Message(message.clone())),
+                (_, Kind::Doubled) => spoiled.push(Said::Message(Box::new(message.clone()))),
                 _ => {}
             }
-            spoiled.push(Said::Message(message));
+            spoiled.push(Said::Message(Box::new(message)));
         }
         spoiled
     }
