--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -10,3 +10,8 @@
 mod platform_rig;
 mod revisions;
 mod rig;
+
+/// The program that is tested.
+fn controller_program() -> std::process::Command {
+    std::process::Command::new(env!("CARGO_BIN_EXE_badgerledge-controller"))
+}
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -44,6 +44,10 @@
     if arguments.get(1).is_some_and(|word| word == "controller") {
         return badgerledge_controller::main_with(arguments.into_iter().skip(1));
     }
+    // So are control machines, for tests that play both.
+    if arguments.get(1).is_some_and(|word| word == "relay") {
+        return badgerledge_relay::main_with(arguments.into_iter().skip(1));
+    }
     match carry_out(&Command::parse_from(arguments)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
--- /dev/null
+++ b/crates/replay/tests/distribution/changes.rs
@@ -0,0 +1,36 @@
+//! Changes on an ordinary day: in force at all controllers, as deltas.
+
+use std::time::Duration;
+
+use crate::fleet::{play, Shape, IN_FORCE};
+
+#[test]
+fn a_change_is_in_force_at_all_controllers_and_goes_as_a_delta() {
+    play(Shape { more_titles: 1000, ..Shape::default() }, |fleet| {
+        let all = [0, 1, 2];
+        fleet.wait_set_ups(Duration::ZERO, &all, 7, 200);
+        assert_ne!(fleet.set_up(0, 0xa), 200);
+        let before: Vec<usize> = (0..3).map(|controller| received(fleet, controller)).collect();
+        let number = fleet.push_edits(0, "[title a]\nroom_type = clip\nfirst_cell = 0\ncopies = 4\n");
+        assert_eq!(number, 1);
+        let took = fleet.wait_set_ups(IN_FORCE, &all, 0xa, 200);
+        fleet.wait(IN_FORCE, "the revision is acted on", |fleet| {
+            (0..3).all(|controller| fleet.metric(controller, "badgerledge_revision_active") == 1.0)
+        });
+        let after: Vec<usize> = (0..3).map(|controller| received(fleet, controller)).collect();
+        let whole = std::fs::metadata(fleet.genesis()).unwrap().len() as usize;
+        eprintln!("in force after {took:?}; {before:?} to {after:?} bytes received, {whole} of the whole");
+        for (before, after) in before.iter().zip(&after) {
+            // Ten times as much as a delta with its certificate and leases takes would still be a fraction of the whole.
+            assert!(after - before < whole / 4, "{before} to {after} bytes, where the whole has {whole}");
+        }
+        // Taken away again: the refusal shows it.
+        fleet.push_edits(1, "[remove title a]\n");
+        fleet.wait_set_ups(IN_FORCE, &all, 0xa, 404);
+    });
+}
+
+/// Bytes that came to a controller.
+fn received(fleet: &crate::fleet::Fleet, controller: usize) -> usize {
+    fleet.metric(controller, "badgerledge_distribution_received_bytes_total") as usize
+}
