--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -66,6 +66,12 @@
     pub revisions: Number,
     /// From the push of a change until a reachable controller acted on it.
     pub in_force: Spread,
+    /// Of those, only from controllers that were current when the change was pushed: not on their way back.
+    pub in_force_at_current: Spread,
+    /// Until the author of a change heard what became of it.
+    pub settled: Spread,
+    /// The changes that took longest to come into force.
+    pub slowest: Vec<SlowChange>,
     /// Pairs of a change and a controller that was reachable all the time and never acted on it.
     pub never: u64,
     /// From the return of a controller until it acts on what others acted on when it returned.
@@ -83,6 +89,17 @@
     pub budgets: Vec<Budget>,
 }
 
+/// A change that took long.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SlowChange {
+    pub pushed_at_s: f64,
+    pub revision: Number,
+    pub settled_s: f64,
+    /// At the first and at the last reachable controller.
+    pub first_s: f64,
+    pub last_s: f64,
+}
+
 /// One budget beside what was measured.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Budget {
@@ -115,10 +132,10 @@
         let (from, until) = (scenario.warm_up(), scenario.end());
         let span = until.saturating_sub(from);
         let courses = courses(&seen.transitions);
-        let (in_force, never) = in_force(seen, &courses, scenario.fleet.controllers);
+        let force = in_force(seen, &courses, scenario.fleet.controllers);
         let (caught_up, never_caught_up) = caught_up(seen, &courses);
-        let taken = seen.changes.iter().filter(|change| change.1.is_some());
-        let revisions = seen.changes.iter().filter_map(|change| change.1).max().unwrap_or(0);
+        let taken = seen.changes.iter().filter(|change| change.number.is_some());
+        let revisions = seen.changes.iter().filter_map(|change| change.number).max().unwrap_or(0);
         let mut figures = Self {
             version: env!("CARGO_PKG_VERSION").to_owned(),
             seed: scenario.run.seed,
@@ -133,8 +150,11 @@
             changes_taken: taken.count() as u64,
             turned_down: seen.turned_down.clone(),
             revisions,
-            in_force: Spread::of(&in_force),
-            never,
+            in_force: Spread::of(&force.reachable),
+            in_force_at_current: Spread::of(&force.current),
+            settled: Spread::of(&settled(seen)),
+            slowest: force.slowest,
+            never: force.never,
             caught_up: Spread::of(&caught_up),
             never_caught_up,
             held_back: held_back(seen, &courses, from, until),
@@ -247,26 +267,69 @@
     let _ = times.record(span.as_micros() as u64);
 }
 
-fn in_force(seen: &Observations, courses: &Courses, controllers: u32) -> (Histogram<u64>, u64) {
-    let (mut times, mut never) = (histogram(), 0);
+/// How long changes took to come into force.
+struct Force {
+    reachable: Histogram<u64>,
+    current: Histogram<u64>,
+    slowest: Vec<SlowChange>,
+    never: u64,
+}
+
+/// Slow changes that are told.
+const SLOWEST: usize = 3;
+
+fn in_force(seen: &Observations, courses: &Courses, controllers: u32) -> Force {
+    let mut force = Force { reachable: histogram(), current: histogram(), slowest: Vec::new(), never: 0 };
     let nothing = Vec::new();
-    for controller in 0..controllers {
-        let course = courses.get(&controller).unwrap_or(&nothing);
-        let away = seen.away.get(&controller).map_or(&[][..], Vec::as_slice);
-        for (pushed, number) in &seen.changes {
-            let Some(number) = number else { continue };
-            let acted = acts_on_at(course, *number, *pushed);
+    for change in &seen.changes {
+        let Some(number) = change.number else { continue };
+        let (mut first, mut last) = (Duration::MAX, Duration::ZERO);
+        for controller in 0..controllers {
+            let course = courses.get(&controller).unwrap_or(&nothing);
+            let away = seen.away.get(&controller).map_or(&[][..], Vec::as_slice);
+            let acted = acts_on_at(course, number, change.pushed);
             let until = acted.unwrap_or(Duration::MAX);
-            if away.iter().any(|(from, to)| *from <= until && *to >= *pushed) {
+            if away.iter().any(|(from, to)| *from <= until && *to >= change.pushed) {
                 continue;
             }
-            match acted {
-                Some(at) => record(&mut times, at.saturating_sub(*pushed)),
-                None => never += 1,
+            let Some(at) = acted else {
+                force.never += 1;
+                continue;
+            };
+            let took = at.saturating_sub(change.pushed);
+            record(&mut force.reachable, took);
+            if is_acting(course, change.pushed) {
+                record(&mut force.current, took);
             }
+            (first, last) = (first.min(took), last.max(took));
         }
+        let seconds = |at: Duration| at.as_secs_f64();
+        force.slowest.push(SlowChange {
+            pushed_at_s: seconds(change.pushed),
+            revision: number,
+            settled_s: change.settled.map_or(0.0, |at| seconds(at.saturating_sub(change.pushed))),
+            first_s: if first == Duration::MAX { 0.0 } else { seconds(first) },
+            last_s: seconds(last),
+        });
     }
-    (times, never)
+    force.slowest.sort_by(|a, b| b.last_s.total_cmp(&a.last_s));
+    force.slowest.truncate(SLOWEST);
+    force
+}
+
+/// Whether a controller acts, and does not hold back, at this time.
+fn is_acting(course: &[Transition], at: Duration) -> bool {
+    let last = course.iter().take_while(|transition| transition.at <= at).last();
+    last.is_some_and(|transition| transition.acts_on.is_some())
+}
+
+fn settled(seen: &Observations) -> Histogram<u64> {
+    let mut times = histogram();
+    for change in &seen.changes {
+        let span = change.settled.map(|at| at.saturating_sub(change.pushed));
+        span.into_iter().for_each(|span| record(&mut times, span));
+    }
+    times
 }
 
 fn caught_up(seen: &Observations, courses: &Courses) -> (Histogram<u64>, u64) {
--- a/crates/scale/src/observations.rs
+++ b/crates/scale/src/observations.rs
@@ -159,6 +159,16 @@
     pub cpu: Duration,
 }
 
+/// A change that an author was to push.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct PushedChange {
+    pub pushed: Duration,
+    /// When its author heard what became of it.
+    pub settled: Option<Duration>,
+    /// The revision that it became part of.
+    pub number: Option<Number>,
+}
+
 /// All that was seen of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
@@ -169,8 +179,7 @@
     pub machines: Vec<Used>,
     /// Spans in which a controller was off or cut off.
     pub away: BTreeMap<ControllerId, Vec<(Duration, Duration)>>,
-    /// Changes: when each was pushed, and the revision that it became part of.
-    pub changes: Vec<(Duration, Option<Number>)>,
+    pub changes: Vec<PushedChange>,
     /// Changes that were turned down, with the reason.
     pub turned_down: Vec<String>,
     /// Memory of a controller and of a control machine, in bytes, on the mean.
--- a/crates/scale/src/simulation/strikes.rs
+++ b/crates/scale/src/simulation/strikes.rs
@@ -4,6 +4,7 @@
 
 use super::connections::{Arrival, Due, End};
 use super::{Simulation, CONNECT_WITHIN};
+use crate::observations::PushedChange;
 use crate::timeline::Happening;
 
 impl Simulation {
@@ -11,7 +12,7 @@
         match what {
             Happening::Push { author } => {
                 let place = self.seen.changes.len();
-                self.seen.changes.push((self.now, None));
+                self.seen.changes.push(PushedChange { pushed: self.now, ..Default::default() });
                 if let Some(seat) = self.tools.get_mut(usize::from(author)) {
                     seat.pushes.add(self.now, place);
                     self.tend_tool_soon(author);
--- a/crates/scale/src/simulation/tools.rs
+++ b/crates/scale/src/simulation/tools.rs
@@ -36,6 +36,13 @@
             return;
         }
         let now = self.now;
+        if seat.pushes.is_overdue(now) {
+            // Whoever has it does not answer: the next machine may.
+            (seat.connection, seat.at) = (None, seat.at + 1);
+            seat.pushes.retry(now);
+            self.close(connection, OPENER);
+            return self.tend_tool_soon(tool);
+        }
         let Some(change) = seat.pushes.current(SimulatedHand::author_signature) else { return };
         let frame = encode(&ToRelay::Push(change.clone()));
         seat.pushes.sent(now);
@@ -52,12 +59,12 @@
         let Some(place) = seat.pushes.outcome_of(change.sequence) else { return };
         match outcome {
             Ok(number) => {
-                self.seen.changes[place].1 = Some(number);
+                self.seen.changes[place].number = Some(number);
                 seat.pushes.settled(self.now, number);
             }
             // It was taken when it was pushed before, in a revision that is not told: one no later than this.
             Err(Rejection::Sequence(given, last)) if given <= last => {
-                self.seen.changes[place].1 = Some(certified);
+                self.seen.changes[place].number = Some(certified);
                 seat.pushes.settled(self.now, certified);
             }
             Err(Rejection::Busy(_) | Rejection::Unknown) => seat.pushes.put_off(self.now),
@@ -66,6 +73,9 @@
                 seat.pushes.settled(self.now, certified);
             }
         }
+        if self.tools[usize::from(tool)].pushes.outcome_of(change.sequence).is_none() {
+            self.seen.changes[place].settled = Some(self.now);
+        }
         self.tend_tool_soon(tool);
     }
 
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -36,6 +36,18 @@
         "  push to acting: p50 {:.3} s, p99 {:.3} s, last {:.3} s (of {}); never: {}",
         f.in_force.p50, f.in_force.p99, f.in_force.last, f.in_force.count, f.never
     );
+    let _ = writeln!(
+        text,
+        "    at controllers that were current: last {:.3} s; told to the author: p50 {:.3} s, last {:.3} s",
+        f.in_force_at_current.last, f.settled.p50, f.settled.last
+    );
+    for slow in &f.slowest {
+        let _ = writeln!(
+            text,
+            "    slowest: revision {}, pushed at {:.2} s, told after {:.2} s, acted on after {:.2} to {:.2} s",
+            slow.revision, slow.pushed_at_s, slow.settled_s, slow.first_s, slow.last_s
+        );
+    }
     if f.caught_up.count + f.never_caught_up > 0 {
         let _ = writeln!(
             text,
--- a/crates/scale/src/tests.rs
+++ b/crates/scale/src/tests.rs
@@ -1,1 +1,2 @@
 mod scenarios;
+mod simulated;
--- a/crates/scale/src/tests/scenarios.rs
+++ b/crates/scale/src/tests/scenarios.rs
@@ -6,7 +6,7 @@
 
 use badgerledge_settings::Sheet;
 
-use crate::observations::{ActedOn, Observations, Transition};
+use crate::observations::{ActedOn, Observations, PushedChange, Transition};
 use crate::reckoning::{check, needs, Gives, Refusal};
 use crate::scenario::Scenario;
 use crate::slopes::Line;
@@ -133,7 +133,7 @@
         acts(1, 47, Some(1)),
         acts(2, 5, Some(0)),
     ];
-    let changes = vec![(at(30), Some(1))];
+    let changes = vec![PushedChange { pushed: at(30), settled: Some(at(31)), number: Some(1) }];
     let mut seen = Observations { changes, transitions, ..Observations::default() };
     let acted = seen.transitions.iter().filter_map(|transition| Some((transition.acts_on?, transition.at)));
     acted.for_each(|(number, at)| seen.acted_on.note(number, at));
--- a/crates/scale/src/workload.rs
+++ b/crates/scale/src/workload.rs
@@ -68,11 +68,13 @@
     /// When each was to be pushed, with its place among all changes of the run.
     waiting: VecDeque<usize>,
     current: Option<(usize, Change)>,
+    /// It was sent, and has no outcome yet.
+    sent: bool,
     pub next_try: Duration,
 }
 
 /// A push without an outcome is made again, at another machine, after this.
-pub const PUSH_AGAIN: Duration = Duration::from_secs(10);
+pub const PUSH_AGAIN: Duration = Duration::from_secs(5);
 /// A push that was put off is made again after this.
 pub const PUSH_PUT_OFF: Duration = Duration::from_secs(1);
 
@@ -83,6 +85,7 @@
             base: 0,
             waiting: VecDeque::new(),
             current: None,
+            sent: false,
             next_try: Duration::MAX,
         }
     }
@@ -107,6 +110,17 @@
     /// The current change was sent.
     pub fn sent(&mut self, now: Duration) {
         self.next_try = now + PUSH_AGAIN;
+        self.sent = true;
+    }
+
+    /// Whether the current change was sent, and its outcome has not come in time.
+    pub fn is_overdue(&self, now: Duration) -> bool {
+        self.sent && now >= self.next_try
+    }
+
+    /// The current change is sent again as soon as may be.
+    pub fn retry(&mut self, now: Duration) {
+        (self.sent, self.next_try) = (false, now);
     }
 
     /// Whether this is the outcome of the current change, and its place among all.
@@ -117,13 +131,13 @@
 
     /// The current change has its outcome; the author knows this revision now.
     pub fn settled(&mut self, now: Duration, base: Number) {
-        self.current = None;
+        (self.current, self.sent) = (None, false);
         self.base = self.base.max(base);
         self.next_try = if self.waiting.is_empty() { Duration::MAX } else { now };
     }
 
     /// The current change is to be pushed again a little later.
     pub fn put_off(&mut self, now: Duration) {
-        self.next_try = now + PUSH_PUT_OFF;
+        (self.sent, self.next_try) = (false, now + PUSH_PUT_OFF);
     }
 }
