--- a/crates/distribution/src/tests/watcher/revisions.rs
+++ b/crates/distribution/src/tests/watcher/revisions.rs
@@ -258,6 +258,14 @@
     bench.pass(seconds(3.1));
     bench.connect(1, 5);
     assert_eq!(bench.hear(1, snapshot(&whole)), []);
+    // One that does not verify is not even kept.
+    let mut forged = whole.clone();
+    forged.certificate.votes.clear();
+    let mut other = Bench::served(2, 5);
+    other.hear(0, snapshot(&whole));
+    other.pass(seconds(3.1));
+    other.connect(1, 5);
+    assert!(closes(&other.hear(1, snapshot(&forged)), 1));
     let asked = bench.close(0);
     assert!(asked.iter().any(|out| matches!(out, WatcherOutput::Send(1, ToRelay::GetGroups { .. }))));
 }
@@ -370,9 +378,20 @@
     assert!(said(&bench.connect(0, 2)) || said(&bench.connect(1, 2)));
     bench.hear(0, activate(&unfit));
     assert_eq!((bench.numbers(), bench.held()), ((1, None), Some(HoldReason::Behind)));
+    // Another relay would have nothing else.
+    let relay = bench.watcher.status(bench.now).serving.unwrap().0;
+    for _ in 0..200 {
+        for nonce in bench.take_nonces(relay) {
+            bench.hear(relay, ToWatcher::Lease(good_proof(CONTROLLER, nonce, 2)));
+        }
+        let out = bench.pass(seconds(0.1));
+        assert!(!out.iter().any(|out| matches!(out, WatcherOutput::Connect(_))));
+    }
     let three = edited(3, &unfit.state, &[removal(UNFIT_KEY)]);
-    bench.hear(0, delta(&three, 2, &unfit.state, &[removal(UNFIT_KEY)]));
-    bench.hear(0, activate(&three));
+    bench.hear(relay, delta(&three, 2, &unfit.state, &[removal(UNFIT_KEY)]));
+    bench.hear(relay, activate(&three));
+    bench.pass(seconds(2.0));
+    bench.grant(relay, 3);
     assert_eq!((bench.numbers(), bench.held()), ((3, None), None));
 }
 
--- a/crates/distribution/src/transfer.rs
+++ b/crates/distribution/src/transfer.rs
@@ -265,7 +265,11 @@
     window - outstanding
 }
 
-fn check_groups(root: &Digest, groups: &[Digest]) -> Result<(), TransferFault> {
+/// Whether the digests of all groups lead to a root.
+///
+/// # Errors
+/// Where they don't.
+pub(crate) fn check_groups(root: &Digest, groups: &[Digest]) -> Result<(), TransferFault> {
     match root_of_groups(groups) == Some(*root) {
         true => Ok(()),
         false => Err(TransferFault::Root(groups.len())),
--- a/crates/distribution/src/watcher.rs
+++ b/crates/distribution/src/watcher.rs
@@ -198,7 +198,9 @@
         self.now = now;
         let revisions = &self.revisions;
         let known = revisions.certified().max(revisions.allowed());
-        let wants = known > revisions.held() || self.requests.is_behind();
+        // What this program can't act on is no reason to look for another relay.
+        let is_behind = self.requests.is_behind() && revisions.unfit().is_none();
+        let wants = known > revisions.held() || is_behind;
         self.wanted_since = wants.then(|| self.wanted_since.unwrap_or(now));
         let mut actions = Vec::new();
         self.links.tend(now, &self.wanted(), &mut actions);
--- a/crates/distribution/src/watcher/revisions.rs
+++ b/crates/distribution/src/watcher/revisions.rs
@@ -9,7 +9,7 @@
 use crate::change::Summary;
 use crate::lease::MAX_GRANTS;
 use crate::state::{Edit, Entry, State, StateFault};
-use crate::transfer::{PartRequest, Progress, Taken, Transfer, TransferFault};
+use crate::transfer::{check_groups, PartRequest, Progress, Taken, Transfer, TransferFault};
 use crate::{quorum, Certified, Digest, Hand, MachineId, Number};
 
 /// Votes, or words to act, that a certificate may have: more than there are acceptors in any deployment.
@@ -180,7 +180,7 @@
         if number <= self.held() {
             return self.old(&certificate);
         }
-        check_certificate(&certificate, &summary, hand)?;
+        check_snapshot(&certificate, &summary, groups, hand)?;
         let fault = |fault| RevisionFault::Transfer(number, fault);
         let transfer = match self.snapshot.as_ref() {
             Some(snapshot) => {
@@ -276,6 +276,18 @@
     }
 }
 
+/// Whether a snapshot that is offered is of a certified revision.
+///
+/// # Errors
+/// Where it is not.
+pub(super) fn check_snapshot(
+    certificate: &Certified, summary: &Summary, groups: &[Digest], hand: &impl Hand,
+) -> Result<(), RevisionFault> {
+    check_certificate(certificate, summary, hand)?;
+    let fault = |fault| RevisionFault::Transfer(certificate.number(), fault);
+    check_groups(&summary.root, groups).map_err(fault)
+}
+
 fn check_certificate(
     certificate: &Certified, summary: &Summary, hand: &impl Hand,
 ) -> Result<(), RevisionFault> {
--- a/crates/distribution/src/watcher/updates.rs
+++ b/crates/distribution/src/watcher/updates.rs
@@ -5,7 +5,7 @@
 
 use badgerledge_revisions::word::Go;
 
-use super::revisions::{Offered, RevisionFault, Revisions};
+use super::revisions::{check_snapshot, Offered, RevisionFault, Revisions};
 use super::{RelayFault, StoredRevision, Watcher, WatcherOutput};
 use crate::change::Summary;
 use crate::message::ToRelay;
@@ -83,6 +83,7 @@
         let source = self.source.relay();
         let other_serves = source.is_some_and(|source| source != relay);
         if other_serves && number > self.revisions.held() && self.revisions.transferring() >= Some(number) {
+            check_snapshot(&offer.certificate, &offer.summary, &offer.groups, &self.hand)?;
             self.source.others.insert(relay, offer);
             return Ok(());
         }
