Process tests: a relay that forges, and one that replays old leases

A stand-in in the test, preferred to all others, forges leases, a revision and a word to act: it is left, and changes come by the others.

--- a/crates/replay/tests/distribution/main.rs
+++ b/crates/replay/tests/distribution/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod failures;
 mod fleet;
+mod lying_relay;
 mod network;
 mod old_and_new;
 #[allow(dead_code)]
