Capacity: a bench of each role by size, and the rank against the plan

The plan's size is known, where each role ends was not, but for single points. `badgerledge-bench capacity` measures roles at four sizes or more, each size in a process of its own with a bound on processor time, fits lines (and power laws where growth bends), and says where a line meets a limit.

--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -10,7 +10,7 @@
 use badgerledge_deployment::Text;
 use badgerledge_settings::Sheet;
 
-const SHARED: &str = "[fleet]\nzones = a\nkinds = k\nkind_streams = 50\ncells = 40\nracks = 2\nlink_unit_kb = 1000\nlinks_kb = 4000\n\
+pub const SHARED: &str = "[fleet]\nzones = a\nkinds = k\nkind_streams = 50\ncells = 40\nracks = 2\nlink_unit_kb = 1000\nlinks_kb = 4000\n\
     uplink_kb = 2000\n[ladder]\nrates_kb = 10, 20\nbenefit = 0.5, 1\n[room_type clip]\njoin_objective_ms = 1000\nclient_timeout_ms = 2000\n\
     benefit = 1\n";
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 //! measured against, in one run on one core. None of it is part of CI.
 
 mod accounting;
+mod capacity;
 mod changes;
 mod counted;
 mod fixture;
@@ -82,7 +83,9 @@
         #[arg(long, default_value_t = 500)]
         playing: u64,
     },
-    /// All of them, one after the other
+    /// What each role costs by its size, as lines of JSON
+    Capacity(capacity::Options),
+    /// All of them but `capacity`, one after the other
     All,
     /// The bare byte pump, as a process
     #[command(hide = true)]
@@ -112,6 +115,7 @@
         What::Titles { titles } => titles::measure(titles),
         What::Changes { titles, held } => changes::measure(titles, held),
         What::Signatures => on_one_core(signatures::measure),
+        What::Capacity(options) => capacity::run(&options),
         What::Accounting { playing } => accounting::measure(playing),
         What::SetUps { seconds, viewers } => on_one_core(|| set_ups::measure(seconds, viewers)),
         What::Relay { seconds, streams } => on_one_core(|| relay::measure(seconds, streams)),
--- a/crates/bench/src/round.rs
+++ b/crates/bench/src/round.rs
@@ -9,6 +9,8 @@
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
 
+use crate::capacity::measure::processor_ms;
+
 /// Carries out nothing, and notes which joins were begun.
 #[derive(Default)]
 struct Nowhere {
@@ -48,37 +50,72 @@
         "report": {"how": "answers", "fields": ["x0", "x1"]}})
 }
 
-pub fn measure(streamers: u32, subscriptions: u32) -> Result<()> {
-    let Value::Object(told) = told(streamers) else { anyhow::bail!("the settings are a map") };
-    let mut now = Duration::from_secs(1000);
-    let (mut exchange, mut nowhere) = (Exchange::new(now, 1, told, 100_000), Nowhere::default());
-    exchange.round(now, &mut nowhere, |floor| {
-        floor.list_begins(Listing::Complete, std::iter::empty());
-        for cell in 0..streamers {
-            let at = SocketAddrV4::new(Ipv4Addr::from(0x7f00_0001 + cell), 554);
-            floor.list_entry(at, 0, 0, cell, Health::Ready, 1.0, Start::default());
-        }
-        floor.list_ends(Listing::Complete);
-    });
-    let (mut with_ask, mut beats) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
-    for n in 0..subscriptions + 200 {
-        now += Duration::from_millis(10);
+/// The module with its exchange, and subscriptions that play.
+pub struct Rounds {
+    streamers: u32,
+    now: Duration,
+    exchange: Exchange,
+    carrier: Nowhere,
+    /// Requests so far: each has a number of its own.
+    requests: u32,
+}
+
+impl Rounds {
+    /// Lists the streamers, and lets so many ask one after the other.
+    pub fn play(streamers: u32, subscriptions: u32) -> Result<Self> {
+        let Value::Object(told) = told(streamers) else { anyhow::bail!("the settings are a map") };
+        let now = Duration::from_secs(1000);
+        let (exchange, carrier) = (Exchange::new(now, 1, told, 100_000), Nowhere::default());
+        let mut rounds = Self { streamers, now, exchange, carrier, requests: 0 };
+        rounds.list();
+        (0..subscriptions).for_each(|_| {
+            rounds.request();
+        });
+        Ok(rounds)
+    }
+
+    pub fn playing(&self) -> usize {
+        self.exchange.book().playing()
+    }
+
+    fn list(&mut self) {
+        let streamers = self.streamers;
+        self.exchange.round(self.now, &mut self.carrier, |floor| {
+            floor.list_begins(Listing::Complete, std::iter::empty());
+            for cell in 0..streamers {
+                let at = SocketAddrV4::new(Ipv4Addr::from(0x7f00_0001 + cell), 554);
+                floor.list_entry(at, 0, 0, cell, Health::Ready, 1.0, Start::default());
+            }
+            floor.list_ends(Listing::Complete);
+        });
+    }
+
+    /// One viewer asks, and its join succeeds. Gives what the round of the request took: by the clock, and of the processor.
+    fn request(&mut self) -> (Duration, f64) {
+        self.now += Duration::from_millis(10);
+        let (n, now) = (self.requests, self.now);
+        self.requests += 1;
         let asked = Asked {
             title: u64::from(n % 64),
             path_key: u64::from(n),
             client_timeout: Duration::from_secs(4),
-            first_cell: n % streamers,
+            first_cell: n % self.streamers,
             copies: 8,
             max_rung: 4,
             ..Asked::default()
         };
         let begun = Instant::now();
-        exchange.round(now, &mut nowhere, |floor| floor.viewer_asks(u64::from(n), asked, now));
-        if n >= subscriptions {
-            with_ask.record(begun.elapsed().as_micros() as u64)?;
-        }
-        for (job, number) in std::mem::take(&mut nowhere.begun) {
-            exchange.round(now, &mut nowhere, |floor| {
+        let used = processor_ms(|| {
+            self.exchange.round(now, &mut self.carrier, |floor| floor.viewer_asks(u64::from(n), asked, now));
+        });
+        let took = begun.elapsed();
+        self.joins_succeed();
+        (took, used)
+    }
+
+    fn joins_succeed(&mut self) {
+        for (job, number) in std::mem::take(&mut self.carrier.begun) {
+            self.exchange.round(self.now, &mut self.carrier, |floor| {
                 floor.steps().join_opened(job, number);
                 floor.steps().join_set_up(job, number, 200, &[0.5, 0.5]);
                 floor.steps().join_granted(job, number, 200, &[]);
@@ -86,13 +123,36 @@
             });
         }
     }
-    for _ in 0..100 {
-        now += Duration::from_millis(200);
+
+    /// The periodic work, once: what it took by the clock, and of the processor.
+    fn periodic(&mut self) -> (Duration, f64) {
+        self.now += Duration::from_millis(200);
         let begun = Instant::now();
-        exchange.round(now, &mut nowhere, |_| {});
-        beats.record(begun.elapsed().as_micros() as u64)?;
+        let used = processor_ms(|| self.exchange.round(self.now, &mut self.carrier, |_| {}));
+        (begun.elapsed(), used)
+    }
+
+    /// Mean processor time of a round with one request, over so many.
+    pub fn requests_processor_ms(&mut self, count: u32) -> f64 {
+        (0..count).map(|_| self.request().1).sum::<f64>() / f64::from(count)
+    }
+
+    /// Mean processor time of a round with the periodic work, over so many.
+    pub fn periodic_processor_ms(&mut self, count: u32) -> f64 {
+        (0..count).map(|_| self.periodic().1).sum::<f64>() / f64::from(count)
+    }
+}
+
+pub fn measure(streamers: u32, subscriptions: u32) -> Result<()> {
+    let mut rounds = Rounds::play(streamers, subscriptions)?;
+    let (mut with_ask, mut beats) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
+    for _ in 0..200 {
+        with_ask.record(rounds.request().0.as_micros() as u64)?;
+    }
+    for _ in 0..100 {
+        beats.record(rounds.periodic().0.as_micros() as u64)?;
     }
-    println!("a round at {streamers} streamers, {} subscriptions playing", exchange.book().playing());
+    println!("a round at {streamers} streamers, {} subscriptions playing", rounds.playing());
     let show = |name: &str, times: &Histogram<u64>| {
         let at = |q| times.value_at_quantile(q) as f64 / 1000.0;
         println!(
