Capacity: changes in a stream, playing controllers, names, metrics, copies, a chart

Failed tries: set-ups measured over the ramp to 4,000 took in the play meanwhile (4.5 ms each); now further ones are measured beside what plays, less the play.

--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -3,7 +3,8 @@
 //! Each size runs in a process of its own, so that memory of one does not hide that of the next, and one that takes too long
 //! can be ended and reported as not reached. Results go out as one JSON object a line.
 
-mod child;
+mod chart;
+pub mod child;
 mod fit;
 #[cfg(test)]
 mod fit_tests;
@@ -23,6 +24,18 @@
 use record::{Machine, Point, Record, Run};
 use roles::Role;
 
+/// Role, quantity and name of each curve of the chart.
+const CHARTED: [(&str, &str, &str); 8] = [
+    ("catalogue", "changes at the plan's rate, bytes", "changes: bytes, by titles"),
+    ("catalogue", "changes at the plan's rate, processor", "changes: processor, by titles"),
+    ("agreement", "stated bound", "agreement: bound, by members"),
+    ("decisions-by-streamers", "periodic work", "decisions: processor, by streamers"),
+    ("decisions-by-subscriptions", "periodic work", "decisions: processor, by subscriptions"),
+    ("membership", "members that the ring takes", "membership: numbers, by members"),
+    ("subscriptions-playing", "resident memory over the empty program", "memory, by subscriptions"),
+    ("accounts-by-playing", "counting and storing", "accounts: processor, by subscriptions"),
+];
+
 /// Measures what each role costs at several sizes, and fits lines.
 #[derive(Args)]
 pub struct Options {
@@ -40,12 +53,21 @@
     /// Names the roles with their sizes, and measures nothing
     #[arg(long)]
     list: bool,
+    /// Measures nothing, and draws a chart as SVG from the lines of an earlier run
+    #[arg(long, requires = "chart")]
+    from: Option<PathBuf>,
+    /// Where the chart goes
+    #[arg(long, requires = "from")]
+    chart: Option<PathBuf>,
     /// Measures one size in this process; the readings go to the standard output
     #[arg(long, hide = true)]
     only_size: Option<u64>,
 }
 
 pub fn run(options: &Options) -> Result<()> {
+    if let (Some(from), Some(chart)) = (&options.from, &options.chart) {
+        return chart::draw(from, chart, &CHARTED);
+    }
     let wanted = |role: &&Role| options.role.as_ref().is_none_or(|name| role.name.starts_with(name.as_str()));
     let chosen: Vec<&Role> = roles::ALL.iter().filter(wanted).collect();
     anyhow::ensure!(!chosen.is_empty(), "no role of that name; --list names them");
--- a/crates/bench/src/capacity/record.rs
+++ b/crates/bench/src/capacity/record.rs
@@ -106,7 +106,7 @@
 #[derive(Serialize)]
 pub struct Ends {
     pub size: f64,
-    /// `measured` between two sizes, or `extrapolated`.
+    /// `measured` between two sizes, `below the smallest size` in proportion to it, or `extrapolated`.
     pub by: &'static str,
     /// The plan's size over this one.
     pub plan_over_size: f64,
--- a/crates/bench/src/capacity/roles/agreement.rs
+++ b/crates/bench/src/capacity/roles/agreement.rs
@@ -11,7 +11,7 @@
 use super::{Role, BYTES_A_SECOND, CONTROLLERS, CORE_SHARE, IN_FORCE_WITHIN_S, MEMORY_BYTES};
 use crate::capacity::measure::{with_live_bytes, Reading};
 
-const KEEPERS: Member = 5;
+pub const KEEPERS: Member = 5;
 const SETTLES: Duration = Duration::from_secs(20);
 const QUIET: Duration = Duration::from_secs(30);
 /// A push that is not in force by then is told as this.
@@ -67,16 +67,16 @@
 }
 
 /// What a seat spends in a second.
-struct Rates {
-    sent: f64,
-    sent_bytes: f64,
-    received: f64,
-    held_back: f64,
-    processor: f64,
+pub struct Rates {
+    pub sent: f64,
+    pub sent_bytes: f64,
+    pub received: f64,
+    pub held_back: f64,
+    pub processor: f64,
 }
 
 impl Rates {
-    fn between(before: Spent, after: Spent, span: Duration) -> Self {
+    pub fn between(before: Spent, after: Spent, span: Duration) -> Self {
         let rate = |of: fn(&Spent) -> u64| (of(&after) - of(&before)) as f64 / span.as_secs_f64();
         Self {
             sent: rate(|spent| spent.sent),
@@ -88,7 +88,7 @@
     }
 
     /// Each datagram is signed by who sends it and checked by who takes it.
-    fn with_signatures(&self, cost: &SignatureCost) -> f64 {
+    pub fn with_signatures(&self, cost: &SignatureCost) -> f64 {
         self.processor + (self.sent * cost.sign_ms + self.received * cost.check_ms) / 1000.0
     }
 }
--- a/crates/bench/src/capacity/roles/agreement_net.rs
+++ b/crates/bench/src/capacity/roles/agreement_net.rs
@@ -138,6 +138,16 @@
         self.seats.iter().filter(|seat| seat.member.acting(self.now).active == number).count()
     }
 
+    /// The lowest number that any member acts on.
+    pub fn oldest_active(&self) -> u32 {
+        self.seats.iter().map(|seat| seat.member.acting(self.now).active).min().unwrap_or(0)
+    }
+
+    /// The number of the next revision, by what a member knows certified.
+    pub fn next_number(&self, me: Member) -> u32 {
+        self.seats[usize::from(me)].member.next().0
+    }
+
     /// Members that hold new joins back.
     pub fn held(&self) -> usize {
         self.seats.iter().filter(|seat| seat.member.acting(self.now).held.is_some()).count()
--- a/crates/bench/src/capacity/roles/mod.rs
+++ b/crates/bench/src/capacity/roles/mod.rs
@@ -6,11 +6,16 @@
 mod catalogue;
 mod decisions;
 mod failure_reports;
+mod idle_connections;
 mod lending;
 mod list;
 mod list_positions;
 mod membership;
+mod metrics_page;
+mod name_service;
 mod signatures;
+mod steady_changes;
+mod subscriptions;
 
 use anyhow::Result;
 
@@ -48,8 +53,11 @@
 /// All roles, in the order in which they run.
 pub const ALL: &[Role] = &[
     agreement::ROLE,
+    steady_changes::HOLD,
+    steady_changes::WAIT,
     decisions::BY_SUBSCRIPTIONS,
     decisions::BY_STREAMERS,
+    decisions::BY_COPIES,
     catalogue::ROLE,
     membership::ROLE,
     accounts::BY_PLAYING,
@@ -59,4 +67,9 @@
     failure_reports::ROLE,
     list::ROLE,
     list_positions::ROLE,
+    name_service::ROLE,
+    metrics_page::ROLE,
+    idle_connections::ROLE,
+    subscriptions::PLAYING,
+    subscriptions::RELAY,
 ];
--- a/crates/bench/src/fixture.rs
+++ b/crates/bench/src/fixture.rs
@@ -107,6 +107,16 @@
         line?.rsplit(' ').next()?.parse().ok()
     }
 
+    /// The number of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Descriptors that it holds (proc(5)).
+    pub fn descriptors(&self) -> Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Resident memory in kB, as the kernel counts it (proc(5)).
     pub fn resident_kb(&self) -> Result<u64> {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -13,6 +13,7 @@
 use badgerledge_witness::Witness;
 use rtsp_types::{Method, StatusCode};
 
+use crate::capacity::child::processor_time_of;
 use crate::fixture::{shared, wait_for, Controller};
 use crate::load::{Load, Then};
 
@@ -167,6 +168,26 @@
     }
 }
 
+/// Processor time of the controller for each packet that it relays, with so many streams.
+pub fn processor_of_a_packet(streams: usize, seconds: f64) -> Result<Duration> {
+    let mut scene = Scene::new()?;
+    let controller = scene.controller()?;
+    let mut load = Load::new(vec![controller.at], Then::Play, streams as u64)?;
+    let begin = scene.reactor.clock() + Duration::from_secs(20);
+    while load.playing() < streams && scene.reactor.clock() < begin {
+        scene.turn(&mut load, streams, u64::MAX)?;
+    }
+    anyhow::ensure!(load.playing() == streams, "not all streams play");
+    let (before, from) = (load.media_packets, processor_time_of(controller.process())?);
+    let end = scene.reactor.clock() + Duration::from_secs_f64(seconds);
+    while scene.reactor.clock() < end {
+        scene.turn(&mut load, streams, u64::MAX)?;
+    }
+    let used = processor_time_of(controller.process())? - from;
+    let packets = (load.media_packets - before).max(1);
+    Ok(used.div_f64(packets as f64))
+}
+
 struct Pump(Child);
 
 impl Drop for Pump {
--- a/crates/bench/src/set_ups.rs
+++ b/crates/bench/src/set_ups.rs
@@ -9,6 +9,7 @@
 use badgerledge_standins::{ListService, Streamers, Told};
 use badgerledge_witness::Witness;
 
+use crate::capacity::child::processor_time_of;
 use crate::fixture::{shared, wait_for, Controller};
 use crate::load::{Load, Then};
 
@@ -44,6 +45,13 @@
 
     /// One turn of the loop.
     fn turn(&mut self, load: &mut Load, at_a_time: usize) -> Result<()> {
+        self.turn_beside(load, at_a_time, None)
+    }
+
+    /// The same beside viewers that play.
+    fn turn_beside(
+        &mut self, load: &mut Load, at_a_time: usize, mut playing: Option<&mut Load>,
+    ) -> Result<()> {
         load.keep(&mut self.reactor, at_a_time);
         self.reactor.flush();
         let due = self.streamers.next_due().map(|at| at.max(self.reactor.clock()));
@@ -53,6 +61,7 @@
         let now = self.reactor.now();
         for happening in &told {
             let _ = load.take(&mut self.reactor, happening)
+                || playing.as_mut().is_some_and(|load| load.take(&mut self.reactor, happening))
                 || self.streamers.take(&mut self.reactor, now, happening, &mut self.witness)
                 || self.list.take(&mut self.reactor, now, happening, &mut self.witness);
         }
@@ -159,6 +168,89 @@
     Ok(())
 }
 
+/// What a controller spends with so many subscriptions playing.
+pub struct Playing {
+    pub subscriptions: usize,
+    pub resident_bytes: f64,
+    pub descriptors: f64,
+    /// Processor time of a further set-up and its end beside what plays, less what play alone takes in that time.
+    pub set_up_seconds: f64,
+    /// Processor time, packets and lost packets of a second of play.
+    pub processor_a_second: f64,
+    pub packets_a_second: f64,
+    pub lost_a_second: f64,
+}
+
+/// Play that is measured, by the clock on the wall.
+const PLAYS_FOR: Duration = Duration::from_secs(6);
+/// Set-ups that take longer in all are left at what plays by then.
+const SET_UP_WITHIN: Duration = Duration::from_secs(120);
+
+impl Backdrop {
+    /// Lets the backdrop serve for a while.
+    fn serve(&mut self, load: &mut Load, span: Duration) -> Result<()> {
+        let end = self.reactor.clock() + span;
+        while self.reactor.clock() < end {
+            self.turn(load, 0)?;
+        }
+        Ok(())
+    }
+}
+
+/// Set-ups that are made beside what plays, and how many of them at a time.
+const FURTHER: u64 = 400;
+const FURTHER_AT_A_TIME: usize = 8;
+
+impl Backdrop {
+    /// Processor time of a set-up that ends at once, beside what plays.
+    fn further_set_ups(
+        &mut self, controller: &Controller, playing: &mut Load, processor_a_second: f64,
+    ) -> Result<f64> {
+        let mut further = Load::new(vec![controller.at], Then::Leave, FURTHER)?;
+        let (from, since) = (processor_time_of(controller.process())?, self.reactor.clock());
+        let end = since + SET_UP_WITHIN;
+        while further.granted + further.turned_away < FURTHER && self.reactor.clock() < end {
+            self.turn_beside(&mut further, FURTHER_AT_A_TIME, Some(playing))?;
+        }
+        let used = (processor_time_of(controller.process())? - from).as_secs_f64();
+        let span = (self.reactor.clock() - since).as_secs_f64();
+        Ok((used - span * processor_a_second).max(0.0) / further.granted.max(1) as f64)
+    }
+}
+
+/// Lets so many subscriptions play, and measures the controller meanwhile.
+pub fn playing(subscriptions: usize) -> Result<Playing> {
+    let mut backdrop = Backdrop::new()?;
+    let controller = backdrop.controller(false)?;
+    let (resident, descriptors) = (controller.resident_kb()?, controller.descriptors()?);
+    let mut load = Load::new(vec![controller.at], Then::Play, subscriptions as u64)?;
+    let end = backdrop.reactor.clock() + SET_UP_WITHIN;
+    while load.playing() < subscriptions && backdrop.reactor.clock() < end {
+        let at_a_time = load.playing() + 32;
+        backdrop.turn(&mut load, at_a_time.min(subscriptions))?;
+    }
+    backdrop.serve(&mut load, Duration::from_secs(3))?;
+    let metric = |name: &str| controller.metric(&format!("badgerledge_{name}")).unwrap_or(0.0);
+    let seen = || (metric("media_packets_total"), metric("media_packets_lost_total"));
+    let (before, from, since) = (seen(), processor_time_of(controller.process())?, backdrop.reactor.clock());
+    backdrop.serve(&mut load, PLAYS_FOR)?;
+    let (used, span) = (processor_time_of(controller.process())? - from, backdrop.reactor.clock() - since);
+    let after = seen();
+    let playing = load.playing();
+    anyhow::ensure!(playing > 0, "nothing plays");
+    let seconds = span.as_secs_f64();
+    let processor_a_second = used.as_secs_f64() / seconds;
+    Ok(Playing {
+        subscriptions: playing,
+        resident_bytes: (controller.resident_kb()? - resident) as f64 * 1024.0,
+        descriptors: (controller.descriptors()? - descriptors) as f64,
+        set_up_seconds: backdrop.further_set_ups(&controller, &mut load, processor_a_second)?,
+        processor_a_second,
+        packets_a_second: (after.0 - before.0) / seconds,
+        lost_a_second: (after.1 - before.1) / seconds,
+    })
+}
+
 pub fn memory(subscriptions: usize) -> Result<()> {
     let mut backdrop = Backdrop::new()?;
     let controller = backdrop.controller(false)?;
