Capacity: all windows of the accounts written as a whole, the list's copy once a second

The accounts' windows are written as one text when a window turns, which the role by playing subscriptions does not show, as its accounts are new.

--- a/crates/bench/src/capacity/roles/accounts.rs
+++ b/crates/bench/src/capacity/roles/accounts.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use badgerledge_accounts::{Accounts, Amount, Key, Source};
+use badgerledge_accounts::{Accounts, Amount, Key, Source, WINDOW, WINDOWS as WINDOWS_KEPT};
 use badgerledge_controller::accounting::{Accounting, STORE_EVERY};
 
-use super::{Role, CONNECTIONS_EACH, CONTROLLERS, CORE_SHARE};
+use super::{Role, CONNECTIONS_EACH, CONTROLLERS, CORE_SHARE, MEMORY_BYTES};
 use crate::capacity::measure::{processor_ms, with_live_bytes, Reading};
 
 /// Periods that are counted and stored.
@@ -17,7 +17,6 @@
 const PLAYING: u64 = 2000;
 /// Windows of the pages that are merged: a page has two hours of them in full.
 const WINDOWS: u64 = 12;
-const WINDOWS_IN_FULL: f64 = 720.0;
 /// Keys of the pages that are merged.
 const PAGE_KEYS: u64 = 8;
 
@@ -37,6 +36,14 @@
     measure: |size, _seed| counting(PLAYING, size),
 };
 
+pub const IN_FULL: Role = Role {
+    name: "accounts-in-full",
+    size_unit: "keys",
+    sizes: &[6, 12, 24, 48, 96],
+    plan_size: KEYS as f64,
+    measure: |size, _seed| Ok(in_full(size)),
+};
+
 pub const BY_CONTROLLERS: Role = Role {
     name: "accounts-merged",
     size_unit: "controllers",
@@ -86,21 +93,37 @@
     ])
 }
 
-/// One controller's accounts with a few windows.
-fn ledger_of(controller: u32) -> Accounts {
+/// One controller's accounts with so many windows, and keys in each.
+fn ledger_of(controller: u32, windows: u64, keys: u64) -> Accounts {
     let mut accounts = Accounts::default();
     let ledger = accounts.ledger(Source { controller, account: 1 });
-    for window in 0..WINDOWS {
-        for n in 0..PAGE_KEYS {
+    for window in 0..windows {
+        for n in 0..keys {
             ledger.count(Duration::from_secs(1_800_000_000 + 10 * window), &key(n), n, &ONE);
         }
     }
     accounts
 }
 
+/// All windows that a controller keeps: they are written as a whole once in each window.
+fn in_full(keys: u64) -> Vec<Reading> {
+    let (accounts, live) = with_live_bytes(|| ledger_of(0, WINDOWS_KEPT as u64, keys));
+    let mut page = String::new();
+    let written_ms = processor_ms(|| page = accounts.write());
+    let read_ms = processor_ms(|| drop(std::hint::black_box(Accounts::read(&page))));
+    let share = written_ms / 1000.0 / WINDOW.as_secs_f64();
+    vec![
+        Reading::new("memory", "bytes", live).limited(MEMORY_BYTES),
+        Reading::new("bytes of the page", "bytes", page.len() as f64),
+        Reading::new("writing all windows", "ms of a core", written_ms),
+        Reading::new("writing all windows, once in each", "of a core", share).limited(CORE_SHARE),
+        Reading::new("reading a page", "ms of a core", read_ms),
+    ]
+}
+
 fn merging(controllers: u64) -> Result<Vec<Reading>> {
     let pages: Vec<String> =
-        (0..controllers as u32).map(|controller| ledger_of(controller).write()).collect();
+        (0..controllers as u32).map(|controller| ledger_of(controller, WINDOWS, PAGE_KEYS).write()).collect();
     let page_bytes = pages.iter().map(String::len).sum::<usize>() as f64;
     let mut read_ms = 0.0;
     let (merged, live) = with_live_bytes(|| {
@@ -113,7 +136,7 @@
     let summed_ms = processor_ms(|| {
         std::hint::black_box((merged.whole(), merged.windows().len()));
     });
-    let in_full = WINDOWS_IN_FULL / WINDOWS as f64;
+    let in_full = WINDOWS_KEPT as f64 / WINDOWS as f64;
     Ok(vec![
         Reading::new("pages of 12 windows", "bytes", page_bytes),
         Reading::new("reading and merging", "ms of a core", read_ms),
--- a/crates/bench/src/capacity/roles/list.rs
+++ b/crates/bench/src/capacity/roles/list.rs
@@ -7,7 +7,7 @@
 use badgerledge_discovery::{ListBook, Sink, ENTRIES, LONGEST_LINE};
 use serde_json::{json, Value};
 
-use super::{Role, MEMORY_BYTES};
+use super::{Role, CORE_SHARE, MEMORY_BYTES};
 use crate::capacity::measure::{least_ms, processor_ms, with_live_bytes, Reading};
 
 const NOW: Duration = Duration::from_secs(1000);
@@ -72,6 +72,8 @@
         Reading::new("taking one change", "ms of a core", change_ms),
         Reading::new("bytes of one change", "bytes", change.len() as f64),
         Reading::new("writing the copy for the disk", "ms of a core", store_ms),
+        Reading::new("the copy once a second, as with changes", "of a core", store_ms / 1000.0)
+            .limited(CORE_SHARE),
         Reading::new("bytes of the copy", "bytes", stored as f64),
         Reading::new("memory", "bytes", live).limited(MEMORY_BYTES),
     ])
--- a/crates/bench/src/capacity/roles/mod.rs
+++ b/crates/bench/src/capacity/roles/mod.rs
@@ -62,6 +62,7 @@
     membership::ROLE,
     accounts::BY_PLAYING,
     accounts::BY_KEYS,
+    accounts::IN_FULL,
     accounts::BY_CONTROLLERS,
     lending::ROLE,
     failure_reports::ROLE,
