gossip: member.rs split by job, from 835 lines into nine modules

Cause: one file held probes, accusations, joining, what is passed on, both directions of datagrams, and the schedule. Change: member.rs keeps the state and the schedule (tend, next_due); member/ has probing, suspicion, joining, dissemination, anti_entropy, sending, receiving and events (Outside, News, Counts). Methods moved whole, with their constants; the only text that changed is the arm for a nack in take_body, which is a method now. Public names and paths are the same.

--- /dev/null
+++ b/crates/gossip/src/member/anti_entropy.rs
@@ -0,0 +1,75 @@
+//! Anti-entropy: members compare digests of what they hold, and send each other what differs.
+
+use std::time::Duration;
+
+use super::{Gossip, Outside};
+use crate::envelope::{Head, BODY, DIGEST, LONGEST, NEWS};
+use crate::probe::shuffle;
+use crate::statement::{Hand, Statement};
+use crate::Member;
+
+/// A comparison that found a difference is followed by another one after about this time.
+const COMPARE_SOON: Duration = Duration::from_millis(300);
+/// Members compared in one datagram: a byte for each.
+const SLICE: usize = BODY - 3;
+/// Records that one comparison is answered with at most; the next one brings the rest.
+const ANSWERED: usize = 16;
+
+impl<H: Hand> Gossip<H> {
+    /// Shows one other member what is held here of a part of the ring; it answers with what differs.
+    pub(super) fn compare(&mut self, now: Duration, out: &mut impl Outside) {
+        let Some(to) = self.some_members(1, None).first().copied() else { return };
+        let ring = self.hand.ring();
+        if self.compared_to >= ring.len() {
+            self.compared_to = 0;
+        }
+        let from = self.compared_to;
+        let slice = &ring[from..ring.len().min(from + SLICE)];
+        let mut body = slice.first().copied().unwrap_or_default().to_be_bytes().to_vec();
+        body.push(slice.len() as u8);
+        let salt = (self.counter + 1) as u8;
+        body.extend(slice.iter().map(|member| self.view.digest(*member, salt)));
+        self.compared_to = from + slice.len();
+        if self.budget.spares(now, LONGEST) {
+            self.send(now, DIGEST, to, &body, false, out);
+        }
+    }
+
+    /// Answers a comparison with what differs.
+    pub(super) fn compared(
+        &mut self, now: Duration, head: &Head, begin: Member, told: &[u8], out: &mut impl Outside,
+    ) {
+        let Some((count, digests)) = told.split_first() else { return };
+        let ring = self.hand.ring();
+        let Some(begin) = ring.iter().position(|member| *member == begin) else { return };
+        let slice = ring[begin..].iter().zip(digests.iter().take(usize::from(*count)));
+        let differs =
+            |(member, digest): &(&Member, &u8)| self.view.digest(**member, head.counter as u8) != **digest;
+        let mut differ: Vec<Member> = slice.filter(differs).map(|(member, _)| *member).collect();
+        if differ.is_empty() {
+            return;
+        }
+        // This member lacks something, or the other does: it compares again soon itself.
+        let soon = now + COMPARE_SOON.mul_f64(0.5 + self.chance.share());
+        self.next_compare = self.next_compare.min(soon);
+        shuffle(&mut differ, &mut self.chance);
+        let statements = differ.iter().flat_map(|member| self.view.statements(*member));
+        let statements: Vec<Statement> = statements.take(ANSWERED).collect();
+        let mut body = Vec::new();
+        for statement in &statements {
+            if body.len() + statement.size() > BODY {
+                self.answer(now, head.from, &mut body, out);
+            }
+            statement.write(Duration::ZERO, &mut body);
+        }
+        self.answer(now, head.from, &mut body, out);
+    }
+
+    /// Sends the statements collected so far, if any, as far as the ceiling allows.
+    fn answer(&mut self, now: Duration, with: Member, body: &mut Vec<u8>, out: &mut impl Outside) {
+        let body = std::mem::take(body);
+        if !body.is_empty() && self.budget.spares(now, LONGEST) {
+            self.send(now, NEWS, with, &body, false, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/member/dissemination.rs
@@ -0,0 +1,101 @@
+//! What this member publishes, what it passes on, and the statements that come to it.
+
+use std::time::Duration;
+
+use super::{Gossip, News, Outside};
+use crate::envelope::{Fault, BODY, NEWS, WORD};
+use crate::outbox::Rank;
+use crate::statement::{life_of, Bulletin, Hand, Said, Statement, ITEMS, ITEM_BYTES};
+use crate::{Member, LONGEST};
+
+impl<H: Hand> Gossip<H> {
+    /// Publishes what this member holds against streamers: its latest word on all of them.
+    pub fn publish(&mut self, now: Duration, items: Vec<[u8; ITEM_BYTES]>) {
+        self.bulletin_number += 1;
+        let items = items.into_iter().take(ITEMS).collect();
+        let bulletin = Bulletin { author: self.me, life: self.life(), number: self.bulletin_number, items };
+        self.counts.signed += 1;
+        self.outbox.put(Said::Bulletin(bulletin).sign(&self.hand), Rank::News, now);
+    }
+
+    /// Sends another subsystem's word to a member, as far as the ceiling allows. Tells whether it went.
+    pub fn word(&mut self, now: Duration, to: Member, word: &[u8], out: &mut impl Outside) -> bool {
+        word.len() <= BODY && self.send(now, WORD, to, word, false, out)
+    }
+
+    /// Sends the most urgent statements to one member drawn by chance.
+    pub(super) fn spread(&mut self, now: Duration, out: &mut impl Outside) {
+        if !self.budget.spares(now, LONGEST) {
+            self.counts.held_back += 1;
+            return;
+        }
+        if let Some(to) = self.some_members(1, None).first().copied() {
+            self.send(now, NEWS, to, &[], true, out);
+        }
+    }
+
+    /// Takes statements up to the first that is none, or whose signature is not checked for lack of ration. Tells
+    /// whether any of them holds something of this member that is over.
+    pub(super) fn take_statements(
+        &mut self, now: Duration, source: Option<Member>, mut bytes: &[u8], news: &mut Vec<News>,
+    ) -> bool {
+        let mut behind = false;
+        while let Some((statement, age, used)) = Statement::read(bytes) {
+            bytes = &bytes[used..];
+            behind |= match &statement.said {
+                Said::Record(r) => r.subject == self.me && r.incarnation < self.incarnation,
+                Said::Accusation(a) => a.subject == self.me && a.incarnation < self.incarnation,
+                Said::Bulletin(_) => false,
+            };
+            // Known ones cost nothing.
+            if !self.is_new(&statement.said) {
+                continue;
+            }
+            if !self.ration.take(now, source, 1) {
+                *self.counts.dropped.entry(Fault::Rationed).or_default() += 1;
+                return behind;
+            }
+            self.counts.checked += 1;
+            if !self.hand.knows(statement.said.author()) || !statement.is_signed(&self.hand) {
+                *self.counts.dropped.entry(Fault::Unsigned).or_default() += 1;
+                continue;
+            }
+            match statement.said.clone() {
+                Said::Record(record) => self.take_record(now, record, statement, news),
+                Said::Accusation(accusation) => self.take_accusation(now, accusation, statement, news),
+                Said::Bulletin(bulletin) => self.take_bulletin(now, bulletin, age, statement, news),
+            }
+        }
+        behind
+    }
+
+    /// Whether a statement could change anything here: only then is its signature checked.
+    fn is_new(&self, said: &Said) -> bool {
+        match said {
+            Said::Record(record) => self.view.get(record.subject).is_none_or(|known| {
+                (record.incarnation, record.left) > (known.record.incarnation, known.record.left)
+            }),
+            Said::Accusation(accusation) => self.view.could_change(accusation),
+            Said::Bulletin(b) => {
+                b.author != self.me
+                    && self.bulletins.get(&b.author).is_none_or(|held| *held < (b.life, b.number))
+            }
+        }
+    }
+
+    /// Takes what a member publishes on streamers.
+    fn take_bulletin(
+        &mut self, now: Duration, bulletin: Bulletin, age: Duration, statement: Statement,
+        news: &mut Vec<News>,
+    ) {
+        let Some(known) = self.view.get(bulletin.author) else { return };
+        // A life that is over says nothing of now.
+        if bulletin.life != life_of(known.record.incarnation) {
+            return;
+        }
+        self.bulletins.insert(bulletin.author, (bulletin.life, bulletin.number));
+        let seen = now.saturating_sub(age);
+        self.outbox.put(statement, Rank::News, seen);
+        news.push(News::Bulletin(bulletin, age));
+    }
+}
