--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, SystemTime};
 
-use anyhow::{Context, Result};
+use anyhow::{bail, Context, Result};
 use badgerledge_distribution::control::{Config, ControlMachine, ControlOutput, StoredItem};
 use badgerledge_distribution::message::{ControlStatus, PeerMessage, ToWatcher};
 use badgerledge_keys::Keys;
@@ -121,7 +121,7 @@
     /// Serves until a signal ends it.
     ///
     /// # Errors
-    /// Where the event loop fails.
+    /// Where the event loop fails, or more waits to be stored than may.
     pub fn run(mut self) -> Result<()> {
         let mut happenings = Vec::new();
         self.reactor.due(ORIGIN + SWEEP_EVERY, SWEEP);
@@ -134,6 +134,9 @@
             }
             self.tend();
             self.reactor.flush();
+            if self.storage.is_overdue() {
+                bail!("{}: it could not be written for too long", self.settings.place.state.display());
+            }
         }
         // What was decided is stored and goes out; the others notice the rest by the streams' end.
         self.settle();
@@ -189,10 +192,13 @@
         self.with_watchers(|watchers, reactor, events| {
             taken = watchers.accepts(reactor, line, listener, now, events);
         });
-        match taken {
-            true => {}
-            false if self.readers.len() < READERS => self.readers.push(line),
-            false => self.reactor.close(line),
+        if !taken {
+            if self.readers.len() >= READERS {
+                // One that never asks must not take the room of those that do.
+                let oldest = self.readers.remove(0);
+                self.reactor.close(oldest);
+            }
+            self.readers.push(line);
         }
     }
 
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -26,6 +26,8 @@
 const MARK: &[u8; 4] = b"bcs1";
 const SEAL: usize = 32;
 const HEADER: usize = MARK.len() + 4 + SEAL;
+/// Items that wait to be written at most: each is a batch of some hundred kilobytes.
+const MOST_WAITING: usize = 256;
 const AGREEMENT: &str = "agreement";
 const CHECKPOINT: &str = "checkpoint";
 const BATCHES: &str = "batches";
@@ -87,6 +89,11 @@
         self.waiting.is_empty()
     }
 
+    /// Whether more waits to be written than may.
+    pub fn is_overdue(&self) -> bool {
+        self.waiting.len() > MOST_WAITING
+    }
+
     /// Stores an item durably, after those that could not be stored before. A checkpoint is begun to be written.
     ///
     /// # Errors
--- a/crates/relay/src/tests/storage.rs
+++ b/crates/relay/src/tests/storage.rs
@@ -76,7 +76,7 @@
     assert!(storage.store(StoredItem::Agreement(b"a".to_vec())).is_err());
     assert!(storage.store(batch(2)).is_err(), "in their order");
     assert!(storage.store(StoredItem::Agreement(b"b".to_vec())).is_err());
-    assert!(!storage.is_clean());
+    assert!(!storage.is_clean() && !storage.is_overdue());
     std::fs::remove_dir(&obstacle).unwrap();
     storage.tend().unwrap();
     assert!(storage.is_clean());
@@ -84,6 +84,16 @@
     assert_eq!((stored.agreement.as_deref(), stored.batches), (Some(&b"b"[..]), vec![batch(1), batch(2)]));
 }
 
+#[test]
+fn what_waits_to_be_stored_is_bounded() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut storage = store(folder.path(), &[]);
+    std::fs::create_dir(folder.path().join("agreement.fresh")).unwrap();
+    assert!(storage.store(StoredItem::Agreement(b"a".to_vec())).is_err());
+    (0..300).for_each(|number| assert!(storage.store(batch(number)).is_err()));
+    assert!(storage.is_overdue());
+}
+
 #[test]
 fn an_acceptor_is_founded_once() {
     let folder = tempfile::tempdir().unwrap();
