--- a/crates/distribution/src/tests/log.rs
+++ b/crates/distribution/src/tests/log.rs
@@ -67,6 +67,29 @@
     assert!(encode(&delta).len() < LONGEST_FROM_RELAY);
 }
 
+/// A delta on another base than the one that it is of gives another root, by which whoever takes it sees that.
+#[test]
+fn a_delta_on_another_base_gives_another_root() {
+    let revisions =
+        [vec![put("a", "1")], vec![put("b", "1")], vec![put("a", "2"), removal("b")], vec![put("c", "1")]];
+    let mut log = DeltaLog::new(0, ROOMY);
+    let mut states = vec![State::new()];
+    for (number, edits) in (1..).zip(&revisions) {
+        let mut state = states[number as usize - 1].clone();
+        state.apply(edits).unwrap();
+        states.push(state);
+        log.push(number, edits.clone());
+    }
+    let delta = log.since(3).unwrap();
+    let on = |base: usize| {
+        let mut state = states[base].clone();
+        state.apply(&delta).unwrap();
+        state
+    };
+    assert!(on(3) == states[4] && on(4) == states[4], "on its base, and doubled");
+    assert!((0..3).all(|base| on(base) != states[4]));
+}
+
 /// The merged delta from any revision that the log reaches leads to the same state as all edits one by one.
 #[test]
 fn a_merged_delta_does_what_its_edits_do() {
