--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -13,7 +13,7 @@
 use badgerledge_witness::Witness;
 use rtsp_types::{Method, StatusCode};
 
-use crate::fixture::{shared, wait_for, Controller};
+use crate::fixture::{shared, wait_for, Controller, Source};
 use crate::load::{Load, Then};
 
 const BOUNDS: Bounds = Bounds { input: 72 * 1024, output: 256 * 1024 };
@@ -152,7 +152,7 @@
     }
 
     fn controller(&mut self) -> Result<Controller> {
-        let controller = Controller::start(self.list.at(), false)?;
+        let controller = Controller::start(self.list.at(), Source::File)?;
         let mut nobody = Load::new(vec![controller.at], Then::Leave, 0)?;
         wait_for("the controller's list", || {
             std::thread::scope(|scope| {
