--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -1,6 +1,6 @@
 //! The figures of a run, and whether its budgets were kept.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use badgerledge_distribution::{ControllerId, Number};
@@ -11,6 +11,9 @@
 use crate::observations::{histogram, Observations, Transition, Used};
 use crate::scenario::Scenario;
 
+/// A rig that stood still for longer says nothing of bounds.
+const STALL: Duration = Duration::from_millis(700);
+
 /// Of a distribution, in seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spread {
@@ -87,6 +90,8 @@
     pub second_worst_bytes: u64,
     pub control_machine: Usage,
     pub budgets: Vec<Budget>,
+    /// How long the rig itself stood still at most. From a stall on the figures say nothing of the protocol's bounds.
+    pub stalled_s: f64,
 }
 
 /// A change that took long.
@@ -132,7 +137,7 @@
         let (from, until) = (scenario.warm_up(), scenario.end());
         let span = until.saturating_sub(from);
         let courses = courses(&seen.transitions);
-        let force = in_force(seen, &courses, scenario.fleet.controllers);
+        let force = in_force(seen, &courses);
         let (caught_up, never_caught_up) = caught_up(seen, &courses);
         let taken = seen.changes.iter().filter(|change| change.number.is_some());
         let revisions = seen.changes.iter().filter_map(|change| change.number).max().unwrap_or(0);
@@ -142,7 +147,7 @@
             machine: Machine::here(),
             scenario: scenario.name.clone(),
             kind: title.kind.to_owned(),
-            controllers: scenario.fleet.controllers,
+            controllers: seen.members.len() as u32,
             control_machines: scenario.fleet.control_machines,
             run_s: until.as_secs_f64(),
             took_s: title.took.as_secs_f64(),
@@ -165,6 +170,7 @@
             second_worst_bytes: seen.seconds.worst(),
             control_machine: usage(&seen.machines, span, seen.machine_memory),
             budgets: Vec::new(),
+            stalled_s: seen.stalled.as_secs_f64(),
         };
         figures.budgets = figures.held_against(scenario);
         figures
@@ -225,6 +231,11 @@
         ]
     }
 
+    /// Whether the rig stood still for longer than a third of what a lease leaves between two requests.
+    pub fn is_void(&self) -> bool {
+        self.stalled_s > STALL.as_secs_f64()
+    }
+
     pub fn all_kept(&self) -> bool {
         self.budgets.iter().all(|budget| budget.kept)
     }
@@ -278,15 +289,15 @@
 /// Slow changes that are told.
 const SLOWEST: usize = 3;
 
-fn in_force(seen: &Observations, courses: &Courses, controllers: u32) -> Force {
+fn in_force(seen: &Observations, courses: &Courses) -> Force {
     let mut force = Force { reachable: histogram(), current: histogram(), slowest: Vec::new(), never: 0 };
     let nothing = Vec::new();
     for change in &seen.changes {
         let Some(number) = change.number else { continue };
         let (mut first, mut last) = (Duration::MAX, Duration::ZERO);
-        for controller in 0..controllers {
-            let course = courses.get(&controller).unwrap_or(&nothing);
-            let away = seen.away.get(&controller).map_or(&[][..], Vec::as_slice);
+        for controller in &seen.members {
+            let course = courses.get(controller).unwrap_or(&nothing);
+            let away = seen.away.get(controller).map_or(&[][..], Vec::as_slice);
             let acted = acts_on_at(course, number, change.pushed);
             let until = acted.unwrap_or(Duration::MAX);
             if away.iter().any(|(from, to)| *from <= until && *to >= change.pushed) {
@@ -334,7 +345,8 @@
 
 fn caught_up(seen: &Observations, courses: &Courses) -> (Histogram<u64>, u64) {
     let (mut times, mut never) = (histogram(), 0);
-    for (controller, away) in &seen.away {
+    let members: BTreeSet<ControllerId> = seen.members.iter().copied().collect();
+    for (controller, away) in seen.away.iter().filter(|(controller, _)| members.contains(controller)) {
         for (n, (_, back)) in away.iter().enumerate() {
             let target = seen.acted_on.highest_at(*back);
             let course = courses.get(controller).map_or(&[][..], Vec::as_slice);
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod figures;
 pub mod flat;
+pub mod hollow;
 pub mod machine;
 pub mod observations;
 pub mod reckoning;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays a scenario at the plan's size, and says which budgets were kept.
 
+use std::ffi::OsString;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::{Path, PathBuf};
@@ -8,10 +9,11 @@
 use anyhow::{bail, Context, Result};
 use badgerledge_scale::figures::Figures;
 use badgerledge_scale::reckoning::{check, needs, Gives};
-use badgerledge_scale::scenario::Scenario;
+use badgerledge_scale::scenario::{Network, Scenario};
 use badgerledge_scale::simulation::{self, Broken};
-use badgerledge_scale::{slopes, summary};
+use badgerledge_scale::{hollow, slopes, summary};
 use clap::{Parser, Subcommand};
+use rustix::process::{set_parent_process_death_signal, Signal};
 
 #[derive(Parser)]
 #[command(name = "badgerledge-scale", version, about = "Runs the distribution tier at the plan's size")]
@@ -27,6 +29,9 @@
         scenario: PathBuf,
         #[command(flatten)]
         changed: Changed,
+        /// So many of the hollow controllers are real ones instead, a process each.
+        #[arg(long, default_value_t = 0)]
+        real: u32,
         /// Appends the JSON line to this file too.
         #[arg(long)]
         into: Option<PathBuf>,
@@ -47,6 +52,9 @@
         #[arg(long)]
         into: Option<PathBuf>,
     },
+    /// Hosts hollow controllers for a run, which starts it.
+    #[command(hide = true)]
+    Hollow { settings: PathBuf },
     /// Plays the baseline, the agreement among all controllers without a tier, at several sizes.
     Flat {
         scenario: PathBuf,
@@ -67,6 +75,9 @@
     controllers: Option<u32>,
     #[arg(long)]
     seed: Option<u64>,
+    /// A simulated network as the loopback is: no delay and no loss, to hold against hollow members.
+    #[arg(long)]
+    loopback: bool,
 }
 
 impl Changed {
@@ -76,6 +87,9 @@
             None => scenario,
         };
         scenario.run.seed = self.seed.unwrap_or(scenario.run.seed);
+        if self.loopback {
+            scenario.network = Network::loopback();
+        }
         if let Some(kind) = &self.kind {
             scenario.run.kind = kind.clone();
         }
@@ -84,11 +98,23 @@
 }
 
 fn main() -> ExitCode {
-    let outcome = match Arguments::parse().command {
-        Command::Run { scenario, changed, into } => run(&scenario, &changed, into.as_deref()),
+    let arguments: Vec<OsString> = std::env::args_os().collect();
+    // Control machines and real controllers are this program started anew: what is played is always this very build.
+    let part = arguments.get(1).and_then(|word| word.to_str()).unwrap_or_default();
+    if matches!(part, "relay" | "controller" | "hollow") {
+        end_with_parent();
+    }
+    match part {
+        "relay" => return badgerledge_relay::main_with(arguments.into_iter().skip(1)),
+        "controller" => return badgerledge_controller::main_with(arguments.into_iter().skip(1)),
+        _ => {}
+    }
+    let outcome = match Arguments::parse_from(arguments).command {
+        Command::Run { scenario, changed, real, into } => run(&scenario, &changed, real, into.as_deref()),
         Command::Slopes { scenario, sizes, seed, at, charts, into } => {
             fit(&scenario, &sizes, seed, at, charts.as_deref(), into.as_deref()).map(|()| true)
         }
+        Command::Hollow { settings } => hollow::host::serve(&settings).map(|()| true),
         Command::Flat { scenario, sizes } => flat(&scenario, &sizes).map(|()| true),
         Command::Compare { first, second } => compare(&first, &second),
     };
@@ -102,20 +128,34 @@
     }
 }
 
-fn run(path: &Path, changed: &Changed, into: Option<&Path>) -> Result<bool> {
+/// A process of a run does not outlive the run, however that ends.
+fn end_with_parent() {
+    // Where it can't be had, the run ends its processes itself on all ways but an outright kill.
+    let _ = set_parent_process_death_signal(Some(Signal::KILL));
+}
+
+fn run(path: &Path, changed: &Changed, real: u32, into: Option<&Path>) -> Result<bool> {
     let scenario = changed.apply(Scenario::read(path)?);
-    let figures = play(&scenario)?;
-    write_line(&figures, into)?;
-    println!("{}", serde_json::to_string(&figures)?);
-    print!("{}", summary::summary(&figures));
-    Ok(figures.all_kept())
+    let mut kept = true;
+    for figures in play(&scenario, real)? {
+        write_line(&figures, into)?;
+        println!("{}", serde_json::to_string(&figures)?);
+        print!("{}", summary::summary(&figures));
+        kept &= figures.all_kept();
+    }
+    Ok(kept)
 }
 
-fn play(scenario: &Scenario) -> Result<Figures> {
-    check(scenario, needs(scenario, 0), Gives::here())?;
+fn play(scenario: &Scenario, real: u32) -> Result<Vec<Figures>> {
+    check(scenario, needs(scenario, real), Gives::here())?;
     match scenario.run.kind.as_str() {
-        "simulated" => simulation::play(scenario, Broken::default(), true),
-        kind => bail!("{kind}: not a kind of members"),
+        "simulated" if real > 0 => bail!("--real: real controllers run beside hollow ones (--kind hollow)"),
+        "simulated" => Ok(vec![simulation::play(scenario, Broken::default(), true)?]),
+        "hollow" => {
+            let program = std::env::current_exe().context("the path of this program")?;
+            hollow::run::play(scenario, real, &program, true)
+        }
+        kind => bail!("--kind {kind}: simulated or hollow is taken"),
     }
 }
 
@@ -137,11 +177,13 @@
     let scenario = Scenario::read(path)?;
     let mut runs = Vec::new();
     for size in sizes {
-        let changed = Changed { kind: Some("simulated".to_owned()), controllers: Some(*size), seed };
+        let changed =
+            Changed { kind: Some("simulated".to_owned()), controllers: Some(*size), seed, loopback: false };
         eprintln!("{size} controllers");
-        let figures = play(&changed.apply(scenario.clone()))?;
-        write_line(&figures, into)?;
-        runs.push(figures);
+        for figures in play(&changed.apply(scenario.clone()), 0)? {
+            write_line(&figures, into)?;
+            runs.push(figures);
+        }
     }
     print!("{}", slopes::lines(&runs, f64::from(at)));
     if let Some(folder) = charts {
--- a/crates/scale/src/observations.rs
+++ b/crates/scale/src/observations.rs
@@ -172,6 +172,8 @@
 /// All that was seen of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
+    /// The controllers that were looked at.
+    pub members: Vec<ControllerId>,
     pub acted_on: ActedOn,
     pub transitions: Vec<Transition>,
     pub seconds: Seconds,
@@ -182,6 +184,8 @@
     pub changes: Vec<PushedChange>,
     /// Changes that were turned down, with the reason.
     pub turned_down: Vec<String>,
+    /// How long the rig itself stood still at most; the simulation never does.
+    pub stalled: Duration,
     /// Memory of a controller and of a control machine, in bytes, on the mean.
     pub controller_memory: u64,
     pub machine_memory: u64,
--- a/crates/scale/src/reckoning.rs
+++ b/crates/scale/src/reckoning.rs
@@ -62,6 +62,8 @@
     Processes { controllers: u32, needed: u64 },
     #[error("[fleet] controllers = {controllers}: a process needs {needed} descriptors, {given} are permitted (ulimit -n)")]
     Descriptors { controllers: u32, needed: u64, given: u64 },
+    #[error("[failure {0}] what = region_cut: it is played by simulated members only")]
+    Simulated(String),
     #[error("[fleet] controllers = {controllers}: {needed} ports of the loopback are needed, {MOST_PORTS} are taken")]
     Ports { controllers: u32, needed: u64 },
 }
@@ -94,6 +96,10 @@
 /// Where the machine does not bear it.
 pub fn check(scenario: &Scenario, needs: Needs, gives: Gives) -> Result<(), Refusal> {
     let controllers = scenario.fleet.controllers;
+    let mut cuts = scenario.failures.iter().filter(|(_, failure)| failure.what == "region_cut");
+    if let Some((name, _)) = cuts.next().filter(|_| scenario.run.kind != "simulated") {
+        return Err(Refusal::Simulated(name.clone()));
+    }
     if needs.memory_bytes > gives.memory_bytes {
         let (needed_mb, given_mb) = (needs.memory_bytes >> 20, gives.memory_bytes >> 20);
         return Err(Refusal::Memory { controllers, needed_mb, given_mb });
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -110,6 +110,19 @@
     pub loss: f64,
 }
 
+impl Network {
+    /// The loopback's, nearly.
+    pub fn loopback() -> Self {
+        Self {
+            within_zone_ms: 0.05,
+            between_zones_ms: 0.05,
+            between_regions_ms: 0.05,
+            jitter_ms: 0.05,
+            loss: 0.0,
+        }
+    }
+}
+
 /// `[load]`.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -120,10 +133,10 @@
     /// each so often; 0 for none at all.
     #[garde(custom(within(0.0, 3600.0)))]
     pub every_s: f64,
-    /// Entries of the configuration at the start, and the bytes of a value.
+    /// Titles of the configuration at the start, an entry each, and the bytes of one's lines.
     #[garde(custom(within(1, 1_000_000)))]
     pub entries: u32,
-    #[garde(custom(within(1, 4096)))]
+    #[garde(custom(within(41, 4096)))]
     pub entry_bytes: u32,
     /// Edits of a change.
     #[garde(custom(within(1, 1000)))]
@@ -252,6 +265,7 @@
         }
         let scenario = Self { name: name.to_owned(), run, fleet, network, load, restarts, failures, budgets };
         scenario.check_fleet(sheet)?;
+        scenario.check_load(sheet)?;
         scenario.check_failures(sheet)?;
         Ok(scenario)
     }
@@ -268,6 +282,16 @@
         Ok(())
     }
 
+    /// Authors change titles of their own, and a change no title twice.
+    fn check_load(&self, sheet: &Sheet) -> Result<(), Faults> {
+        let Load { at_once, entries, edits, .. } = self.load;
+        if at_once.saturating_mul(edits) > entries {
+            let why = format!("{at_once} authors with changes of {edits} edits need more titles");
+            return Err(sheet.fault("load", "entries", &entries.to_string(), &why).into());
+        }
+        Ok(())
+    }
+
     fn check_failures(&self, sheet: &Sheet) -> Result<(), Faults> {
         for (name, failure) in &self.failures {
             let section = format!("failure {name}");
--- a/crates/scale/src/simulation.rs
+++ b/crates/scale/src/simulation.rs
@@ -13,11 +13,10 @@
 mod wiring;
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use badgerledge_core::chance::Chance;
 use badgerledge_distribution::control;
 use badgerledge_distribution::message::decode;
@@ -31,7 +30,7 @@
 use crate::machine::{resident_bytes, thread_cpu};
 use crate::observations::{Meter, Observations, Transition, Used};
 use crate::scenario::Scenario;
-use crate::timeline::{timeline, Happening};
+use crate::timeline::{returning_with_disks, timeline};
 use crate::workload::{genesis, Pushes};
 use connections::{Arrival, ConnectionId, Connections};
 pub use hand::{Signatures, SimulatedHand, CHECK_COST, SIGN_COST};
@@ -134,7 +133,7 @@
             machines: Vec::new(),
             tools: Vec::new(),
             timeline: timeline(scenario),
-            genesis: genesis(&scenario.load).context("[load] entries")?,
+            genesis: genesis(fleet, &scenario.load)?,
             hand,
             chance: Chance(seed),
             seen: Observations::default(),
@@ -149,7 +148,7 @@
 
     fn seat_all(&mut self) {
         let fleet = self.scenario.fleet.clone();
-        let keep_disks = self.returning_with_disks();
+        let keep_disks = returning_with_disks(&self.timeline);
         for machine in 0..fleet.control_machines {
             self.machines.push(self.machine_seat(machine));
         }
@@ -189,15 +188,6 @@
         self.queue.push(peers::PING_EVERY, Event::PingPeers);
     }
 
-    /// Controllers that come back with their disks in this run: only their disks are kept.
-    fn returning_with_disks(&self) -> BTreeSet<ControllerId> {
-        let back = self.timeline.iter().filter_map(|entry| match &entry.what {
-            Happening::StartControllers { controllers, without_disk: false } => Some(controllers),
-            _ => None,
-        });
-        back.flatten().copied().collect()
-    }
-
     fn machine_seat(&self, machine: u16) -> MachineSeat {
         let founded = badgerledge_revisions::Stored { keeper: Some(Kept::default()), ..Default::default() };
         let acceptor = self.hand.acceptors.contains(&machine);
@@ -279,6 +269,7 @@
         }
         let grown = resident_bytes(std::process::id()).saturating_sub(self.memory_before);
         self.seen.controller_memory = grown / self.watchers.len().max(1) as u64;
+        self.seen.members = (0..self.watchers.len() as u32).collect();
         self.seen.controllers = self.watchers.iter().map(WatcherSeat::used).collect();
         self.seen.machines = self.machines.iter().map(|seat| seat.used).collect();
         for spans in self.seen.away.values_mut() {
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -86,6 +86,13 @@
         m.memory_bytes as f64 / 1e6,
         m.messages_per_s
     );
+    if f.is_void() {
+        let _ = writeln!(
+            text,
+            "  VOID: the rig itself stood still for {:.2} s: this run says nothing of bounds",
+            f.stalled_s
+        );
+    }
     f.budgets.iter().for_each(|budget| text += &line_of(budget));
     text
 }
--- a/crates/scale/src/tests/scenarios.rs
+++ b/crates/scale/src/tests/scenarios.rs
@@ -134,7 +134,8 @@
         acts(2, 5, Some(0)),
     ];
     let changes = vec![PushedChange { pushed: at(30), settled: Some(at(31)), number: Some(1) }];
-    let mut seen = Observations { changes, transitions, ..Observations::default() };
+    let members = vec![0, 1, 2];
+    let mut seen = Observations { members, changes, transitions, ..Observations::default() };
     let acted = seen.transitions.iter().filter_map(|transition| Some((transition.acts_on?, transition.at)));
     acted.for_each(|(number, at)| seen.acted_on.note(number, at));
     seen.away.insert(1, vec![(at(29), at(40))]);
--- a/crates/scale/src/timeline.rs
+++ b/crates/scale/src/timeline.rs
@@ -1,5 +1,6 @@
 //! What happens to a fleet and when, drawn from a scenario and its seed: the same for each kind of members.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use badgerledge_core::chance::Chance;
@@ -57,6 +58,15 @@
     all
 }
 
+/// Controllers that come back with their disks: only their disks have to be kept.
+pub fn returning_with_disks(timeline: &[At]) -> BTreeSet<u32> {
+    let back = timeline.iter().filter_map(|entry| match &entry.what {
+        Happening::StartControllers { controllers, without_disk: false } => Some(controllers),
+        _ => None,
+    });
+    back.flatten().copied().collect()
+}
+
 fn pushes(scenario: &Scenario) -> Vec<At> {
     let mut all = Vec::new();
     if scenario.load.every_s <= 0.0 {
--- a/crates/scale/src/workload.rs
+++ b/crates/scale/src/workload.rs
@@ -3,29 +3,66 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use anyhow::{Context, Result};
+use badgerledge_deployment::{entries, kinds};
 use badgerledge_distribution::change::Change;
-use badgerledge_distribution::state::{Edit, Entry, State, StateFault};
+use badgerledge_distribution::state::{Edit, State};
 use badgerledge_distribution::{Author, Number, Signature};
+use badgerledge_settings::Sheet;
 
-use crate::scenario::Load;
+use crate::scenario::{Fleet, Load};
+
+/// Cells that titles lie on.
+const CELLS: u32 = 4;
+/// Bytes of a title's lines beside the name of its room type.
+pub const TITLE_BYTES: u32 = 40;
+
+/// The room type of all titles; its name makes a title's entry as long as the load says.
+fn room_type(load: &Load) -> String {
+    let length = load.entry_bytes.saturating_sub(TITLE_BYTES).max(1);
+    "r".repeat(length as usize)
+}
 
 fn key(index: u32) -> String {
-    format!("section-{:02}\tkey-{index:06}", index % 40)
+    format!("title {:x}", 0x1000 + index)
+}
+
+/// The lines of a title, in their canonical form.
+fn title(cell: u32, load: &Load) -> String {
+    format!("copies = 1\nfirst_cell = {}\nroom_type = {}\n", cell % CELLS, room_type(load))
+}
+
+/// The name of a zone.
+pub fn zone_name(zone: u16) -> String {
+    format!("zone-{zone}")
+}
+
+/// The settings that all controllers share, without titles.
+pub fn shared_settings(fleet: &Fleet, load: &Load) -> String {
+    let zones: Vec<String> = (0..fleet.zones()).map(zone_name).collect();
+    format!(
+        "[fleet]\nzones = {}\nkinds = k\nkind_streams = 50\ncells = {CELLS}\nracks = 2\nlink_unit_kb = 1000\n\
+         links_kb = 4000\nuplink_kb = 2000\nreport = x0, x1\n[ladder]\nrates_kb = 10, 20\nbenefit = 0.5, 1\n\
+         [room_type {}]\njoin_objective_ms = 1000\nclient_timeout_ms = 2000\nbenefit = 1\n\
+         [rules]\ndrain_grace_ms = 200\n",
+        zones.join(", "),
+        room_type(load)
+    )
 }
 
-/// A value of so many bytes that tells its version.
-fn value(version: u64, bytes: u32) -> Vec<u8> {
-    let digits = version.to_string();
-    digits.bytes().chain(std::iter::repeat(b'.')).take(bytes as usize).collect()
+/// The titles at the start.
+pub fn titles(load: &Load) -> String {
+    (0..load.entries).map(|index| format!("[{}]\n{}", key(index), title(0, load))).collect()
 }
 
-/// The configuration at the start.
+/// The state of revision 0.
 ///
 /// # Errors
 /// Where it is over a state's bounds.
-pub fn genesis(load: &Load) -> Result<State, StateFault> {
-    let entry = |index| Entry { key: key(index), value: value(0, load.entry_bytes) };
-    State::from_entries((0..load.entries).map(entry))
+pub fn genesis(fleet: &Fleet, load: &Load) -> Result<State> {
+    let sheet = Sheet::parse("the first configuration", &(shared_settings(fleet, load) + &titles(load)))?;
+    let entries = entries::entries_of(&kinds::canonical(&sheet)).context("the first configuration")?;
+    State::from_entries(entries).context("[load] entries")
 }
 
 /// An author's changes, in turn, of keys that no other author changes.
@@ -35,11 +72,12 @@
     load: Load,
     sequence: u64,
     next_key: u32,
+    version: u32,
 }
 
 impl AuthorsChanges {
     pub fn new(author: Author, load: &Load) -> Self {
-        Self { author, load: load.clone(), sequence: 0, next_key: u32::from(author) }
+        Self { author, load: load.clone(), sequence: 0, next_key: u32::from(author), version: 1 }
     }
 
     /// The next change, on this base.
@@ -47,11 +85,13 @@
         self.sequence += 1;
         let mut edits = Vec::new();
         for _ in 0..self.load.edits {
-            let value = value(self.sequence, self.load.entry_bytes);
-            edits.push(Edit { key: key(self.next_key), value: Some(value) });
+            let lines = title(self.version, &self.load);
+            edits.push(Edit { key: key(self.next_key), value: Some(lines.into_bytes()) });
             self.next_key += self.load.at_once;
             if self.next_key >= self.load.entries {
                 self.next_key = u32::from(self.author);
+                // Each round of its titles moves them on.
+                self.version += 1;
             }
         }
         let author = self.author;
