--- a/crates/controller/src/distributing.rs
+++ b/crates/controller/src/distributing.rs
@@ -8,6 +8,8 @@
 mod relay_lines;
 mod ring_file;
 mod store;
+#[cfg(test)]
+mod store_tests;
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
