--- a/crates/distribution/src/tests/watcher/revisions.rs
+++ b/crates/distribution/src/tests/watcher/revisions.rs
@@ -340,6 +340,20 @@
     }
 }
 
+/// A state that fits its summary, where the summary is not the one that is certified.
+#[test]
+fn the_state_of_another_summary_is_refused() {
+    let (one, _) = first();
+    let edits = [put("title new", "another")];
+    let other = edited(1, &own_state(), &edits);
+    let mut bench = Bench::served(2, 1);
+    let forged = Version { certificate: one.certificate, ..other };
+    assert!(closes(&bench.hear(0, delta(&forged, 0, &own_state(), &edits)), 0));
+    assert_eq!(bench.numbers(), (0, None));
+    let mut bench = Bench::served(2, 1);
+    assert!(closes(&bench.hear(0, snapshot(&forged)), 0));
+}
+
 #[test]
 fn too_many_votes_are_refused_unread() {
     let (mut one, edits) = first();
--- a/crates/distribution/src/tests/watcher/stored.rs
+++ b/crates/distribution/src/tests/watcher/stored.rs
@@ -144,6 +144,26 @@
     }
 }
 
+/// Records that are whole and stand behind others than they were written behind.
+#[test]
+fn a_record_on_another_base_ends_it() {
+    let mut bench = Bench::served(1, 1);
+    let mut state = own_state();
+    let mut ends = Vec::new();
+    for number in 1..=3 {
+        let edits = [put(&format!("title {number}"), "new")];
+        let before = state.clone();
+        state.apply(&edits).unwrap();
+        let next = version(number, state.clone());
+        bench.hear(0, delta(&next, number - 1, &before, &edits));
+        bench.hear(0, activate(&next));
+        ends.push(bench.disk.len());
+    }
+    let without_second = [&bench.disk[..ends[0]], &bench.disk[ends[1]..]].concat();
+    assert_eq!(Stored::read(&without_second).unwrap().active.unwrap().number(), 1);
+    assert_eq!(Stored::read(&bench.disk).unwrap().active.unwrap().number(), 3);
+}
+
 #[test]
 fn other_bytes_are_refused() {
     assert_eq!(Stored::read(b""), Err(StoredFault::Kind));
