Revisions: a keeper's vote in a higher ballot no longer hides its vote in the certified one

A member kept one vote of each keeper for a head, that in the highest ballot. Where a keeper had voted again for the same head, the others' certificate, which names the lower ballot, could never be learned there; with another keeper reborn no further number could be certified. Now three votes of a keeper are kept: the highest, and the last two. The test fails with the former code.

--- a/crates/revisions/src/learned.rs
+++ b/crates/revisions/src/learned.rs
@@ -45,6 +45,9 @@
 /// Heads of all, and votes: more than authors and keepers there are.
 const KEPT: usize = 64;
 const VOTES: usize = 256;
+/// Votes of one keeper for one head: that in the highest ballot, and the last ones that came. A keeper that votes again in a
+/// higher ballot must not hide its vote in the ballot that was certified: those who know of it give that one alone.
+const OF_KEEPER: usize = 3;
 
 #[derive(Debug, Default)]
 pub struct Learned {
@@ -52,8 +55,8 @@
     pub top: Option<Certified>,
     /// Heads signed by authors, of numbers above it.
     heads: BTreeMap<Digest, Signed>,
-    /// The latest vote of each keeper on a number above it.
-    votes: BTreeMap<(Number, Member, Digest), Vote>,
+    /// Votes of each keeper on a number above it: first that in the highest ballot, then others as they came.
+    votes: BTreeMap<(Number, Member, Digest), Vec<Vote>>,
     /// Words to act on numbers that are not known certified yet.
     goes: BTreeMap<Member, Go>,
 }
@@ -81,7 +84,7 @@
 
     /// The votes that are held for a head.
     pub fn votes_for<'a>(&'a self, digest: &'a Digest) -> impl Iterator<Item = &'a Vote> {
-        self.votes.iter().filter(move |(key, _)| key.2 == *digest).map(|(_, vote)| vote)
+        self.votes.iter().filter(move |(key, _)| key.2 == *digest).filter_map(|(_, votes)| votes.first())
     }
 
     /// Keeps a head that counts. Tells whether it is new.
@@ -109,10 +112,17 @@
     /// Keeps a vote that a keeper signed.
     pub fn take_vote(&mut self, vote: Vote, hand: &impl Hand) {
         let key = (vote.number, vote.keeper, vote.digest);
-        let known = self.votes.get(&key).is_some_and(|held| held.ballot >= vote.ballot);
+        let known =
+            self.votes.get(&key).is_some_and(|held| held.iter().any(|held| held.ballot == vote.ballot));
         let crowded = self.votes.len() >= VOTES && !self.votes.contains_key(&key);
-        if vote.number > self.number() && !known && !crowded && vote.holds(hand) {
-            self.votes.insert(key, vote);
+        if vote.number <= self.number() || known || crowded || !vote.holds(hand) {
+            return;
+        }
+        let held = self.votes.entry(key).or_default();
+        let highest = held.first().is_none_or(|first| vote.ballot > first.ballot);
+        held.insert(if highest { 0 } else { held.len() }, vote);
+        if held.len() > OF_KEEPER {
+            held.remove(1);
         }
     }
 
@@ -134,7 +144,7 @@
     pub fn certify(&mut self, hand: &impl Hand) -> bool {
         let enough = quorum(hand.keepers().len());
         let mut counts: BTreeMap<(Number, Ballot, Digest), usize> = BTreeMap::new();
-        for vote in self.votes.values() {
+        for vote in self.votes.values().flatten() {
             *counts.entry((vote.number, vote.ballot, vote.digest)).or_default() += 1;
         }
         let certified = |((number, ballot, digest), count): (&(Number, Ballot, Digest), &usize)| {
@@ -147,7 +157,7 @@
         };
         let digest = signed.head.digest();
         let in_it = |vote: &&Vote| (vote.number, vote.ballot, vote.digest) == (number, ballot, digest);
-        let votes = self.votes.values().filter(in_it).take(enough);
+        let votes = self.votes.values().flatten().filter(in_it).take(enough);
         let goes = self.goes.values().filter(|go| (go.number, go.digest) == (number, digest));
         let top = Certified { signed, votes: votes.copied().collect(), goes: goes.copied().collect() };
         self.install(top);
--- a/crates/revisions/src/tests/net.rs
+++ b/crates/revisions/src/tests/net.rs
@@ -186,6 +186,10 @@
         }
     }
 
+    pub fn hand_of(&self, me: Member) -> Sealed {
+        Sealed { me, ..self.hand.clone() }
+    }
+
     pub fn stall(&mut self, me: Member, span: Duration) {
         self.seats[usize::from(me)].stalled_until = self.now + span;
     }
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -6,9 +6,10 @@
 use quickcheck::{Gen, QuickCheck};
 
 use super::net::{seal, signed, Net, AUTHORS};
+use crate::learned::Learned;
 use crate::order::{self, Order};
-use crate::word::{Gone, Word};
-use crate::{Hold, Keeper, Kept, Refused, Regime, Stored, StoredFault};
+use crate::word::{Gone, Vote, Word};
+use crate::{Ballot, Hold, Keeper, Kept, Refused, Regime, Stored, StoredFault};
 
 fn secs(n: f64) -> Duration {
     Duration::from_secs_f64(n)
@@ -367,3 +368,27 @@
     net.start(2);
     assert!(net.seats[2].member.as_ref().unwrap().acting(net.now + secs(0.1)).held.is_some());
 }
+
+/// Two of three certified a head in a ballot. A third heard one of them vote again, in a higher one, before it hears of that:
+/// it must still see the certificate, since nobody gives it any other.
+#[test]
+fn a_vote_in_a_higher_ballot_does_not_hide_a_certificate() {
+    let net = Net::new(3, 3, Regime::Hold, 1);
+    let hand = |me: u16| net.hand_of(me);
+    let head = signed(1, [0; 32], 1, b"one");
+    let vote = |keeper: u16, round: u32| {
+        let ballot = Ballot { round, by: 0, life: 1 };
+        Vote::sign(&hand(keeper), keeper, 1, ballot, head.head.digest())
+    };
+    let mut learned = Learned::default();
+    assert!(learned.take_head(head, &hand(2)));
+    for round in [5, 9, 7] {
+        learned.take_vote(vote(0, round), &hand(2));
+    }
+    // As a member that knows the certificate gives it.
+    for keeper in [0, 1] {
+        learned.take_vote(vote(keeper, 3), &hand(2));
+    }
+    assert!(learned.certify(&hand(2)));
+    assert!(learned.top.is_some_and(|top| top.holds(&hand(2))));
+}
