Control machine: plays on a simulated network, a test for each hard case, and faults they found

Found by plays and mended: a relay sent the first quorum of grants although one acceptor's named a later revision; a batch that was built again told rejections while the former one could still be certified; a change against a revision that its relay did not know yet was rejected.

--- a/crates/distribution/src/control.rs
+++ b/crates/distribution/src/control.rs
@@ -34,7 +34,7 @@
 use std::time::Duration;
 
 use badgerledge_core::chance::Chance;
-use badgerledge_revisions::Revisions;
+use badgerledge_revisions::{Keeper, Revisions};
 
 pub use config::{Config, ConfigFault};
 pub use output::{CloseReason, ConnectionId, ControlOutput};
@@ -45,10 +45,10 @@
 use crate::message::{ControlStatus, PeerMessage, ToRelay, ToWatcher};
 use crate::relay::{Hello, Relay};
 use crate::state::State;
-use crate::{quorum, Digest, Hand, MachineId, Number};
+use crate::{quorum, Certified, Digest, Hand, MachineId, Number};
 use batches::Batches;
 use catch_up::CatchUp;
-use forwarding::{Forwarding, Told};
+use forwarding::{Forwarding, Tended, Told};
 use ledger::Ledger;
 use member_hand::MemberHand;
 use outcomes::Outcomes;
@@ -185,7 +185,8 @@
             self.revisions.tend(now, &mut given);
             self.carry_out(now, given, out);
         }
-        let asks = self.relay.tend(now, &self.ledger, out);
+        let enough = quorum(self.hand().keepers().len());
+        let asks = self.relay.tend(now, &self.ledger, enough, out);
         self.ask_for_grants(asks, out);
         self.forward(now, out);
         self.ask_for_state(now, out);
@@ -232,6 +233,25 @@
         self.ledger.number()
     }
 
+    /// The latest state with what shows that it is certified; nothing for revision 0.
+    pub fn checkpoint(&self) -> Option<Checkpoint> {
+        let (certificate, summary) = self.ledger.latest().proof.clone()?;
+        Some(Checkpoint { certificate, summary, state: self.ledger.state().clone() })
+    }
+
+    /// What shows the highest revision that is known certified, which may be above the state that is here.
+    pub fn certificate(&self) -> Option<&Certified> {
+        self.revisions.top()
+    }
+
+    /// Whether this is an acceptor that votes for the next number: one that lost its disk does so only after some more
+    /// were certified without it.
+    pub fn votes(&self) -> bool {
+        let (next, _) = self.revisions.next();
+        let voting = |acceptor: &Keeper| !acceptor.is_asking() && acceptor.kept().barred < next;
+        self.revisions.acceptor().is_some_and(voting)
+    }
+
     fn hand(&self) -> &H {
         &self.revisions.hand().0
     }
@@ -273,13 +293,9 @@
             Some(Err(Rejection::Unknown)) | None => {}
             Some(outcome) => return tell(vec![told(outcome)], out),
         }
-        let highest = self.certified.0;
-        let taken = if !change.is_signed(self.hand()) {
-            Err(Rejection::Author(id.author))
-        } else if change.base > highest {
-            Err(Rejection::BaseAhead(change.base, highest))
-        } else {
-            self.forwarding.push(now, connection, change)
+        let taken = match change.is_signed(self.hand()) {
+            true => self.forwarding.push(now, connection, change),
+            false => Err(Rejection::Author(id.author)),
         };
         match taken {
             Ok(()) => self.forward(now, out),
@@ -298,8 +314,10 @@
         let acceptor = self.hand().keepers().contains(&self.config.me);
         let sequencers: Vec<MachineId> =
             machines.into_iter().filter(|machine| acceptor || *machine != self.config.me).collect();
-        let (forwards, given_up) = self.forwarding.tend(now, &sequencers);
-        tell(given_up, out);
+        let heard_quorum = sequencers.len() >= quorum(self.hand().keepers().len());
+        let Tended { forwards, told } =
+            self.forwarding.tend(now, &sequencers, self.certified.0, heard_quorum);
+        tell(told, out);
         for (machine, change) in forwards {
             if machine == self.config.me {
                 self.forwarded(now, machine, change, out);
--- a/crates/distribution/src/control/forwarding.rs
+++ b/crates/distribution/src/control/forwarding.rs
@@ -17,6 +17,8 @@
 const GIVE_UP: Duration = Duration::from_secs(10);
 /// What is not answered is forwarded again after this.
 const AGAIN: Duration = Duration::from_secs(1);
+/// Whether a revision that a change is made against is here is looked at this often.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// After so many tries the next machine is tried too.
 const TRIES_AT_FIRST: u32 = 3;
 
@@ -27,6 +29,12 @@
     pub outcome: Result<Number, Rejection>,
 }
 
+/// What is to be done with changes that were pushed here.
+pub(crate) struct Tended {
+    pub forwards: Vec<(MachineId, Change)>,
+    pub told: Vec<Told>,
+}
+
 struct Pending {
     change: Change,
     bytes: usize,
@@ -124,27 +132,38 @@
         }
     }
 
-    /// What is to be forwarded now, to the first of these machines and, after some tries, the second; and what is given up.
-    pub fn tend(&mut self, now: Duration, machines: &[MachineId]) -> (Vec<(MachineId, Change)>, Vec<Told>) {
+    /// Forwards to the first of these machines and, after some tries, the second; and gives up what took too long. What is made
+    /// against a revision above `highest` waits for it here: its author may know more than this machine does.
+    pub fn tend(
+        &mut self, now: Duration, machines: &[MachineId], highest: Number, heard_quorum: bool,
+    ) -> Tended {
+        let mut tended = Tended { forwards: Vec::new(), told: Vec::new() };
         let over = |pending: &&Pending| now >= pending.give_up_at;
-        let given_up: Vec<ChangeId> =
-            self.pending.values().filter(over).map(|pending| pending.change.id).collect();
-        let mut told = Vec::new();
+        let given_up: Vec<ChangeId> = self.pending.values().filter(over).map(|held| held.change.id).collect();
         for change in given_up {
-            // It may lie in a queue somewhere still.
-            told.extend(self.settle(change, &Err(Rejection::Unknown)));
+            let Some(pending) = self.pending.get(&change) else { continue };
+            // One that went nowhere lies in no queue.
+            let there_is_none = pending.forwarded.is_empty() && pending.change.base > highest && heard_quorum;
+            let rejection = match there_is_none {
+                true => Rejection::BaseAhead(pending.change.base, highest),
+                false => Rejection::Unknown,
+            };
+            tended.told.extend(self.settle(change, &Err(rejection)));
         }
-        let mut forwards = Vec::new();
         for pending in self.pending.values_mut().filter(|pending| now >= pending.next_at) {
+            if pending.change.base > highest {
+                pending.next_at = now + LOOK_AGAIN;
+                continue;
+            }
             pending.next_at = now + AGAIN;
             let wide = if pending.tries < TRIES_AT_FIRST { 1 } else { 2 };
             pending.tries += 1;
             for machine in machines.iter().take(wide) {
                 pending.forwarded.entry(*machine).or_default();
-                forwards.push((*machine, pending.change.clone()));
+                tended.forwards.push((*machine, pending.change.clone()));
             }
         }
-        (forwards, told)
+        tended
     }
 
     pub fn next_due(&self) -> Option<Duration> {
--- a/crates/distribution/src/control/sequencer.rs
+++ b/crates/distribution/src/control/sequencer.rs
@@ -172,9 +172,11 @@
             return (None, Vec::new());
         }
         self.patience = chance.span(YIELD);
-        let again = self.in_flight.take();
-        let only_latest = again.is_some();
-        again.into_iter().flat_map(|flight| flight.changes).for_each(|waiting| self.put_back(now, waiting));
+        let earlier = self.in_flight.take();
+        let offered: BTreeSet<ChangeId> =
+            earlier.iter().flat_map(|flight| &flight.changes).map(|waiting| waiting.change.id).collect();
+        let text = earlier.as_ref().map(|flight| flight.text);
+        earlier.into_iter().flat_map(|flight| flight.changes).for_each(|waiting| self.put_back(now, waiting));
         let mut answers = self.settle(ledger, outcomes);
         let number = ledger.number() + 1;
         // One that was made against a revision that is not here yet waits for it.
@@ -184,22 +186,32 @@
             return (None, answers);
         }
         let recent = History::new(ledger.number(), 1);
-        let history = if only_latest { &recent } else { ledger.history() };
+        let history = if text.is_some() { &recent } else { ledger.history() };
         let built = Batch::build(number, ledger.state(), history, changes, hand, Limits::default());
         let changes = self.take_out(&built);
-        if built.batch.changes.is_empty() {
-            // Nothing in a batch stood before them: they are rejected for what is certified.
-            let mut rejected: BTreeMap<ChangeId, Rejection> = built.rejected.into_iter().collect();
-            for waiting in changes {
-                if let Some(rejection) = rejected.remove(&waiting.change.id) {
-                    answers.extend(self.reject(now, &waiting, rejection));
-                }
-            }
+        if !built.batch.changes.is_empty() {
+            let (text, rejected) = (text_digest(&built.summary), built.rejected.clone());
+            self.in_flight = Some(InFlight { number, text, changes, rejected, proposed_at: now });
+            return (Some(Proposal { built, number }), answers);
+        }
+        if let Some(text) = text {
+            // What was proposed before may still be certified, and nothing stands in its place.
+            let (stays, waits) =
+                changes.into_iter().partition(|waiting| offered.contains(&waiting.change.id));
+            let (stays, waits): (Vec<Waiting>, Vec<Waiting>) = (stays, waits);
+            waits.into_iter().for_each(|waiting| self.put_back(now, waiting));
+            let (changes, rejected) = (stays, Vec::new());
+            self.in_flight = Some(InFlight { number, text, changes, rejected, proposed_at: now });
             return (None, answers);
         }
-        let (text, rejected) = (text_digest(&built.summary), built.rejected.clone());
-        self.in_flight = Some(InFlight { number, text, changes, rejected, proposed_at: now });
-        (Some(Proposal { built, number }), answers)
+        // Nothing in a batch stood before them: they are rejected for what is certified.
+        let mut rejected: BTreeMap<ChangeId, Rejection> = built.rejected.into_iter().collect();
+        for waiting in changes {
+            if let Some(rejection) = rejected.remove(&waiting.change.id) {
+                answers.extend(self.reject(now, &waiting, rejection));
+            }
+        }
+        (None, answers)
     }
 
     /// Takes out what is settled already.
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -21,7 +21,7 @@
 
 use crate::control::ledger::Ledger;
 use crate::control::{CloseReason, ConnectionId, ControlOutput};
-use crate::lease::{Grant, Nonce};
+use crate::lease::{Grant, LeaseProof, Nonce};
 use crate::message::ToWatcher;
 use crate::tokens::Tokens;
 use crate::{ControllerId, Digest, MachineId, Number};
@@ -176,6 +176,7 @@
             Kind::Queued(held) => *held = hello,
             Kind::Watcher(session) if session.controller() == hello.controller => {
                 session.begin_again(hello);
+                self.welcome(id, ledger, out);
                 self.update(now, id, ledger, out);
             }
             Kind::Watcher(_) => self.close(id, CloseReason::Protocol, out),
@@ -197,9 +198,13 @@
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.kind = Kind::Watcher(Box::new(Session::new(hello, now)));
+        self.welcome(id, ledger, out);
+        self.update(now, id, ledger, out);
+    }
+
+    fn welcome(&self, id: ConnectionId, ledger: &Ledger, out: &mut Vec<ControlOutput>) {
         let welcome = ToWatcher::Welcome { relay: self.me, number: ledger.number() };
         out.push(ControlOutput::to_watcher(id, welcome));
-        self.update(now, id, ledger, out);
     }
 
     fn session(&mut self, id: ConnectionId) -> Option<&mut Session> {
@@ -272,7 +277,7 @@
         let Some(session) = self.session(id) else { return self.close(id, CloseReason::Protocol, out) };
         session.acts_on(now, active);
         let controller = session.controller();
-        self.rounds.gather(id, controller, nonce);
+        self.rounds.gather(id, controller, (nonce, active));
         self.update(now, id, ledger, out);
     }
 
@@ -308,9 +313,7 @@
 
     /// An acceptor granted over one of this relay's roots.
     pub(crate) fn granted(&mut self, grant: Grant, quorum: usize, out: &mut Vec<ControlOutput>) {
-        for (id, proof) in self.rounds.granted(grant, quorum) {
-            out.push(ControlOutput::to_watcher(id, ToWatcher::Lease(proof)));
-        }
+        send_proofs(self.rounds.granted(grant, quorum), out);
     }
 
     /// Whether a grant is one that this relay waits for.
@@ -327,7 +330,7 @@
 
     /// Does what is due. Gives the roots that acceptors are to be asked to grant over, each with those who did so far.
     pub(crate) fn tend(
-        &mut self, now: Duration, ledger: &Ledger, out: &mut Vec<ControlOutput>,
+        &mut self, now: Duration, ledger: &Ledger, quorum: usize, out: &mut Vec<ControlOutput>,
     ) -> Vec<(Digest, Vec<MachineId>)> {
         if now < self.next_tick {
             return Vec::new();
@@ -342,6 +345,8 @@
             }
         }
         self.update_all(now, ledger, out);
+        let refused = self.rounds.refused(now, quorum);
+        send_proofs(refused, out);
         self.rounds.tend(now)
     }
 
@@ -376,3 +381,9 @@
         standing
     }
 }
+
+fn send_proofs(proofs: Vec<(ConnectionId, LeaseProof)>, out: &mut Vec<ControlOutput>) {
+    for (id, proof) in proofs {
+        out.push(ControlOutput::to_watcher(id, ToWatcher::Lease(proof)));
+    }
+}
--- a/crates/distribution/src/relay/lease_rounds.rs
+++ b/crates/distribution/src/relay/lease_rounds.rs
@@ -5,16 +5,21 @@
 
 use crate::control::ConnectionId;
 use crate::lease::{leaf, Grant, LeaseProof, Nonce, NonceTree};
-use crate::{ControllerId, Digest, MachineId};
+use crate::{ControllerId, Digest, MachineId, Number};
 
 /// Acceptors that have not answered are asked again after this: a round trip between regions, and some more.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Acceptors that have allowed a later revision than a watcher acts on are waited out by this much for others.
+const REFUSE_AFTER: Duration = Duration::from_millis(750);
 /// A round is given up after this: its watchers have asked anew.
 const GIVE_UP: Duration = Duration::from_millis(2500);
 
 struct Request {
     connection: ConnectionId,
     nonce: Nonce,
+    /// The revision that the watcher acts on.
+    active: Number,
+    answered: bool,
 }
 
 struct Round {
@@ -29,14 +34,16 @@
 /// Nonces that are gathered, and rounds that wait for grants: as many as begin until the first is given up.
 #[derive(Default)]
 pub(crate) struct LeaseRounds {
-    gathered: BTreeMap<ConnectionId, (ControllerId, Nonce)>,
+    gathered: BTreeMap<ConnectionId, (ControllerId, Nonce, Number)>,
     rounds: VecDeque<Round>,
 }
 
 impl LeaseRounds {
     /// A watcher's request; it takes the place of an earlier one that is not under way.
-    pub fn gather(&mut self, connection: ConnectionId, controller: ControllerId, nonce: Nonce) {
-        self.gathered.insert(connection, (controller, nonce));
+    pub fn gather(
+        &mut self, connection: ConnectionId, controller: ControllerId, (nonce, active): (Nonce, Number),
+    ) {
+        self.gathered.insert(connection, (controller, nonce, active));
     }
 
     pub fn forget(&mut self, connection: ConnectionId) {
@@ -64,9 +71,10 @@
 
     fn begin(&mut self, now: Duration) {
         let gathered = std::mem::take(&mut self.gathered);
-        let leaves = gathered.values().map(|(controller, nonce)| leaf(*controller, nonce)).collect();
+        let leaves = gathered.values().map(|(controller, nonce, _)| leaf(*controller, nonce)).collect();
         let tree = NonceTree::new(leaves);
-        let request = |(connection, (_, nonce))| Request { connection, nonce };
+        let request =
+            |(connection, (_, nonce, active))| Request { connection, nonce, active, answered: false };
         let requests = gathered.into_iter().map(request).collect();
         let grants = BTreeMap::new();
         self.rounds.push_back(Round {
@@ -85,22 +93,46 @@
         self.rounds.iter().any(waits)
     }
 
-    /// An acceptor's grant, which was checked. Once a quorum has granted, each watcher of the round gets its proof.
+    /// An acceptor's grant, which was checked. Gives the proofs that it completes: a quorum for what the watcher acts on.
     pub fn granted(&mut self, grant: Grant, quorum: usize) -> Vec<(ConnectionId, LeaseProof)> {
         let Some(at) = self.rounds.iter().position(|round| round.root == grant.root) else {
             return Vec::new();
         };
         let round = &mut self.rounds[at];
         round.grants.insert(grant.acceptor, grant);
-        if round.grants.len() < quorum {
-            return Vec::new();
+        let proofs = round.proofs(|grants, active| {
+            let fits = grants.values().filter(|grant| grant.allowed <= active);
+            let fits: Vec<Grant> = fits.take(quorum).copied().collect();
+            (fits.len() >= quorum).then_some(fits)
+        });
+        if round.requests.iter().all(|request| request.answered) {
+            self.rounds.remove(at);
         }
-        let Some(round) = self.rounds.remove(at) else { return Vec::new() };
-        let grants: Vec<Grant> = round.grants.into_values().collect();
-        let proof = |(index, request): (usize, &Request)| {
-            let (path, grants) = (round.tree.path(index), grants.clone());
-            (request.connection, LeaseProof { nonce: request.nonce, index: index as u32, path, grants })
-        };
-        round.requests.iter().enumerate().map(proof).collect()
+        proofs
+    }
+
+    /// Answers to watchers that were not granted a lease for what they act on: they learn that others act on a later one.
+    pub fn refused(&mut self, now: Duration, quorum: usize) -> Vec<(ConnectionId, LeaseProof)> {
+        let late = self.rounds.iter_mut().filter(|round| now >= round.begun_at + REFUSE_AFTER);
+        let enough = late.filter(|round| round.grants.len() >= quorum);
+        enough.flat_map(|round| round.proofs(|grants, _| Some(grants.values().copied().collect()))).collect()
+    }
+}
+
+impl Round {
+    /// Proofs with grants that are chosen by what a watcher acts on, for those that have none yet.
+    fn proofs(
+        &mut self, choose: impl Fn(&BTreeMap<MachineId, Grant>, Number) -> Option<Vec<Grant>>,
+    ) -> Vec<(ConnectionId, LeaseProof)> {
+        let mut proofs = Vec::new();
+        for (index, request) in self.requests.iter_mut().enumerate().filter(|(_, request)| !request.answered)
+        {
+            let Some(grants) = choose(&self.grants, request.active) else { continue };
+            request.answered = true;
+            let path = self.tree.path(index);
+            let proof = LeaseProof { nonce: request.nonce, index: index as u32, path, grants };
+            proofs.push((request.connection, proof));
+        }
+        proofs
     }
 }
--- a/crates/distribution/src/tests.rs
+++ b/crates/distribution/src/tests.rs
@@ -1,11 +1,14 @@
 mod certified;
 mod change;
+mod control;
 mod edits;
 mod hand;
 mod lease;
 mod log;
 mod measure;
 mod message;
+mod net;
+mod relay;
 mod sample;
 mod state;
 mod transfer;
--- a/crates/revisions/src/gate.rs
+++ b/crates/revisions/src/gate.rs
@@ -9,7 +9,7 @@
 use crate::member::{Given, Revisions};
 use crate::spread::ASK_AGAIN;
 use crate::word::{Go, Word};
-use crate::{Certified, Digest, Hand, Member, Number, Signed};
+use crate::{Certified, Digest, Hand, Keeper, Member, Number, Signed};
 
 /// Texts that may be voted for at one time at most: more than there are proposers at once.
 const VOTABLE: usize = 64;
@@ -132,8 +132,13 @@
     /// The highest number that this keeper has given the word to act on: what a lease that it grants now must name. Nothing
     /// for who is no keeper, or does not know what its former self did.
     pub fn grantable(&self) -> Option<Number> {
-        let keeper = self.keeper.as_ref().filter(|keeper| !keeper.is_asking())?;
-        self.hand.keepers().contains(&self.terms.me).then_some(keeper.kept().gone_on)
+        let keeper = self.acceptor().filter(|keeper| !keeper.is_asking())?;
+        Some(keeper.kept().gone_on)
+    }
+
+    /// What this member keeps as a keeper, if it is one.
+    pub fn acceptor(&self) -> Option<&Keeper> {
+        self.keeper.as_ref().filter(|_| self.hand.keepers().contains(&self.terms.me))
     }
 
     /// A certificate that came another way than by words, for instance with the state that it names.
