--- a/crates/distribution/src/tests/watcher/revisions.rs
+++ b/crates/distribution/src/tests/watcher/revisions.rs
@@ -130,6 +130,16 @@
     assert_eq!((bench.numbers(), bench.held()), ((1, None), None));
 }
 
+/// Two certificates of one number are not possible among honest acceptors; what is allowed is one of them alone.
+#[test]
+fn words_to_act_on_another_revision_of_that_number_do_not_count() {
+    let mut bench = Bench::served(2, 1);
+    let (one, edits) = first();
+    bench.hear(0, activate(&version_of(1, one.state.clone(), 1)));
+    bench.hear(0, delta(&one, 0, &own_state(), &edits));
+    assert_eq!((bench.numbers(), bench.held()), ((0, Some(1)), Some(HoldReason::Behind)));
+}
+
 #[test]
 fn grants_that_name_a_higher_revision_show_that_it_is_behind() {
     let mut bench = Bench::served(2, 0);
