--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::path::Path;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use anyhow::{bail, Context, Result};
 use badgerledge_distribution::control::{Config, ControlMachine, ControlOutput, StoredItem};
@@ -26,6 +26,8 @@
 const SWEEP: u64 = 0;
 /// Silent connections, the ring's file and what is shown are looked at this often.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Storing that takes so long holds up what control machines wait for.
+const SLOW_STORE: Duration = Duration::from_millis(500);
 /// Descriptors that are not watchers': peers, listeners, files, metrics, log.
 const SPARE_DESCRIPTORS: usize = 160;
 /// Connections for metrics at a time, and their bounds.
@@ -50,6 +52,8 @@
     /// What was logged last of revisions.
     logged: (u32, u32),
     lines: LineLimit,
+    /// How long storing took at most since it was last shown.
+    longest_store: Duration,
     ending: bool,
 }
 
@@ -114,6 +118,7 @@
             ring_read,
             logged: (0, 0),
             lines: LineLimit::default(),
+            longest_store: Duration::ZERO,
             ending: false,
         })
     }
@@ -265,7 +270,15 @@
     }
 
     fn store(&mut self, item: StoredItem, now: Duration) {
+        let begun = Instant::now();
         let done = self.storage.store(item);
+        let took = begun.elapsed();
+        self.longest_store = self.longest_store.max(took);
+        if took >= SLOW_STORE {
+            if let Some(suppressed) = self.lines.allows(now, "slow store") {
+                tracing::warn!(suppressed, ?took, "the disk is slow: nothing is heard or said meanwhile");
+            }
+        }
         self.note_stored(done, now);
     }
 
@@ -292,6 +305,7 @@
         }
         let status = self.control.status(now);
         self.log_revisions(&status);
+        telemetry::show_stores(std::mem::take(&mut self.longest_store));
         telemetry::show(&status, self.watchers.len(), self.peers.up());
     }
 
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -19,6 +19,7 @@
 pub const DELTAS: &str = "badgerledge_relay_deltas_total";
 pub const BUSY: &str = "badgerledge_relay_connections_refused_total";
 pub const STORE_FAULTS: &str = "badgerledge_relay_store_faults_total";
+const STORE_SECONDS: &str = "badgerledge_relay_store_seconds";
 const WATCHERS: &str = "badgerledge_relay_watchers";
 const CONNECTIONS: &str = "badgerledge_relay_connections";
 const PEERS: &str = "badgerledge_relay_peers";
@@ -50,6 +51,7 @@
     describe_counter!(DELTAS, "Deltas handed to watchers");
     describe_counter!(BUSY, "Connections that were turned away at the bound");
     describe_counter!(STORE_FAULTS, "Times that something could not be stored");
+    describe_gauge!(STORE_SECONDS, Unit::Seconds, "The longest that storing took in the last second");
     describe_gauge!(WATCHERS, "Watchers that said hello");
     describe_gauge!(CONNECTIONS, "Connections of watchers and tools");
     describe_gauge!(PEERS, "Control machines that answer");
@@ -95,6 +97,11 @@
     format!("{head}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{text}").into_bytes()
 }
 
+/// Shows how long storing took at most since this was last shown.
+pub fn show_stores(longest: Duration) {
+    gauge!(STORE_SECONDS).set(longest.as_secs_f64());
+}
+
 /// Counts a refused frame.
 pub fn count_refused(kind: &'static str, reason: &'static str) {
     counter!(REFUSED, "stream" => kind, "reason" => reason).increment(1);
