--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -80,9 +80,19 @@
         let value = format!("copies = 3\nfirst_cell = {first_cell}\nroom_type = clip\n").into_bytes();
         state.apply(&[Edit { key: format!("title {:x}", titles / 2), value: Some(value) }])?;
         let mut next = active.clone();
-        read = read.min(once(|| Ok(next = reader.read(&state).map_err(anyhow::Error::msg)?))?);
-        prepared = prepared.min(once(|| Ok(drop(black_box(active.acted_on(Some(&next))))))?);
-        acted_on = acted_on.min(once(|| Ok(drop(black_box(next.acted_on(None)))))?);
+        let read_state = || {
+            next = reader.read(&state).map_err(anyhow::Error::msg)?;
+            Ok(())
+        };
+        read = read.min(once(read_state)?);
+        prepared = prepared.min(once(|| {
+            black_box(active.acted_on(Some(&next)));
+            Ok(())
+        })?);
+        acted_on = acted_on.min(once(|| {
+            black_box(next.acted_on(None));
+            Ok(())
+        })?);
         active = next;
     }
     println!(
