Relay: a checkpoint that came without its batches is on the disk before anything else is said

Such a one was written by the thread too, while what followed it could already go out: a machine that lost its power in between would have said that it holds a state that it does not. Found by reading.

--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -11,8 +11,9 @@
 //! [`StoredItem`]. A record that is torn or changed is none; in `batches` what follows it is not found either, and cut off
 //! before anything is appended.
 //!
-//! A checkpoint is tens of megabytes and is written by a thread beside the loop: nothing that is said rests on it, since
-//! batches are dropped only once it is on the disk.
+//! A checkpoint may be tens of megabytes. Where the batch that led to it is in `batches`, it is written by a thread beside
+//! the loop: nothing that is said rests on it, since batches are dropped only once it is on the disk. One that came from
+//! another machine, without its batches, is written at once.
 
 use std::fs::File;
 use std::io::{self, Seek, SeekFrom, Write};
@@ -101,7 +102,7 @@
     /// said.
     pub fn store(&mut self, item: StoredItem) -> io::Result<()> {
         match item {
-            StoredItem::Checkpoint(checkpoint) => {
+            StoredItem::Checkpoint(checkpoint) if self.has_batch(checkpoint.certificate.number()) => {
                 self.next_checkpoint = Some(checkpoint);
                 self.tend_checkpoint()
             }
@@ -143,7 +144,17 @@
                     self.append(&record)?;
                     self.batches.push((number, record));
                 }
-                _ => files::replace_durably(&self.folder.join(AGREEMENT), &record)?,
+                StoredItem::Checkpoint(checkpoint) => {
+                    let number = checkpoint.certificate.number();
+                    // A thread must not put an older one in its place later. What became of that one does not matter.
+                    self.next_checkpoint = None;
+                    let _ = self.end_writing();
+                    files::replace_durably(&self.folder.join(CHECKPOINT), &record)?;
+                    self.drop_batches_up_to(number)?;
+                }
+                StoredItem::Agreement(_) => {
+                    files::replace_durably(&self.folder.join(AGREEMENT), &record)?;
+                }
             }
             self.waiting.remove(0);
         }
@@ -175,10 +186,18 @@
         written.and_then(|()| self.drop_batches_up_to(number))
     }
 
+    fn has_batch(&self, number: Number) -> bool {
+        self.batches.iter().any(|(stored, _)| *stored == number)
+    }
+
     /// Of what is replaced whole only the last need be written.
     fn forget_replaced(&mut self, by: &StoredItem) {
-        if matches!(by, StoredItem::Agreement(_)) {
-            self.waiting.retain(|item| !matches!(item, StoredItem::Agreement(_)));
+        match by {
+            StoredItem::Agreement(_) => self.waiting.retain(|item| !matches!(item, StoredItem::Agreement(_))),
+            StoredItem::Checkpoint(_) => {
+                self.waiting.retain(|item| !matches!(item, StoredItem::Checkpoint(_)))
+            }
+            StoredItem::Batch { .. } => {}
         }
     }
 
--- a/crates/relay/src/tests/storage.rs
+++ b/crates/relay/src/tests/storage.rs
@@ -84,6 +84,17 @@
     assert_eq!((stored.agreement.as_deref(), stored.batches), (Some(&b"b"[..]), vec![batch(1), batch(2)]));
 }
 
+/// What is said after it rests on it: there are no batches that lead to it.
+#[test]
+fn a_checkpoint_without_its_batches_is_on_the_disk_at_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let jump = StoredItem::Checkpoint(Box::new(checkpoint(9)));
+    let running = store(folder.path(), &[batch(1), jump, batch(10)]);
+    let (_, stored) = Storage::open(folder.path()).unwrap();
+    assert_eq!((stored.checkpoint, stored.batches), (Some(checkpoint(9)), vec![batch(10)]));
+    drop(running);
+}
+
 #[test]
 fn what_waits_to_be_stored_is_bounded() {
     let folder = tempfile::tempdir().unwrap();
