Scale: a host's stall is the longest call into one member, not its whole queue

With 1,850 watchers in a process a revision keeps one core busy for 1.1 s: their signatures. That voided runs in which nothing stood still.

--- a/crates/scale/src/hollow/host.rs
+++ b/crates/scale/src/hollow/host.rs
@@ -89,7 +89,9 @@
     look_at: Duration,
     report_at: Duration,
     counting: bool,
-    lateness: Duration,
+    /// When the last call into a member ended, and the longest time that one took.
+    stepped: Duration,
+    stalled: Duration,
     resident_before: u64,
     cpu_before: Duration,
     over: bool,
@@ -132,7 +134,8 @@
             look_at: now + LOOK_EVERY,
             report_at: now + REPORT_EVERY,
             counting: false,
-            lateness: Duration::ZERO,
+            stepped: now,
+            stalled: Duration::ZERO,
             over: false,
             settings,
         };
@@ -177,14 +180,26 @@
             if now >= self.settings.over_at {
                 bail!("the run's time is over");
             }
+            self.stepped = now;
             for happening in told.drain(..) {
                 self.take(happening)?;
+                self.step();
             }
             self.reactor.flush();
         }
         Ok(())
     }
 
+    /// Looks at the clock between two calls into members: one that took long is a process that stood still.
+    fn step(&mut self) {
+        let now = self.reactor.clock();
+        self.stalled = self.stalled.max(now.saturating_sub(self.stepped));
+        self.stepped = now;
+        if now >= self.look_at {
+            self.look();
+        }
+    }
+
     fn take(&mut self, happening: Happening) -> Result<()> {
         match happening {
             Happening::Opened(line) if line == self.orders => {
@@ -203,7 +218,8 @@
                 self.readable(line);
                 self.lost(line);
             }
-            Happening::Due(LOOK) => self.look(),
+            // A look that is due takes place in the step.
+            Happening::Due(LOOK) => {}
             Happening::Due(token) if token >= START => self.start((token - START) as usize, true),
             Happening::Due(token) => self.tend(token as usize),
             _ => {}
@@ -385,7 +401,6 @@
 
     fn look(&mut self) {
         let now = self.reactor.clock();
-        self.lateness = self.lateness.max(now.saturating_sub(self.look_at));
         if !self.counting && now >= self.settings.count_from {
             self.count(now);
         }
@@ -395,12 +410,14 @@
         }
         self.look_at = now + LOOK_EVERY;
         self.reactor.due(self.look_at, LOOK);
+        // To look at all of them takes its time.
+        self.stepped = self.reactor.clock();
     }
 
     /// What was used until now was of the start.
     fn count(&mut self, now: Duration) {
         self.counting = true;
-        self.lateness = Duration::ZERO;
+        self.stalled = Duration::ZERO;
         self.seen.seconds = Default::default();
         self.seats.iter_mut().for_each(|seat| seat.meter.restart(now));
         self.cpu_before = process_cpu(std::process::id()).unwrap_or_default();
@@ -410,8 +427,8 @@
         self.report_at = now + REPORT_EVERY;
         let acting = self.seats.iter().filter(|seat| seat.acts_on.is_some()).count() as u32;
         let highest = self.seats.iter().filter_map(|seat| seat.acts_on).max().unwrap_or(0);
-        let (number, lateness) = (self.settings.number, self.lateness);
-        say(&mut self.reactor, self.orders, &Report::Progress { number, acting, highest, lateness });
+        let (number, stalled) = (self.settings.number, self.stalled);
+        say(&mut self.reactor, self.orders, &Report::Progress { number, acting, highest, stalled });
     }
 
     fn finish(&mut self) -> Result<()> {
@@ -432,7 +449,7 @@
             used: self.seats.iter().map(used).collect(),
             resident_before: self.resident_before,
             resident: resident_bytes(std::process::id()),
-            lateness: self.lateness,
+            stalled: self.stalled,
         };
         let path = &self.settings.result;
         std::fs::write(path, serde_json::to_vec(&result)?).with_context(|| path.display().to_string())?;
--- a/crates/scale/src/hollow/orders.rs
+++ b/crates/scale/src/hollow/orders.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
     Ready { number: u32 },
-    Progress { number: u32, acting: u32, highest: u32, lateness: Duration },
+    Progress { number: u32, acting: u32, highest: u32, stalled: Duration },
     Done { number: u32 },
 }
 
@@ -71,8 +71,8 @@
     /// The resident set before there were watchers, and at the end.
     pub resident_before: u64,
     pub resident: u64,
-    /// How late the host looked at its members at most.
-    pub lateness: Duration,
+    /// How long one call into a member took at most: longer than any does where the process stood still.
+    pub stalled: Duration,
 }
 
 /// Writes one line.
--- a/crates/scale/src/hollow/run.rs
+++ b/crates/scale/src/hollow/run.rs
@@ -41,7 +41,7 @@
     result: PathBuf,
     acting: u32,
     highest: Number,
-    lateness: Duration,
+    stalled: Duration,
     done: bool,
 }
 
@@ -165,8 +165,8 @@
             let log = path.with_extension("log");
             let arguments = ["hollow", &path.display().to_string()];
             let process = Process::start(self.rig.program(), &arguments, &log)?;
-            let (line, lateness) = (None, Duration::ZERO);
-            self.hosts.push(Host { process, line, result, acting: 0, highest: 0, lateness, done: false });
+            let (line, stalled) = (None, Duration::ZERO);
+            self.hosts.push(Host { process, line, result, acting: 0, highest: 0, stalled, done: false });
         }
         Ok(())
     }
@@ -275,8 +275,8 @@
             let Some(host) = self.hosts.get_mut(number as usize) else { continue };
             match report {
                 Report::Ready { .. } => host.line = Some(line),
-                Report::Progress { acting, highest, lateness, .. } => {
-                    (host.acting, host.highest, host.lateness) = (acting, highest, lateness);
+                Report::Progress { acting, highest, stalled, .. } => {
+                    (host.acting, host.highest, host.stalled) = (acting, highest, stalled);
                 }
                 Report::Done { .. } => host.done = true,
             }
@@ -286,12 +286,12 @@
     fn progress(&self, now: Duration) {
         let acting: u32 = self.hosts.iter().map(|host| host.acting).sum();
         let highest = self.hosts.iter().map(|host| host.highest).max().unwrap_or(0);
-        let lateness = self.hosts.iter().map(|host| host.lateness).max().unwrap_or_default();
+        let stalled = self.hosts.iter().map(|host| host.stalled).max().unwrap_or_default();
         eprintln!(
-            "  {:>6.1} s: {acting} of {} hollow controllers act, on {highest} at most; hosts {:.0} ms late at most",
+            "  {:>6.1} s: {acting} of {} hollow controllers act, on {highest} at most; no host stood still for over {:.0} ms",
             now.as_secs_f64(),
             self.host_of.len(),
-            lateness.as_secs_f64() * 1000.0
+            stalled.as_secs_f64() * 1000.0
         );
     }
 
@@ -458,7 +458,7 @@
             self.seen.seconds.merge(&Seconds::of_counts(&result.seconds));
             self.seen.members.extend(result.used.iter().map(|(controller, _)| *controller));
             self.seen.controllers.extend(result.used.iter().map(|(_, used)| *used));
-            self.seen.stalled = self.seen.stalled.max(result.lateness);
+            self.seen.stalled = self.seen.stalled.max(result.stalled);
             memory += result.resident.saturating_sub(result.resident_before);
         }
         self.seen.controller_memory = memory / self.seen.members.len().max(1) as u64;
