Relay: a change that no controller can act on is rejected where it is pushed

Neither sequencer nor acceptors read a state as a configuration: a change without [ladder], or with a zone's number taken by another, was certified and allowed, and all controllers would have held new joins back until another change. The relay that takes a push reads the state that it leads to, as controllers do, and answers with the reason. Each change is judged by itself: two that fit alone and not together, pushed at once, still go through; that needs the same check at the sequencer and the acceptors.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`settings`] | the INI file of a control machine, checked |
 //! | [`envelope`] | signed envelopes between control machines: what is accepted, what is refused and why |
 //! | `peers` | streams to and from the other control machines |
+//! | `push_check` | whether controllers can act on what a pushed change leads to |
 //! | `watchers` | streams of controllers and of operators' tools |
 //! | [`storage`] | what must be on the disk before anything is said that rests on it |
 //! | `service` | the loop that joins these to [`badgerledge_distribution::control::ControlMachine`] |
@@ -19,6 +20,7 @@
 pub mod edits;
 pub mod envelope;
 mod peers;
+mod push_check;
 mod service;
 pub mod settings;
 pub mod storage;
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{bail, Context, Result};
 use badgerledge_distribution::control::{Config, ControlMachine, ControlOutput, StoredItem};
-use badgerledge_distribution::message::{ControlStatus, PeerMessage, ToWatcher};
+use badgerledge_distribution::message::{ControlStatus, PeerMessage, ToRelay, ToWatcher};
 use badgerledge_keys::Keys;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
 use metrics::counter;
@@ -15,6 +15,7 @@
 
 use crate::envelope::Identity;
 use crate::peers::{PeerEvent, Peers};
+use crate::push_check::PushCheck;
 use crate::settings::{Prepared, RelaySettings};
 use crate::storage::{begin_life, Storage};
 use crate::telemetry::{self, LineLimit};
@@ -39,6 +40,7 @@
     reactor: Reactor,
     settings: RelaySettings,
     control: ControlMachine<Keys>,
+    push_check: PushCheck,
     storage: Storage,
     peers: Peers,
     watchers: Watchers,
@@ -100,6 +102,7 @@
         );
         let config = Config { connections, ..Config::new(place.number, life) };
         config.check()?;
+        let push_check = PushCheck::new(keys.clone());
         let control = ControlMachine::new(config, keys, stored, genesis, seed, now);
         let ring_read = modified(&place.ring);
         tracing::info!(machine = place.number, life, %listen, %peer_listen, connections, "badgerledge-relay serves");
@@ -107,6 +110,7 @@
             reactor,
             settings,
             control,
+            push_check,
             storage,
             peers,
             watchers: Watchers::new(watcher_listener, limits),
@@ -234,7 +238,9 @@
                 match event {
                     WatcherEvent::Opened(line) => self.control.watcher_opened(now, line, &mut self.outputs),
                     WatcherEvent::Message(line, message) if self.watchers.is(line) => {
-                        self.control.watcher_message(now, line, *message, &mut self.outputs);
+                        if !self.is_rejected(line, &message) {
+                            self.control.watcher_message(now, line, *message, &mut self.outputs);
+                        }
                     }
                     WatcherEvent::Message(..) => {}
                     WatcherEvent::Closed(line) => self.control.watcher_closed(now, line),
@@ -243,6 +249,15 @@
         }
     }
 
+    /// Whether a message is a change that no controller could act on; its author is told.
+    fn is_rejected(&mut self, line: Line, message: &ToRelay) -> bool {
+        let ToRelay::Push(change) = message else { return false };
+        let Err(rejection) = self.push_check.check(self.control.state(), change) else { return false };
+        let outcome = ToWatcher::PushOutcome { change: change.id, outcome: Err(rejection) };
+        self.with_watchers(|watchers, reactor, events| watchers.send(reactor, line, &outcome, events));
+        true
+    }
+
     /// Does what the control machine wants, in its order. While something can't be stored nothing is said: the rest is
     /// dropped as if it were lost.
     fn carry_out(&mut self) {
@@ -327,6 +342,7 @@
             Ok(keys) => {
                 tracing::info!("the ring of keys was read anew");
                 self.peers.take_keys(keys.clone());
+                self.push_check.take_keys(keys.clone());
                 self.control.take_hand(now, keys, &mut self.outputs);
             }
             Err(fault) => tracing::error!("{fault:#}; the keys read before go on holding"),
--- a/crates/replay/tests/distribution/changes.rs
+++ b/crates/replay/tests/distribution/changes.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use badgerledge_distribution::change::Rejection;
+
 use crate::fleet::{play, Shape, IN_FORCE};
 
 #[test]
@@ -34,3 +36,27 @@
 fn received(fleet: &crate::fleet::Fleet, controller: usize) -> usize {
     fleet.metric(controller, "badgerledge_distribution_received_bytes_total") as usize
 }
+
+/// Each would have all controllers hold new joins back, had it been certified.
+#[test]
+fn a_change_that_no_controller_can_act_on_is_rejected_where_it_is_pushed() {
+    play(Shape { controllers: 1, ..Shape::default() }, |fleet| {
+        for (edits, reason) in [
+            ("[remove ladder]\nsection = true\n", "ladder"),
+            ("[set fleet]\nzones = b, a\n", "zone a has number 0"),
+            ("[remove title 7]\n[remove title 8]\n[remove title 9]\n", "it has no titles"),
+            (
+                "[title 7]\nroom_type = none\nfirst_cell = 0\ncopies = 1\n",
+                "there is no room type of this name",
+            ),
+        ] {
+            let change = fleet.change(0, 0, edits);
+            match fleet.push_until_known(1, &change) {
+                Err(Rejection::State(said)) => assert!(said.contains(reason), "{said}"),
+                other => panic!("{edits}: {other:?}"),
+            }
+        }
+        assert_eq!(fleet.machines[0].status().unwrap().certified, 0);
+        assert_eq!(fleet.set_up(0, 7), 200);
+    });
+}
