--- a/crates/replay/tests/distribution/changes.rs
+++ b/crates/replay/tests/distribution/changes.rs
@@ -60,3 +60,25 @@
         assert_eq!(fleet.set_up(0, 7), 200);
     });
 }
+
+#[test]
+fn settings_alone_change_where_titles_do_not_go_with_them() {
+    play(Shape { controllers: 2, titles: false, ..Shape::default() }, |fleet| {
+        let film = "Room-Type: film\n";
+        assert_eq!([0, 1].map(|controller| fleet.set_up_with(controller, 7, film)), [400, 400]);
+        let settings = "benefit = 1\nclient_timeout_ms = 2000\njoin_objective_ms = 1000\n";
+        fleet
+            .push_edits(0, &format!("[section room_type film]\nplace = 1\n[set room_type film]\n{settings}"));
+        fleet.wait(IN_FORCE, "the revision is acted on", |fleet| {
+            (0..2).all(|controller| fleet.metric(controller, "badgerledge_revision_active") == 1.0)
+        });
+        assert_eq!([0, 1].map(|controller| fleet.set_up_with(controller, 7, film)), [200, 200]);
+        // Titles of the controllers' own catalogues are not of the state.
+        let title = fleet.change(0, 1, "[title a]\nroom_type = clip\nfirst_cell = 0\ncopies = 1\n");
+        let outcome = fleet.push_until_known(0, &title);
+        assert!(
+            matches!(&outcome, Err(Rejection::State(why)) if why.contains("it has titles")),
+            "{outcome:?}"
+        );
+    });
+}
--- a/crates/replay/tests/distribution/fleet.rs
+++ b/crates/replay/tests/distribution/fleet.rs
@@ -92,13 +92,23 @@
     pub streamers: u32,
     /// The own files of so many controllers, the last ones, have the usual titles alone.
     pub behind: usize,
+    /// Whether the titles go with the settings.
+    pub titles: bool,
     /// A further relay that controllers prefer to all others.
     pub stand_in: Option<SocketAddr>,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { machines: 3, controllers: 3, more_titles: 0, streamers: 4, behind: 0, stand_in: None }
+        Self {
+            machines: 3,
+            controllers: 3,
+            more_titles: 0,
+            streamers: 4,
+            behind: 0,
+            titles: true,
+            stand_in: None,
+        }
     }
 }
 
@@ -171,7 +181,8 @@
         let titles = (0..shape.more_titles).fold(CATALOGUE.to_owned(), |titles, n| {
             titles + &format!("[title {:x}]\nroom_type = clip\nfirst_cell = 0\ncopies = 4\n", 0x1000 + n)
         });
-        std::fs::write(path.join("genesis.ini"), SHARED.to_owned() + &titles).unwrap();
+        let genesis = SHARED.to_owned() + if shape.titles { &titles } else { "" };
+        std::fs::write(path.join("genesis.ini"), genesis).unwrap();
         let authors: Vec<PrivateKey> =
             (0..2).map(|author| PrivateKey::make(Role::Author(author)).unwrap()).collect();
         write_ring(path, shape.machines, &authors);
@@ -195,9 +206,10 @@
         let controllers = callers.iter().enumerate().map(|(number, from)| {
             let place = format!("controllers = {}\nnumber = {number}\n", shape.controllers);
             let told = format!(
-                "[distribution]\nring = {}/ring.ini\nrelays = {}\nfrom = {from}\ntitles = true\n",
+                "[distribution]\nring = {}/ring.ini\nrelays = {}\nfrom = {from}\ntitles = {}\n",
                 path.display(),
-                relays.join(", ")
+                relays.join(", "),
+                shape.titles
             );
             let behind = number + shape.behind >= shape.controllers;
             let titles = if behind { CATALOGUE } else { &titles };
@@ -250,9 +262,14 @@
 
     /// What a viewer is answered that asks for a title.
     pub fn set_up(&mut self, controller: usize, title: u64) -> u16 {
+        self.set_up_with(controller, title, "")
+    }
+
+    /// The same with further lines.
+    pub fn set_up_with(&mut self, controller: usize, title: u64, more: &str) -> u16 {
         self.viewer += 1;
         let mut talk = Talk::to(self.controllers[controller].at);
-        talk.set_up(1, title, self.viewer, "");
+        talk.set_up(1, title, self.viewer, more);
         status(&talk.hear_message())
     }
 
