controller: ends.rs split by job, from 816 lines into ten modules

Cause: viewers' connections, their requests and answers, joins, the relay, probes, peers' datagrams and accounts in one type. Change: ends.rs keeps the type and which line is whose; ends/ has viewers, requests, answers, joins, relay, probing, peers, accounts and carrier, where the exchange's trait hands each call on to the module that does it. Methods moved whole, save: packet() has its notes in functions of their own, opened() its probe, end_join() its count; channels 0 and 1 are constants; (JobId, u16) is JoinId. serve.rs, revising.rs and lib.rs are as they were. Failed try: media and control each in a function that looked the join up again; a lookup more for each packet, so taken back. Checked: clippy over the workspace; tests of controller and its four dependents (62 passed). Flaky under that load, on the text before as on this one: changes::a_change_reaches_what_waits_joins_and_plays, 14 of 15 alone on each.

--- /dev/null
+++ b/crates/controller/src/ends/carrier.rs
@@ -0,0 +1,75 @@
+//! What the exchange has carried out, and the module of this directory that does it.
+
+use std::time::Duration;
+
+use badgerledge_core::interface::{Asked, Ending, JobId, StreamerId};
+use badgerledge_exchange::Carrier;
+use badgerledge_reactor::Line;
+
+use super::Ends;
+
+impl Carrier for Ends {
+    fn grant(&mut self, viewer: Line, job: JobId) {
+        self.answer_granted(viewer, job);
+    }
+
+    fn throttle(&mut self, viewer: Line, cool_down: Duration) {
+        self.answer_throttled(viewer, cool_down);
+    }
+
+    fn terminate(&mut self, viewer: Line, late: bool) {
+        self.answer_terminated(viewer, late);
+    }
+
+    fn open_join(&mut self, job: JobId, number: u16, streamer: StreamerId) {
+        self.connect_join(job, number, streamer);
+    }
+
+    fn set_up(&mut self, job: JobId, number: u16, asked: &Asked, rung: Option<u8>) {
+        self.request_set_up(job, number, asked, rung);
+    }
+
+    fn play(&mut self, job: JobId, number: u16) {
+        self.request_play(job, number);
+    }
+
+    fn step(&mut self, job: JobId, number: u16, rung: u8) {
+        self.request_rung(job, number, rung);
+    }
+
+    fn end_join(&mut self, job: JobId, number: u16) {
+        self.tear_down_join(job, number);
+    }
+
+    fn redirect(&mut self, viewer: Line) {
+        self.send_redirect(viewer);
+    }
+
+    fn farewell(&mut self, viewer: Line) {
+        self.send_farewell(viewer);
+    }
+
+    fn came_to(&mut self, streamer: StreamerId, ending: Option<Ending>) {
+        self.hear_ending(streamer, ending);
+    }
+
+    fn remind(&mut self, from_now: Duration, token: u64) {
+        self.reminders.push((self.now + from_now, token));
+    }
+
+    fn probe(&mut self, streamer: StreamerId) {
+        self.begin_probe(streamer);
+    }
+
+    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]) {
+        self.send_signal(peer, bytes);
+    }
+
+    fn observe(&mut self, want: bool) {
+        self.list_wants.0 = Some(want);
+    }
+
+    fn list_all(&mut self) {
+        self.list_wants.1 = true;
+    }
+}
