platform, rollout: the three module cycles are gone

Cause: dispatcher and session_table, calls and unanswered, always and verdict each imported the other. Change: platform gets wires (the Wires trait), causes (causes of releases) and phase (Phase); rollout gets cell (Cell). All import these, and imports go one way. MOVED_WITHIN stands in dispatcher, its one user; cause 31 has a name. tests.rs: one import line. Left: member and spread in crates/revisions, where others work.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -11,20 +11,9 @@
 use badgerledge_signalling::streamers;
 
 use crate::asked::Terms;
+use crate::phase::Phase;
 use crate::unanswered::{By, Lost, Step, Unanswered};
 
-/// Where a call is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// The module holds it.
-    Waiting,
-    /// A join is out.
-    Out(StreamerId),
-    Stands(StreamerId),
-    /// It was moved away, and its streamer has yet to end it.
-    Leaves(StreamerId),
-}
-
 /// What is passed on to streamers until one has answered.
 pub struct Offered {
     pub room_type: usize,
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -5,9 +5,14 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::calls::{trace, Call, Calls, Due, Offered, Phase};
-use crate::session_table::{Wires, CUT, MOVED_WITHIN, THROTTLED};
+use crate::calls::{trace, Call, Calls, Due, Offered};
+use crate::causes::{CUT, THROTTLED};
+use crate::phase::Phase;
 use crate::unanswered::{By, Step};
+use crate::wires::Wires;
+
+/// How long a streamer has to end what was moved before it is told to.
+const MOVED_WITHIN: Duration = Duration::from_millis(600);
 
 pub struct Dispatcher<'a, W> {
     pub now: Duration,
--- a/crates/platform/src/ends.rs
+++ b/crates/platform/src/ends.rs
@@ -10,7 +10,7 @@
 use crate::configuration::Place;
 use crate::front::Front;
 use crate::pool::Pool;
-use crate::session_table::Wires;
+use crate::wires::Wires;
 
 /// A datagram between controllers holds this much at most.
 const DATAGRAM: usize = 256;
--- a/crates/platform/src/hearing.rs
+++ b/crates/platform/src/hearing.rs
@@ -10,8 +10,10 @@
 use badgerledge_signalling::{streamers, viewers, Fault};
 
 use crate::asked::Terms;
+use crate::causes::CUT;
 use crate::ends::Ends;
-use crate::session_table::{streamer_id, ListEntry, SessionTable, Wires, CUT};
+use crate::session_table::{streamer_id, ListEntry, SessionTable};
+use crate::wires::Wires;
 
 /// The list's words in the module's figures.
 pub struct Entries {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod asked;
 mod calls;
+mod causes;
 mod configuration;
 #[cfg(test)]
 mod configuration_tests;
@@ -11,6 +12,7 @@
 mod ends;
 mod front;
 mod hearing;
+mod phase;
 mod pool;
 #[cfg(test)]
 mod pool_tests;
@@ -19,5 +21,6 @@
 #[cfg(test)]
 mod tests;
 mod unanswered;
+mod wires;
 
 pub use serve::run;
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -15,16 +15,12 @@
 use badgerledge_signalling::{streamers, Fault};
 
 use crate::asked::{self, Terms};
-use crate::calls::{trace, Arrival, Call, Calls, Due, Offered, Phase};
+use crate::calls::{trace, Arrival, Call, Calls, Due, Offered};
+use crate::causes::{CUT, MOVED, NORMAL, THROTTLED, UNUSABLE};
 use crate::dispatcher::Dispatcher;
+use crate::phase::Phase;
 use crate::unanswered::{By, Step, Unanswered};
-
-/// Causes on the wire.
-pub const NORMAL: u8 = 16;
-pub const CUT: u8 = 41;
-pub const THROTTLED: u8 = 42;
-/// Says of a request that it could not be used.
-const UNUSABLE: u8 = 96;
+use crate::wires::Wires;
 
 /// How much sooner than the viewer gives up the module is told to have answered, for the way back and a loop
 /// that is late; a tenth where that is less. Harm: a join that would have been answered in this part is lost.
@@ -39,27 +35,6 @@
 const STANDING_PER_MB: usize = 200;
 /// What the session table names as time to stay away when it has no room itself.
 const FULL_FOR: Duration = Duration::from_millis(500);
-/// How long a streamer has to end what was moved before it is told to.
-pub const MOVED_WITHIN: Duration = Duration::from_millis(600);
-
-/// The sockets, as the session table sees them.
-pub trait Wires {
-    /// Gives a message to a viewer's connection, or tells that it takes none any more.
-    fn answer(&mut self, line: Line, message: &[u8]) -> bool;
-    /// The release of a subscription, on any viewers' connection where that one is gone, as soon as there is one.
-    fn release(&mut self, line: Line, wire_id: u64, message: Vec<u8>);
-    /// What came on this connection can only come from the front.
-    fn trust(&mut self, line: Line);
-    /// Begins a join, on a connection of its own where there is room.
-    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
-    /// Gives up the join that is out.
-    fn withdraw(&mut self, job: JobId, wire_id: u64, streamer: StreamerId);
-    /// Gives a message to a streamer on any of its connections.
-    fn say(&mut self, streamer: StreamerId, message: Vec<u8>);
-    fn probe(&mut self, streamer: StreamerId);
-    fn drop_idle(&mut self, streamer: StreamerId);
-    fn signal(&mut self, peer: Option<u16>, bytes: &[u8]);
-}
 
 /// A streamer's id in the module: the 32 bits that the list names it by, not its address, since another
 /// streamer may come at the address of one that is gone.
@@ -309,9 +284,9 @@
         match call.phase {
             // A move crosses with an end now and then: only its own end says that the viewer is told.
             Phase::Stands(at) | Phase::Leaves(at) if at == streamer => {
-                let ending = match cause {
-                    16 => Ending::Served,
-                    31 => Ending::Cancelled,
+                let ending = match u8::try_from(cause) {
+                    Ok(NORMAL) => Ending::Served,
+                    Ok(MOVED) => Ending::Cancelled,
                     _ => Ending::Reset,
                 };
                 // Who was moved, or has left, is owed no release.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -14,8 +14,9 @@
 
 use crate::asked::Terms;
 use crate::dispatcher::Dispatcher;
-use crate::session_table::{streamer_id, ListEntry, SessionTable, Wires};
+use crate::session_table::{streamer_id, ListEntry, SessionTable};
 use crate::unanswered::{By, Lost, Step as Stood, Unanswered};
+use crate::wires::Wires;
 
 const ORIGIN: Duration = Duration::from_secs(1000);
 const STREAMERS: u32 = 4;
--- a/crates/platform/src/unanswered.rs
+++ b/crates/platform/src/unanswered.rs
@@ -11,7 +11,7 @@
 use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::Closing;
 
-use crate::calls::Phase;
+use crate::phase::Phase;
 
 /// A line in the log at most so often; what comes between is counted, and told with the next. A crowd that connects,
 /// asks and closes must not cost a write each.
--- a/crates/rollout/src/always.rs
+++ b/crates/rollout/src/always.rs
@@ -5,7 +5,7 @@
 //! in units of its deviation, moves like a Brownian motion in the information; the mixture boundary of Robbins (1970), as
 //! used by Johari and others (2017), is crossed by it with a chance of alpha at most, over all looks together.
 
-use crate::verdict::Cell;
+use crate::cell::Cell;
 
 /// A difference of two rates: how much more of the new side's goes wrong, and its variance if the builds are alike.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- /dev/null
+++ b/crates/rollout/src/cell.rs
@@ -0,0 +1,8 @@
+//! What is counted of one controller for one measure.
+
+/// A part that went wrong, of a whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cell {
+    pub bad: f64,
+    pub of: f64,
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -7,6 +7,7 @@
 //! This is the first part of the rolling change: nothing carries it out yet.
 
 mod always;
+mod cell;
 mod heard;
 mod plan;
 mod verdict;
--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -6,6 +6,7 @@
 use statrs::distribution::{ContinuousCDF, Normal};
 
 use crate::always::{difference, together, without_the_worst, Difference};
+use crate::cell::Cell;
 use crate::heard::Counted;
 use crate::plan::Member;
 
@@ -23,13 +24,6 @@
 pub const MEASURES: [Measure; 5] =
     [Measure::JoinsLost, Measure::Throttled, Measure::Terminated, Measure::Late, Measure::Unserved];
 
-/// A part that went wrong, of a whole.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cell {
-    pub bad: f64,
-    pub of: f64,
-}
-
 impl Measure {
     fn cell(self, counted: &Counted) -> Cell {
         let (bad, of) = match self {
