reactor: Socketry is Source, keep and release are register and deregister

Cause: names of the house for what pollers call a source and its registration; sockets and connections imported each other. Change: private names only; Bounds and Conn stand in sockets, so that imports between the modules go one way.

--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -16,10 +16,10 @@
 mod timers;
 mod transfer;
 
-pub use connections::Bounds;
 pub use events::{Closing, Happening, Line};
+pub use sockets::Bounds;
 
-use sockets::Socketry;
+use sockets::Source;
 use timers::Due;
 use transfer::READ_AT_ONCE;
 
@@ -35,7 +35,7 @@
     offset: Duration,
     now: Duration,
     next_line: Line,
-    lines: BTreeMap<Line, Socketry>,
+    lines: BTreeMap<Line, Source>,
     connections: usize,
     due: BTreeSet<(Duration, Due)>,
     dirty: Vec<Line>,
--- a/crates/reactor/src/reactor/connections.rs
+++ b/crates/reactor/src/reactor/connections.rs
@@ -8,56 +8,9 @@
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
 use super::events::{Closing, Happening, Line};
-use super::sockets::{fd, Socketry};
+use super::sockets::{fd, Bounds, Conn, Source};
 use super::timers::Due;
 use super::Reactor;
-use crate::buffer::Buffer;
-
-/// How many bytes a line holds at most.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// Bytes read and not yet consumed; at the bound reading stops until some are.
-    pub input: usize,
-    /// Bytes given and not yet written; [`Reactor::send`] takes nothing that goes over it.
-    pub output: usize,
-}
-
-/// The state of one connection.
-pub(super) struct Conn {
-    pub(super) input: Buffer,
-    pub(super) output: Buffer,
-    pub(super) bounds: Bounds,
-    pub(super) making: bool,
-    pub(super) finishing: bool,
-    pub(super) was_full: bool,
-    /// What the poller was last asked for: readable, writable.
-    pub(super) interest: (bool, bool),
-    /// In the list of lines that have output to flush.
-    pub(super) dirty: bool,
-    pub(super) ended: Option<Closing>,
-}
-
-impl Conn {
-    pub(super) fn new(bounds: Bounds, making: bool) -> Self {
-        Self {
-            input: Buffer::default(),
-            output: Buffer::default(),
-            bounds,
-            making,
-            finishing: false,
-            was_full: false,
-            interest: (!making, making),
-            dirty: false,
-            ended: None,
-        }
-    }
-
-    /// What the poller is to be asked for: readable, writable.
-    pub(super) fn wanted(&self) -> (bool, bool) {
-        let reads = !self.making && !self.finishing && self.input.len() < self.bounds.input;
-        (reads, self.making || !self.output.is_empty())
-    }
-}
 
 /// How long a finishing line may take over its last bytes: a slow reader gets an answer of some hundred bytes
 /// in less, and one that reads nothing holds its descriptor no longer.
@@ -94,7 +47,7 @@
             _ => {}
         }
         let conn = Conn::new(bounds, true);
-        let line = self.keep(Socketry::Stream { socket: TcpStream::from(socket), conn })?;
+        let line = self.register(Source::Stream { socket: TcpStream::from(socket), conn })?;
         self.connections += 1;
         self.due.insert((self.clock() + within, Due::Line(line)));
         Ok(line)
@@ -102,28 +55,28 @@
 
     pub(super) fn conn(&self, line: Line) -> Option<&Conn> {
         match self.lines.get(&line) {
-            Some(Socketry::Stream { conn, .. }) => Some(conn),
+            Some(Source::Stream { conn, .. }) => Some(conn),
             _ => None,
         }
     }
 
     pub(super) fn conn_mut(&mut self, line: Line) -> Option<&mut Conn> {
         match self.lines.get_mut(&line) {
-            Some(Socketry::Stream { conn, .. }) => Some(conn),
+            Some(Source::Stream { conn, .. }) => Some(conn),
             _ => None,
         }
     }
 
     /// Ends a line at once.
     pub fn close(&mut self, line: Line) {
-        self.release(line);
+        self.deregister(line);
     }
 
     /// Tells the other end that nothing more comes, and still reads what it had on the way: the line ends once it
     /// closes too, or is not there any more. What is not written by then never is.
     pub fn shut(&mut self, line: Line) {
         self.write_out(line);
-        let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+        let Some(Source::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
         if !conn.making && conn.ended.is_none() {
             self.costs.system_calls += 1;
             // One that is broken is told as such by the next wait.
@@ -150,14 +103,14 @@
         conn.ended = Some(why);
         self.connections -= 1;
         self.ended.push(line);
-        if let Some(socketry) = self.lines.get(&line) {
-            let _ = self.poller.delete(fd(socketry));
+        if let Some(source) = self.lines.get(&line) {
+            let _ = self.poller.delete(fd(source));
         }
     }
 
     /// Asks the poller for what a line now waits for, where that has changed.
     pub(super) fn tune(&mut self, line: Line) {
-        let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+        let Some(Source::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
         let wanted = conn.wanted();
         if conn.ended.is_none() && conn.interest != wanted {
             conn.interest = wanted;
@@ -169,7 +122,7 @@
 
     /// Finds out whether a connection that was begun is made.
     pub(super) fn made(&mut self, line: Line, told: &mut Vec<Happening>) {
-        let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+        let Some(Source::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
         self.costs.system_calls += 2;
         let made = matches!(socket.take_error(), Ok(None)) && socket.peer_addr().is_ok();
         if !made {
--- a/crates/reactor/src/reactor/datagrams.rs
+++ b/crates/reactor/src/reactor/datagrams.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, UdpSocket};
 
 use super::events::{Happening, Line};
-use super::sockets::Socketry;
+use super::sockets::Source;
 use super::{Reactor, TAKEN_AT_ONCE};
 
 impl Reactor {
@@ -13,13 +13,13 @@
         let socket = UdpSocket::bind(at)?;
         socket.set_nonblocking(true)?;
         let at = socket.local_addr()?;
-        Ok((self.keep(Socketry::Datagrams(socket))?, at))
+        Ok((self.register(Source::Datagrams(socket))?, at))
     }
 
     /// Sends a datagram; one that the kernel cannot take now is lost, as datagrams are.
     pub fn send_to(&self, line: Line, to: SocketAddr, bytes: &[u8]) -> bool {
         match self.lines.get(&line) {
-            Some(Socketry::Datagrams(socket)) => socket.send_to(bytes, to).is_ok(),
+            Some(Source::Datagrams(socket)) => socket.send_to(bytes, to).is_ok(),
             _ => false,
         }
     }
@@ -27,7 +27,7 @@
     /// Takes datagrams from a socket.
     pub(super) fn receive(&mut self, line: Line, told: &mut Vec<Happening>) {
         for _ in 0..TAKEN_AT_ONCE {
-            let Some(Socketry::Datagrams(socket)) = self.lines.get(&line) else { return };
+            let Some(Source::Datagrams(socket)) = self.lines.get(&line) else { return };
             self.costs.system_calls += 1;
             match socket.recv_from(&mut self.scratch) {
                 Ok((count, from)) => {
--- a/crates/reactor/src/reactor/listeners.rs
+++ b/crates/reactor/src/reactor/listeners.rs
@@ -7,9 +7,8 @@
 use polling::{Event, PollMode};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
-use super::connections::{Bounds, Conn};
 use super::events::{Happening, Line};
-use super::sockets::Socketry;
+use super::sockets::{Bounds, Conn, Source};
 use super::timers::Due;
 use super::{Reactor, TAKEN_AT_ONCE};
 
@@ -29,7 +28,7 @@
         socket.set_nonblocking(true)?;
         let socket = TcpListener::from(socket);
         let at = socket.local_addr()?;
-        Ok((self.keep(Socketry::Listener { socket, bounds, resting: false })?, at))
+        Ok((self.register(Source::Listener { socket, bounds, resting: false })?, at))
     }
 
     /// Takes this many connections from a listener in one wait at most, where each holds a descriptor until its
@@ -41,7 +40,7 @@
     /// Takes connections from a listener.
     pub(super) fn accept(&mut self, listener: Line, told: &mut Vec<Happening>) {
         for _ in 0..self.accepted_at_once {
-            let Some(Socketry::Listener { socket, bounds, .. }) = self.lines.get(&listener) else { return };
+            let Some(Source::Listener { socket, bounds, .. }) = self.lines.get(&listener) else { return };
             let bounds = *bounds;
             self.costs.system_calls += 1;
             match socket.accept() {
@@ -52,7 +51,7 @@
                     if ready.is_err() {
                         continue;
                     }
-                    if let Ok(line) = self.keep(Socketry::Stream { socket, conn }) {
+                    if let Ok(line) = self.register(Source::Stream { socket, conn }) {
                         self.connections += 1;
                         told.push(Happening::Accepted { line, listener, from });
                     }
@@ -68,7 +67,7 @@
     /// Stops a listener for [`DESCRIPTOR_REST`], or starts it again.
     pub(super) fn rest(&mut self, listener: Line, rests: bool) {
         let at = self.clock() + DESCRIPTOR_REST;
-        let Some(Socketry::Listener { socket, resting, .. }) = self.lines.get_mut(&listener) else { return };
+        let Some(Source::Listener { socket, resting, .. }) = self.lines.get_mut(&listener) else { return };
         *resting = rests;
         let key = listener as usize;
         let event = if rests { Event::none(key) } else { Event::readable(key) };
--- a/crates/reactor/src/reactor/poll.rs
+++ b/crates/reactor/src/reactor/poll.rs
@@ -6,14 +6,14 @@
 use polling::Event;
 
 use super::events::{Happening, Line};
-use super::sockets::Socketry;
+use super::sockets::Source;
 use super::{signals, Reactor};
 
 impl Reactor {
     /// Waits until something happens, or until that time, and tells what.
     pub fn wait(&mut self, until: Option<Duration>, told: &mut Vec<Happening>) -> io::Result<()> {
         for line in std::mem::take(&mut self.told_ended) {
-            self.release(line);
+            self.deregister(line);
         }
         let first = self.due.first().map(|due| due.0);
         let until = until.into_iter().chain(first).min();
@@ -49,11 +49,11 @@
     fn serve(&mut self, event: Event, told: &mut Vec<Happening>) {
         let line = event.key as Line;
         match self.lines.get_mut(&line) {
-            Some(Socketry::Listener { .. }) => self.accept(line, told),
-            Some(Socketry::Datagrams(_)) => self.receive(line, told),
-            Some(Socketry::Signal(pipe, signal)) => signals::receive(pipe, *signal, told),
-            Some(Socketry::Stream { conn, .. }) if conn.making => self.made(line, told),
-            Some(Socketry::Stream { .. }) => {
+            Some(Source::Listener { .. }) => self.accept(line, told),
+            Some(Source::Datagrams(_)) => self.receive(line, told),
+            Some(Source::Signal(pipe, signal)) => signals::receive(pipe, *signal, told),
+            Some(Source::Stream { conn, .. }) if conn.making => self.made(line, told),
+            Some(Source::Stream { .. }) => {
                 if event.writable {
                     self.write_out(line);
                     self.tell_drained(line, told);
--- a/crates/reactor/src/reactor/signals.rs
+++ b/crates/reactor/src/reactor/signals.rs
@@ -4,7 +4,7 @@
 use std::os::unix::net::UnixStream;
 
 use super::events::Happening;
-use super::sockets::Socketry;
+use super::sockets::Source;
 use super::Reactor;
 
 /// Bytes read from a signal's pipe at once: one is written for each time that it came, and all are told as one.
@@ -24,6 +24,6 @@
         let (read, write) = UnixStream::pair()?;
         read.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(signal, write)?;
-        self.keep(Socketry::Signal(read, signal)).map(drop)
+        self.register(Source::Signal(read, signal)).map(drop)
     }
 }
--- a/crates/reactor/src/reactor/transfer.rs
+++ b/crates/reactor/src/reactor/transfer.rs
@@ -3,7 +3,7 @@
 use std::io::{ErrorKind, Read, Write};
 
 use super::events::{Closing, Happening, Line};
-use super::sockets::Socketry;
+use super::sockets::Source;
 use super::Reactor;
 use crate::buffer::Buffer;
 
@@ -83,7 +83,7 @@
 
     /// Writes a line's output as far as the kernel takes it.
     pub(super) fn write_out(&mut self, line: Line) {
-        let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+        let Some(Source::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
         conn.dirty = false;
         if conn.making || conn.ended.is_some() {
             return;
@@ -120,7 +120,7 @@
     pub(super) fn read_in(&mut self, line: Line, told: &mut Vec<Happening>) {
         let mut read = 0;
         while read < READ_AT_ONCE {
-            let Some(Socketry::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
+            let Some(Source::Stream { socket, conn }) = self.lines.get_mut(&line) else { return };
             let most = conn.bounds.input.saturating_sub(conn.input.len()).min(READ_AT_ONCE - read);
             if conn.ended.is_some() || most == 0 {
                 break;
