gossip: the trait Hand is Keyring, the datagram kind WORD is MESSAGE

Cause: names of the house for a set of keys and for another subsystem's message. Change: the trait, its users in keys, gossip_lab, bench and the fuzz target, and the field; docs on its methods.

--- a/crates/bench/src/signatures.rs
+++ b/crates/bench/src/signatures.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use badgerledge_gossip::{Hand, LONGEST, SIGNATURE};
+use badgerledge_gossip::{Keyring, LONGEST, SIGNATURE};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_settings::Sheet;
 
--- a/crates/gossip/src/envelope.rs
+++ b/crates/gossip/src/envelope.rs
@@ -27,14 +27,14 @@
 
 /// Kinds of datagrams. Bodies: ping, ack and nack have the probe's number (2) and statements; ask has the number, the
 /// member to be probed (2) and statements; digest has the place to begin in the ring (2), a count (1) and a byte for
-/// each member; news has statements; a word is another subsystem's, as it is.
+/// each member; news has statements; a message is another subsystem's, as it is.
 pub const PING: u8 = 1;
 pub const ACK: u8 = 2;
 pub const ASK: u8 = 3;
 pub const NACK: u8 = 4;
 pub const DIGEST: u8 = 5;
 pub const NEWS: u8 = 6;
-pub const WORD: u8 = 7;
+pub const MESSAGE: u8 = 7;
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Error)]
@@ -87,7 +87,7 @@
     if bytes.len() > LONGEST {
         return Err(Fault::Oversize);
     }
-    if bytes.len() < HEAD + SIGNATURE || bytes[..3] != MARK || !(PING..=WORD).contains(&bytes[3]) {
+    if bytes.len() < HEAD + SIGNATURE || bytes[..3] != MARK || !(PING..=MESSAGE).contains(&bytes[3]) {
         return Err(Fault::Malformed);
     }
     let (signed, signature) = bytes.split_at(bytes.len() - SIGNATURE);
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -24,7 +24,7 @@
 pub use envelope::{Fault, LONGEST};
 pub use member::{Counts, Gossip, News, Outside};
 pub use ration::Ration;
-pub use statement::{Hand, SIGNATURE};
+pub use statement::{Keyring, SIGNATURE};
 pub use view::{Standing, View};
 pub use window::Window;
 
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -13,7 +13,7 @@
 use crate::outbox::Outbox;
 use crate::probe::Probes;
 use crate::ration::Ration;
-use crate::statement::{incarnation, life_of, Hand};
+use crate::statement::{incarnation, life_of, Keyring};
 use crate::view::{Known, Standing, View, PERIOD};
 use crate::window::Window;
 use crate::Member;
@@ -43,7 +43,7 @@
 
 /// A member of the gossip.
 pub struct Gossip<H> {
-    hand: H,
+    keyring: H,
     me: Member,
     incarnation: u64,
     at: SocketAddrV4,
@@ -75,16 +75,17 @@
     pub counts: Counts,
 }
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// A member in a life that is later than all it had before. `seeds` are addresses of some others.
     pub fn new(
-        me: Member, hand: H, life: u32, at: SocketAddrV4, seeds: Vec<SocketAddrV4>, now: Duration, seed: u64,
+        me: Member, keyring: H, life: u32, at: SocketAddrV4, seeds: Vec<SocketAddrV4>, now: Duration,
+        seed: u64,
     ) -> Self {
         let mut chance = Chance(seed);
         // Members that start in one second do not go on in step.
         let first = now + PERIOD.mul_f64(chance.share());
         let mut gossip = Self {
-            hand,
+            keyring,
             me,
             incarnation: incarnation(life, 0),
             at,
@@ -113,7 +114,7 @@
             due: now,
             counts: Counts::default(),
         };
-        gossip.view.expect(gossip.hand.ring().len());
+        gossip.view.expect(gossip.keyring.ring().len());
         gossip.say_alive(now, false);
         gossip
     }
@@ -125,7 +126,7 @@
 
     /// The keys that it signs and checks with.
     pub fn hand(&self) -> &H {
-        &self.hand
+        &self.keyring
     }
 
     /// Its own number.
@@ -144,11 +145,11 @@
     }
 
     /// Takes another ring and key: members whose keys are gone are forgotten, with all that they said.
-    pub fn take_hand(&mut self, hand: H, now: Duration) {
-        self.hand = hand;
-        self.view.expect(self.hand.ring().len());
+    pub fn take_hand(&mut self, keyring: H, now: Duration) {
+        self.keyring = keyring;
+        self.view.expect(self.keyring.ring().len());
         let gone: Vec<Member> =
-            self.view.members().map(|(member, _)| member).filter(|m| !self.hand.knows(*m)).collect();
+            self.view.members().map(|(member, _)| member).filter(|m| !self.keyring.knows(*m)).collect();
         for member in gone {
             self.forget(member);
         }
--- a/crates/gossip/src/member/anti_entropy.rs
+++ b/crates/gossip/src/member/anti_entropy.rs
@@ -5,7 +5,7 @@
 use super::{Gossip, Outside};
 use crate::envelope::{Head, BODY, DIGEST, LONGEST, NEWS};
 use crate::probe::shuffle;
-use crate::statement::{Hand, Statement};
+use crate::statement::{Keyring, Statement};
 use crate::Member;
 
 /// A comparison that found a difference is followed by another one after about this time.
@@ -15,11 +15,11 @@
 /// Records that one comparison is answered with at most; the next one brings the rest.
 const ANSWERED: usize = 16;
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Shows one other member what is held here of a part of the ring; it answers with what differs.
     pub(super) fn compare(&mut self, now: Duration, out: &mut impl Outside) {
         let Some(to) = self.some_members(1, None).first().copied() else { return };
-        let ring = self.hand.ring();
+        let ring = self.keyring.ring();
         if self.compared_to >= ring.len() {
             self.compared_to = 0;
         }
@@ -40,7 +40,7 @@
         &mut self, now: Duration, head: &Head, begin: Member, told: &[u8], out: &mut impl Outside,
     ) {
         let Some((count, digests)) = told.split_first() else { return };
-        let ring = self.hand.ring();
+        let ring = self.keyring.ring();
         let Some(begin) = ring.iter().position(|member| *member == begin) else { return };
         let slice = ring[begin..].iter().zip(digests.iter().take(usize::from(*count)));
         let differs =
--- a/crates/gossip/src/member/dissemination.rs
+++ b/crates/gossip/src/member/dissemination.rs
@@ -3,24 +3,24 @@
 use std::time::Duration;
 
 use super::{Gossip, News, Outside};
-use crate::envelope::{Fault, BODY, NEWS, WORD};
+use crate::envelope::{Fault, BODY, MESSAGE, NEWS};
 use crate::outbox::Rank;
-use crate::statement::{life_of, Bulletin, Hand, Said, Statement, ITEMS, ITEM_BYTES};
+use crate::statement::{life_of, Bulletin, Keyring, Said, Statement, ITEMS, ITEM_BYTES};
 use crate::{Member, LONGEST};
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Publishes what this member holds against streamers: its latest word on all of them.
     pub fn publish(&mut self, now: Duration, items: Vec<[u8; ITEM_BYTES]>) {
         self.bulletin_number += 1;
         let items = items.into_iter().take(ITEMS).collect();
         let bulletin = Bulletin { author: self.me, life: self.life(), number: self.bulletin_number, items };
         self.counts.signed += 1;
-        self.outbox.put(Said::Bulletin(bulletin).sign(&self.hand), Rank::News, now);
+        self.outbox.put(Said::Bulletin(bulletin).sign(&self.keyring), Rank::News, now);
     }
 
-    /// Sends another subsystem's word to a member, as far as the ceiling allows. Tells whether it went.
-    pub fn word(&mut self, now: Duration, to: Member, word: &[u8], out: &mut impl Outside) -> bool {
-        word.len() <= BODY && self.send(now, WORD, to, word, false, out)
+    /// Sends another subsystem's message to a member, as far as the ceiling allows. Tells whether it went.
+    pub fn word(&mut self, now: Duration, to: Member, message: &[u8], out: &mut impl Outside) -> bool {
+        message.len() <= BODY && self.send(now, MESSAGE, to, message, false, out)
     }
 
     /// Sends the most urgent statements to one member drawn by chance.
@@ -56,7 +56,7 @@
                 return behind;
             }
             self.counts.checked += 1;
-            if !self.hand.knows(statement.said.author()) || !statement.is_signed(&self.hand) {
+            if !self.keyring.knows(statement.said.author()) || !statement.is_signed(&self.keyring) {
                 *self.counts.dropped.entry(Fault::Unsigned).or_default() += 1;
                 continue;
             }
--- a/crates/gossip/src/member/events.rs
+++ b/crates/gossip/src/member/events.rs
@@ -28,7 +28,7 @@
     Standing(Member, Standing),
     /// A bulletin by a member that takes part, how old, and that member's items.
     Bulletin(Bulletin, Duration),
-    /// Another subsystem's word.
+    /// Another subsystem's message, from this member.
     Word(Member, Vec<u8>),
 }
 
--- a/crates/gossip/src/member/joining.rs
+++ b/crates/gossip/src/member/joining.rs
@@ -8,16 +8,16 @@
 use crate::envelope::{ANYONE, NEWS};
 use crate::outbox::Rank;
 use crate::probe::shuffle;
-use crate::statement::{incarnation, life_of, Hand, Record, Said, Statement, LAST_INCARNATION};
+use crate::statement::{incarnation, life_of, Keyring, Record, Said, Statement, LAST_INCARNATION};
 use crate::view::{Change, Known, Standing};
 use crate::Member;
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Says that this member is alive, or that it leaves, and takes it down itself.
     pub(super) fn say_alive(&mut self, now: Duration, left: bool) {
         let record = Record { subject: self.me, incarnation: self.incarnation, left, at: self.at };
         self.counts.signed += 1;
-        let statement = Said::Record(record).sign(&self.hand);
+        let statement = Said::Record(record).sign(&self.keyring);
         self.view.record(now, record, &statement.signature);
         self.outbox.put(statement, Rank::Refutation, now);
     }
@@ -41,8 +41,8 @@
     pub fn recall(&mut self, now: Duration, stored: Vec<Statement>, news: &mut Vec<News>) {
         for statement in stored {
             let Said::Record(record) = statement.said else { continue };
-            let theirs = record.subject != self.me && self.hand.knows(record.subject);
-            if theirs && statement.is_signed(&self.hand) {
+            let theirs = record.subject != self.me && self.keyring.knows(record.subject);
+            if theirs && statement.is_signed(&self.keyring) {
                 self.take_record(now, record, statement, news);
                 self.outbox.forget(record.subject);
             }
--- a/crates/gossip/src/member/probing.rs
+++ b/crates/gossip/src/member/probing.rs
@@ -6,7 +6,7 @@
 use super::{takes_part, Gossip, News, Outside};
 use crate::envelope::{Head, ACK, ANYONE, ASK, NACK, PING};
 use crate::probe::{Errand, Probe};
-use crate::statement::{Accusation, Hand, Said};
+use crate::statement::{Accusation, Keyring, Said};
 use crate::view::PERIOD;
 use crate::Member;
 
@@ -18,7 +18,7 @@
 /// A helper says that it has no answer after this part of its own wait.
 const NACK_WITHIN: Duration = Duration::from_millis(250);
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Begins a protocol period: pings the next member in turn (SWIM section 3).
     pub(super) fn begin_probe(&mut self, now: Duration, out: &mut impl Outside) {
         // Health stretches the period too, so that the wait for an answer stays inside of it.
@@ -72,7 +72,7 @@
             Accusation { subject: probe.target, incarnation: known.record.incarnation, author: self.me };
         self.counts.accusations += 1;
         self.counts.signed += 1;
-        let statement = Said::Accusation(accusation).sign(&self.hand);
+        let statement = Said::Accusation(accusation).sign(&self.keyring);
         self.take_accusation(now, accusation, statement, news);
     }
 
--- a/crates/gossip/src/member/receiving.rs
+++ b/crates/gossip/src/member/receiving.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use super::{Gossip, News, Outside};
-use crate::envelope::{self, Fault, Head, ACK, ANYONE, ASK, DIGEST, NACK, NEWS, PING, WORD};
-use crate::statement::Hand;
+use crate::envelope::{self, Fault, Head, ACK, ANYONE, ASK, DIGEST, MESSAGE, NACK, NEWS, PING};
+use crate::statement::Keyring;
 use crate::Member;
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Takes a datagram that came from an address.
     pub fn heard(
         &mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut impl Outside,
@@ -28,7 +28,7 @@
         news: &mut Vec<News>,
     ) -> Result<(), Fault> {
         let (head, body, signed, signature) = envelope::open(bytes)?;
-        if !self.hand.knows(head.from) || head.from == self.me {
+        if !self.keyring.knows(head.from) || head.from == self.me {
             return Err(Fault::Stranger);
         }
         if head.to != self.me && !(head.to == ANYONE && head.kind == PING) {
@@ -44,7 +44,7 @@
             return Err(Fault::Rationed);
         }
         self.counts.checked += 1;
-        if !self.hand.signed(head.from, signed, &signature) {
+        if !self.keyring.signed(head.from, signed, &signature) {
             return Err(Fault::Unsigned);
         }
         if head.life < window.life() {
@@ -92,7 +92,7 @@
                 }
             }
             (DIGEST, Some(begin)) => self.compared(now, head, begin, &body[2..], out),
-            (WORD, _) => news.push(News::Word(head.from, body.to_vec())),
+            (MESSAGE, _) => news.push(News::Word(head.from, body.to_vec())),
             _ => {}
         }
     }
--- a/crates/gossip/src/member/sending.rs
+++ b/crates/gossip/src/member/sending.rs
@@ -6,11 +6,11 @@
 use super::{Gossip, Outside};
 use crate::envelope::{self, Head, ANYONE, LONGEST, PING};
 use crate::probe::shuffle;
-use crate::statement::{Hand, SIGNATURE};
+use crate::statement::{Keyring, SIGNATURE};
 use crate::view::{Known, Standing};
 use crate::Member;
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Some other members that take part, drawn by chance.
     pub(super) fn some_members(&mut self, count: usize, but: Option<Member>) -> Vec<Member> {
         let part = |(member, known): (Member, &Known)| {
@@ -55,7 +55,7 @@
             return false;
         }
         self.counter += 1;
-        bytes.extend(self.hand.sign(&bytes));
+        bytes.extend(self.keyring.sign(&bytes));
         self.counts.signed += 1;
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
--- a/crates/gossip/src/member/suspicion.rs
+++ b/crates/gossip/src/member/suspicion.rs
@@ -4,14 +4,14 @@
 
 use super::{Gossip, News};
 use crate::outbox::Rank;
-use crate::statement::{Accusation, Hand, Statement, LAST_INCARNATION};
+use crate::statement::{Accusation, Keyring, Statement, LAST_INCARNATION};
 use crate::view::{Change, Standing};
 
 /// A member refutes no more often: far sooner than any suspicion ends, and a liar that accuses without end makes it
 /// say no more than that.
 const REFUTES_EVERY: Duration = Duration::from_secs(1);
 
-impl<H: Hand> Gossip<H> {
+impl<H: Keyring> Gossip<H> {
     /// Takes a member's word that another one did not answer.
     pub(super) fn take_accusation(
         &mut self, now: Duration, accusation: Accusation, statement: Statement, news: &mut Vec<News>,
--- a/crates/gossip/src/statement.rs
+++ b/crates/gossip/src/statement.rs
@@ -32,11 +32,13 @@
 /// What an age of one stands for; ages stop growing at 255 of it.
 pub const AGE_STEP: Duration = Duration::from_millis(200);
 
-/// Signs as this member, and checks what others signed.
-pub trait Hand {
+/// The keys of all members: signs as this member, and checks what others signed.
+pub trait Keyring {
+    /// Signs as this member.
     fn sign(&self, bytes: &[u8]) -> Signature;
     /// Whether the member signed these bytes, with a key that holds now.
     fn signed(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool;
+    /// Whether the member has a key.
     fn knows(&self, member: Member) -> bool;
     /// All members that have keys.
     fn ring(&self) -> &[Member];
@@ -133,8 +135,8 @@
         bytes
     }
 
-    pub fn sign(self, hand: &impl Hand) -> Statement {
-        let signature = hand.sign(&self.bytes());
+    pub fn sign(self, keyring: &impl Keyring) -> Statement {
+        let signature = keyring.sign(&self.bytes());
         Statement { said: self, signature }
     }
 }
@@ -150,8 +152,8 @@
             }
     }
 
-    pub fn is_signed(&self, hand: &impl Hand) -> bool {
-        hand.signed(self.said.author(), &self.said.bytes(), &self.signature)
+    pub fn is_signed(&self, keyring: &impl Keyring) -> bool {
+        keyring.signed(self.said.author(), &self.said.bytes(), &self.signature)
     }
 
     /// Appends it to a datagram. A bulletin goes with its age.
--- a/crates/gossip_lab/src/hand.rs
+++ b/crates/gossip_lab/src/hand.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use badgerledge_gossip::statement::Signature;
-use badgerledge_gossip::{Hand, Member, SIGNATURE};
+use badgerledge_gossip::{Keyring, Member, SIGNATURE};
 
 /// A member's key is its number and the run's secret.
 #[derive(Clone)]
@@ -36,7 +36,7 @@
     signature
 }
 
-impl Hand for Keyed {
+impl Keyring for Keyed {
     fn sign(&self, bytes: &[u8]) -> Signature {
         mix(self.me, bytes)
     }
--- a/crates/gossip_lab/src/net.rs
+++ b/crates/gossip_lab/src/net.rs
@@ -9,7 +9,7 @@
 use badgerledge_core::chance::Chance;
 use badgerledge_gossip::envelope::{begin, Head};
 use badgerledge_gossip::statement::Statement;
-use badgerledge_gossip::{Gossip, Hand, Member, News, Outside};
+use badgerledge_gossip::{Gossip, Keyring, Member, News, Outside};
 
 use crate::hand::Keyed;
 
--- a/crates/gossip_lab/tests/many.rs
+++ b/crates/gossip_lab/tests/many.rs
@@ -4,7 +4,7 @@
 
 use badgerledge_gossip::envelope::{Head, NEWS, PING};
 use badgerledge_gossip::statement::{incarnation, Accusation, Record, Said, Statement};
-use badgerledge_gossip::{Fault, Hand, Member, Standing, CEILING};
+use badgerledge_gossip::{Fault, Keyring, Member, Standing, CEILING};
 use badgerledge_gossip_lab::{address, settled, Net};
 
 /// Seconds.
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -12,7 +12,7 @@
 pub use ring::Ring;
 
 use badgerledge_gossip::statement::Signature;
-use badgerledge_gossip::{Hand, Member};
+use badgerledge_gossip::{Keyring, Member};
 use ed25519_dalek::VerifyingKey;
 
 /// A ring, and the key that this member signs with.
@@ -68,7 +68,7 @@
     }
 }
 
-impl Hand for Keys {
+impl Keyring for Keys {
     fn sign(&self, bytes: &[u8]) -> Signature {
         self.private.sign(bytes)
     }
--- a/crates/keys/src/tests.rs
+++ b/crates/keys/src/tests.rs
@@ -1,6 +1,6 @@
 use std::os::unix::fs::PermissionsExt;
 
-use badgerledge_gossip::Hand;
+use badgerledge_gossip::Keyring;
 use badgerledge_settings::Sheet;
 
 use crate::{Keys, PrivateFault, PrivateKey, Ring, Role};
--- a/fuzz/fuzz_targets/datagram.rs
+++ b/fuzz/fuzz_targets/datagram.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use badgerledge_gossip::envelope;
-use badgerledge_gossip::statement::{Hand, Said, Signature, Statement};
+use badgerledge_gossip::statement::{Keyring, Said, Signature, Statement};
 use badgerledge_gossip::{Gossip, Member, Outside, CEILING, LONGEST, SIGNATURE};
 use libfuzzer_sys::fuzz_target;
 
 struct Credulous;
 
-impl Hand for Credulous {
+impl Keyring for Credulous {
     fn sign(&self, _bytes: &[u8]) -> Signature {
         [0; SIGNATURE]
     }
