--- a/crates/bench/src/capacity/roles/signatures.rs
+++ b/crates/bench/src/capacity/roles/signatures.rs
@@ -1,7 +1,7 @@
 //! What a signature costs here, for roles that are played with cheaper ones.
 
 use anyhow::{Context, Result};
-use badgerledge_gossip::Hand;
+use badgerledge_gossip::Keyring;
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_settings::Sheet;
 
