Control machines judge the state that a whole batch leads to before it is proposed

Cause: each pushed change was judged by itself, so two that fit alone and not together, pushed at once, were certified, and all controllers would have held new joins back. Change: the sequencer builds a batch of as many of the first changes as lead to a state that is taken, one that alone does not is rejected with the reason; acceptors vote for another state only where a keeper voted already.

--- a/crates/distribution/src/control.rs
+++ b/crates/distribution/src/control.rs
@@ -7,6 +7,7 @@
 //! | `member_hand` | lets control machines be the authors of what they agree on |
 //! | `ledger` | the state of the highest certified revision, and deltas to it |
 //! | `batches` | batches that were proposed or certified |
+//! | `state_check` | whether controllers can act on the state that a batch leads to |
 //! | `sequencer` | puts waiting changes into batches |
 //! | `forwarding` | changes that were pushed here, until their outcome is known |
 //! | `outcomes` | what became of the changes of the last revisions |
@@ -29,6 +30,7 @@
 mod recovery;
 mod sequencer;
 mod serving;
+mod state_check;
 mod stored;
 
 use std::time::Duration;
@@ -38,6 +40,7 @@
 
 pub use config::{Config, ConfigFault};
 pub use output::{CloseReason, ConnectionId, ControlOutput};
+pub use state_check::StateCheck;
 pub use stored::{Checkpoint, Stored, StoredFault, StoredItem};
 
 use crate::change::{Change, Rejection};
@@ -76,6 +79,7 @@
     certified: (Number, Duration),
     /// When another machine's batch for the next number came.
     rival_at: Option<Duration>,
+    state_check: StateCheck,
 }
 
 impl<H: Hand> ControlMachine<H> {
@@ -85,6 +89,11 @@
         recovery::begin(config, hand, stored, genesis, seed, now)
     }
 
+    /// Has each state that a batch leads to judged before it is proposed or voted for. Without this every state is taken.
+    pub fn set_state_check(&mut self, check: StateCheck) {
+        self.state_check = check;
+    }
+
     /// Takes another ring, for instance one without an author whose key was revoked.
     pub fn take_hand(&mut self, now: Duration, hand: H, out: &mut Vec<ControlOutput>) {
         self.revisions.take_hand(MemberHand(hand));
--- a/crates/distribution/src/control/agreement.rs
+++ b/crates/distribution/src/control/agreement.rs
@@ -10,7 +10,7 @@
 use crate::change::Summary;
 use crate::control::batches::Fitness;
 use crate::control::ledger::Revision;
-use crate::control::sequencer::{Proposal, Standing};
+use crate::control::sequencer::{BuildContext, Proposal, Standing};
 use crate::control::{ControlMachine, ControlOutput, StoredItem};
 use crate::message::{PeerMessage, ToWatcher};
 use crate::{Certified, Digest, Hand, MachineId, Signed};
@@ -158,7 +158,8 @@
             return;
         }
         let Some(held) = self.batches.get(text) else { return };
-        let (summary, fitness) = (held.summary, held.fitness(&self.ledger, self.hand()));
+        let (summary, fitness) =
+            (held.summary, held.fitness(&self.ledger, &self.revisions.hand().0, &mut self.state_check));
         if fitness == Fitness::Unfit {
             return;
         }
@@ -249,8 +250,9 @@
         }
         let standing = self.standing();
         let hand = &self.revisions.hand().0;
-        let (proposal, answers) =
-            self.sequencer.build(now, &standing, &self.ledger, &self.outcomes, hand, &mut self.chance);
+        let (ledger, outcomes, check) = (&self.ledger, &self.outcomes, &mut self.state_check);
+        let context = BuildContext { ledger, outcomes, hand, check };
+        let (proposal, answers) = self.sequencer.build(now, &standing, context, &mut self.chance);
         for answer in answers {
             self.answer(answer, out);
         }
--- a/crates/distribution/src/control/batches.rs
+++ b/crates/distribution/src/control/batches.rs
@@ -4,6 +4,7 @@
 
 use crate::change::{Batch, Summary, LARGEST_BATCH};
 use crate::control::ledger::{Ledger, Revision};
+use crate::control::state_check::StateCheck;
 use crate::control::StoredItem;
 use crate::state::{Edit, State};
 use crate::{digest, Digest, Hand, Number};
@@ -16,9 +17,10 @@
 /// What a control machine may do with a batch on its present state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fitness {
-    /// All its changes are admitted, and it leads to the root that its summary names.
+    /// All its changes are admitted, and it leads to the root that its summary names, to a state that controllers can act on.
     Admitted,
-    /// It leads there, and a change in it is not admitted here: its author's key was revoked, say.
+    /// It leads there, and a change in it is not admitted here, since its author's key was revoked, say; or controllers
+    /// could not act on the state.
     Applicable,
     /// It leads elsewhere, or nowhere.
     Unfit,
@@ -143,13 +145,14 @@
 
 impl Held {
     /// Whether an acceptor with this state may vote for it.
-    pub fn fitness(&self, ledger: &Ledger, hand: &impl Hand) -> Fitness {
+    pub fn fitness(&self, ledger: &Ledger, hand: &impl Hand, check: &mut StateCheck) -> Fitness {
         let leads_there = |state: &State| state.root() == self.summary.root;
         if self.batch.number != ledger.number() + 1 {
             return Fitness::Unfit;
         }
         let admitted = self.batch.apply(ledger.state(), ledger.history(), hand);
-        if admitted.is_ok_and(|(state, _)| leads_there(&state)) {
+        let mut fits = |state: &State| leads_there(state) && check(ledger.state(), state).is_ok();
+        if admitted.is_ok_and(|(state, _)| fits(&state)) {
             return Fitness::Admitted;
         }
         let applied = self.batch.apply_certified(ledger.state(), hand);
--- a/crates/distribution/src/control/recovery.rs
+++ b/crates/distribution/src/control/recovery.rs
@@ -110,6 +110,7 @@
         chance,
         certified: (certified, now),
         rival_at: None,
+        state_check: super::state_check::accept_all(),
     };
     // What it finds on its disk it holds: nothing of this is news for anybody else.
     machine.judge_candidates(now, &mut Vec::new());
--- a/crates/distribution/src/control/sequencer.rs
+++ b/crates/distribution/src/control/sequencer.rs
@@ -9,10 +9,11 @@
 
 use badgerledge_core::chance::Chance;
 
-use crate::change::{Batch, Built, Change, ChangeId, History, Limits, Rejection};
+use crate::change::{Built, Change, ChangeId, History, Rejection};
 use crate::control::batches::text_digest;
 use crate::control::ledger::Ledger;
 use crate::control::outcomes::Outcomes;
+use crate::control::state_check::{build_fitting, StateCheck};
 use crate::{Digest, Hand, MachineId, Number};
 
 /// Changes that wait at most, and their bytes.
@@ -72,6 +73,14 @@
     pub rival_at: Option<Duration>,
 }
 
+/// What a batch is built on and judged by.
+pub(crate) struct BuildContext<'a, H: Hand> {
+    pub ledger: &'a Ledger,
+    pub outcomes: &'a Outcomes,
+    pub hand: &'a H,
+    pub check: &'a mut StateCheck,
+}
+
 /// Puts waiting changes into batches.
 #[derive(Default)]
 pub(crate) struct Sequencer {
@@ -163,9 +172,10 @@
 
     /// Builds the next batch, if it is time, and tells what became of changes that need none.
     pub fn build(
-        &mut self, now: Duration, standing: &Standing, ledger: &Ledger, outcomes: &Outcomes,
-        hand: &impl Hand, chance: &mut Chance,
+        &mut self, now: Duration, standing: &Standing, context: BuildContext<'_, impl Hand>,
+        chance: &mut Chance,
     ) -> (Option<Proposal>, Vec<Answer>) {
+        let BuildContext { ledger, outcomes, hand, check } = context;
         self.forget_old(now);
         let due = self.due(standing).is_some_and(|due| now >= due);
         if !due || ledger.number() != standing.certified {
@@ -187,7 +197,7 @@
         }
         let recent = History::new(ledger.number(), 1);
         let history = if text.is_some() { &recent } else { ledger.history() };
-        let built = Batch::build(number, ledger.state(), history, changes, hand, Limits::default());
+        let built = build_fitting(number, ledger.state(), history, changes, hand, check);
         let changes = self.take_out(&built);
         if !built.batch.changes.is_empty() {
             let (text, rejected) = (text_digest(&built.summary), built.rejected.clone());
--- a/crates/distribution/src/tests/control/changes.rs
+++ b/crates/distribution/src/tests/control/changes.rs
@@ -137,3 +137,40 @@
     acted_on_in_time(&mut net, highest);
     net.check("two sequencers");
 }
+
+/// Has all machines refuse a state in which titles 1 and 2 are both new.
+fn refuse_titles_1_and_2_together(net: &mut Net) {
+    for me in 0..5 {
+        net.with_machine(me, |machine, _, _| {
+            machine.set_state_check(Box::new(|_, after| {
+                let is_new = |key: &str| after.get(key) == Some(b"new");
+                match is_new("title 1") && is_new("title 2") {
+                    true => Err("titles 1 and 2 can't both be new".to_owned()),
+                    false => Ok(()),
+                }
+            }));
+        });
+    }
+}
+
+/// Two changes that fit alone and not together, pushed at once: one is taken, the other one is rejected with the reason, and
+/// those that have nothing to do with them are taken.
+#[test]
+fn of_two_changes_that_do_not_fit_together_one_is_rejected() {
+    let mut net = settled(5, 3, 6, 23);
+    refuse_titles_1_and_2_together(&mut net);
+    let pushes = [
+        net.push(0, 1, vec![put("title 1", "new")]),
+        net.push(1, 2, vec![put("title 2", "new")]),
+        net.push(2, 3, vec![put("title 3", "new")]),
+        net.push(3, 4, vec![put("title 4", "new")]),
+    ];
+    net.run_for(15.0);
+    let outcomes = pushes.map(|push| net.seen.outcome(push).cloned());
+    let refused = |outcome: &&Option<_>| matches!(outcome, Some(Err(Rejection::State(_))));
+    let taken = |outcome: &&Option<_>| matches!(outcome, Some(Ok(_)));
+    assert_eq!(outcomes[..2].iter().filter(refused).count(), 1, "{outcomes:?}");
+    assert_eq!(outcomes.iter().filter(taken).count(), 3, "{outcomes:?}");
+    net.run_for(20.0);
+    net.check("changes that don't fit together");
+}
--- a/crates/relay/src/push_check.rs
+++ b/crates/relay/src/push_check.rs
@@ -1,12 +1,13 @@
 //! Whether controllers can act on what a pushed change leads to. One that they can't act on would have all of them hold new
 //! joins back as soon as it is allowed, so it is rejected where it comes in, with the reason.
 //!
-//! Each change is judged by itself, on the highest certified state: two that fit alone and not together, pushed at once,
-//! are not found here.
+//! Each change is judged by itself here, on the highest certified state. Two that fit alone and not together, pushed at
+//! once, are found by [`state_check`], with which the control machine judges whole batches.
 
 use badgerledge_changes::arrange;
 use badgerledge_deployment::{StateReader, Text};
 use badgerledge_distribution::change::{last_sequence, Change, Rejection};
+use badgerledge_distribution::control::StateCheck;
 use badgerledge_distribution::state::State;
 use badgerledge_keys::Keys;
 
@@ -39,12 +40,23 @@
         if next.apply(&change.edits).is_err() {
             return Ok(());
         }
-        let after = self.reader.read(&next).map_err(Rejection::State)?;
-        // Where the present state is none that controllers act on, any that they can act on mends it.
-        match self.reader.read(state) {
-            Ok(before) => follows(&before, &after).map_err(Rejection::State),
-            Err(_) => Ok(()),
-        }
+        can_follow(&mut self.reader, state, &next).map_err(Rejection::State)
+    }
+}
+
+/// Judges the states that batches lead to.
+pub fn state_check() -> StateCheck {
+    let mut reader = StateReader::default();
+    Box::new(move |before, after| can_follow(&mut reader, before, after))
+}
+
+/// Whether controllers that act on one state can act on another one after it.
+fn can_follow(reader: &mut StateReader, before: &State, after: &State) -> Result<(), String> {
+    let next = reader.read(after)?;
+    // Where the present state is none that controllers act on, any that they can act on mends it.
+    match reader.read(before) {
+        Ok(present) => follows(&present, &next),
+        Err(_) => Ok(()),
     }
 }
 
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -15,7 +15,7 @@
 
 use crate::envelope::Identity;
 use crate::peers::{PeerEvent, Peers};
-use crate::push_check::PushCheck;
+use crate::push_check::{self, PushCheck};
 use crate::settings::{Prepared, RelaySettings};
 use crate::storage::{begin_life, Storage};
 use crate::telemetry::{self, LineLimit};
@@ -103,7 +103,8 @@
         let config = Config { connections, ..Config::new(place.number, life) };
         config.check()?;
         let push_check = PushCheck::new(keys.clone());
-        let control = ControlMachine::new(config, keys, stored, genesis, seed, now);
+        let mut control = ControlMachine::new(config, keys, stored, genesis, seed, now);
+        control.set_state_check(push_check::state_check());
         let ring_read = modified(&place.ring);
         tracing::info!(machine = place.number, life, %listen, %peer_listen, connections, "badgerledge-relay serves");
         Ok(Self {
