--- a/crates/distribution/src/tests/control.rs
+++ b/crates/distribution/src/tests/control.rs
@@ -1,5 +1,6 @@
 //! The control machines and their watchers as a whole: a test for each hard case, and plays from seeds.
 
+mod acceptor;
 mod changes;
 mod machines;
 mod plays;
--- a/crates/distribution/src/tests/relay.rs
+++ b/crates/distribution/src/tests/relay.rs
@@ -7,7 +7,8 @@
 use super::hand::DigestHand;
 use super::sample::change;
 use crate::control::{CloseReason, Config, ConnectionId, ControlMachine, ControlOutput, Stored};
-use crate::message::{ControlStatus, ToRelay, ToWatcher};
+use crate::lease::{leaf, Grant, NonceTree};
+use crate::message::{ControlStatus, PeerMessage, ToRelay, ToWatcher};
 use crate::state::{Edit, State};
 use crate::{ControllerId, Digest, Number};
 
@@ -385,3 +386,37 @@
     rig.run(5.0);
     assert_eq!(rig.machine.state().len(), 20 + 512 * 2);
 }
+
+/// An acceptor that lost its disk names a later revision than there is: the others' grants are a quorum without it, whichever
+/// comes first. Where there is none, the watcher hears so a moment later.
+#[test]
+fn grants_that_name_a_later_revision_are_not_counted() {
+    let hand = |me| DigestHand::new(me, 3);
+    for (third, fits) in [(0, true), (5, false)] {
+        let now = Duration::from_secs(1000);
+        let (config, genesis) = (Config::new(0, 1), state(5, 5));
+        let machine = ControlMachine::new(config, hand(0), Stored::founding(), genesis, 5, now);
+        let (sent, closed) = (BTreeMap::new(), BTreeMap::new());
+        let mut rig = Rig { machine, now, sent, closed, pushes: 0 };
+        rig.watcher(1);
+        rig.run(0.3);
+        rig.say(1, ToRelay::AskLease { nonce: [1; 16], active: 0 });
+        rig.run(0.3);
+        let root = NonceTree::new(vec![leaf(1, &[1; 16])]).root();
+        let proof_of = |sent: Vec<ToWatcher>| {
+            sent.into_iter().find_map(|message| match message {
+                ToWatcher::Lease(proof) => Some(proof),
+                _ => None,
+            })
+        };
+        for (acceptor, allowed) in [(1, 5), (2, third)] {
+            let grant = PeerMessage::Grant(Grant::sign(&hand(acceptor), acceptor, root, allowed));
+            rig.act(|machine, now, out| machine.peer_message(now, acceptor, grant, out));
+        }
+        let at_once = proof_of(rig.take(1));
+        assert_eq!(at_once.is_some(), fits);
+        rig.run(1.0);
+        let proof = at_once.or_else(|| proof_of(rig.take(1))).expect("an answer");
+        assert_eq!(proof.check(1, 0, &hand(0)).is_ok(), fits);
+    }
+}
--- a/crates/revisions/src/tests.rs
+++ b/crates/revisions/src/tests.rs
@@ -1,4 +1,5 @@
 mod every;
+mod gate;
 mod many;
 mod net;
 mod small;
