--- a/crates/distribution/src/tests/lease.rs
+++ b/crates/distribution/src/tests/lease.rs
@@ -39,6 +39,9 @@
     let three = leaves(3);
     roots.push(NonceTree::new([&three[..], &three[2..]].concat()).root());
     roots.push(NonceTree::new(three.iter().rev().copied().collect()).root());
+    // The top of a tree of four, as it stands in one of eight, is no tree of one leaf.
+    let top_of_four = NonceTree::new(leaves(8)).path(4)[2];
+    roots.push(NonceTree::new(vec![top_of_four]).root());
     // What is an inner node of one tree is no leaf of another.
     let beside = NonceTree::new(leaves(4)).path(0)[1];
     roots.push(NonceTree::new(vec![beside]).root());
