Revisions: members don't ask for leases in step

Cause: all members begin to ask when a change reaches them and asked again after one and the same time (spread.rs, next_ask), so a keeper under its ceiling of bytes answered the same few each time and others held joins back for good. Change: waits are spread by a quarter either way.

--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -20,6 +20,9 @@
 const GIVES_APART: Duration = Duration::from_millis(250);
 /// What a keeper has not answered is asked again after this, doubled each time up to a part of the lease.
 pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Part of a wait by which asks are spread, around the wait itself: all members begin to ask when a change reaches them, and a
+/// keeper under its ceiling of bytes would answer the same few of them each time.
+const ASK_JITTER: f64 = 0.5;
 /// A member is given what it lacks no more often: some eight datagrams.
 const GIVES_EVERY: Duration = Duration::from_millis(500);
 
@@ -171,7 +174,8 @@
             self.fetch(now, out);
         }
         if now >= self.next_ask {
-            self.next_ask = now + self.ask_again.min(self.lease / (ASKS_IN_A_LEASE + 1));
+            let wait = self.ask_again.min(self.lease / (ASKS_IN_A_LEASE + 1));
+            self.next_ask = now + wait.mul_f64(0.75 + ASK_JITTER * self.chance.share());
             self.ask_again = (self.ask_again * 2).min(self.lease);
             if self.needs_lease(now) {
                 self.ask_for_leases(now, out);
--- a/crates/revisions/src/tests/small.rs
+++ b/crates/revisions/src/tests/small.rs
@@ -392,3 +392,14 @@
     assert!(learned.certify(&hand(2)));
     assert!(learned.top.is_some_and(|top| top.holds(&hand(2))));
 }
+
+/// All begin at one moment here, as they do when a change reaches them. Under a ceiling of bytes a keeper that is asked by all
+/// at once answers the same few each time, and the others hold back for good.
+#[test]
+fn leases_are_not_asked_for_in_step() {
+    let mut net = Net::new(20, 3, Regime::Hold, 1);
+    net.run(net.now + Duration::from_secs(30));
+    let asks = net.seats.iter().filter_map(|seat| seat.member.as_ref()).map(|member| member.next_ask);
+    let moments: std::collections::BTreeSet<Duration> = asks.collect();
+    assert!(moments.len() > 15, "{moments:?}");
+}
