--- a/crates/bench/src/capacity/record.rs
+++ b/crates/bench/src/capacity/record.rs
@@ -94,8 +94,10 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub exponent_residual: Option<f64>,
     pub plan_size: f64,
-    /// The quantity at the plan's size, by the line or, where the growth is faster, by the power law.
-    pub at_plan_size: f64,
+    /// The quantity at the plan's size, by the line or, where the growth is faster, by the power law; nothing where it falls,
+    /// since a falling line soon tells of less than nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub at_plan_size: Option<f64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit: Option<f64>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/bench/src/capacity/summary.rs
+++ b/crates/bench/src/capacity/summary.rs
@@ -39,8 +39,9 @@
     let scatter = bend == Growth::Faster && law.is_none_or(|law| law.exponent <= 1.0);
     let growth = if scatter { Growth::Linear } else { bend };
     let at = |size: f64| match (growth, law) {
-        (Growth::Faster, Some(law)) => law.at(size),
-        _ => line.at(size),
+        (Growth::Falling, _) => None,
+        (Growth::Faster, Some(law)) => Some(law.at(size)),
+        _ => Some(line.at(size)),
     };
     Some(FittedLine {
         role: role.name,
