--- a/crates/bench/src/capacity/record.rs
+++ b/crates/bench/src/capacity/record.rs
@@ -29,9 +29,12 @@
     }
 }
 
-/// The package's version, and the commit where the program runs inside its repository.
+/// Where this package was built: the commit is asked for there, wherever the program is started.
+const SOURCE: &str = env!("CARGO_MANIFEST_DIR");
+
+/// The package's version, and the commit where its source is still there in its repository.
 pub fn version() -> String {
-    let asked = Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
+    let asked = Command::new("git").args(["-C", SOURCE, "rev-parse", "--short", "HEAD"]).output();
     let commit = asked.ok().filter(|told| told.status.success()).map(|told| told.stdout);
     let commit = commit.map(|bytes| String::from_utf8_lossy(&bytes).trim().to_owned());
     let package = env!("CARGO_PKG_VERSION");
