Capacity: a size that passes its limit ends with the controller that it started

A killed size left its controller running: it is in the size's process group now, and the group is ended.

--- a/crates/bench/src/capacity/child.rs
+++ b/crates/bench/src/capacity/child.rs
@@ -1,10 +1,12 @@
 //! One size in a process of its own, bounded in processor time.
 
 use std::io::Read;
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Context, Result};
+use rustix::process::{kill_process_group, Pid, Signal};
 
 use super::measure::Reading;
 use super::roles::Role;
@@ -31,10 +33,12 @@
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
+        // A controller that it starts is in its group, and ends with it.
+        .process_group(0)
         .spawn()?;
     let ended = wait(&mut child, limit);
     if ended.is_err() {
-        child.kill()?;
+        kill_process_group(Pid::from_child(&child), Signal::KILL)?;
         child.wait()?;
     }
     let succeeded = ended?;
