Scale: a run in which the disk that all machines share stood still is void too

One of four steady runs with 7,400 hollow controllers had changes told after 15.8 s and leases lapse for 3% of the time, with no process that stood still for over 0.11 s; the machine's io pressure was at 9.6% right after it. A block written twice a second now tells.

--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -94,6 +94,8 @@
     pub budgets: Vec<Budget>,
     /// How long the rig itself stood still at most. From a stall on the figures say nothing of the protocol's bounds.
     pub stalled_s: f64,
+    /// The longest time that the disk which all members share took for one block.
+    pub disk_stalled_s: f64,
 }
 
 /// A change that took long.
@@ -174,6 +176,7 @@
             control_machine: usage(&seen.machines, span, seen.machine_memory),
             budgets: Vec::new(),
             stalled_s: seen.stalled.as_secs_f64(),
+            disk_stalled_s: seen.disk_stalled.as_secs_f64(),
         };
         figures.budgets = figures.held_against(scenario);
         figures
@@ -239,9 +242,9 @@
         held
     }
 
-    /// Whether the rig stood still for longer than a third of what a lease leaves between two requests.
+    /// Whether the rig or its disk stood still for longer than a third of what a lease leaves between two requests.
     pub fn is_void(&self) -> bool {
-        self.stalled_s > STALL.as_secs_f64()
+        self.stalled_s.max(self.disk_stalled_s) > STALL.as_secs_f64()
     }
 
     pub fn all_kept(&self) -> bool {
--- a/crates/scale/src/hollow/run.rs
+++ b/crates/scale/src/hollow/run.rs
@@ -12,6 +12,7 @@
 use badgerledge_distribution::{control, lease, ControllerId, Number};
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
 
+use super::disk::DiskWatch;
 use super::orders::{hear, say, HostResult, HostSettings, Order, Report};
 use super::real::RealControllers;
 use super::rig::{Process, Rig};
@@ -61,6 +62,7 @@
     listener: Line,
     rig: Rig,
     real: RealControllers,
+    disk: DiskWatch,
     hosts: Vec<Host>,
     /// The host of each hollow controller.
     host_of: BTreeMap<ControllerId, usize>,
@@ -103,6 +105,7 @@
         SIGNALS.iter().try_for_each(|signal| reactor.signal(*signal))?;
         let (listener, at) = reactor.listen(([127, 0, 0, 1], 0).into(), HOST_BOUNDS)?;
         let real = RealControllers::start(scenario, &rig, real.min(scenario.fleet.controllers), zero)?;
+        let disk = DiskWatch::start(rig.folder.path().join("disk-watch"));
         let mut run = Self {
             timeline: timeline(scenario),
             scenario,
@@ -111,6 +114,7 @@
             listener,
             rig,
             real,
+            disk,
             hosts: Vec::new(),
             host_of: BTreeMap::new(),
             tools: Vec::new(),
@@ -201,6 +205,7 @@
                 self.counting = true;
                 self.rig.start_counting();
                 self.real.start_counting();
+                self.disk.restart();
                 // Metrics are asked for one after the other: that is no stall of what is measured.
                 self.woke = self.now();
             }
@@ -449,6 +454,7 @@
     fn finish(mut self) -> Result<(Observations, Observations)> {
         self.reactor.close(self.listener);
         let mut real = self.real.finish();
+        self.seen.disk_stalled = self.disk.finish();
         let mut memory = 0;
         for host in &self.hosts {
             let text = std::fs::read(&host.result).with_context(|| host.result.display().to_string())?;
@@ -466,7 +472,7 @@
         real.away.clone_from(&self.seen.away);
         real.machines.clone_from(&self.seen.machines);
         real.machine_memory = self.seen.machine_memory;
-        real.stalled = self.seen.stalled;
+        (real.stalled, real.disk_stalled) = (self.seen.stalled, self.seen.disk_stalled);
         Ok((self.seen, real))
     }
 }
--- a/crates/scale/src/observations.rs
+++ b/crates/scale/src/observations.rs
@@ -186,6 +186,8 @@
     pub turned_down: Vec<String>,
     /// How long the rig itself stood still at most; the simulation never does.
     pub stalled: Duration,
+    /// The longest time that the disk which all members share took for one block.
+    pub disk_stalled: Duration,
     /// Memory of a controller and of a control machine, in bytes, on the mean.
     pub controller_memory: u64,
     pub machine_memory: u64,
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -88,8 +88,8 @@
     if f.is_void() {
         let _ = writeln!(
             text,
-            "  VOID: the rig itself stood still for {:.2} s: this run says nothing of bounds",
-            f.stalled_s
+            "  VOID: the rig stood still for {:.2} s, its disk for {:.2} s: this run says nothing of bounds",
+            f.stalled_s, f.disk_stalled_s
         );
     }
     f.budgets.iter().for_each(|budget| text += &line_of(budget));
