--- a/crates/scale/src/simulation/network.rs
+++ b/crates/scale/src/simulation/network.rs
@@ -7,9 +7,10 @@
 
 use crate::scenario::{Fleet, Network};
 
-/// Bytes of a segment's payload, and of its headers (IPv4 and TCP without options).
+/// Bytes of a segment's payload.
 const SEGMENT: usize = 1448;
-const HEADERS: usize = 40;
+/// Bytes of a segment's headers: IPv4 and TCP without options.
+pub const HEADERS: usize = 40;
 /// A lost segment is sent again after this, over a round trip, and twice as long each time after (RFC 6298 with Linux's
 /// least timeout).
 const RETRANSMIT: Duration = Duration::from_millis(200);
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use crate::figures::{Budget, Figures};
+use crate::simulation::network::HEADERS;
 
 /// The summary that a run ends with.
 pub fn summary(figures: &Figures) -> String {
@@ -147,15 +148,36 @@
     let turns = |f: &Figures| f64::from(f.controllers) / f64::from(f.hosts.max(1)) * WATCHER_TAKES_S;
     let hosted = [first, second].into_iter().filter(|figures| figures.hosts > 0);
     let late = PROCESSES_TAKE_S + hosted.map(turns).fold(0.0, f64::max);
-    vec![
+    let times = [
+        Overlap::seconds("push to acting, p50 s", first.in_force.p50, second.in_force.p50, late),
+        Overlap::seconds("push to acting, p99 s", first.in_force.p99, second.in_force.p99, late),
+    ];
+    if [first, second].iter().any(|figures| figures.kind == "real") {
+        // A real controller counts frames without their headers, and its processor time is that of all it does.
+        let bytes = Overlap::factor(
+            "frames' bytes/s of a controller",
+            frame_bytes(first),
+            frame_bytes(second),
+            BYTES_WITHIN,
+        );
+        return [bytes].into_iter().chain(times).collect();
+    }
+    let used = [
         Overlap::factor("bytes/s into a controller", a.bytes_in_per_s, b.bytes_in_per_s, BYTES_WITHIN),
         Overlap::factor("bytes/s out of a controller", a.bytes_out_per_s, b.bytes_out_per_s, BYTES_WITHIN),
         Overlap::factor("messages/s of a controller", a.messages_per_s, b.messages_per_s, BYTES_WITHIN),
         Overlap::factor("core of a controller", a.cpu, b.cpu, CPU_WITHIN),
         Overlap::factor("core of a control machine", x.cpu, y.cpu, CPU_WITHIN),
-        Overlap::seconds("push to acting, p50 s", first.in_force.p50, second.in_force.p50, late),
-        Overlap::seconds("push to acting, p99 s", first.in_force.p99, second.in_force.p99, late),
-    ]
+    ];
+    used.into_iter().chain(times).collect()
+}
+
+/// Bytes a second of a controller's frames, in and out.
+fn frame_bytes(figures: &Figures) -> f64 {
+    let controller = &figures.controller;
+    let bytes = controller.bytes_in_per_s + controller.bytes_out_per_s;
+    let headers = if figures.kind == "real" { 0.0 } else { controller.messages_per_s * HEADERS as f64 };
+    bytes - headers
 }
 
 /// Overlaps as text, a line each.
