Regional leases: a cut-off region goes on for a stated time, exclusive changes wait

Cause: a controller without a lease from a quorum of acceptors holds back new joins, so a region that is cut off for an hour turns away all new viewers for that hour.

Change, off by default (`Config::apart` zero: nothing of it is said, checked by a test): - Each control machine holds a long relay lease of `apart` from a quorum of acceptors, asked for with its ordinary requests (new words at the end of the agreement's: AskRelayLease, RelayLease, Able). An acceptor allows an exclusive revision only once each machine has acknowledged it in its present life, or its relay lease is over x 1.01; it renews none for a machine that has not. It goes on only once a quorum of acceptors would: one that went on alone would leave neither the old nor the new revision with a quorum of grants, so that everybody held back. - A machine with a relay lease that has acknowledged no exclusive revision after the one it acts on vouches for that one; two that vouch are a lease for a watcher whom no quorum of acceptors answers within 750 ms. - `[distribution] apart` of controllers; which edits are exclusive is judged by `badgerledge_deployment::is_exclusive`. A title that goes counts as exclusive: it could come back elsewhere by a second free change.

Its signatures come before its word, that before the acceptors', and the lease of a watcher counts from its nonce, which comes before the signature.

--- a/crates/controller/src/distributing.rs
+++ b/crates/controller/src/distributing.rs
@@ -89,6 +89,8 @@
     /// What was held when it was last shown.
     shown: Option<Held>,
     relay_shown: Option<usize>,
+    /// Whether the lease that was shown last rested on control machines that vouched.
+    regional_shown: bool,
     now: Duration,
 }
 
@@ -120,6 +122,7 @@
             controller: place.number,
             relays: order.len(),
             late: Duration::from_millis(2 * place.tick_ms),
+            regional: told.apart,
             check: check_with(checks.clone()),
             nonce: nonces::from_system(randomness_failed.clone()),
         };
@@ -148,6 +151,7 @@
             look_at: now,
             shown: None,
             relay_shown: None,
+            regional_shown: false,
             now,
         }))
     }
@@ -342,6 +346,14 @@
         let lease = status.lease_until.map_or(Duration::ZERO, |until| until.saturating_sub(self.now));
         gauge!(watch::DISTRIBUTION_LEASE).set(lease.as_secs_f64());
         counter!(watch::DISTRIBUTION_RELAYS_REFUSED).absolute(status.relays_refused);
+        gauge!(watch::DISTRIBUTION_REGIONAL).set(f64::from(u8::from(status.regional)));
+        if status.regional != self.regional_shown {
+            self.regional_shown = status.regional;
+            match status.regional {
+                true => tracing::warn!(active = acting.active, "the region is cut off: goes on as it was"),
+                false => tracing::info!(active = acting.active, "the region is not cut off any more"),
+            }
+        }
         let place = serving.map(|(place, _)| place);
         let relay = place.and_then(|place| self.lines.relay(place));
         gauge!(watch::DISTRIBUTION_RELAY).set(relay.map_or(-1.0, |relay| f64::from(relay.machine)));
--- a/crates/controller/src/watch.rs
+++ b/crates/controller/src/watch.rs
@@ -40,6 +40,7 @@
 pub const REVISIONS_REFUSED: &str = "badgerledge_revisions_refused_total";
 pub const DISTRIBUTION_RELAY: &str = "badgerledge_distribution_relay";
 pub const DISTRIBUTION_LEASE: &str = "badgerledge_distribution_lease_seconds";
+pub const DISTRIBUTION_REGIONAL: &str = "badgerledge_distribution_regional";
 pub const DISTRIBUTION_RELAYS_REFUSED: &str = "badgerledge_distribution_relays_refused_total";
 pub const DISTRIBUTION_SENT_BYTES: &str = "badgerledge_distribution_sent_bytes_total";
 pub const DISTRIBUTION_RECEIVED_BYTES: &str = "badgerledge_distribution_received_bytes_total";
@@ -81,6 +82,10 @@
         "The control machine that serves this controller; -1 while none does"
     );
     describe_gauge!(DISTRIBUTION_LEASE, Unit::Seconds, "How long the present lease still lasts");
+    describe_gauge!(
+        DISTRIBUTION_REGIONAL,
+        "1 while the lease rests on control machines that vouch, without a quorum of acceptors"
+    );
     describe_counter!(DISTRIBUTION_RELAYS_REFUSED, "Times that a relay was left for what it said");
     describe_counter!(DISTRIBUTION_SENT_BYTES, Unit::Bytes, "Bytes of frames to relays");
     describe_counter!(DISTRIBUTION_RECEIVED_BYTES, Unit::Bytes, "Bytes of frames from relays");
--- a/crates/deployment/src/distribution_place.rs
+++ b/crates/deployment/src/distribution_place.rs
@@ -32,6 +32,11 @@
     #[garde(skip)]
     #[serde(default)]
     pub titles: bool,
+    /// Whether this controller goes on under its old configuration while its region is cut off, as long as two control machines
+    /// vouch for it: as long as their `apart_s` says. Control machines must know of it: their build and setting come first.
+    #[garde(skip)]
+    #[serde(default)]
+    pub apart: bool,
     /// Who plays where its title lies no more is moved within this.
     #[garde(custom(within(0, 3600)))]
     #[serde(default = "half_a_minute")]
--- a/crates/deployment/src/entries.rs
+++ b/crates/deployment/src/entries.rs
@@ -98,6 +98,11 @@
     section.split(' ').next().unwrap_or(section)
 }
 
+/// The section and the name of a setting's entry, by its key; nothing where the key is none of a setting.
+pub fn setting_of(key: &str) -> Option<(&str, &str)> {
+    key.split_once(SEPARATOR)
+}
+
 /// One section on its way into a text: its place among those of its family, and its settings by key.
 #[derive(Default)]
 struct Section<'a> {
@@ -117,7 +122,7 @@
             titles.push((key, value_text(key, value)?));
             continue;
         }
-        let (section, name) = key.split_once(SEPARATOR).ok_or_else(|| EntriesFault::Key(key.to_owned()))?;
+        let (section, name) = setting_of(key).ok_or_else(|| EntriesFault::Key(key.to_owned()))?;
         let value = checked_setting(key, section, name, value)?;
         let section = sections.entry(section).or_default();
         if name.is_empty() {
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod distribution_place;
 pub mod entries;
+mod exclusive;
 pub mod kinds;
 mod sections;
 mod state_reader;
@@ -19,6 +20,7 @@
 use sections::HALF_A_MINUTE;
 
 pub use distribution_place::{DistributionPlace, RelayPlace};
+pub use exclusive::is_exclusive;
 pub use sections::{
     ControllerPlace, Crossing, Fleet, GossipPlace, Ladder, Permissions, Prices, RevisionsPlace, RoomType,
     Rules,
@@ -228,6 +230,8 @@
 #[cfg(test)]
 mod entries_tests;
 #[cfg(test)]
+mod exclusive_tests;
+#[cfg(test)]
 mod state_reader_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/distribution/src/control.rs
+++ b/crates/distribution/src/control.rs
@@ -12,6 +12,7 @@
 //! | `forwarding` | changes that were pushed here, until their outcome is known |
 //! | `outcomes` | what became of the changes of the last revisions |
 //! | `peers` | which control machines are heard |
+//! | `regional` | vouching for watchers of a region that is cut off |
 //! | `catch_up`, `serving` | getting a state from another control machine, and giving it |
 //! | `recovery` | begins from what was stored |
 //!
@@ -28,6 +29,7 @@
 mod output;
 mod peers;
 mod recovery;
+mod regional;
 mod sequencer;
 mod serving;
 mod state_check;
@@ -38,8 +40,9 @@
 use badgerledge_core::chance::Chance;
 use badgerledge_revisions::{Keeper, Revisions};
 
-pub use config::{Config, ConfigFault};
+pub use config::{Config, ConfigFault, LEAST_APART, MOST_APART};
 pub use output::{CloseReason, ConnectionId, ControlOutput};
+pub use regional::ExclusiveCheck;
 pub use state_check::StateCheck;
 pub use stored::{Checkpoint, Stored, StoredFault, StoredItem};
 
@@ -80,6 +83,7 @@
     /// When another machine's batch for the next number came.
     rival_at: Option<Duration>,
     state_check: StateCheck,
+    exclusive_check: ExclusiveCheck,
 }
 
 impl<H: Hand> ControlMachine<H> {
@@ -96,6 +100,9 @@
 
     /// Takes another ring, for instance one without an author whose key was revoked.
     pub fn take_hand(&mut self, now: Duration, hand: H, out: &mut Vec<ControlOutput>) {
+        if hand.keepers() != self.hand().keepers() {
+            self.revisions.keepers_changed(now);
+        }
         self.revisions.take_hand(MemberHand(hand));
         self.revisions.forget_votable();
         self.judge_candidates(now, out);
@@ -144,6 +151,8 @@
             }
             // That a change was taken, a machine sees when it applies the batch.
             PeerMessage::Outcome { outcome: Ok(_), .. } => {}
+            PeerMessage::AskRegionalGrant { root } => self.serve_regional_grant(now, from, root, out),
+            PeerMessage::RegionalGrant(grant) => self.take_regional_grant(from, grant, out),
         }
         self.settle(now, out);
     }
@@ -170,6 +179,14 @@
             ToRelay::AskLease { nonce, active } => {
                 relay.ask_lease(now, connection, (nonce, active), ledger, out)
             }
+            ToRelay::AskRegionalLease { nonce, active } => {
+                relay.ask_lease(now, connection, (nonce, active), ledger, out);
+                relay.takes_regional(connection);
+            }
+            ToRelay::GetApart => {
+                let apart = Box::new(self.apart_status(now));
+                out.push(ControlOutput::to_watcher(connection, ToWatcher::Apart(apart)));
+            }
             ToRelay::GetGroups { groups } => relay.get_parts(now, connection, (&groups, &[]), ledger, out),
             ToRelay::GetBuckets { buckets } => relay.get_parts(now, connection, (&[], &buckets), ledger, out),
             ToRelay::Push(change) => self.pushed(now, connection, change, out),
@@ -197,6 +214,7 @@
         let enough = quorum(self.hand().keepers().len());
         let asks = self.relay.tend(now, &self.ledger, enough, out);
         self.ask_for_grants(asks, out);
+        self.ask_for_regional_grants(now, out);
         self.forward(now, out);
         self.ask_for_state(now, out);
         self.settle(now, out);
--- a/crates/distribution/src/control/agreement.rs
+++ b/crates/distribution/src/control/agreement.rs
@@ -91,6 +91,8 @@
             let Some(held) = self.batches.get(&step.text) else { return };
             let number = held.batch.number;
             let proof = (step.text == last).then(|| (top.clone(), held.summary));
+            let exclusive = (self.exclusive_check)(self.ledger.state(), &step.edits);
+            self.revisions.judge(number, exclusive);
             self.checkpoints.batch(held.bytes.len());
             self.outcomes.applied(number, &held.batch.changes);
             self.ledger.advance(Revision { number, proof, state: step.state }, &step.edits);
@@ -184,6 +186,8 @@
             Some(edits) => self.ledger.advance(caught.revision, &edits),
             None => self.ledger.jump(caught.revision),
         }
+        // What changed on the way is not known.
+        self.revisions.judge(number, true);
         self.outcomes.skipped(number);
         self.checkpoints.skipped();
         self.catch_up.caught(now);
--- a/crates/distribution/src/control/config.rs
+++ b/crates/distribution/src/control/config.rs
@@ -14,6 +14,10 @@
 const MOST_CONNECTIONS: usize = 20_000;
 /// What a decision takes to go out at most: beyond it the stated bound says nothing.
 const LATEST: Duration = Duration::from_secs(5);
+/// A relay lease is renewed about once a second, and outlives a few lost requests.
+pub const LEAST_APART: Duration = Duration::from_secs(10);
+/// An exclusive change waits for a machine that died as long as this at most.
+pub const MOST_APART: Duration = Duration::from_secs(4 * 3600);
 
 /// What a control machine is given by its operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +29,9 @@
     pub late: Duration,
     /// Connections of watchers and tools at most.
     pub connections: usize,
+    /// How long a region that is cut off from the acceptors goes on under its old configuration, and exclusive changes wait
+    /// for it at most; zero: it holds back after a lease.
+    pub apart: Duration,
 }
 
 /// Why a configuration is not taken.
@@ -34,12 +41,14 @@
     Late(Duration),
     #[error("connections: {0}, where 1 to {MOST_CONNECTIONS} are taken")]
     Connections(usize),
+    #[error("apart: {0:?}, where 0 or {LEAST_APART:?} to {MOST_APART:?} are taken")]
+    Apart(Duration),
 }
 
 impl Config {
     /// The defaults for a machine.
     pub fn new(me: MachineId, life: u32) -> Self {
-        Self { me, life, late: LATE, connections: CONNECTIONS }
+        Self { me, life, late: LATE, connections: CONNECTIONS, apart: Duration::ZERO }
     }
 
     /// # Errors
@@ -51,6 +60,9 @@
         if self.connections == 0 || self.connections > MOST_CONNECTIONS {
             return Err(ConfigFault::Connections(self.connections));
         }
+        if !self.apart.is_zero() && !(LEAST_APART..=MOST_APART).contains(&self.apart) {
+            return Err(ConfigFault::Apart(self.apart));
+        }
         Ok(())
     }
 }
--- a/crates/distribution/src/control/recovery.rs
+++ b/crates/distribution/src/control/recovery.rs
@@ -94,6 +94,7 @@
     revisions.gated(now, PATIENCE);
     let certified = revisions.top().map_or(0, Certified::number);
     let number = found.ledger.number();
+    revisions.set_apart(now, config.apart, number);
     let mut machine = ControlMachine {
         relay: Relay::new(config.me, config.connections, number, relay_seed, now),
         config,
@@ -111,6 +112,7 @@
         certified: (certified, now),
         rival_at: None,
         state_check: super::state_check::accept_all(),
+        exclusive_check: super::regional::all_exclusive(),
     };
     // What it finds on its disk it holds: nothing of this is news for anybody else.
     machine.judge_candidates(now, &mut Vec::new());
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod log;
 pub mod message;
+pub mod regional;
 pub mod relay;
 pub mod state;
 mod tokens;
--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -13,6 +13,7 @@
 
 use crate::change::{Change, ChangeId, Rejection, Summary};
 use crate::lease::{Grant, LeaseProof, Nonce};
+use crate::regional::{RegionalGrant, RegionalProof};
 use crate::state::{Edit, Entry};
 use crate::{Certified, ControllerId, Digest, MachineId, Number};
 
@@ -47,6 +48,10 @@
     Push(Change),
     /// Asks for a report of the control machine.
     GetStatus,
+    /// The same as [`ToRelay::AskLease`]; where no quorum of acceptors answers, a [`ToWatcher::RegionalLease`] is taken.
+    AskRegionalLease { nonce: Nonce, active: Number },
+    /// Asks for a report on regions apart.
+    GetApart,
 }
 
 /// What a relay sends to a watcher, or to an operator's tool.
@@ -73,6 +78,10 @@
     PushOutcome { change: ChangeId, outcome: Result<Number, Rejection> },
     /// A report for an operator.
     Status(Box<ControlStatus>),
+    /// A lease without a quorum of acceptors: control machines' grants over a tree of nonces.
+    RegionalLease(RegionalProof),
+    /// A report on regions apart.
+    Apart(Box<ApartStatus>),
 }
 
 /// What control machines send to each other. The transport tells who sent it and that it is unaltered.
@@ -98,6 +107,23 @@
     Forward { change: Change },
     /// What became of a change that was forwarded.
     Outcome { change: ChangeId, outcome: Result<Number, Rejection> },
+    /// Asks a control machine to vouch for the revision that it acts on, over the root of a tree of nonces.
+    AskRegionalGrant { root: Digest },
+    /// A control machine's regional grant.
+    RegionalGrant(RegionalGrant),
+}
+
+/// What a control machine knows of regions apart, for its operator.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ApartStatus {
+    /// How long a cut-off region goes on; 0 where it does not.
+    pub apart_ms: u64,
+    /// Whether this machine could vouch for what it acts on now.
+    pub vouches: bool,
+    /// Machines that an exclusive revision waits for at this acceptor, and for how long at most.
+    pub waits_ms: Vec<(MachineId, u64)>,
+    /// Regional leases that were handed to controllers since the start.
+    pub regional_leases: u64,
 }
 
 /// What a control machine knows, for its operator.
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::control::{CloseReason, ConnectionId, ControlOutput};
 use crate::lease::{Grant, LeaseProof, Nonce};
 use crate::message::ToWatcher;
+use crate::regional::RegionalGrant;
 use crate::tokens::Tokens;
 use crate::{ControllerId, Digest, MachineId, Number};
 use admission::{Admission, Admitted};
@@ -100,6 +101,7 @@
     turn: ConnectionId,
     next_tick: Duration,
     chance: Chance,
+    regional_leases: u64,
 }
 
 impl Relay {
@@ -119,6 +121,7 @@
             turn: 0,
             next_tick: now,
             chance: Chance(seed),
+            regional_leases: 0,
         }
     }
 
@@ -322,6 +325,34 @@
         self.rounds.awaits(grant)
     }
 
+    /// The watcher that asked for a lease last on this connection takes a regional one as well.
+    pub(crate) fn takes_regional(&mut self, id: ConnectionId) {
+        self.rounds.takes_regional(id);
+    }
+
+    /// Roots over which machines are to be asked to vouch, with those that did so far.
+    pub(crate) fn regional_asks(&mut self, now: Duration, quorum: usize) -> Vec<(Digest, Vec<MachineId>)> {
+        self.rounds.regional_asks(now, quorum)
+    }
+
+    /// Whether a regional grant is one that this relay waits for.
+    pub(crate) fn awaits_regional(&self, grant: &RegionalGrant) -> bool {
+        self.rounds.awaits_regional(grant)
+    }
+
+    /// A machine vouched over one of this relay's roots.
+    pub(crate) fn vouched(&mut self, grant: RegionalGrant, out: &mut Vec<ControlOutput>) {
+        for (id, proof) in self.rounds.vouched(grant) {
+            self.regional_leases += 1;
+            out.push(ControlOutput::to_watcher(id, ToWatcher::RegionalLease(proof)));
+        }
+    }
+
+    /// Regional leases that were handed down so far.
+    pub(crate) fn regional_leases(&self) -> u64 {
+        self.regional_leases
+    }
+
     /// Whether all watchers have the revision that is handed down, or have had the time for it. Tells its number.
     pub(crate) fn ready(&self, now: Duration) -> Option<Number> {
         let (number, since) = self.handed_down;
--- a/crates/distribution/src/tests.rs
+++ b/crates/distribution/src/tests.rs
@@ -8,6 +8,7 @@
 mod measure;
 mod message;
 mod net;
+mod regional;
 mod relay;
 mod sample;
 mod state;
--- a/crates/distribution/src/tests/control.rs
+++ b/crates/distribution/src/tests/control.rs
@@ -1,6 +1,7 @@
 //! The control machines and their watchers as a whole: a test for each hard case, and plays from seeds.
 
 mod acceptor;
+mod apart;
 mod changes;
 mod machines;
 mod plays;
--- a/crates/distribution/src/tests/control/plays.rs
+++ b/crates/distribution/src/tests/control/plays.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::super::edits::put;
-use super::super::net::{region_of, Broken, Net, Node};
+use super::super::net::{region_of, Broken, Net, Node, EXCLUSIVE};
 use crate::{ControllerId, MachineId};
 
 /// Steps come at most so far apart: about a lease.
@@ -16,11 +16,23 @@
     machines: MachineId,
     acceptors: MachineId,
     watchers: ControllerId,
+    /// How long cut-off regions go on; zero: they hold back.
+    apart: Duration,
 }
 
+/// How long cut-off regions go on in plays where they do: some steps.
+const APART: Duration = Duration::from_secs(20);
+
 fn size_of(seed: u64) -> Size {
     let machines = [3, 5, 7][seed as usize % 3];
-    Size { machines, acceptors: if machines < 5 { 3 } else { [3, 5][seed as usize / 3 % 2] }, watchers: 8 }
+    let acceptors = if machines < 5 { 3 } else { [3, 5][seed as usize / 3 % 2] };
+    Size { machines, acceptors, watchers: 8, apart: Duration::ZERO }
+}
+
+/// Two machines or three in each region.
+fn size_apart(seed: u64) -> Size {
+    let machines = [6, 7, 9][seed as usize % 3];
+    Size { machines, acceptors: [3, 5][seed as usize / 3 % 2], watchers: 9, apart: APART }
 }
 
 fn drawn(net: &mut Net, below: usize) -> usize {
@@ -38,7 +50,9 @@
 fn push(net: &mut Net, size: &Size) {
     let at = drawn_machine(net, size);
     let author = 1 + drawn(net, 3) as u16;
-    let key = format!("title {}", drawn(net, 5));
+    let exclusive = !size.apart.is_zero() && net.chance.share() < 0.4;
+    let kind = if exclusive { EXCLUSIVE } else { "title " };
+    let key = format!("{kind}{}", drawn(net, 5));
     let value = format!("{}", drawn(net, 1000));
     let base = net.machines[usize::from(at)].machine.as_ref().map_or(0, |machine| machine.number());
     // Now and then against an older revision.
@@ -119,9 +133,17 @@
 
 /// One play: what does not hold at its end, and what was seen in it.
 fn play(seed: u64, broken: Broken) -> (Vec<String>, Net) {
-    let size = size_of(seed);
-    let mut net = Net::new(size.machines, size.acceptors, size.watchers, seed);
-    net.broken = broken;
+    play_with(size_of(seed), seed, broken)
+}
+
+/// The same where regions apart go on.
+fn play_apart(seed: u64, broken: Broken) -> (Vec<String>, Net) {
+    play_with(size_apart(seed), seed, broken)
+}
+
+fn play_with(size: Size, seed: u64, broken: Broken) -> (Vec<String>, Net) {
+    let mut net = Net::with_apart(size.machines, size.acceptors, size.watchers, seed, size.apart);
+    net.set_broken(broken);
     net.run_for(6.0);
     for _ in 0..10 {
         step(&mut net, &size);
@@ -134,37 +156,57 @@
     (net.faults_at_the_end(), net)
 }
 
-fn plays(seeds: std::ops::Range<u64>) {
+/// Tells how many regional leases there were.
+fn plays(play: fn(u64, Broken) -> (Vec<String>, Net), seeds: std::ops::Range<u64>) -> usize {
     let (mut certified, mut tally, mut longest, plays) = (0, [0; 4], 0.0f64, seeds.end - seeds.start);
+    let mut regional = 0;
     for seed in seeds {
         let (faults, net) = play(seed, Broken::default());
         assert!(faults.is_empty(), "seed {seed}: {faults:?}");
         certified += net.seen.highest();
         tally.iter_mut().zip(net.seen.tally()).for_each(|(sum, of)| *sum += of);
         longest = longest.max(net.seen.longest.as_secs_f64());
+        regional += net.seen.regional_leases;
     }
     let [taken, rejected, unknown, unanswered] = tally;
     println!(
         "{plays} plays, none broken: {certified} revisions; {taken} pushes taken, {rejected} rejected, \
-         {unknown} unknown, {unanswered} unanswered by machines that died; longest contradiction {longest:.2} s"
+         {unknown} unknown, {unanswered} unanswered by machines that died; longest contradiction {longest:.2} s; \
+         {regional} regional leases"
     );
     let enough = taken as u64 > plays && rejected as u64 > plays / 4;
     assert!(enough, "too little happened for a proof: {tally:?}");
+    regional
 }
 
 #[test]
 fn what_must_hold_holds_in_plays_from_seeds() {
-    plays(0..150);
+    assert_eq!(plays(play, 0..150), 0);
 }
 
 #[test]
 #[ignore = "takes minutes"]
 fn thousands_of_plays() {
-    plays(1000..5000);
+    assert_eq!(plays(play, 1000..5000), 0);
+}
+
+#[test]
+fn what_must_hold_holds_in_plays_with_regions_apart() {
+    assert!(plays(play_apart, 0..150) > 1000);
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn thousands_of_plays_with_regions_apart() {
+    assert!(plays(play_apart, 1000..5000) > 20_000);
 }
 
 /// What a play of some kind of fault shows, in so many seeds.
 fn shows(broken: Broken, seeds: u64, fault: &str) -> bool {
+    shows_in(play, broken, seeds, fault)
+}
+
+fn shows_in(play: fn(u64, Broken) -> (Vec<String>, Net), broken: Broken, seeds: u64, fault: &str) -> bool {
     (0..seeds).any(|seed| play(seed, broken).0.iter().any(|found| found.contains(fault)))
 }
 
@@ -176,4 +218,7 @@
     assert!(shows(Broken { blind_grants: true, ..whole }, 150, "contradicting"));
     assert!(shows(Broken { no_updates: true, ..whole }, 10, "don't act on"));
     assert!(shows(Broken { twisted_outcomes: true, ..whole }, 20, "told"));
+    assert!(shows_in(play_apart, Broken { nothing_exclusive: true, ..whole }, 150, "contradicting"));
+    assert!(shows_in(play_apart, Broken { vouches_always: true, ..whole }, 150, "contradicting"));
+    assert!(shows_in(play_apart, Broken { no_lease: true, ..whole }, 150, "contradicting"));
 }
--- a/crates/distribution/src/tests/net.rs
+++ b/crates/distribution/src/tests/net.rs
@@ -15,6 +15,7 @@
 use crate::control::{Checkpoint, Config, ConnectionId, ControlMachine, ControlOutput, Stored, StoredItem};
 use crate::lease::Grant;
 use crate::message::{self, PeerMessage, ToRelay};
+use crate::regional::RegionalGrant;
 use crate::state::{Edit, State};
 use crate::watcher::{self, relay_order, StoreRequest, Watcher, WatcherConfig, WatcherOutput};
 use crate::{Author, ControllerId, MachineId, Number};
@@ -48,8 +49,15 @@
     pub no_updates: bool,
     /// Tools take each rejection for unknown, and each outcome unknown for a rejection.
     pub twisted_outcomes: bool,
+    /// Machines take no revision for exclusive.
+    pub nothing_exclusive: bool,
+    /// Machines vouch for revision 0 for whoever asks, also two of one region.
+    pub vouches_always: bool,
 }
 
+/// Keys that begin so are exclusive; all others are free.
+pub const EXCLUSIVE: &str = "exclusive ";
+
 pub struct MachineSeat {
     pub machine: Option<ControlMachine<DigestHand>>,
     pub disk: Stored,
@@ -99,6 +107,10 @@
     pub broken: Broken,
     /// Machines that say to be ready for their watchers, and send them nothing.
     pub liars: BTreeSet<MachineId>,
+    /// Machines that vouch for revision 0 whenever they are asked.
+    pub false_vouchers: BTreeSet<MachineId>,
+    /// How long cut-off regions go on; zero: they hold back.
+    pub apart: Duration,
     pub seen: Seen,
     pub acceptors: MachineId,
     genesis: State,
@@ -114,6 +126,13 @@
 impl Net {
     /// So many machines, the first of which are acceptors, and so many watchers, all just started.
     pub fn new(machines: MachineId, acceptors: MachineId, watchers: ControllerId, seed: u64) -> Self {
+        Self::with_apart(machines, acceptors, watchers, seed, Duration::ZERO)
+    }
+
+    /// The same, where cut-off regions go on for that long.
+    pub fn with_apart(
+        machines: MachineId, acceptors: MachineId, watchers: ControllerId, seed: u64, apart: Duration,
+    ) -> Self {
         let founding = |machine| if machine < acceptors { Stored::founding() } else { Stored::default() };
         let machine_seat = |machine| MachineSeat {
             machine: None,
@@ -153,7 +172,9 @@
             chance,
             broken: Broken::default(),
             liars: BTreeSet::new(),
-            seen: Seen::default(),
+            false_vouchers: BTreeSet::new(),
+            apart,
+            seen: Seen::new(!apart.is_zero()),
             acceptors,
             genesis: State::from_entries(titles).expect("a state"),
             revoked: BTreeSet::new(),
@@ -177,6 +198,16 @@
         }
     }
 
+    /// Has the machines start again with what is broken in them.
+    pub fn set_broken(&mut self, broken: Broken) {
+        self.broken = broken;
+        if broken.nothing_exclusive {
+            let machines = 0..self.machines.len() as MachineId;
+            machines.clone().for_each(|me| self.kill_machine(me, false));
+            machines.for_each(|me| self.start_machine(me));
+        }
+    }
+
     fn put(&mut self, at: Duration, event: Event) {
         self.sequence += 1;
         self.events.insert((at, self.sequence), event);
@@ -189,8 +220,12 @@
         let seat = &mut self.machines[usize::from(me)];
         seat.life += 1;
         seat.due = Duration::MAX;
-        let config = Config { late: LATE, ..Config::new(me, seat.life) };
-        seat.machine = Some(ControlMachine::new(config, hand, seat.disk.clone(), genesis, seed, now));
+        let config = Config { late: LATE, apart: self.apart, ..Config::new(me, seat.life) };
+        let nothing = self.broken.nothing_exclusive;
+        let mut machine = ControlMachine::new(config, hand, seat.disk.clone(), genesis, seed, now);
+        let is_exclusive = |edit: &Edit| edit.key.starts_with(EXCLUSIVE);
+        machine.set_exclusive_check(Box::new(move |_, edits| !nothing && edits.iter().any(is_exclusive)));
+        seat.machine = Some(machine);
         self.with_machine(me, |_, _, _| {});
     }
 
@@ -227,6 +262,7 @@
             controller: me,
             relays: seat.relays.len(),
             late: LATE,
+            regional: !self.apart.is_zero(),
             check: Box::new(|_, _| Ok(())),
             nonce: Box::new(move || std::array::from_fn(|_| (nonces.share() * 256.0) as u8)),
         };
@@ -306,6 +342,10 @@
             }
             message => message,
         };
+        self.seen.sent_to_peer(&message);
+        if let PeerMessage::AskRegionalGrant { root } = message {
+            self.vouch_falsely(to, from, root);
+        }
         let frame = message::encode(&message);
         let life = self.machines[usize::from(from)].life;
         for _ in 0..if self.chance.share() < 0.02 { 2 } else { 1 } {
@@ -317,6 +357,19 @@
         }
     }
 
+    /// A machine that lies vouches for a revision that is over.
+    fn vouch_falsely(&mut self, liar: MachineId, to: MachineId, root: crate::Digest) {
+        let cut = self.is_cut(Node::Machine(liar), Node::Machine(to));
+        if cut || !(self.broken.vouches_always || self.false_vouchers.contains(&liar)) {
+            return;
+        }
+        let grant = RegionalGrant::sign(&self.hand(liar), liar, root, 0);
+        let frame = message::encode(&PeerMessage::RegionalGrant(grant));
+        let life = self.machines[usize::from(liar)].life;
+        let at = self.now + self.way(Node::Machine(liar), Node::Machine(to));
+        self.put(at, Event::Peer { from: liar, life, to, frame });
+    }
+
     fn is_cut(&self, from: Node, to: Node) -> bool {
         self.cut.contains(&(from, to))
     }
--- a/crates/distribution/src/tests/net/checks.rs
+++ b/crates/distribution/src/tests/net/checks.rs
@@ -3,14 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use badgerledge_revisions::word::Word;
+
 use super::{Net, Node};
 use crate::change::{Batch, ChangeId, Rejection, Summary};
 use crate::control::{ConnectionId, ControlMachine};
 use crate::lease::bound;
-use crate::message::ToWatcher;
+use crate::message::{PeerMessage, ToWatcher};
 use crate::{digest, ControllerId, Digest, MachineId, Number};
 
-use super::LATE;
+use super::{EXCLUSIVE, LATE};
 
 /// What was seen.
 #[derive(Default)]
@@ -21,6 +23,12 @@
     roots: BTreeMap<Number, BTreeSet<Digest>>,
     /// Batches by what names them in a head.
     batches: BTreeMap<Digest, Batch>,
+    /// Only exclusive revisions contradict others: regions apart go on with older ones.
+    only_exclusive: bool,
+    /// Messages between machines of regions apart, and words on relay leases.
+    pub apart_messages: usize,
+    /// Regional leases that relays handed down.
+    pub regional_leases: usize,
     /// When a revision was first acted on by a watcher.
     acted: BTreeMap<Number, Duration>,
     /// When each watcher first acted on each revision.
@@ -36,6 +44,11 @@
 }
 
 impl Seen {
+    /// Nothing was seen yet.
+    pub fn new(only_exclusive: bool) -> Self {
+        Self { only_exclusive, ..Self::default() }
+    }
+
     pub fn batch(&mut self, summary: &Summary, bytes: &[u8]) {
         let batch = Batch::decode(bytes).expect("a batch that is stored");
         self.batches.insert(digest(&summary.text()), batch);
@@ -54,10 +67,46 @@
             ToWatcher::Delta { .. } => self.deltas += 1,
             ToWatcher::Snapshot { .. } => self.snapshots += 1,
             ToWatcher::Bucket { .. } => self.buckets += 1,
+            ToWatcher::RegionalLease(_) => self.regional_leases += 1,
             _ => {}
         }
     }
 
+    pub fn sent_to_peer(&mut self, message: &PeerMessage) {
+        let word = match message {
+            PeerMessage::Agreement(bytes) => Word::read(bytes),
+            PeerMessage::AskRegionalGrant { .. } | PeerMessage::RegionalGrant(_) => {
+                self.apart_messages += 1;
+                None
+            }
+            _ => None,
+        };
+        if let Some(Word::AskRelayLease { .. } | Word::RelayLease { .. } | Word::Able { .. }) = word {
+            self.apart_messages += 1;
+        }
+    }
+
+    /// Whether a revision changes an exclusive key.
+    fn is_exclusive(&self, number: Number) -> bool {
+        let of_batch = |batch: &Batch| {
+            let edits = batch.changes.iter().flat_map(|change| &change.edits);
+            edits.into_iter().any(|edit| edit.key.starts_with(EXCLUSIVE))
+        };
+        let named = self.certified.get(&number).and_then(|heads| heads.first());
+        match named.and_then(|(_, text)| self.batches.get(text)) {
+            Some(batch) => of_batch(batch),
+            None => self.batches.values().any(|batch| batch.number == number && of_batch(batch)),
+        }
+    }
+
+    /// Since when somebody acts on what contradicts a revision.
+    fn contradicted_since(&self, active: Number) -> Option<Duration> {
+        let later = self.acted.range(active + 1..);
+        let exclusive = (active + 1..=self.highest()).find(|number| self.is_exclusive(*number));
+        let first = if self.only_exclusive { exclusive? } else { active + 1 };
+        later.filter(|(number, _)| **number >= first).map(|(_, at)| *at).min()
+    }
+
     /// What became of a push, as its tool heard.
     pub fn outcome(&self, push: Option<ConnectionId>) -> Option<&Result<Number, Rejection>> {
         self.outcomes.get(&push?).and_then(|outcomes| outcomes.first())
@@ -180,7 +229,7 @@
         }
         self.seen.acted.entry(acting.active).or_insert(self.now);
         self.seen.acted_by.entry(me).or_default().entry(acting.active).or_insert(self.now);
-        let newer = self.seen.acted.range(acting.active + 1..).map(|(_, at)| *at).min();
+        let newer = self.seen.contradicted_since(acting.active);
         let span = newer.map_or(Duration::ZERO, |at| self.now.saturating_sub(at));
         self.seen.longest = self.seen.longest.max(span);
     }
@@ -198,6 +247,17 @@
         self.watchers.iter().map(acting).collect()
     }
 
+    /// Whether all watchers outside a region have prepared the last certified revision.
+    pub fn has_prepared(&self, but_region: u32) -> bool {
+        let prepared = |seat: &super::WatcherSeat| {
+            let watcher = seat.watcher.as_ref()?;
+            watcher.acting(self.now.mul_f64(seat.pace)).prepared
+        };
+        let outside = |me: &ControllerId| super::region_of(Node::Watcher(*me)) != but_region;
+        let mut all = (0..self.watchers.len() as ControllerId).filter(outside);
+        all.all(|me| prepared(&self.watchers[me as usize]) == Some(self.seen.highest()))
+    }
+
     /// Whether a watcher reaches a machine that runs, both ways.
     fn is_reachable(&self, me: ControllerId) -> bool {
         let runs = |machine: &MachineId| self.machines[usize::from(*machine)].machine.is_some();
--- a/crates/distribution/src/tests/sample.rs
+++ b/crates/distribution/src/tests/sample.rs
@@ -7,7 +7,8 @@
 use super::hand::{sign_as_author, DigestHand};
 use crate::change::{Change, ChangeId, Rejection, Summary};
 use crate::lease::{leaf, Grant, LeaseProof, NonceTree};
-use crate::message::{PeerMessage, ToRelay, ToWatcher};
+use crate::message::{ApartStatus, PeerMessage, ToRelay, ToWatcher};
+use crate::regional::{RegionalGrant, RegionalProof};
 use crate::state::Edit;
 use crate::{Certified, Hand, MachineId, Number, Signed};
 
@@ -39,6 +40,16 @@
     LeaseProof { nonce, index: 3, path: tree.path(3), grants: (0..grants).map(grant).collect() }
 }
 
+/// The regional lease of watcher 3 of 8 that acts on revision 12, with grants of these machines.
+pub fn regional_proof(machines: &[MachineId]) -> RegionalProof {
+    let nonce = [5; 16];
+    let tree = NonceTree::new((0..8).map(|watcher| leaf(watcher, &nonce)).collect());
+    let grant = |machine: &MachineId| {
+        RegionalGrant::sign(&DigestHand::new(*machine, ACCEPTORS), *machine, tree.root(), 12)
+    };
+    RegionalProof { nonce, index: 3, path: tree.path(3), grants: machines.iter().map(grant).collect() }
+}
+
 pub fn delta(edits: Vec<Edit>) -> ToWatcher {
     ToWatcher::Delta { certificate: certificate(4), summary: summary(), base: 11, base_root: [4; 32], edits }
 }
@@ -54,6 +65,8 @@
         ToRelay::GetBuckets { buckets: vec![0, 4095] },
         ToRelay::Push(change(1, 2, 11, vec![put("a", "1"), removal("b")])),
         ToRelay::GetStatus,
+        ToRelay::AskRegionalLease { nonce: [5; 16], active: 12 },
+        ToRelay::GetApart,
     ]
 }
 
@@ -74,6 +87,8 @@
         ToWatcher::PushOutcome { change: id, outcome: Ok(12) },
         ToWatcher::PushOutcome { change: id, outcome: Err(rejection) },
         ToWatcher::Status(Box::default()),
+        ToWatcher::RegionalLease(regional_proof(&[0, 1])),
+        ToWatcher::Apart(Box::new(ApartStatus { waits_ms: vec![(3, 1000)], ..ApartStatus::default() })),
     ]
 }
 
@@ -92,5 +107,7 @@
         PeerMessage::Grant(grant),
         PeerMessage::Forward { change: change(1, 2, 11, vec![removal("b")]) },
         PeerMessage::Outcome { change: id, outcome: Err(Rejection::Unknown) },
+        PeerMessage::AskRegionalGrant { root: [1; 32] },
+        PeerMessage::RegionalGrant(regional_proof(&[0]).grants[0]),
     ]
 }
--- a/crates/distribution/src/tests/watcher/bench.rs
+++ b/crates/distribution/src/tests/watcher/bench.rs
@@ -37,7 +37,7 @@
         None => Ok(()),
     };
     let (check, nonce) = (Box::new(check), Box::new(nonce));
-    WatcherConfig { controller: CONTROLLER, relays, late: LATE, check, nonce }
+    WatcherConfig { controller: CONTROLLER, relays, late: LATE, regional: false, check, nonce }
 }
 
 pub struct Bench {
--- a/crates/distribution/src/tests/watcher/lease_play.rs
+++ b/crates/distribution/src/tests/watcher/lease_play.rs
@@ -190,7 +190,7 @@
             predictable(controller, drawn)
         });
         let check = Box::new(|_: &State, _: Number| Ok(()));
-        let config = WatcherConfig { controller, relays: RELAYS, late: TICK, check, nonce };
+        let config = WatcherConfig { controller, relays: RELAYS, late: TICK, regional: false, check, nonce };
         let stored = Stored::read(&seat.disk).ok();
         seat.watcher = Some(Watcher::new(hand(100), config, own_state(), stored, seat.lives, now));
         seat.reckoning = Reckoning::default();
--- a/crates/distribution/src/tests/watcher/relays.rs
+++ b/crates/distribution/src/tests/watcher/relays.rs
@@ -130,6 +130,7 @@
             ToRelay::GetGroups { groups } => self.session.groups.extend(groups),
             ToRelay::GetBuckets { buckets } => self.session.buckets.extend(buckets),
             ToRelay::Unfit { .. } | ToRelay::Push(_) | ToRelay::GetStatus => {}
+            ToRelay::AskRegionalLease { .. } | ToRelay::GetApart => {}
         }
         said.extend(self.news(world));
         let mut said = self.spoiled(said);
--- a/crates/distribution/src/watcher.rs
+++ b/crates/distribution/src/watcher.rs
@@ -34,6 +34,7 @@
 
 use crate::lease::{bound, LeaseFault, LeaseProof};
 use crate::message::{ToRelay, ToWatcher};
+use crate::regional::RegionalProof;
 use crate::state::State;
 use crate::Hand;
 use lease_requests::LeaseRequests;
@@ -161,7 +162,13 @@
             }
             ToWatcher::Activate { number, goes } => self.take_goes(now, relay, number, &goes, out)?,
             ToWatcher::Lease(proof) => self.take_lease(now, relay, &proof, out)?,
-            ToWatcher::PushOutcome { .. } | ToWatcher::Status(_) => return Err(RelayFault::Unexpected),
+            ToWatcher::RegionalLease(proof) if self.config.regional => {
+                self.take_regional_lease(now, relay, &proof, out)?
+            }
+            ToWatcher::PushOutcome { .. }
+            | ToWatcher::Status(_)
+            | ToWatcher::RegionalLease(_)
+            | ToWatcher::Apart(_) => return Err(RelayFault::Unexpected),
         }
         Ok(())
     }
@@ -175,6 +182,25 @@
         }
         let shown = proof.check(self.config.controller, self.revisions.active(), &self.hand);
         self.requests.answered(&proof.nonce, shown);
+        self.lease_shown(now, relay, shown, out)
+    }
+
+    /// The same where control machines vouched in the place of acceptors.
+    fn take_regional_lease(
+        &mut self, now: Duration, relay: usize, proof: &RegionalProof, out: &mut Vec<WatcherOutput>,
+    ) -> Result<(), RelayFault> {
+        if !self.requests.is_open(&proof.nonce) {
+            return Ok(());
+        }
+        let shown = proof.check(self.config.controller, self.revisions.active(), &self.hand);
+        self.requests.vouched(&proof.nonce, shown);
+        self.lease_shown(now, relay, shown, out)
+    }
+
+    /// What an answer to a request for a lease showed.
+    fn lease_shown(
+        &mut self, now: Duration, relay: usize, shown: Result<(), LeaseFault>, out: &mut Vec<WatcherOutput>,
+    ) -> Result<(), RelayFault> {
         match shown {
             Ok(()) | Err(LeaseFault::Behind(_)) => self.links.granted(now, relay),
             Err(fault) if fault.is_forged() => return Err(RelayFault::Lease(fault)),
@@ -232,7 +258,11 @@
         let nonce = (self.config.nonce)();
         self.requests.drew(now, nonce);
         let active = self.revisions.active();
-        out.push(WatcherOutput::Send(relay, ToRelay::AskLease { nonce, active }));
+        let ask = match self.config.regional {
+            true => ToRelay::AskRegionalLease { nonce, active },
+            false => ToRelay::AskLease { nonce, active },
+        };
+        out.push(WatcherOutput::Send(relay, ask));
     }
 
     fn say_hello(&mut self, relay: usize, out: &mut Vec<WatcherOutput>) {
@@ -300,6 +330,7 @@
             allowed: self.revisions.allowed().max(self.revisions.active()),
             unfit: self.revisions.unfit().map(|(number, _)| number),
             lease_until: self.requests.until(),
+            regional: self.requests.is_regional(now),
             bound: bound(self.config.late),
             serving: self.links.serving(),
             trying: self.links.trying(),
--- a/crates/distribution/src/watcher/interface.rs
+++ b/crates/distribution/src/watcher/interface.rs
@@ -21,6 +21,8 @@
     pub relays: usize,
     /// How long what was decided may still take to go out, for the bound that is stated.
     pub late: Duration,
+    /// Whether a lease for which control machines vouch is taken where no quorum of acceptors answers.
+    pub regional: bool,
     pub check: Check,
     pub nonce: DrawNonce,
 }
@@ -86,6 +88,8 @@
     /// The highest revision that it can't act on, if it is the last one that it has.
     pub unfit: Option<Number>,
     pub lease_until: Option<Duration>,
+    /// Whether that lease rests on control machines that vouched, without a quorum of acceptors.
+    pub regional: bool,
     /// How long two controllers may act on contradicting revisions at most.
     pub bound: Duration,
     /// The place of the relay that serves, and the control machine that it says it is.
--- a/crates/distribution/src/watcher/lease_requests.rs
+++ b/crates/distribution/src/watcher/lease_requests.rs
@@ -16,6 +16,10 @@
     until: Option<Duration>,
     /// What the last proof lacked, if it came from a quorum that had allowed a higher revision.
     behind: bool,
+    /// Until when the last lease for which control machines vouched lasts.
+    regional_until: Option<Duration>,
+    /// The same of the last one that acceptors granted.
+    granted_until: Option<Duration>,
 }
 
 impl LeaseRequests {
@@ -38,7 +42,8 @@
         let Some(drawn) = self.drawn.remove(nonce) else { return };
         match shown {
             Ok(()) => {
-                self.until = self.until.max(Some(drawn + LEASE));
+                self.granted_until = self.granted_until.max(Some(drawn + LEASE));
+                self.until = self.until.max(self.granted_until);
                 self.behind = false;
             }
             Err(LeaseFault::Behind(_)) => self.behind = true,
@@ -46,6 +51,18 @@
         }
     }
 
+    /// The same where control machines vouched in the place of acceptors.
+    pub fn vouched(&mut self, nonce: &Nonce, shown: Result<(), LeaseFault>) {
+        let Some(drawn) = self.drawn.remove(nonce).filter(|_| shown.is_ok()) else { return };
+        self.regional_until = self.regional_until.max(Some(drawn + LEASE));
+        self.until = self.until.max(self.regional_until);
+    }
+
+    /// Whether a lease lasts that only rests on control machines that vouched.
+    pub fn is_regional(&self, now: Duration) -> bool {
+        self.is_held(now) && self.granted_until.is_none_or(|until| until <= now)
+    }
+
     pub fn until(&self) -> Option<Duration> {
         self.until
     }
--- a/crates/revisions/src/certify.rs
+++ b/crates/revisions/src/certify.rs
@@ -246,7 +246,8 @@
             let off = self.gone.get(member).is_some_and(|gone| gone.gone);
             let hold = self.terms.regime == Regime::Hold && *member != self.terms.me;
             let late = self.gate.as_ref().is_some_and(|gate| gate.is_over(now));
-            !(has || off || hold && (late || self.granted.is_over(*member, now, self.lease)))
+            let excused = off || hold && (late || self.granted.is_over(*member, now, self.lease));
+            !(has || excused) || !off && self.waits_for_relay_lease(now, *member)
         };
         self.hand.members().iter().copied().filter(waits).collect()
     }
@@ -259,6 +260,9 @@
         if self.keeper.as_mut().filter(able).is_none() || !self.waited_for(now).is_empty() {
             return;
         }
+        if !self.keepers_are_able(now, out) {
+            return;
+        }
         if let Some(keeper) = &mut self.keeper {
             keeper.go_on(number);
         }
--- a/crates/revisions/src/lease.rs
+++ b/crates/revisions/src/lease.rs
@@ -73,6 +73,11 @@
         self.next
     }
 
+    /// When a request went out, while it is kept.
+    pub fn asked_at(&self, nonce: u64) -> Option<Duration> {
+        self.asked.get(&nonce).copied()
+    }
+
     /// A keeper's answer, which had given no word to act on anything after what this member acts on.
     pub fn granted(&mut self, keeper: Member, nonce: u64) {
         let Some(at) = self.asked.get(&nonce).copied() else { return };
--- a/crates/revisions/src/lib.rs
+++ b/crates/revisions/src/lib.rs
@@ -7,6 +7,7 @@
 //! a keeper does when every member that is not excused has it. A member that has said so, and has not heard from a
 //! quorum of keepers for a lease, holds back what the change governs ([`Acting::held`]).
 
+mod apart;
 mod certify;
 mod gate;
 mod head;
--- a/crates/revisions/src/member.rs
+++ b/crates/revisions/src/member.rs
@@ -6,6 +6,7 @@
 
 use badgerledge_core::chance::Chance;
 
+use crate::apart::Apart;
 use crate::gate::Gate;
 use crate::learned::Learned;
 use crate::lease::{Granted, Held, ASKS_IN_A_LEASE};
@@ -126,6 +127,8 @@
     pub(crate) gave: BTreeMap<Member, Duration>,
     /// What the driver decides, where the text stands for more than itself.
     pub(crate) gate: Option<Gate>,
+    /// Relay leases, where they are on.
+    pub(crate) apart: Option<Apart>,
 }
 
 impl<H: Hand> Revisions<H> {
@@ -168,6 +171,7 @@
             busy_until: now,
             gave: BTreeMap::new(),
             gate: None,
+            apart: None,
             hand,
             terms,
         };
--- a/crates/revisions/src/spread.rs
+++ b/crates/revisions/src/spread.rs
@@ -81,6 +81,13 @@
             Word::Gone(gone) => drop(self.take_gone(now, gone, out)),
             // Another part's.
             Word::List(_) => {}
+            Word::AskRelayLease { nonce, position } => {
+                self.asked_for_relay_lease(now, from, nonce, position, out);
+            }
+            Word::RelayLease { nonce, gone_on, for_ms } => {
+                self.heard_relay_lease(from, nonce, gone_on, for_ms);
+            }
+            Word::Able { number } => self.heard_able(now, from, number, out),
         }
     }
 
@@ -184,6 +191,7 @@
         if now >= self.next_go {
             self.next_go = now + GO_AGAIN;
             self.say_go_again(now, out);
+            self.say_able_again(now, out);
         }
         if now >= self.next_beat {
             let beat = if now < self.busy_until { BEAT_BUSY } else { BEAT };
@@ -231,8 +239,9 @@
         let since = self.told_since();
         let asked = |keeper: &Member| !urgent || !self.leases.answered_since(*keeper, since);
         let keepers: Vec<Member> = self.hand.keepers().iter().copied().filter(asked).collect();
-        for keeper in keepers {
-            self.say(now, keeper, Word::Ask { nonce, position }, out);
+        for keeper in &keepers {
+            self.say(now, *keeper, Word::Ask { nonce, position }, out);
         }
+        self.ask_for_relay_leases(now, nonce, &keepers, out);
     }
 }
--- a/crates/revisions/src/word.rs
+++ b/crates/revisions/src/word.rs
@@ -105,6 +105,22 @@
     Gone(Gone),
     /// Where a member's list stands: of the lists, and no part of revisions.
     List(Told),
+    /// Asks a keeper for a relay lease, and says where its member stands. `nonce` is that of an [`Word::Ask`] of the same
+    /// moment; its upper half is the member's life.
+    AskRelayLease {
+        nonce: u64,
+        position: Position,
+    },
+    /// A relay lease. When it was granted, the keeper had given no word to act on a number above `gone_on`.
+    RelayLease {
+        nonce: u64,
+        gone_on: Number,
+        for_ms: u64,
+    },
+    /// This keeper would give the word to act on all up to this number, the exclusive ones among them.
+    Able {
+        number: Number,
+    },
 }
 
 impl Word {
--- a/crates/scale/src/hollow/host.rs
+++ b/crates/scale/src/hollow/host.rs
@@ -262,6 +262,7 @@
             controller: seat.controller,
             relays: seat.relays.len(),
             late: control::Config::new(0, 1).late,
+            regional: false,
             check: Box::new(|_, _| Ok(())),
             nonce: Box::new(draw_nonce),
         };
