Relay: `apart_s`, what an exclusive change waits for in status, watch, metrics and log

Cause: regional leases had no setting at control machines.

Change: `[relay] apart_s` (0, or 10 to 14400; checked with its place), the metrics `regional_leases_total`, `vouches`, `exclusive_waits` and `exclusive_wait_seconds`, log lines, and a report of its own (`GetApart`) beside the status, whose form older tools know.

--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -6,7 +6,7 @@
 
 use badgerledge_distribution::change::{Change, Rejection};
 use badgerledge_distribution::message::{
-    decode, encode, ControlStatus, FrameFault, ToRelay, ToWatcher, LONGEST_FROM_RELAY,
+    decode, encode, ApartStatus, ControlStatus, FrameFault, ToRelay, ToWatcher, LONGEST_FROM_RELAY,
 };
 use badgerledge_distribution::Number;
 use thiserror::Error;
@@ -113,6 +113,25 @@
         }
     }
 
+    /// What the control machine knows of regions apart; nothing where it is of a build that does not know the question, and
+    /// so closed the connection.
+    ///
+    /// # Errors
+    /// Where it does not answer.
+    pub fn apart(mut self) -> Result<Option<ApartStatus>, ClientFault> {
+        self.send(&ToRelay::GetApart)?;
+        let end = Instant::now() + ANSWER_WITHIN;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.receive(left) {
+                Ok(ToWatcher::Apart(apart)) => return Ok(Some(*apart)),
+                Ok(_) => {}
+                Err(ClientFault::Closed(_)) => return Ok(None),
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
     /// Pushes a change, and waits for what became of it.
     ///
     /// # Errors
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,8 +5,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use anyhow::{bail, Context, Result};
+use badgerledge_deployment::is_exclusive;
 use badgerledge_distribution::control::{Config, ControlMachine, ControlOutput, StoredItem};
-use badgerledge_distribution::message::{ControlStatus, PeerMessage, ToRelay, ToWatcher};
+use badgerledge_distribution::message::{ApartStatus, ControlStatus, PeerMessage, ToRelay, ToWatcher};
+use badgerledge_distribution::MachineId;
 use badgerledge_keys::Keys;
 use badgerledge_reactor::{raise_descriptors, Bounds, Happening, Line, Reactor};
 use metrics::counter;
@@ -35,6 +37,14 @@
 const READERS: usize = 16;
 const READER_BOUNDS: Bounds = Bounds { input: 8192, output: 1024 * 1024 };
 
+/// What was logged of regions apart: machines that exclusive changes wait for, and leases that were vouched for.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct ApartLogged {
+    waits_for: Vec<MachineId>,
+    vouched: bool,
+    leases: u64,
+}
+
 /// A running control machine.
 pub struct Service {
     reactor: Reactor,
@@ -53,6 +63,8 @@
     ring_read: Option<SystemTime>,
     /// What was logged last of revisions.
     logged: (u32, u32),
+    /// What was logged last of regions apart.
+    apart_logged: ApartLogged,
     lines: LineLimit,
     /// How long storing took at most since it was last shown.
     longest_store: Duration,
@@ -100,11 +112,13 @@
             now,
             seed.rotate_left(17),
         );
-        let config = Config { connections, ..Config::new(place.number, life) };
+        let apart = Duration::from_secs(place.apart_s);
+        let config = Config { connections, apart, ..Config::new(place.number, life) };
         config.check()?;
         let push_check = PushCheck::new(keys.clone());
         let mut control = ControlMachine::new(config, keys, stored, genesis, seed, now);
         control.set_state_check(push_check::state_check());
+        control.set_exclusive_check(Box::new(is_exclusive));
         let ring_read = modified(&place.ring);
         tracing::info!(machine = place.number, life, %listen, %peer_listen, connections, "badgerledge-relay serves");
         Ok(Self {
@@ -122,6 +136,7 @@
             page,
             ring_read,
             logged: (0, 0),
+            apart_logged: ApartLogged::default(),
             lines: LineLimit::default(),
             longest_store: Duration::ZERO,
             ending: false,
@@ -321,6 +336,11 @@
         }
         let status = self.control.status(now);
         self.log_revisions(&status);
+        if self.settings.place.apart_s > 0 {
+            let apart = self.control.apart_status(now);
+            self.log_apart(&apart);
+            telemetry::show_apart(&apart);
+        }
         telemetry::show_stores(std::mem::take(&mut self.longest_store));
         telemetry::show(&status, self.watchers.len(), self.peers.up());
     }
@@ -336,6 +356,28 @@
         }
     }
 
+    fn log_apart(&mut self, apart: &ApartStatus) {
+        let waits_for: Vec<MachineId> = apart.waits_ms.iter().map(|(machine, _)| *machine).collect();
+        let vouched = apart.regional_leases > self.apart_logged.leases;
+        let leases = apart.regional_leases;
+        let before = std::mem::replace(&mut self.apart_logged, ApartLogged { waits_for, vouched, leases });
+        let waits_for = &self.apart_logged.waits_for;
+        if before.waits_for != *waits_for {
+            match longest_wait(apart) {
+                Some(at_most) => {
+                    tracing::warn!(?waits_for, ?at_most, "an exclusive change waits for machines")
+                }
+                None => tracing::info!("no exclusive change waits for a machine"),
+            }
+        }
+        if before.vouched != vouched {
+            match vouched {
+                true => tracing::warn!(leases, "no quorum of acceptors: regional leases are handed down"),
+                false => tracing::info!(leases, "no regional leases are handed down any more"),
+            }
+        }
+    }
+
     /// Reads the ring anew. One that is not in order changes nothing.
     fn read_ring(&mut self, now: Duration) {
         self.ring_read = modified(&self.settings.place.ring);
@@ -360,6 +402,11 @@
     }
 }
 
+/// How long exclusive changes wait at most.
+fn longest_wait(apart: &ApartStatus) -> Option<Duration> {
+    apart.waits_ms.iter().map(|(_, left)| Duration::from_millis(*left)).max()
+}
+
 fn count_peer_message(message: &PeerMessage) {
     if matches!(message, PeerMessage::Grant(_)) {
         counter!(telemetry::GRANTS).increment(1);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result};
 use badgerledge_deployment::{entries, kinds};
+use badgerledge_distribution::control::{LEAST_APART, MOST_APART};
 use badgerledge_distribution::message::LONGEST_FROM_RELAY;
 use badgerledge_distribution::state::State;
 use badgerledge_distribution::MachineId;
@@ -62,6 +63,19 @@
     #[garde(custom(within(LEAST_CONNECTION_BYTES, 64 * MEGABYTE)))]
     #[serde(default = "default_peer_bytes")]
     pub peer_bytes: usize,
+    /// How long a region that is cut off from the acceptors goes on under its old configuration, and exclusive changes wait
+    /// for it at most, in seconds; 0: it holds back after a lease. To be the same on all control machines.
+    #[garde(custom(apart_within))]
+    #[serde(default)]
+    pub apart_s: u64,
+}
+
+fn apart_within(seconds: &u64, (): &()) -> garde::Result {
+    let (least, most) = (LEAST_APART.as_secs(), MOST_APART.as_secs());
+    if *seconds == 0 || (least..=most).contains(seconds) {
+        return Ok(());
+    }
+    Err(garde::Error::new(format!("0, or {least} to {most} is taken")))
 }
 
 /// A zone's 617 controllers, those of a lost neighbour, and some tools.
--- a/crates/relay/src/telemetry.rs
+++ b/crates/relay/src/telemetry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use badgerledge_distribution::message::ControlStatus;
+use badgerledge_distribution::message::{ApartStatus, ControlStatus};
 use metrics::{counter, describe_counter, describe_gauge, gauge, Unit};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rustix::time::{clock_gettime, ClockId};
@@ -31,6 +31,10 @@
 const LOG_FLOOR: &str = "badgerledge_relay_log_floor";
 const ENTRIES: &str = "badgerledge_relay_entries";
 const STATE_BYTES: &str = "badgerledge_relay_state_bytes";
+const REGIONAL_LEASES: &str = "badgerledge_relay_regional_leases_total";
+const VOUCHES: &str = "badgerledge_relay_vouches";
+const EXCLUSIVE_WAITS: &str = "badgerledge_relay_exclusive_waits";
+const EXCLUSIVE_WAIT_SECONDS: &str = "badgerledge_relay_exclusive_wait_seconds";
 const PROCESSOR: &str = "badgerledge_relay_processor_seconds";
 
 /// Starts the counting, and gives what renders the page.
@@ -63,6 +67,10 @@
     describe_gauge!(LOG_FLOOR, "The oldest revision from which a delta can be made");
     describe_gauge!(ENTRIES, "Entries of the highest certified state");
     describe_gauge!(STATE_BYTES, Unit::Bytes, "Bytes of the highest certified state");
+    describe_counter!(REGIONAL_LEASES, "Leases handed to watchers without a quorum of acceptors");
+    describe_gauge!(VOUCHES, "1 while this machine could vouch for what its region acts on");
+    describe_gauge!(EXCLUSIVE_WAITS, "Control machines whose relay leases exclusive changes wait for here");
+    describe_gauge!(EXCLUSIVE_WAIT_SECONDS, Unit::Seconds, "How long they wait at most");
     describe_gauge!(PROCESSOR, Unit::Seconds, "Processor time of this process");
     Ok(handle)
 }
@@ -83,6 +91,15 @@
     gauge!(PROCESSOR).set(processor_seconds());
 }
 
+/// Shows what is known of regions apart.
+pub fn show_apart(apart: &ApartStatus) {
+    let longest = apart.waits_ms.iter().map(|(_, left)| *left).max().unwrap_or(0);
+    counter!(REGIONAL_LEASES).absolute(apart.regional_leases);
+    gauge!(VOUCHES).set(f64::from(u8::from(apart.vouches)));
+    gauge!(EXCLUSIVE_WAITS).set(apart.waits_ms.len() as f64);
+    gauge!(EXCLUSIVE_WAIT_SECONDS).set(longest as f64 / 1000.0);
+}
+
 fn processor_seconds() -> f64 {
     let time = clock_gettime(ClockId::ProcessCPUTime);
     time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
--- a/crates/relay/src/tests/settings.rs
+++ b/crates/relay/src/tests/settings.rs
@@ -27,7 +27,11 @@
 fn a_whole_file_is_taken_with_its_defaults() {
     let settings = read(WHOLE).unwrap();
     assert_eq!((settings.place.number, settings.peers.len(), settings.place.watchers), (1, 2, 1500));
-    assert_eq!(settings.place.metrics, None);
+    assert_eq!((settings.place.metrics, settings.place.apart_s), (None, 0));
+    let apart = |seconds| WHOLE.replace("state = state", &format!("state = state\napart_s = {seconds}"));
+    for taken in [0, 10, 3600, 14_400] {
+        assert_eq!(read(&apart(taken)).unwrap().place.apart_s, taken);
+    }
 }
 
 #[test]
@@ -40,13 +44,19 @@
     assert_eq!(
         fault("ring =", "rings ="),
         "relay.ini:6: [relay] rings: no such key; there are number, listen, peer_listen, state, ring, key, genesis, \
-         metrics, watchers, watcher_bytes, all_watchers_bytes, peer_bytes"
+         metrics, watchers, watcher_bytes, all_watchers_bytes, peer_bytes, apart_s"
     );
     assert_eq!(fault("genesis = genesis.ini\n", ""), "relay.ini:1: [relay] genesis: this key is missing");
     assert_eq!(
         fault("genesis = genesis.ini", "genesis = genesis.ini\nwatchers = 0"),
         "relay.ini:9: [relay] watchers = 0: 1 to 16384 is taken"
     );
+    for wrong in ["9", "14401"] {
+        assert_eq!(
+            fault("genesis = genesis.ini", &format!("genesis = genesis.ini\napart_s = {wrong}")),
+            format!("relay.ini:9: [relay] apart_s = {wrong}: 0, or 10 to 14400 is taken")
+        );
+    }
     assert_eq!(
         fault("0 = 127.0.0.1:7001", "0 = here"),
         "relay.ini:10: [peers] 0 = here: an address and a port are taken"
--- a/crates/relay/src/verbs/status.rs
+++ b/crates/relay/src/verbs/status.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use anyhow::Result;
-use badgerledge_distribution::message::ControlStatus;
+use badgerledge_distribution::message::{ApartStatus, ControlStatus};
 use serde_json::json;
 
-use crate::client::Client;
+use crate::client::{Client, ClientFault};
 use crate::Outcome;
 
 #[derive(clap::Args)]
@@ -24,9 +24,9 @@
 pub fn run(arguments: &Arguments) -> Result<Outcome> {
     let mut fault = None;
     for relay in &arguments.relay {
-        match Client::connect(*relay).and_then(|mut client| client.status()) {
-            Ok(status) if arguments.json => println!("{}", as_json(&status)),
-            Ok(status) => println!("{}", as_table(&status)),
+        match ask(*relay) {
+            Ok((status, apart)) if arguments.json => println!("{}", as_json(&status, &apart)),
+            Ok((status, apart)) => println!("{}", as_table(&status, &apart)),
             Err(found) => {
                 eprintln!("badgerledge-relay: {found}");
                 fault = Some(found);
@@ -39,7 +39,13 @@
     }
 }
 
-fn as_json(status: &ControlStatus) -> serde_json::Value {
+fn ask(relay: SocketAddr) -> Result<(ControlStatus, ApartStatus), ClientFault> {
+    let status = Client::connect(relay)?.status()?;
+    let apart = Client::connect(relay)?.apart()?;
+    Ok((status, apart.unwrap_or_default()))
+}
+
+fn as_json(status: &ControlStatus, apart: &ApartStatus) -> serde_json::Value {
     let ControlStatus {
         machine,
         acceptor,
@@ -71,10 +77,31 @@
         "log_floor": log_floor,
         "entries": entries,
         "state_bytes": state_bytes,
+        "apart_ms": apart.apart_ms,
+        "vouches": apart.vouches,
+        "regional_leases": apart.regional_leases,
+        "exclusive_waits_ms": apart.waits_ms,
     })
 }
 
-fn as_table(status: &ControlStatus) -> String {
+/// Machines that exclusive changes wait for, and for how long at most.
+pub fn exclusive_waits(apart: &ApartStatus) -> String {
+    let wait = |(machine, left): &(u16, u64)| format!("{machine} ({} s at most)", left.div_ceil(1000));
+    listed(&apart.waits_ms.iter().map(wait).collect::<Vec<_>>())
+}
+
+fn as_apart(apart: &ApartStatus) -> String {
+    match apart.apart_ms {
+        0 => "a region that is cut off holds back".to_owned(),
+        ms => format!(
+            "a region that is cut off goes on for {} s; {} regional leases so far",
+            ms / 1000,
+            apart.regional_leases
+        ),
+    }
+}
+
+fn as_table(status: &ControlStatus, apart: &ApartStatus) -> String {
     let role = if status.acceptor { "acceptor and relay" } else { "relay" };
     let rows = [
         ("machine", format!("{} ({role})", status.machine)),
@@ -86,6 +113,8 @@
         ("lagging", listed(&status.lagging)),
         ("waited for", listed(&status.waited_for)),
         ("deltas", format!("from revision {}", status.log_floor)),
+        ("apart", as_apart(apart)),
+        ("exclusive", format!("waits for {}", exclusive_waits(apart))),
         ("state", format!("{} entries, {} bytes", status.entries, status.state_bytes)),
     ];
     rows.iter().map(|(name, value)| format!("{name:<12}{value}\n")).collect()
--- a/crates/relay/src/verbs/watch.rs
+++ b/crates/relay/src/verbs/watch.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use badgerledge_distribution::message::ControlStatus;
+use badgerledge_distribution::message::{ApartStatus, ControlStatus};
 use badgerledge_distribution::Number;
 
 use crate::client::Client;
-use crate::verbs::status::listed;
+use crate::verbs::status::{exclusive_waits, listed};
 use crate::Outcome;
 
 /// What is shown changes no faster than this is worth reading.
@@ -34,15 +34,21 @@
     let mut client = Client::connect(arguments.relay)?;
     let mut status = client.status()?;
     let wanted = arguments.revision.unwrap_or(status.certified);
+    let apart = || Client::connect(arguments.relay)?.apart();
+    let mut waits = apart()?.filter(|apart| apart.apart_ms > 0);
     let mut shown = String::new();
     while status.active < wanted && begun.elapsed() < Duration::from_secs(arguments.wait) {
         let line = progress(&status, wanted);
         if line != shown {
-            println!("{:>7} ms  {line}", begun.elapsed().as_millis());
+            let waits = waits.as_ref().map_or(String::new(), waits_for);
+            println!("{:>7} ms  {line}{waits}", begun.elapsed().as_millis());
             shown = line;
         }
         std::thread::sleep(ASK_EVERY);
         status = client.status()?;
+        if waits.is_some() {
+            waits = apart()?;
+        }
     }
     let ms = begun.elapsed().as_millis();
     if status.active < wanted {
@@ -53,6 +59,14 @@
     Ok(Outcome::Done)
 }
 
+/// What an exclusive change waits for, if it does.
+fn waits_for(apart: &ApartStatus) -> String {
+    match apart.waits_ms.is_empty() {
+        true => String::new(),
+        false => format!(", an exclusive change waits for {}", exclusive_waits(apart)),
+    }
+}
+
 fn progress(status: &ControlStatus, wanted: Number) -> String {
     let ControlStatus { active, certified, watchers, prepared, lagging, waited_for, .. } = status;
     if *certified < wanted {
--- a/crates/replay/tests/distribution/fleet.rs
+++ b/crates/replay/tests/distribution/fleet.rs
@@ -9,7 +9,7 @@
 
 use badgerledge_distribution::change::{Change, Rejection};
 use badgerledge_distribution::lease;
-use badgerledge_distribution::message::ControlStatus;
+use badgerledge_distribution::message::{ApartStatus, ControlStatus};
 use badgerledge_distribution::Number;
 use badgerledge_keys::{PrivateKey, Role};
 use badgerledge_relay::client::{Client, ClientFault};
@@ -99,6 +99,8 @@
     pub titles: bool,
     /// A further relay that controllers prefer to all others.
     pub stand_in: Option<SocketAddr>,
+    /// How long a region that is cut off goes on; 0: it holds back.
+    pub apart_s: u64,
 }
 
 impl Default for Shape {
@@ -111,6 +113,7 @@
             behind: 0,
             titles: true,
             stand_in: None,
+            apart_s: 0,
         }
     }
 }
@@ -199,7 +202,15 @@
             (0..shape.controllers).map(|number| Ipv4Addr::new(127, 2, 0, number as u8 + 1)).collect();
         let network = Network::new(listens.clone(), peers.clone(), &callers);
         let machines: Vec<Machine> = (0..shape.machines)
-            .map(|number| start_machine(path, number, listens[number], peers[number], &network.peers_reached))
+            .map(|number| {
+                start_machine(
+                    path,
+                    number,
+                    (listens[number], peers[number]),
+                    &network.peers_reached,
+                    shape.apart_s,
+                )
+            })
             .collect();
         let backdrop = Backdrop::on_cells(shape.streamers);
         let relays = network.relays_reached.iter().enumerate();
@@ -209,10 +220,11 @@
         let controllers = callers.iter().enumerate().map(|(number, from)| {
             let place = format!("controllers = {}\nnumber = {number}\n", shape.controllers);
             let told = format!(
-                "[distribution]\nring = {}/ring.ini\nrelays = {}\nfrom = {from}\ntitles = {}\n",
+                "[distribution]\nring = {}/ring.ini\nrelays = {}\nfrom = {from}\ntitles = {}\n{}",
                 path.display(),
                 relays.join(", "),
-                shape.titles
+                shape.titles,
+                if shape.apart_s > 0 { "apart = true\n" } else { "" },
             );
             let behind = number + shape.behind >= shape.controllers;
             let titles = if behind { CATALOGUE } else { &titles };
@@ -343,6 +355,11 @@
         self.folder.path().join("genesis.ini")
     }
 
+    /// What a control machine knows of regions apart.
+    pub fn apart(&self, machine: usize) -> Option<ApartStatus> {
+        Client::connect(self.machines[machine].at).ok()?.apart().ok()?
+    }
+
     /// The place of a controller among the ends of the network's `watchers`.
     pub fn end_of(&self, controller: usize) -> usize {
         self.machines.len() + controller
@@ -380,13 +397,15 @@
 }
 
 fn start_machine(
-    path: &Path, number: usize, listen: SocketAddr, peer_listen: SocketAddr, reached: &[SocketAddr],
+    path: &Path, number: usize, (listen, peer_listen): (SocketAddr, SocketAddr), reached: &[SocketAddr],
+    apart_s: u64,
 ) -> Machine {
     let state = path.join(format!("relay-{number}"));
     let mut text = format!(
         "[relay]\nnumber = {number}\nlisten = {listen}\npeer_listen = {peer_listen}\nstate = {}\nring = ring.ini\n\
-         key = key-{number}\ngenesis = genesis.ini\n[peers]\n",
-        state.display()
+         key = key-{number}\ngenesis = genesis.ini\n{}[peers]\n",
+        state.display(),
+        if apart_s > 0 { format!("apart_s = {apart_s}\n") } else { String::new() },
     );
     for (peer, at) in reached.iter().enumerate() {
         text += &format!("{peer} = {at}\n");
--- a/crates/replay/tests/distribution/main.rs
+++ b/crates/replay/tests/distribution/main.rs
@@ -1,6 +1,7 @@
 //! The distribution tier as processes on loopback: control machines, controllers and viewers, with proxies between them
 //! that cut and slow what passes. What is asserted is what viewers are answered, and within which stated time.
 
+mod apart;
 mod changes;
 mod failures;
 mod fleet;
