Scale: regions apart that go on, free changes, and how long who is cut off did not admit

Cause: the simulated fleet knew no regional leases, all its changes were exclusive, and how long a region that is cut off admits nobody was not among the figures.

Where `apart_s` is on, contradictions count against exclusive revisions alone. The test of reborn acceptors goes on until a region that were not waited for would be seen.

--- a/crates/distribution/src/tests/control/apart.rs
+++ b/crates/distribution/src/tests/control/apart.rs
@@ -272,6 +272,7 @@
         assert!(all.iter().all(Option::is_some), "{all:?} after {:?}", net.now - begun);
         assert!((net.now - begun).as_secs_f64() < WAITS + IN_FORCE_WITHIN);
     }
+    net.run_for(3.0 * LEASE.as_secs_f64());
     net.cut.clear();
     net.run_until_acting(2, IN_FORCE_WITHIN);
     net.check("acceptors reborn");
--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::machine::Machine;
-use crate::observations::{histogram, Observations, Transition, Used};
+use crate::observations::{histogram, Observations, PushedChange, Transition, Used};
 use crate::scenario::Scenario;
 
 /// A rig that stood still for longer says nothing of bounds.
@@ -84,6 +84,9 @@
     pub never_caught_up: u64,
     /// The share of time that reachable controllers held back.
     pub held_back: f64,
+    /// How long controllers that were cut off or off did not act on any revision in that time.
+    #[serde(default)]
+    pub held_while_away: Spread,
     pub longest_contradiction_s: f64,
     pub bound_s: f64,
     pub controller: Usage,
@@ -168,7 +171,8 @@
             caught_up: Spread::of(&caught_up),
             never_caught_up,
             held_back: held_back(seen, &courses, from, until),
-            longest_contradiction_s: seen.acted_on.longest_contradiction().0.as_secs_f64(),
+            held_while_away: Spread::of(&held_while_away(seen, &courses, until)),
+            longest_contradiction_s: contradiction(scenario, seen).as_secs_f64(),
             bound_s: title.bound.as_secs_f64(),
             controller: usage(&seen.controllers, span, seen.controller_memory),
             second_p99_bytes: seen.seconds.p99(),
@@ -392,6 +396,31 @@
     held.as_secs_f64() / all.as_secs_f64().max(1e-9)
 }
 
+/// The longest contradiction. Where regions apart go on, revisions without an exclusive change contradict nobody.
+fn contradiction(scenario: &Scenario, seen: &Observations) -> Duration {
+    let exclusive = |change: &&PushedChange| change.exclusive;
+    let numbers: BTreeSet<Number> =
+        seen.changes.iter().filter(exclusive).filter_map(|change| change.number).collect();
+    let all = scenario.fleet.apart_s == 0;
+    seen.acted_on.longest_contradiction_of(|number| all || numbers.contains(&number)).0
+}
+
+/// How long each controller that was away held back, or was off, while it was.
+fn held_while_away(seen: &Observations, courses: &Courses, until: Duration) -> Histogram<u64> {
+    let mut times = histogram();
+    for (controller, away) in &seen.away {
+        let course = courses.get(controller).map_or(&[][..], Vec::as_slice);
+        let ends = course.iter().skip(1).map(|next| next.at).chain([until]);
+        let spans = course.iter().zip(ends).filter(|(transition, _)| transition.acts_on.is_none());
+        let spans: Vec<(Duration, Duration)> = spans.map(|(transition, end)| (transition.at, end)).collect();
+        let within = |(from, to): &(Duration, Duration)| -> Duration {
+            spans.iter().map(|(a, b)| b.min(to).saturating_sub(*a.max(from))).sum()
+        };
+        record(&mut times, away.iter().map(within).sum());
+    }
+    times
+}
+
 fn usage(members: &[Used], span: Duration, memory_bytes: u64) -> Usage {
     let span = span.as_secs_f64().max(1e-9);
     let count = members.len().max(1) as f64;
--- a/crates/scale/src/observations.rs
+++ b/crates/scale/src/observations.rs
@@ -50,13 +50,25 @@
 
     /// The longest that a revision was still acted on after a later one was, and which one it was.
     pub fn longest_contradiction(&self) -> (Duration, Number) {
-        let (mut longest, mut first_later) = ((Duration::ZERO, 0), Duration::MAX);
-        for (number, (first, last)) in self.spans.iter().rev() {
-            let contradiction = last.saturating_sub(first_later);
-            if contradiction > longest.0 {
-                longest = (contradiction, *number);
+        self.longest_contradiction_of(|_| true)
+    }
+
+    /// The same where only some revisions contradict all before them, and with them those that come after.
+    pub fn longest_contradiction_of(&self, exclusive: impl Fn(Number) -> bool) -> (Duration, Number) {
+        let (mut longest, mut first_later, mut first_contradicting) =
+            ((Duration::ZERO, 0), Duration::MAX, Duration::MAX);
+        let highest = self.spans.keys().next_back().copied().unwrap_or(0);
+        for number in (0..=highest).rev() {
+            if let Some((first, last)) = self.spans.get(&number) {
+                let contradiction = last.saturating_sub(first_contradicting);
+                if contradiction > longest.0 {
+                    longest = (contradiction, number);
+                }
+                first_later = first_later.min(*first);
+            }
+            if exclusive(number) {
+                first_contradicting = first_later;
             }
-            first_later = first_later.min(*first);
         }
         longest
     }
@@ -167,6 +179,9 @@
     pub settled: Option<Duration>,
     /// The revision that it became part of.
     pub number: Option<Number>,
+    /// It changed what must not be acted on in both ways at once.
+    #[serde(default)]
+    pub exclusive: bool,
 }
 
 /// All that was seen of a run.
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -56,6 +56,10 @@
     /// Control machines that certify, spread over the regions: an odd number.
     #[garde(custom(within(1, 7)))]
     pub acceptors: u16,
+    /// How long a region that is cut off goes on; 0: it holds back. Of simulated members alone.
+    #[garde(custom(within(0, 14_400)))]
+    #[serde(default)]
+    pub apart_s: u64,
 }
 
 impl Fleet {
@@ -141,9 +145,23 @@
     /// Edits of a change.
     #[garde(custom(within(1, 1000)))]
     pub edits: u32,
+    /// Each so many-th change of an author moves titles, and is exclusive; the others bring new ones, and are free. 0: all are
+    /// free.
+    #[garde(custom(within(0, 1_000_000)))]
+    #[serde(default = "one")]
+    pub exclusive_every: u64,
+}
+
+fn one() -> u64 {
+    1
 }
 
 impl Load {
+    /// Whether an author's change with this sequence number, counted from 1, is exclusive.
+    pub fn is_exclusive(&self, sequence: u64) -> bool {
+        self.exclusive_every > 0 && sequence.is_multiple_of(self.exclusive_every)
+    }
+
     pub fn changes_per_s(&self) -> f64 {
         if self.every_s > 0.0 {
             f64::from(self.at_once) / self.every_s
--- a/crates/scale/src/simulation/tools.rs
+++ b/crates/scale/src/simulation/tools.rs
@@ -57,6 +57,7 @@
         let certified = self.highest_certified();
         let seat = &mut self.tools[usize::from(tool)];
         let Some(place) = seat.pushes.outcome_of(change.sequence) else { return };
+        self.seen.changes[place].exclusive = self.scenario.load.is_exclusive(change.sequence);
         match outcome {
             Ok(number) => {
                 self.seen.changes[place].number = Some(number);
--- a/crates/scale/src/simulation/watchers.rs
+++ b/crates/scale/src/simulation/watchers.rs
@@ -28,7 +28,7 @@
             controller,
             relays: seat.relays.len(),
             late: control::Config::new(0, 1).late,
-            regional: false,
+            regional: self.scenario.fleet.apart_s > 0,
             check: Box::new(|_, _| Ok(())),
             nonce: Box::new(move || std::array::from_fn(|_| (nonces.share() * 256.0) as u8)),
         };
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -56,6 +56,13 @@
             f.caught_up.p50, f.caught_up.p99, f.caught_up.last, f.caught_up.count, f.never_caught_up
         );
     }
+    if f.held_while_away.count > 0 {
+        let _ = writeln!(
+            text,
+            "  did not admit while cut off or off: p50 {:.3} s, last {:.3} s (of {} controllers)",
+            f.held_while_away.p50, f.held_while_away.last, f.held_while_away.count
+        );
+    }
     let _ = writeln!(
         text,
         "  contradiction: {:.3} s at longest, T {:.3} s; held back {:.4} of the time",
--- a/crates/scale/src/tests/simulated.rs
+++ b/crates/scale/src/tests/simulated.rs
@@ -83,6 +83,39 @@
     assert!(figures.held_back < 0.05, "{}", figures.held_back);
 }
 
+/// With two control machines in the region. What is cut off takes its watchers' last leases with it, and so ten seconds.
+#[test]
+fn a_region_that_is_cut_off_goes_on_where_it_may() {
+    for apart in [true, false] {
+        let mut scenario = small("apart");
+        scenario.fleet.control_machines = 25;
+        scenario.fleet.acceptors = 5;
+        if !apart {
+            scenario.fleet.apart_s = 0;
+        }
+        let figures = play(&scenario, Broken::default(), false).unwrap();
+        assert_eq!(broken_budgets(&figures), [""; 0], "{}", crate::summary::summary(&figures));
+        assert_eq!(figures.held_while_away.count, 10);
+        let held = figures.held_while_away;
+        let kept = if apart { held.last == 0.0 } else { held.p50 > 50.0 };
+        assert!(kept, "apart {apart}: {held:?}");
+    }
+}
+
+/// Exclusive changes wait until the region is back, and contradict nobody past the bound; not so where they don't wait.
+#[test]
+fn exclusive_changes_wait_for_a_region_that_is_cut_off() {
+    let mut scenario = small("apart");
+    scenario.fleet.control_machines = 25;
+    scenario.fleet.acceptors = 5;
+    scenario.load.exclusive_every = 3;
+    scenario.budgets.in_force_s = 100.0;
+    let figures = play(&scenario, Broken::default(), false).unwrap();
+    assert_eq!(broken_budgets(&figures), [""; 0], "{}", crate::summary::summary(&figures));
+    assert!(figures.in_force.last > 30.0, "{:?}", figures.in_force);
+    assert_eq!(figures.held_while_away.last, 0.0);
+}
+
 #[test]
 fn a_seed_gives_the_same_run_and_another_seed_another() {
     let mut scenario = small("restarts");
--- a/crates/scale/src/workload.rs
+++ b/crates/scale/src/workload.rs
@@ -73,16 +73,28 @@
     sequence: u64,
     next_key: u32,
     version: u32,
+    /// Titles that this author brought.
+    brought: u32,
 }
 
 impl AuthorsChanges {
     pub fn new(author: Author, load: &Load) -> Self {
-        Self { author, load: load.clone(), sequence: 0, next_key: u32::from(author), version: 1 }
+        Self { author, load: load.clone(), sequence: 0, next_key: u32::from(author), version: 1, brought: 0 }
     }
 
     /// The next change, on this base.
     pub fn next(&mut self, base: Number, sign: impl FnOnce(Author, &[u8]) -> Signature) -> Change {
         self.sequence += 1;
+        let edits = match self.load.is_exclusive(self.sequence) {
+            true => self.moved(),
+            false => self.new_titles(),
+        };
+        let author = self.author;
+        Change::sign(author, self.sequence, base, edits, |bytes| sign(author, bytes))
+    }
+
+    /// Titles that lie elsewhere from then on.
+    fn moved(&mut self) -> Vec<Edit> {
         let mut edits = Vec::new();
         for _ in 0..self.load.edits {
             let lines = title(self.version, &self.load);
@@ -94,8 +106,18 @@
                 self.version += 1;
             }
         }
-        let author = self.author;
-        Change::sign(author, self.sequence, base, edits, |bytes| sign(author, bytes))
+        edits
+    }
+
+    /// Titles that come.
+    fn new_titles(&mut self) -> Vec<Edit> {
+        let mut edits = Vec::new();
+        for _ in 0..self.load.edits {
+            let index = self.load.entries + self.brought * self.load.at_once + u32::from(self.author);
+            self.brought += 1;
+            edits.push(Edit { key: key(index), value: Some(title(0, &self.load).into_bytes()) });
+        }
+        edits
     }
 }
 
