Relay: who lacks the last allowed revision is given it while an exclusive one waits

Cause: with regions apart an exclusive revision may wait for an hour, and all later ones with it. A relay offered the latest one alone, so a controller that came without its disk held back new joins until that one was allowed.

Change: where `apart` is on, a relay keeps the last revision that may be acted on, and offers it first, with its words to act, to who acts on an older one and holds no later one; its welcome names that one, since a watcher takes no lower one after that.

Failed try: with the welcome naming the latest revision watchers refused the relay, since it went back.

--- a/crates/distribution/src/control/ledger.rs
+++ b/crates/distribution/src/control/ledger.rs
@@ -28,6 +28,10 @@
     log: DeltaLog,
     /// Roots of the revisions that the log reaches.
     roots: BTreeMap<Number, Digest>,
+    /// Whether the last allowed revision is kept while later ones wait.
+    keeps_allowed: bool,
+    /// The last revision that may be acted on.
+    allowed: Option<Arc<Revision>>,
 }
 
 impl Ledger {
@@ -38,9 +42,24 @@
             history: History::new(number, HISTORY),
             log: DeltaLog::new(number, Limits::default()),
             roots: BTreeMap::from([(number, root)]),
+            keeps_allowed: false,
+            allowed: None,
         }
     }
 
+    /// Keeps the last revision that may be acted on from now on, for who has none and would wait for a later one: that may
+    /// take long where regions apart are waited for.
+    pub fn keep_allowed(&mut self) {
+        self.keeps_allowed = true;
+    }
+
+    /// The last revision that may be acted on, for one that does not have it, while the latest may not.
+    pub fn allowed_before(&self, active: Number, held: Number) -> Option<&Arc<Revision>> {
+        let allowed = self.allowed.as_ref()?;
+        let lacks = allowed.number > active.max(held) && allowed.number < self.number();
+        lacks.then_some(allowed)
+    }
+
     pub fn latest(&self) -> &Arc<Revision> {
         &self.latest
     }
@@ -83,7 +102,8 @@
 
     /// Takes a later revision of which nothing is known but the state.
     pub fn jump(&mut self, revision: Revision) {
-        *self = Self::new(revision);
+        let (keeps_allowed, allowed) = (self.keeps_allowed, self.allowed.take());
+        *self = Self { keeps_allowed, allowed, ..Self::new(revision) };
     }
 
     fn set_latest(&mut self, revision: Revision) {
@@ -96,12 +116,17 @@
     /// The acceptors' words to act that came since.
     pub fn take_goes(&mut self, certificate: &Certified) {
         let Some((held, summary)) = &self.latest.proof else { return };
-        if held.number() != certificate.number() || held.goes.len() >= certificate.goes.len() {
+        if held.number() != certificate.number() {
             return;
         }
-        let proof = Some((certificate.clone(), *summary));
-        let state = self.latest.state.clone();
-        self.latest = Arc::new(Revision { number: self.latest.number, proof, state });
+        if held.goes.len() < certificate.goes.len() {
+            let proof = Some((certificate.clone(), *summary));
+            let state = self.latest.state.clone();
+            self.latest = Arc::new(Revision { number: self.latest.number, proof, state });
+        }
+        if self.keeps_allowed {
+            self.allowed = Some(self.latest.clone());
+        }
     }
 
     /// What leads from a base to the latest revision in one message; nothing where the log does not reach back, or the base
--- a/crates/distribution/src/control/recovery.rs
+++ b/crates/distribution/src/control/recovery.rs
@@ -75,7 +75,7 @@
     let agreement =
         stored.agreement.as_deref().and_then(|bytes| badgerledge_revisions::Stored::read(bytes).ok());
     let top = agreement.as_ref().and_then(|stored| stored.top.clone());
-    let found = find(stored, genesis, top, &hand);
+    let mut found = find(stored, genesis, top, &hand);
     let mut chance = Chance(seed);
     let mut drawn = || (chance.share() * f64::from(u32::MAX)) as u64;
     let (agreement_seed, relay_seed) = (drawn(), drawn());
@@ -95,6 +95,9 @@
     let certified = revisions.top().map_or(0, Certified::number);
     let number = found.ledger.number();
     revisions.set_apart(now, config.apart, number);
+    if !config.apart.is_zero() {
+        found.ledger.keep_allowed();
+    }
     let mut machine = ControlMachine {
         relay: Relay::new(config.me, config.connections, number, relay_seed, now),
         config,
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -180,7 +180,7 @@
             Kind::Queued(held) => *held = hello,
             Kind::Watcher(session) if session.controller() == hello.controller => {
                 session.begin_again(hello);
-                self.welcome(id, ledger, out);
+                self.welcome(id, hello, ledger, out);
                 self.update(now, id, ledger, out);
             }
             Kind::Watcher(_) => self.close(id, CloseReason::Protocol, out),
@@ -202,12 +202,15 @@
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.kind = Kind::Watcher(Box::new(Session::new(hello, now)));
-        self.welcome(id, ledger, out);
+        self.welcome(id, hello, ledger, out);
         self.update(now, id, ledger, out);
     }
 
-    fn welcome(&self, id: ConnectionId, ledger: &Ledger, out: &mut Vec<ControlOutput>) {
-        let welcome = ToWatcher::Welcome { relay: self.me, number: ledger.number() };
+    fn welcome(&self, id: ConnectionId, hello: Hello, ledger: &Ledger, out: &mut Vec<ControlOutput>) {
+        // What it is offered first: a watcher takes no lower one after that.
+        let first = ledger.allowed_before(hello.active, hello.held).map(|allowed| allowed.number);
+        let number = first.unwrap_or(ledger.number());
+        let welcome = ToWatcher::Welcome { relay: self.me, number };
         out.push(ControlOutput::to_watcher(id, welcome));
     }
 
--- a/crates/distribution/src/relay/session.rs
+++ b/crates/distribution/src/relay/session.rs
@@ -155,8 +155,9 @@
     }
 
     fn offer(&mut self, now: Duration, ledger: &Ledger, of_all: &mut Tokens, out: &mut Vec<ToWatcher>) {
-        let latest = ledger.latest();
-        let delta = ledger.delta(self.held, &self.root);
+        let allowed = ledger.allowed_before(self.active, self.held);
+        let latest = allowed.unwrap_or(ledger.latest());
+        let delta = ledger.delta(self.held, &self.root).filter(|_| allowed.is_none());
         let offer = delta.is_none().then(|| latest.clone());
         let Some(message) = delta.or_else(|| latest.snapshot()) else { return };
         let bytes = size(&message);
--- a/crates/distribution/src/tests/control/apart.rs
+++ b/crates/distribution/src/tests/control/apart.rs
@@ -140,6 +140,24 @@
     net.check("exclusive");
 }
 
+/// A controller that starts without its disk while an exclusive change waits is given the last revision that may be acted on
+/// first.
+#[test]
+fn a_watcher_without_its_disk_does_not_wait_for_the_exclusive_change() {
+    let mut net = settled_apart(55, Broken::default());
+    cut_off(&mut net);
+    net.push(0, 1, vec![put("exclusive 1", "new")]);
+    net.run_for(8.0);
+    let outside = [0, 1, 3, 4];
+    outside.iter().for_each(|me| net.kill_watcher(*me, true));
+    outside.iter().for_each(|me| net.start_watcher(*me));
+    seconds_until(&mut net, IN_FORCE_WITHIN, |net| all_act(net, false, 1) && net.has_prepared(CUT_OFF));
+    seconds_until(&mut net, WAITS + IN_FORCE_WITHIN, |net| all_act(net, false, 2));
+    net.cut.clear();
+    net.run_until_acting(2, IN_FORCE_WITHIN);
+    net.check("without its disk");
+}
+
 /// A region that is cut off in the middle of an exclusive change: where its machines had said to have it, they vouch for the
 /// old one no more, and nobody waits for them.
 #[test]
