Revisions: unit tests of relay leases; reborn acceptors in both numbers

Cause: of the guards taken out one by one (below), that on a member's lives was not bitten by any test; and the test of reborn acceptors, once it restarted three, no longer bit where acceptors go on without a quorum of able ones.

Change: unit tests of what counts as exclusive and until when a member is waited for; the test restarts two acceptors, then three.

Guards taken out, one at a time, on a scratch copy, and which test fails: a machine vouches though it acknowledged the exclusive revision (cut off in the middle); leases of an acceptor that has allowed more, both checks out (back for a moment; either one alone is enough, and neither bites by itself); a reborn acceptor that takes itself to have granted nothing (acceptors start anew, three); going on without a quorum of able acceptors (acceptors start anew, two); renewing to who has not acknowledged (only heard); leases that last too long (five tests); one voucher in the place of two (two tests).

--- a/crates/distribution/src/tests/control/apart.rs
+++ b/crates/distribution/src/tests/control/apart.rs
@@ -273,27 +273,30 @@
 /// the others for a quorum of them, with all leases in order.
 #[test]
 fn acceptors_that_start_anew_wait_again() {
-    let mut net = settled_apart(48, Broken::default());
-    cut_off(&mut net);
-    net.push(0, 1, vec![put("exclusive 1", "new")]);
-    net.run_for(40.0);
-    // With the other one that is reached a quorum, if they thought that nobody had a lease.
-    for acceptor in [0, 1, 3] {
-        net.kill_machine(acceptor, false);
-        net.start_machine(acceptor);
-        net.run_for(3.0);
-    }
-    let begun = net.now;
-    while !all_act(&net, false, 2) {
-        net.run_for(0.1);
-        let all = acting(&net, false);
-        assert!(all.iter().all(Option::is_some), "{all:?} after {:?}", net.now - begun);
-        assert!((net.now - begun).as_secs_f64() < WAITS + IN_FORCE_WITHIN);
+    // Two of the four that are reached: the others must not go on without them. Three: with the other one they are a quorum,
+    // if they thought that nobody had a lease.
+    for reborn in [&[0, 1][..], &[0, 1, 3]] {
+        let mut net = settled_apart(48, Broken::default());
+        cut_off(&mut net);
+        net.push(0, 1, vec![put("exclusive 1", "new")]);
+        net.run_for(40.0);
+        for acceptor in reborn {
+            net.kill_machine(*acceptor, false);
+            net.start_machine(*acceptor);
+            net.run_for(3.0);
+        }
+        let begun = net.now;
+        while !all_act(&net, false, 2) {
+            net.run_for(0.1);
+            let all = acting(&net, false);
+            assert!(all.iter().all(Option::is_some), "{all:?} after {:?}", net.now - begun);
+            assert!((net.now - begun).as_secs_f64() < WAITS + IN_FORCE_WITHIN);
+        }
+        net.run_for(3.0 * LEASE.as_secs_f64());
+        net.cut.clear();
+        net.run_until_acting(2, IN_FORCE_WITHIN);
+        net.check("acceptors reborn");
     }
-    net.run_for(3.0 * LEASE.as_secs_f64());
-    net.cut.clear();
-    net.run_until_acting(2, IN_FORCE_WITHIN);
-    net.check("acceptors reborn");
 }
 
 /// One of a region's three machines that lies can't keep its watchers on an old revision; two can, and the check sees it.
--- a/crates/revisions/src/apart.rs
+++ b/crates/revisions/src/apart.rs
@@ -49,7 +49,7 @@
 }
 
 impl Apart {
-    fn new(now: Duration, term: Duration, judged: Number) -> Self {
+    pub(crate) fn new(now: Duration, term: Duration, judged: Number) -> Self {
         Self {
             term,
             born: now,
@@ -62,7 +62,7 @@
         }
     }
 
-    fn judge(&mut self, number: Number, exclusive: bool, active: Number) {
+    pub(crate) fn judge(&mut self, number: Number, exclusive: bool, active: Number) {
         if number <= self.judged {
             return;
         }
@@ -80,7 +80,7 @@
     }
 
     /// The highest exclusive revision above one and up to another.
-    fn highest_exclusive(&self, above: Number, up_to: Number) -> Option<Number> {
+    pub(crate) fn highest_exclusive(&self, above: Number, up_to: Number) -> Option<Number> {
         if up_to <= above {
             return None;
         }
@@ -91,7 +91,7 @@
     }
 
     /// When a member's relay lease of this keeper is over at the latest, if it is waited for.
-    fn waits_until(&self, member: Member, exclusive: Number) -> Option<Duration> {
+    pub(crate) fn waits_until(&self, member: Member, exclusive: Number) -> Option<Duration> {
         let over = |granted_at: Duration| granted_at + with_drift(self.term);
         match self.granted.get(&member) {
             None => Some(over(self.born)),
@@ -101,7 +101,7 @@
     }
 
     /// A member's request: tells whether it is granted.
-    fn asked(
+    pub(crate) fn asked(
         &mut self, now: Duration, from: Member, (life, prepared): (u32, Number), pending: Option<Number>,
     ) -> bool {
         let born = self.born;
--- a/crates/revisions/src/tests.rs
+++ b/crates/revisions/src/tests.rs
@@ -1,3 +1,4 @@
+mod apart;
 mod every;
 mod gate;
 mod many;
