--- a/crates/distribution/src/tests/message.rs
+++ b/crates/distribution/src/tests/message.rs
@@ -117,3 +117,22 @@
         assert!(length <= most, "{name}: {length} bytes, more than {most}");
     }
 }
+
+/// The kind of an encoded message: the first byte behind length and mark.
+fn kind(frame: &[u8]) -> u8 {
+    frame[HEADER]
+}
+
+/// An earlier build reads what it knows as before, and refuses what it does not know by name: new kinds stand behind the old ones.
+#[test]
+fn kinds_of_earlier_builds_keep_their_numbers() {
+    let up: Vec<u8> = to_relay().iter().map(|message| kind(&encode(message))).collect();
+    assert_eq!(up, [0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    let down: Vec<u8> = to_watcher().iter().map(|message| kind(&encode(message))).collect();
+    assert_eq!(down, [0, 1, 2, 3, 4, 5, 6, 7, 8, 8, 9, 10, 11]);
+    let between: Vec<u8> = peer_message().iter().map(|message| kind(&encode(message))).collect();
+    assert_eq!(between, [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11]);
+    let mut unknown = encode(&ToRelay::GetApart);
+    unknown[HEADER] = 10;
+    assert_eq!(decode::<ToRelay>(&unknown, LONGEST_FROM_WATCHER), Err(FrameFault::Body));
+}
