Platform: connections that served viewers are kept in a crowd of refused or silent ones

Where the descriptors of viewers' connections were used up, all that had ever been told something ranked alike, and of them the one unused for longest gave way: clients that ask once, are refused and stay pushed out the connection on which viewers had been served, and ahead of it nothing ranked but silent ones older than half a second. `Front::missed` (now `gives_way`) was at fault.

Change: what gives way first is named by an ordered enum: silent, refused, served, new, reserved. A quarter of the viewers' connections is reserved for those that served viewers and were used last; refused ones give way before any that served.

Tests: one of the order, one over sockets with 64 descriptors and a crowd of 200, refused or silent. Both fail with the two ranks taken out (the second at the viewer's read: its connection was closed).

--- a/crates/controller/tests/it/crossings.rs
+++ b/crates/controller/tests/it/crossings.rs
@@ -296,6 +296,35 @@
     }
 }
 
+/// Found on a day of rude clients: the connection of a viewer that was served longer ago gave way to a crowd, and the end
+/// of what it played was told to nobody. Once the crowd is refused and stays, once it says nothing.
+#[test]
+fn a_crowd_of_connections_leaves_those_that_play_told_of_their_end() {
+    const SOCKETS: usize = 64;
+    const CROWD: u64 = 200;
+    let one = Streamer::new(1);
+    let few = |told: &mut Value| told["limits"]["sockets"] = json!(SOCKETS);
+    for refused in [true, false] {
+        let controller = Controller::start_with(name_service(list(1, &[])), &[&one], few);
+        let mut viewer = controller.viewer();
+        viewer.plays(10);
+        // The crowd's answers are heard, so that all were taken in; of those that say nothing many may wait in the kernel.
+        let _crowd: Vec<_> = (0..CROWD)
+            .map(|n| {
+                let mut other = controller.viewer();
+                if refused {
+                    other.set_up_with(1000 + n, "0", "no time to wait");
+                    assert_eq!(other.hears().0, 12);
+                }
+                other
+            })
+            .collect();
+        std::thread::sleep(millis(300));
+        one.say(&json!({"op": "end", "call": format!("{:016x}", 10), "with": {}, "why": 16}));
+        assert_eq!(viewer.hears(), (12, 10, vec![16]), "refused: {refused}");
+    }
+}
+
 /// A restarted process is ready within ten seconds whatever the name service does, also many of them at once, and one
 /// whose configuration holds no list.
 #[test]
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,7 +1,8 @@
 //! Viewers' connections. Each is bounded in time until it has sent something whole, and only one without an open
-//! set-up gives way to another.
+//! set-up gives way to another. Releases of what was served earlier go out on connections that served viewers, so
+//! the most recently used of those are kept however many others come.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use badgerledge_reactor::{Bounds, Line, Reactor};
@@ -14,6 +15,9 @@
 const QUIET: Duration = Duration::from_secs(2);
 /// A set-up follows its connection sooner than this, even where the machine is late.
 const ON_ITS_WAY: Duration = Duration::from_millis(500);
+/// One connection in so many is kept for those that served viewers and were used last: a release goes out on any of
+/// them, and where all had given way to a crowd none could be sent until a viewer is served again.
+const RESERVED_SHARE: usize = 4;
 /// Releases that wait for a viewers' connection, at most: more are those of a front that is gone.
 const OWED: usize = 4096;
 /// How long a release waits for the front's connections to come back: by then nobody waits for it.
@@ -38,6 +42,24 @@
     part: Option<Duration>,
 }
 
+impl Viewer {
+    fn value(&self, now: Duration, reserved: bool) -> Value {
+        if reserved {
+            return Value::Reserved;
+        }
+        if self.trusted {
+            return Value::Served;
+        }
+        if self.told {
+            return Value::Refused;
+        }
+        if now < self.since + ON_ITS_WAY {
+            return Value::New;
+        }
+        Value::Silent
+    }
+}
+
 /// A release, since when it is where it is, and the connection that it belongs to or went out on.
 struct Release {
     since: Duration,
@@ -55,16 +77,19 @@
     most: usize,
 }
 
-impl Viewer {
-    /// How much it would be missed: least one that has long said nothing, most one whose set-up may be on its
-    /// way, since a first request on a connection that is closed is lost to its viewer.
-    fn missed(&self, now: Duration) -> u8 {
-        match (self.told, now < self.since + ON_ITS_WAY) {
-            (false, false) => 0,
-            (true, _) => 1,
-            (false, true) => 2,
-        }
-    }
+/// Which connection without an open set-up gives way first, from the least to the most valuable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Value {
+    /// Told nothing, though a set-up on its way would have come by now.
+    Silent,
+    /// Told something, but no viewer was ever served on it.
+    Refused,
+    /// It served viewers, and enough others did so later.
+    Served,
+    /// A first set-up may be on its way: a request on a connection that is closed is lost to its viewer.
+    New,
+    /// It served viewers, and is among the last used that did: releases need it.
+    Reserved,
 }
 
 impl Front {
@@ -93,11 +118,24 @@
         self.lines.len() >= self.most
     }
 
-    /// The connection without an open set-up that can best be missed.
-    pub fn missed(&self, now: Duration, open: impl Fn(Line) -> bool) -> Option<Line> {
+    /// The connection without an open set-up that gives way first: of the least valuable ones the one unused for longest.
+    pub fn gives_way(&self, now: Duration, open: impl Fn(Line) -> bool) -> Option<Line> {
+        let reserved = self.reserved();
         let idle = self.lines.iter().filter(|(line, _)| !open(**line));
-        let missed = idle.map(|(line, viewer)| (viewer.missed(now), viewer.used, *line)).min();
-        missed.map(|(_, _, line)| line)
+        let ranked = idle.map(|(line, viewer)| {
+            let value = viewer.value(now, reserved.contains(line));
+            (value, viewer.used, *line)
+        });
+        ranked.min().map(|(_, _, line)| line)
+    }
+
+    /// Those that served viewers and were used last.
+    fn reserved(&self) -> BTreeSet<Line> {
+        let served = self.lines.iter().filter(|(_, viewer)| viewer.trusted);
+        let mut by_use: Vec<_> = served.map(|(line, viewer)| (viewer.used, *line)).collect();
+        by_use.sort_unstable();
+        let most = self.most.div_ceil(RESERVED_SHARE);
+        by_use.into_iter().rev().take(most).map(|(_, line)| line).collect()
     }
 
     /// A connection came in.
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -257,17 +257,45 @@
     lines[..3].iter().for_each(|line| front.accepted(*line, now));
     assert!(front.is_full());
     front.answer(lines[0], b"told", &mut reactor);
-    assert_eq!(front.missed(now, |_| false), Some(lines[0]), "the one that was told something");
+    assert_eq!(front.gives_way(now, |_| false), Some(lines[0]), "the one that was told something");
     front.gone(lines[0], now, &mut reactor);
     front.accepted(lines[3], now);
     let later = now + secs(1);
-    let missed = front.missed(later, |line| line == lines[1]);
-    assert_eq!(missed, Some(lines[2]), "the oldest silent one without an open set-up");
+    let other = front.gives_way(later, |line| line == lines[1]);
+    assert_eq!(other, Some(lines[2]), "the oldest silent one without an open set-up");
     front.gone(lines[2], later, &mut reactor);
     front.accepted(lines[4], later);
     assert_eq!(front.late(now + secs(2), |line| line == lines[1]), [lines[3]]);
 }
 
+/// Found on a day of rude clients: connections that asked once, were refused and stayed, and silent ones that came by
+/// hundreds, took the places of those on which viewers had been served longer ago, and releases found no way. Harm: of
+/// a crowd in which all may have their first set-up on the way, one gives way for each that served.
+#[test]
+fn connections_that_served_viewers_do_not_give_way_to_a_crowd() {
+    let (mut reactor, lines, _far) = viewers(9);
+    let (mut front, now) = (Front::new(8), secs(1000));
+    for (line, since) in lines.iter().zip(0..4) {
+        front.accepted(*line, now + secs(since));
+        front.trust(*line, now + secs(since), &mut reactor);
+    }
+    let later = now + secs(10);
+    for line in &lines[4..8] {
+        front.accepted(*line, later);
+    }
+    front.answer(lines[4], b"refused", &mut reactor);
+    let mut gone = Vec::new();
+    while let Some(line) = front.gives_way(later, |_| false) {
+        front.gone(line, later, &mut reactor);
+        gone.push(line);
+    }
+    let [first, second, third, fourth, refused, new @ ..] = &lines[..8] else { unreachable!() };
+    // Two of eight are kept to the last, and older ones give way before those that are new.
+    assert_eq!(gone[..3], [*refused, *first, *second]);
+    assert_eq!(gone[3..6], *new);
+    assert_eq!(gone[6..], [*third, *fourth]);
+}
+
 /// Found on the calm day of 300 controllers: what was handed over at the start lost its connection after two seconds,
 /// since no answer is owed on it, and ends that came before the next set-up were not told. A viewer that gives its
 /// set-up up lost its connection likewise, under its next set-up. Harm: one that says nothing else stays so long.
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -306,17 +306,17 @@
         }
     }
 
-    /// A viewers' connection came in. Where there is no room the one without an open set-up that can best be missed
-    /// gives way, else the newcomer.
+    /// A viewers' connection came in. Where there is no room the least valuable one without an open set-up gives way,
+    /// else the newcomer.
     fn take_viewer(&mut self, line: Line) {
         let now = self.ends.now;
         while self.ends.front.is_full() {
-            let missed = self.ends.front.missed(now, |line| self.sessions.open_on(line) > 0);
-            let Some(missed) = missed else { return self.ends.reactor.close(line) };
-            self.hear_last(missed);
-            if self.sessions.open_on(missed) == 0 {
-                tracing::trace!(line = missed, "gives way");
-                self.drop_viewer(missed, By::Us);
+            let other = self.ends.front.gives_way(now, |line| self.sessions.open_on(line) > 0);
+            let Some(other) = other else { return self.ends.reactor.close(line) };
+            self.hear_last(other);
+            if self.sessions.open_on(other) == 0 {
+                tracing::trace!(line = other, "gives way");
+                self.drop_viewer(other, By::Us);
             }
         }
         tracing::trace!(line, "a viewers' connection begins");
