Rolling change: its state, the conductor's decisions and a member's side, free of I/O

The state of a roll is two sections of the shared configuration ([rollout], [rollout settings]): the plan, and how far it has come. A parser and a writer over the settings package; bad input is refused with its place, exclusive keys with the reason.

A conductor proposes one change at a time, against the revision that it read; each raises the epoch's key, so of two made from one state the distribution tier takes one. It keeps nothing but what it heard. Waves within a stage and on the way back are paced by what the settings say that a zone bears. A member's side comes from the state alone.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,20 +1,47 @@
 //! A change in stages, judged side by side. No I/O, no clock, no chance.
 //!
-//! [`Plan`] says which members change in which stage. [`Heard`] keeps what controllers count, however late, doubled or lost
-//! their words come. [`judge`] holds the new side's counts against the old side's at the same time, zone by zone, with a test
-//! that holds however often it is looked at, and that takes a controller, not a request, as its unit.
+//! [`Plan`] says which members change in which stage. [`Heard`] keeps what controllers count, however
+//! late, doubled or lost their words come. [`judge`] holds the new side's counts against the old side's
+//! at the same time, zone by zone, with a test that holds however often it is looked at, and that takes a
+//! controller, not a request, as its unit.
 //!
-//! This is the first part of the rolling change: nothing carries it out yet.
+//! A [`Rollout`] is a roll's plan and how far it has come: sections of the shared configuration. A
+//! [`Conductor`] proposes its changes ([`Proposal`]), an operator's [`Order`] goes before them, and
+//! [`duty_of`] says what a member does about it.
+//!
+//! Nothing carries it out yet: no controller calls it, and no program pushes a proposal.
 
 mod always;
 mod cell;
+mod conductor;
+mod explain;
 mod heard;
+mod order;
+mod pace;
 mod plan;
+mod planning;
+mod preview;
+mod proposal;
+mod report;
+mod schedule;
+mod state;
+mod text;
 mod verdict;
 
 #[cfg(test)]
 mod tests;
 
+pub use conductor::{Conductor, Decision, Now, Wait};
+pub use explain::MEASURE_NAMES;
 pub use heard::{Counted, Heard, Said, Unlikely};
+pub use order::{apply, Order, Refusal};
+pub use pace::{derive, BackWave};
 pub use plan::{Member, Place, Plan, Wrong};
+pub use planning::plan_of;
+pub use preview::{Preview, StagePreview};
+pub use proposal::{epoch_key, Proposal, Read};
+pub use report::{Last, Report, Reports};
+pub use schedule::{arm_of, duty_of, Duty, Own, Schedule, Turn};
+pub use state::{AfterStop, Arm, Bounds, Fleet, Pace, Progress, Rollout, Spec, StageSpec, Status, Subject};
+pub use text::{PaceDefaults, SECTION, SETTINGS_SECTION};
 pub use verdict::{judge, Evidence, Limits, Measure, Side, Stage, Verdict, Waits};
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -18,7 +18,10 @@
 /// Why a plan is refused.
 #[derive(Clone, Debug, PartialEq, Error)]
 pub enum Wrong {
-    #[error("stage {0} of {1}: a share over the one before it and up to 1 is taken")]
+    #[error(
+        "stage {stage} has the share {1}: one over that of the stage before it and up to 1 is taken",
+        stage = .0 + 1
+    )]
     Share(usize, f64),
     #[error("the last stage ends at {0} of the fleet; it must end at 1")]
     Unfinished(f64),
@@ -26,7 +29,7 @@
     Twice(Member),
     #[error("member {0} is to be last, and is no member")]
     Unknown(Member),
-    #[error("stage {0} has no members")]
+    #[error("stage {stage} has no members", stage = .0 + 1)]
     Empty(usize),
     #[error("there are no stages, or no members")]
     Nothing,
@@ -108,7 +111,8 @@
     }
 }
 
-fn rank(number: u32, member: Member) -> [u8; 32] {
+/// A member's place in a plan: the same whenever it is asked for.
+pub(crate) fn rank(number: u32, member: Member) -> [u8; 32] {
     let bytes = [&b"badgerledge rollout 1"[..], &number.to_be_bytes(), &member.to_be_bytes()].concat();
     Sha256::digest(bytes).into()
 }
--- a/crates/rollout/src/tests.rs
+++ b/crates/rollout/src/tests.rs
@@ -1,6 +1,11 @@
-//! Small tests of plans, counts and verdicts; and whole rolls in simulated time.
+//! Small tests of plans, counts, verdicts, states and conductors; and whole rolls in simulated time.
 
+mod conductors;
+mod plays;
 mod rolls;
+mod schedules;
+mod support;
+mod texts;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
