--- a/crates/rollout/src/tests/texts.rs
+++ b/crates/rollout/src/tests/texts.rs
@@ -1,5 +1,6 @@
 //! States and plans as text: what is written is read again, and bad input is refused with its place.
 
+use badgerledge_core::chance::Chance;
 use badgerledge_deployment::kinds::{Kind, KINDS};
 use badgerledge_settings::Sheet;
 
@@ -109,6 +110,40 @@
     assert!(fault(&format!("{PLAN}[rollout settings]\nrules/warm_up_ms = 1\n")).ends_with("one of them"));
 }
 
+/// Whatever is done to a state's text, it is refused or read as one that is written and read again.
+#[test]
+fn a_state_that_was_tampered_with_is_refused_or_whole() {
+    let mut chance = Chance(0x5eed);
+    let mut draw = |below: usize| (chance.share() * below as f64) as usize;
+    let text = rollout_at(1, 2).text();
+    let values =
+        ["", "0", "-1", "1", "2", "4294967295", "18446744073709551615", "nan", "1e308", "north 0-65535", ","];
+    let (mut whole, mut refused) = (0, 0);
+    for _ in 0..4000 {
+        let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+        let at = 1 + draw(lines.len() - 1);
+        let key = lines[at].split(" = ").next().unwrap().to_owned();
+        match draw(4) {
+            0 => drop(lines.remove(at)),
+            1 => lines[at] = format!("{key} = {}", values[draw(values.len())]),
+            2 => lines[at] += values[draw(values.len())],
+            _ => {
+                let length = draw(lines[at].len());
+                lines[at].truncate(length);
+            }
+        }
+        match Sheet::parse("state", &lines.join("\n")).and_then(|sheet| Rollout::of(&sheet)) {
+            Ok(read) => {
+                let read = read.unwrap();
+                assert_eq!(Rollout::of(&Sheet::parse("state", &read.text()).unwrap()).unwrap(), Some(read));
+                whole += 1;
+            }
+            Err(faults) => refused += usize::from(!faults.0.is_empty()),
+        }
+    }
+    assert!(whole > 100 && refused > 1000 && whole + refused == 4000, "{whole} whole, {refused} refused");
+}
+
 #[test]
 fn states_that_are_torn_are_refused() {
     let text = rollout_at(1, 2).text();
