--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -13,6 +13,7 @@
 use crate::asked::Terms;
 use crate::phase::Phase;
 use crate::unanswered::{By, Lost, Step, Unanswered};
+use crate::wires::Wires;
 
 /// What is passed on to streamers until one has answered.
 pub struct Offered {
@@ -149,6 +150,14 @@
         }));
     }
 
+    /// Takes back the join that is out for a call that was dropped, if one is, and tells the module.
+    pub fn withdraw_join(&mut self, now: Duration, job: JobId, call: &Call, wires: &mut impl Wires) {
+        let Phase::Out(streamer) = call.phase else { return };
+        wires.withdraw(job, call.wire_id, streamer);
+        let join = (streamer, call.joins - 1, call.sent);
+        self.outcome(now, job, join, Ending::Cancelled, true, Vec::new());
+    }
+
     /// Counts a set-up whose viewer will not hear its answer, at the step that it is at or the one named.
     pub fn note_unanswered(&mut self, now: Duration, job: JobId, by: By, step: Option<Step>) {
         let Some(call) = self.all.get(&job) else { return };
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use badgerledge_core::interface::{Ending, JobId, Listing, StreamerId, Writer};
 use badgerledge_signalling::{streamers, viewers};
 
-use crate::calls::{trace, Call, Calls, Due, Offered};
+use crate::calls::{trace, Calls, Due, Offered};
 use crate::causes::{CUT, THROTTLED};
 use crate::phase::Phase;
 use crate::unanswered::{By, Step};
@@ -23,19 +23,14 @@
 impl<W: Wires> Dispatcher<'_, W> {
     /// The final answer to a call that no join is out for.
     fn answer(&mut self, job: JobId, cause: u8, cool_down: Duration) {
-        let open = |call: &&Call| matches!(call.phase, Phase::Waiting | Phase::Out(_));
-        let Some(call) = self.calls.get(job).filter(open) else { return };
+        let Some(call) = self.calls.get(job).filter(|call| call.phase.is_open()) else { return };
         let (line, wire_id) = (call.line, call.wire_id);
         if !self.wires.answer(line, &viewers::release(wire_id, cause, cool_down)) {
             self.calls.note_unanswered(self.now, job, By::Network, Some(Step::NotTaken));
         }
         let Some(call) = self.calls.drop_call(job) else { return };
         trace(wire_id, "answered", (cause, cool_down));
-        if let Phase::Out(streamer) = call.phase {
-            self.wires.withdraw(job, wire_id, streamer);
-            let join = (streamer, call.joins - 1, call.sent);
-            self.calls.outcome(self.now, job, join, Ending::Cancelled, true, Vec::new());
-        }
+        self.calls.withdraw_join(self.now, job, &call, self.wires);
     }
 }
 
@@ -45,7 +40,7 @@
         let Some(call) = self.calls.get_mut(job) else { return };
         let join = call.joins;
         if call.phase != Phase::Waiting || now >= call.until || join >= most {
-            let over = !matches!(call.phase, Phase::Waiting | Phase::Out(_));
+            let over = !call.phase.is_open();
             return self.calls.outcome(now, job, (streamer, join, now), Ending::Moot, over, Vec::new());
         }
         (call.joins, call.sent, call.phase) = (join + 1, now, Phase::Out(streamer));
--- a/crates/platform/src/phase.rs
+++ b/crates/platform/src/phase.rs
@@ -14,3 +14,10 @@
     /// It was moved away, and its streamer has yet to end it.
     Leaves(StreamerId),
 }
+
+impl Phase {
+    /// Whether its viewer still waits for an answer.
+    pub fn is_open(self) -> bool {
+        matches!(self, Self::Waiting | Self::Out(_))
+    }
+}
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -2,6 +2,8 @@
 //! join has one of its own while there are descriptors for it, and one that a join was given up on is used no
 //! more. Where subscriptions stand, one connection at least is kept, for notes and releases.
 
+mod sweep;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -13,10 +15,6 @@
 
 /// A line that a message is never longer than, and room for the messages of one round.
 const BOUNDS: Bounds = Bounds { input: MOST + 1, output: 8 * MOST };
-/// How long a connection stays open after a join was given up on it, for an answer that crosses.
-const CROSSING: Duration = Duration::from_secs(1);
-/// How long a streamer may take to close what was closed towards it.
-const RETIRED: Duration = Duration::from_secs(1);
 /// Part of the settings' idle time after which a connection takes no join and is closed: a streamer that closes
 /// it at that very time would reset the join.
 const IDLE_PART: f64 = 0.7;
@@ -24,8 +22,6 @@
 /// viewers must hear of an end, with two tries; over the lateness of notes.
 const SILENCE: Duration = Duration::from_millis(1500);
 const LONGEST_SILENCE: Duration = Duration::from_secs(6);
-/// The idle time where three quarters of the descriptors are taken: most joins end in much less.
-const CROWDED_IDLE: Duration = Duration::from_secs(2);
 /// How long a message counts as on its way: it goes again where its connection breaks before. Over a round trip and what
 /// a streamer takes to read it.
 const UNHEARD_FOR: Duration = Duration::from_secs(1);
@@ -386,11 +382,9 @@
 
     /// A connection is made: what waited for it goes out. A join to a streamer that takes none now is not sent.
     pub fn opened(&mut self, line: Line, takes_joins: bool, now: Duration, reactor: &mut Reactor) {
+        self.heard(line, now);
         let Some(conn) = self.conns.get_mut(&line) else { return };
-        (conn.made, conn.used, conn.heard) = (true, now, now);
-        if let Some(peer) = self.peers.get_mut(&conn.streamer) {
-            (peer.heard, peer.tries) = (now, 0);
-        }
+        (conn.made, conn.used) = (true, now);
         let streamer = conn.streamer;
         self.say_unsaid(streamer, now, reactor);
         let Some(conn) = self.conns.get_mut(&line) else { return };
@@ -470,64 +464,6 @@
         let probes = conn.probes.iter().map(|(_, sent)| echo(*sent));
         self.happened.extend(waiting.chain(joins).chain(probes));
     }
-
-    /// What time asks for: idle ones and those given up on are closed, late probes end, and where something
-    /// stands and nothing was heard for long a connection is tried.
-    pub fn tend(&mut self, now: Duration, stands_at: &[StreamerId], reactor: &mut Reactor) {
-        let patience = self.connect_within * 2;
-        let crowded = self.conns.len() * 4 > self.most * 3;
-        let idle_for = if crowded { CROWDED_IDLE } else { self.idle };
-        let mut ends = Vec::new();
-        let mut open: BTreeMap<StreamerId, usize> = BTreeMap::new();
-        for conn in self.conns.values().filter(|conn| conn.retired.is_none()) {
-            *open.entry(conn.streamer).or_default() += 1;
-        }
-        for (line, conn) in &mut self.conns {
-            let late = conn.probes.iter().filter(|(_, sent)| *sent + patience <= now).count();
-            for (_, sent) in conn.probes.drain(..late) {
-                let waited = now.saturating_sub(sent);
-                self.happened.push(Happened::Echo(conn.streamer, Ending::Timeout, waited));
-            }
-            if late > 0 {
-                conn.given_up = Some(now);
-            }
-            let others = open.entry(conn.streamer).or_default();
-            let kept = *others <= 1 && stands_at.contains(&conn.streamer);
-            let spent = conn.given_up.is_some_and(|at| at + CROSSING <= now);
-            let idle = conn.made && conn.is_idle() && conn.used + idle_for <= now && !kept;
-            let left = conn.retired.is_some_and(|at| at + RETIRED <= now);
-            if left {
-                ends.push(*line);
-            } else if conn.has_no_work() && conn.retired.is_none() && (spent || idle) {
-                // What the streamer had just sent on it, such as a release, is still read.
-                conn.retired = Some(now);
-                tracing::trace!(streamer = %conn.streamer, line, spent, idle, "retired");
-                *others = others.saturating_sub(1);
-                reactor.shut(*line);
-            }
-        }
-        for line in ends {
-            self.close(line, Ending::Reset, now, reactor);
-        }
-        for streamer in stands_at {
-            let Some(peer) = self.peers.get(streamer) else { continue };
-            let silent = now >= peer.heard + self.silence;
-            let trying = peer.lines.iter().any(|line| self.conns.get(line).is_some_and(|conn| !conn.made));
-            let alone = open.get(streamer).is_none_or(|open| *open == 0);
-            if trying || !silent && !alone {
-                continue;
-            }
-            if let Err(Unmade::Refused) = self.connect(*streamer, now, reactor) {
-                self.tried(*streamer, false, true, now, reactor);
-            }
-        }
-        let unsaid = self.peers.iter().filter(|(_, peer)| !peer.unsaid.is_empty());
-        for streamer in unsaid.map(|(streamer, _)| *streamer).collect::<Vec<_>>() {
-            self.say_unsaid(streamer, now, reactor);
-        }
-        let idle = |peer: &Peer| !peer.listed && peer.lines.is_empty() && peer.unsaid.is_empty();
-        self.peers.retain(|id, peer| !idle(peer) || stands_at.contains(id));
-    }
 }
 
 /// Whether all that was given to a connection could be written.
--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -108,7 +108,7 @@
     let mut far = rig.joined(1);
     let line = rig.pool_line();
     rig.pool.join_done(line, 1);
-    rig.pool.tend(rig.now + secs(22), &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now + secs(22), &[], &mut rig.reactor);
     assert_eq!(line_of(&far), "", "it is closed towards the streamer");
     far.write_all(b"a release\n").unwrap();
     let read = rig.until(|rig, it| match it {
@@ -119,7 +119,7 @@
     // It takes no join any more, and is ended where the streamer does not close it.
     rig.now += secs(22);
     drop(rig.joined(2));
-    rig.pool.tend(rig.now + secs(2), &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now + secs(2), &[], &mut rig.reactor);
     assert!(!rig.pool.is(line));
 }
 
@@ -150,7 +150,7 @@
     rig.pool.join_done(rig.pool_line(), 1);
     far.shutdown(Shutdown::Both).unwrap();
     rig.ends(true);
-    rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
     assert_eq!(rig.happened(), []);
     let (again, _) = rig.listener.accept().unwrap();
     // Its process ends.
@@ -165,7 +165,7 @@
         _ => None,
     });
     rig.ends(true);
-    rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
     if rig.happened().is_empty() {
         rig.ends(true);
         assert_eq!(rig.happened(), [Happened::Lost(id())], "at {port}");
@@ -182,7 +182,7 @@
     rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let mut turned_down = |after: Duration| {
         rig.now += after;
-        rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+        rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
         if rig.pool.conns() > 1 {
             rig.ends(true);
         }
@@ -368,7 +368,7 @@
     // No process listens there for now.
     let place = rig.listener.local_addr().unwrap();
     rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[], &mut rig.reactor);
     if rig.pool.conns() > 0 {
         rig.ends(false);
     }
@@ -377,7 +377,7 @@
         rig.ends(false);
     }
     rig.listener = TcpListener::bind(place).unwrap();
-    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[], &mut rig.reactor);
     assert_eq!(rig.pool.conns(), 1, "a connection is begun for what waits");
     let (far, _) = rig.listener.accept().unwrap();
     rig.until(|rig, it| match it {
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -420,7 +420,7 @@
             }
         }
         let stands_at: Vec<StreamerId> = self.sessions.stands_at().collect();
-        self.ends.pool.tend(now, &stands_at, &mut self.ends.reactor);
+        self.ends.pool.sweep(now, &stands_at, &mut self.ends.reactor);
     }
 
     fn hear_names(&mut self, bytes: &[u8]) {
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -192,7 +192,7 @@
         let open = self.calls.by_wire_id.get(&wire_id).copied();
         let same = open.filter(|job| {
             let here = self.calls.get(*job).filter(|call| call.line == line);
-            here.is_some_and(|call| matches!(call.phase, Phase::Waiting | Phase::Out(_)))
+            here.is_some_and(|call| call.phase.is_open())
         });
         if let Some(job) = same {
             self.expire(now, job, wires);
@@ -230,11 +230,7 @@
         let Some(call) = self.calls.drop_call(job) else { return };
         trace(call.wire_id, "expired", call.phase);
         self.calls.arrivals.push(Box::new(move |module| module.expired(job)));
-        if let Phase::Out(streamer) = call.phase {
-            wires.withdraw(job, call.wire_id, streamer);
-            let join = (streamer, call.joins - 1, call.sent);
-            self.calls.outcome(now, job, join, Ending::Cancelled, true, Vec::new());
-        }
+        self.calls.withdraw_join(now, job, &call, wires);
     }
 
     /// A streamer answers the join that is out: the subscription stands.
@@ -406,7 +402,7 @@
     /// The viewer is about to give up, and the module has not answered.
     fn last_call(&mut self, now: Duration, job: JobId, wires: &mut impl Wires) {
         let Some(call) = self.calls.get(job) else { return };
-        if matches!(call.phase, Phase::Waiting | Phase::Out(_)) {
+        if call.phase.is_open() {
             self.fail(now, job, wires);
         }
     }
