Platform: discovery is a module of its own

No change of behaviour: asking the name service, its answers and the configuration read anew at SIGHUP leave serve.rs (473 to 389 lines).

--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -1,5 +1,7 @@
 //! The way in's loop: what a wake brought goes to the session table at once, and once a tick to a round of the module.
 
+mod discovery;
+
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
@@ -8,7 +10,7 @@
 use anyhow::{Context, Result};
 use badgerledge_core::chance::Chance;
 use badgerledge_core::decide::Controller;
-use badgerledge_core::interface::{Ending, Health, Listing, StreamerId};
+use badgerledge_core::interface::{Ending, Listing, StreamerId};
 use badgerledge_names::Names;
 use badgerledge_reactor::{raise_descriptors, Happening, Line, Reactor};
 use badgerledge_signalling::{streamers, viewers};
@@ -18,18 +20,15 @@
 use crate::configuration;
 use crate::ends::Ends;
 use crate::front::{self, Front};
-use crate::hearing::{Entries, StreamerEar, ViewerEar};
+use crate::hearing::{StreamerEar, ViewerEar};
 use crate::pool::{Happened, Pool};
-use crate::session_table::{ListEntry, SessionTable};
+use crate::session_table::SessionTable;
 use crate::unanswered::{By, Lost, Step};
 
 /// The clock begins here, so that a streamer's start long before the process has a time.
 const ORIGIN: Duration = Duration::from_secs(30 * 24 * 3600);
 /// Connections are looked at this often: well under every time-out there is.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
-/// The list is asked for this often: an event counts as told after 1.5 s, and a lost answer is asked for again
-/// several times until then. An answer costs some 0.1 ms.
-const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Connections taken in one wake at most: each holds a descriptor before it is known which may stay.
 const ACCEPTED_AT_ONCE: usize = 8;
 /// Descriptors that are neither viewers' nor streamers': three standard ones, three of the poller, the listener, two
@@ -41,12 +40,6 @@
 const LONGEST_END: Duration = Duration::from_secs(30);
 /// How long the other ends may take to read what was said last and to close: as long as a release may take.
 const PARTING: Duration = Duration::from_secs(1);
-/// A configuration that is not in order may be half written: it is read again this often, for so long.
-const READ_AGAIN: Duration = Duration::from_millis(100);
-const READ_FOR: Duration = Duration::from_secs(4);
-/// How late the list may be. Only what it says this long after the process's birth tells all starts before it: until
-/// then new-born processes would join cold streamers as if they were warm, each for itself and all at once.
-const LIST_LATE: Duration = Duration::from_millis(1500);
 /// Where the name service says nothing tests pass after this: what it would have told counts as told by then, and nine
 /// in ten restarts have to be ready within ten seconds.
 const READY_WITHOUT: Duration = Duration::from_millis(4500);
@@ -255,8 +248,7 @@
                 }
             }
             Happening::Signal(SIGHUP) => {
-                self.read_again = Some((now, now + READ_FOR));
-                self.read_place();
+                self.reload(now);
             }
             Happening::Signal(signal) => {
                 tracing::info!(signal, held = self.sessions.len(), "told to end");
@@ -266,25 +258,6 @@
         }
     }
 
-    /// Reads the file anew for the name service's address. One that is not in order changes nothing, and is looked at
-    /// again for a while: it may be half written.
-    fn read_place(&mut self) {
-        let now = self.ends.now;
-        let Some((_, until)) = self.read_again.take_if(|(at, _)| *at <= now) else { return };
-        match configuration::read(&self.path) {
-            Ok(place) => {
-                tracing::info!(names = %place.names, "the configuration was read anew");
-                self.ends.place.names = place.names;
-                self.names.forget_queries();
-                self.ask_at = now;
-            }
-            Err(fault) => {
-                tracing::warn!("{fault:#}; the configuration read before goes on counting");
-                self.read_again = Some((now + READ_AGAIN, until)).filter(|(at, _)| *at < until);
-            }
-        }
-    }
-
     fn hear_viewer(&mut self, line: Line) {
         let now = self.ends.now;
         let mut input = self.ends.reactor.lift(line);
@@ -397,20 +370,11 @@
     /// What time asks for.
     fn tend(&mut self) {
         let now = self.ends.now;
-        if now >= self.ask_at {
-            // The random part keeps controllers that were started together from asking at one moment.
-            self.ask_at = now + ASK_EVERY.mul_f64(0.9 + 0.2 * self.chance.share());
-            let query = self.names.query((self.chance.share() * 65536.0) as u16);
-            if now >= ORIGIN + LIST_LATE {
-                self.fresh_from.get_or_insert(self.names.asked());
-            }
-            let names = SocketAddr::V4(self.ends.place.names);
-            self.ends.reactor.send_to(self.names_line, names, &query);
-        }
+        self.ask_names(now);
         if now < self.sweep_at {
             return;
         }
-        self.read_place();
+        self.read_configuration_again();
         self.sweep_at = now + SWEEP_EVERY;
         for line in self.ends.front.late(now, |line| self.sessions.open_on(line) > 0) {
             self.hear_last(line);
@@ -422,52 +386,4 @@
         let stands_at: Vec<StreamerId> = self.sessions.stands_at().collect();
         self.ends.pool.sweep(now, &stands_at, &mut self.ends.reactor);
     }
-
-    fn hear_names(&mut self, bytes: &[u8]) {
-        let mut list = self.entries();
-        match self.names.answer(bytes, &mut list) {
-            Ok(changed) => {
-                let entries = list.entries;
-                self.listed |= self.fresh_from.is_some_and(|place| self.names.answered() >= place);
-                if changed {
-                    self.tell(Listing::Changes, entries);
-                }
-            }
-            Err(fault) => tracing::debug!(%fault, "an answer of the name service that changes nothing"),
-        }
-    }
-
-    fn tell_whole(&mut self, how: Listing) {
-        let mut list = self.entries();
-        self.names.tell_all(&mut list);
-        let entries = list.entries;
-        self.tell(how, entries);
-    }
-
-    fn tell(&mut self, how: Listing, entries: Vec<ListEntry>) {
-        let now = self.ends.now;
-        let ends = &mut self.ends;
-        // Those gone first: another may have come at the address.
-        for entry in entries.iter().filter(|entry| entry.health == Health::Gone) {
-            ends.pool.unlisted(entry.id, now, &mut ends.reactor);
-        }
-        for entry in entries.iter().filter(|entry| entry.health != Health::Gone) {
-            ends.pool.listed(entry.id, entry.at, now, &mut ends.reactor);
-            if !entry.came_up.at.is_zero() {
-                self.sessions.lost(now, entry.id, entry.came_up.at, ends);
-            }
-        }
-        tracing::debug!(last = self.names.last(), changed = entries.len(), "list");
-        self.sessions.list(how, entries);
-    }
-
-    fn entries(&self) -> Entries {
-        let terms = &self.sessions.calls.terms;
-        Entries {
-            zones: terms.zones.clone(),
-            kinds: terms.kinds.clone(),
-            epoch: self.epoch,
-            entries: Vec::new(),
-        }
-    }
 }
