Keys: one place checks a signature against the ring

`Keys` and `Verifier` each held the same four lines that look up a ring's keys and try a signature on them, and the ring read a public key's hex digits in two places. Both now call `Ring::signed_by_member`, `signed_by_author` and `ever_signed_by_author`, and one function reads a key and refuses a weak one. Public names and behaviour are the same; no caller changed.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -13,7 +13,6 @@
 
 use badgerledge_gossip::statement::Signature;
 use badgerledge_gossip::{Keyring, Member};
-use ed25519_dalek::VerifyingKey;
 
 /// A ring, and the key that this member signs with.
 #[derive(Clone)]
@@ -36,27 +35,21 @@
     }
 }
 
-fn verifies(keys: &[VerifyingKey], bytes: &[u8], signature: &Signature) -> bool {
-    let signature = ed25519_dalek::Signature::from_bytes(signature);
-    keys.iter().any(|key| key.verify_strict(bytes, &signature).is_ok())
-}
-
 impl badgerledge_revisions::Hand for Keys {
     fn sign(&self, bytes: &[u8]) -> Signature {
         self.private.sign(bytes)
     }
 
     fn by_member(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.keys(member), bytes, signature)
+        self.ring.signed_by_member(member, bytes, signature)
     }
 
     fn by_author(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.author(author), bytes, signature)
+        self.ring.signed_by_author(author, bytes, signature)
     }
 
     fn by_author_ever(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.author(author), bytes, signature)
-            || verifies(self.ring.past_author(author), bytes, signature)
+        self.ring.ever_signed_by_author(author, bytes, signature)
     }
 
     fn members(&self) -> &[Member] {
@@ -87,16 +80,15 @@
     }
 
     fn by_member(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.keys(member), bytes, signature)
+        self.ring.signed_by_member(member, bytes, signature)
     }
 
     fn by_author(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.author(author), bytes, signature)
+        self.ring.signed_by_author(author, bytes, signature)
     }
 
     fn by_author_ever(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.author(author), bytes, signature)
-            || verifies(self.ring.past_author(author), bytes, signature)
+        self.ring.ever_signed_by_author(author, bytes, signature)
     }
 
     fn members(&self) -> &[Member] {
@@ -114,7 +106,7 @@
     }
 
     fn signed(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool {
-        verifies(self.ring.keys(member), bytes, signature)
+        self.ring.signed_by_member(member, bytes, signature)
     }
 
     fn knows(&self, member: Member) -> bool {
--- a/crates/keys/src/ring.rs
+++ b/crates/keys/src/ring.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use badgerledge_gossip::statement::Signature;
 use badgerledge_gossip::{Member, MOST};
 use badgerledge_settings::{Fault, Faults, Sheet};
 use ed25519_dalek::VerifyingKey;
@@ -119,6 +120,28 @@
     pub fn members(&self) -> &[Member] {
         &self.members
     }
+
+    /// Whether a member signed these bytes with a key that holds now.
+    pub fn signed_by_member(&self, member: Member, bytes: &[u8], signature: &Signature) -> bool {
+        any_verifies(self.keys(member), bytes, signature)
+    }
+
+    /// Whether an author signed these bytes with a key that holds now.
+    pub fn signed_by_author(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
+        any_verifies(self.author(author), bytes, signature)
+    }
+
+    /// Whether an author signed these bytes with a key that holds now or held once.
+    pub fn ever_signed_by_author(&self, author: Member, bytes: &[u8], signature: &Signature) -> bool {
+        self.signed_by_author(author, bytes, signature)
+            || any_verifies(self.past_author(author), bytes, signature)
+    }
+}
+
+/// Whether one of these keys made the signature of these bytes.
+fn any_verifies(keys: &[VerifyingKey], bytes: &[u8], signature: &Signature) -> bool {
+    let signature = ed25519_dalek::Signature::from_bytes(signature);
+    keys.iter().any(|key| key.verify_strict(bytes, &signature).is_ok())
 }
 
 /// All keys of a role that hold, by number.
@@ -156,29 +179,27 @@
 fn revoked_authors(sheet: &Sheet) -> Public {
     let of = |name: &str| {
         let section = sheet.section::<Section>(&format!("author {name}")).ok()?;
-        let key = |text: &String| {
-            let mut bytes = [0; 32];
-            hex::decode_to_slice(text, &mut bytes).ok()?;
-            VerifyingKey::from_bytes(&bytes).ok().filter(|key| !key.is_weak())
-        };
-        Some((name.parse().ok()?, section.revoked.iter().filter_map(key).collect()))
+        let keys = section.revoked.iter().filter_map(|text| public_key(text)).collect();
+        Some((name.parse().ok()?, keys))
     };
     sheet.named("author").filter_map(of).collect()
 }
 
+/// A public key from its hex digits. A weak one is not taken: it would let others sign for its owner.
+fn public_key(text: &str) -> Option<VerifyingKey> {
+    let mut bytes = [0; 32];
+    hex::decode_to_slice(text, &mut bytes).ok()?;
+    VerifyingKey::from_bytes(&bytes).ok().filter(|key| !key.is_weak())
+}
+
 fn valid_keys(
     section: &Section, wrong: impl Fn(&str, &str, &str) -> Fault, faults: &mut Vec<Fault>,
 ) -> Vec<VerifyingKey> {
     let mut read = |key: &str, texts: &[String]| -> Vec<VerifyingKey> {
         let mut keys = Vec::new();
         for text in texts {
-            let mut bytes = [0; 32];
-            let key_of = hex::decode_to_slice(text, &mut bytes).ok().and_then(|()| {
-                // A weak key would let others sign for its owner.
-                VerifyingKey::from_bytes(&bytes).ok().filter(|key| !key.is_weak())
-            });
-            match key_of {
-                Some(made) => keys.push(made),
+            match public_key(text) {
+                Some(found) => keys.push(found),
                 None => faults.push(wrong(key, text, "a public Ed25519 key in 64 hex digits is taken")),
             }
         }
