Gossip: its interface has the usual names

What a message, an event and a keyring are were hidden under house words. `Gossip::word` is `send_message`, `News` is `Event` with `Event::Message`, `hand` and `take_hand` are `keyring` and `replace_keyring`, `Outside` is `Transport`, `heard` is `handle_datagram`, `tend` is `tick`, `recall` is `restore_records`. The controller's `Came` is `GossipOutput`, with `messages` for `words`; the lab's queue entry gives up the name `Event`. Renames alone: datagrams, settings, metric names and log lines are the same, and so is every assertion of the tests.

The workspace's targets and the fuzz package compile. Tests: gossip 8, gossip_lab 17, hearsay 10, bench 8, controller 41 pass.

--- a/crates/bench/src/capacity/roles/membership.rs
+++ b/crates/bench/src/capacity/roles/membership.rs
@@ -89,8 +89,8 @@
     let (me, now) = (0, net.now);
     let (member, bytes) = with_live_bytes(|| {
         let at = badgerledge_gossip_lab::address(me);
-        let mut member = badgerledge_gossip::Gossip::new(me, net.hand(me), 9, at, Vec::new(), now, 1);
-        member.recall(now, records.clone(), &mut Vec::new());
+        let mut member = badgerledge_gossip::Gossip::new(me, net.keyring(me), 9, at, Vec::new(), now, 1);
+        member.restore_records(now, records.clone(), &mut Vec::new());
         member
     });
     drop(member);
--- a/crates/controller/src/ends/peers.rs
+++ b/crates/controller/src/ends/peers.rs
@@ -7,10 +7,10 @@
 use super::Ends;
 
 impl Ends {
-    /// Sends another controller a word: signed, where there is gossip.
+    /// Sends another controller a message: signed, where there is gossip.
     pub fn tell(&mut self, peer: u32, bytes: &[u8]) {
         if let Some(gossiping) = &mut self.gossiping {
-            return gossiping.word(&self.reactor, self.now, peer, bytes);
+            return gossiping.send_message(&self.reactor, self.now, peer, bytes);
         }
         let at = self.deployment.place.peers.get(peer as usize);
         if let (Some(line), Some(at)) = (self.datagrams, at) {
--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -1,5 +1,5 @@
 //! Gossip among controllers, joined to the ends: keys and what outlives the process from files, datagrams through the
-//! loop, news to whom they are for.
+//! loop, events to whom they are for.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -9,7 +9,7 @@
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_deployment::{ControllerPlace, GossipPlace};
 use badgerledge_gossip::statement::Statement;
-use badgerledge_gossip::{Gossip, Member, News, Outside, Standing, LONGEST};
+use badgerledge_gossip::{Event, Gossip, Member, Standing, Transport, LONGEST};
 use badgerledge_hearsay::{Hearsay, Kind};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Line, Reactor};
@@ -58,15 +58,15 @@
 
 /// What comes of a wake, for the other subsystems.
 #[derive(Default)]
-pub struct Came {
-    /// Another controller's word for the budget.
-    pub words: Vec<(Member, Vec<u8>)>,
+pub struct GossipOutput {
+    /// Messages of other controllers, for the subsystem that knows their form.
+    pub messages: Vec<(Member, Vec<u8>)>,
     /// Streamers that are now believed to be in trouble.
     pub believed: Vec<StreamerId>,
 }
 
 /// Sends what gossip says on its line.
-fn outside(reactor: &Reactor, line: Line) -> impl Outside + '_ {
+fn transport(reactor: &Reactor, line: Line) -> impl Transport + '_ {
     move |to: SocketAddrV4, bytes: &[u8]| {
         debug_assert!(bytes.len() <= LONGEST);
         reactor.send_to(line, SocketAddr::V4(to), bytes);
@@ -93,7 +93,7 @@
         let life = next_life(place.state.as_deref());
         let mut gossip = Gossip::new(place.number as Member, keys, life, at, seeds.collect(), now, seed);
         let stored = place.state.as_deref().map(stored_records).unwrap_or_default();
-        gossip.recall(now, stored, &mut Vec::new());
+        gossip.restore_records(now, stored, &mut Vec::new());
         tracing::info!(life, %at, known = gossip.view().taking_part(), "gossip begins");
         Ok(Self {
             gossip,
@@ -118,7 +118,7 @@
     }
 
     pub fn keys(&self) -> &Keys {
-        self.gossip.hand()
+        self.gossip.keyring()
     }
 
     /// The ring, if it was read anew since this was last asked.
@@ -144,14 +144,14 @@
     }
 
     /// Does what is due.
-    pub fn tend(&mut self, reactor: &Reactor, now: Duration) -> Came {
+    pub fn tick(&mut self, reactor: &Reactor, now: Duration) -> GossipOutput {
         if now < self.next_due() {
-            return Came::default();
+            return GossipOutput::default();
         }
-        let mut news = Vec::new();
-        let mut out = outside(reactor, self.line);
+        let mut events = Vec::new();
+        let mut out = transport(reactor, self.line);
         if now >= self.gossip.next_due() {
-            self.gossip.tend(now, &mut out, &mut news);
+            self.gossip.tick(now, &mut out, &mut events);
         }
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
@@ -163,41 +163,43 @@
             self.store_at = now + self.store_after;
             self.store();
         }
-        self.take(now, news)
+        self.take(now, events)
     }
 
-    pub fn heard(&mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8]) -> Came {
-        let SocketAddr::V4(from) = from else { return Came::default() };
-        let (mut news, mut out) = (Vec::new(), outside(reactor, self.line));
-        if let Err(fault) = self.gossip.heard(now, from, bytes, &mut out, &mut news) {
+    pub fn handle_datagram(
+        &mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8],
+    ) -> GossipOutput {
+        let SocketAddr::V4(from) = from else { return GossipOutput::default() };
+        let (mut events, mut out) = (Vec::new(), transport(reactor, self.line));
+        if let Err(fault) = self.gossip.handle_datagram(now, from, bytes, &mut out, &mut events) {
             tracing::debug!(%from, "dropped: {fault}");
         }
-        self.take(now, news)
+        self.take(now, events)
     }
 
-    /// Sends a member another subsystem's word.
-    pub fn word(&mut self, reactor: &Reactor, now: Duration, to: u32, word: &[u8]) {
-        let mut out = outside(reactor, self.line);
+    /// Sends a member another subsystem's message.
+    pub fn send_message(&mut self, reactor: &Reactor, now: Duration, to: u32, message: &[u8]) {
+        let mut out = transport(reactor, self.line);
         let to = Member::try_from(to).ok();
-        to.map(|to| self.gossip.word(now, to, word, &mut out));
+        to.map(|to| self.gossip.send_message(now, to, message, &mut out));
     }
 
-    fn take(&mut self, now: Duration, news: Vec<News>) -> Came {
-        let mut came = Came::default();
-        for one in news {
-            match one {
-                News::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
-                News::Bulletin(bulletin, age) => {
+    fn take(&mut self, now: Duration, events: Vec<Event>) -> GossipOutput {
+        let mut output = GossipOutput::default();
+        for event in events {
+            match event {
+                Event::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
+                Event::Bulletin(bulletin, age) => {
                     let believed = self.hearsay.heard(now, bulletin.author, age, &bulletin.items);
                     for (streamer, kind) in believed.into_iter().filter(|(_, kind)| self.listens_to(*kind)) {
                         tracing::info!(%streamer, by = bulletin.author, ?kind, "believed to be in trouble");
-                        came.believed.push(streamer);
+                        output.believed.push(streamer);
                     }
                 }
-                News::Word(member, word) => came.words.push((member, word)),
+                Event::Message(member, message) => output.messages.push((member, message)),
             }
         }
-        came
+        output
     }
 
     /// What a join here came to. Cancelled and throttled ones say nothing of the streamer.
@@ -267,7 +269,7 @@
             Ok(keys) => {
                 tracing::info!("the ring of keys was read anew");
                 self.new_keys = Some(keys.clone());
-                self.gossip.take_hand(keys, now);
+                self.gossip.replace_keyring(keys, now);
             }
             Err(fault) => tracing::error!("{fault:#}; the keys read before go on holding"),
         }
@@ -312,7 +314,7 @@
     /// Says good-bye.
     pub fn leave(&mut self, reactor: &Reactor, now: Duration) {
         self.store();
-        self.gossip.leave(now, &mut outside(reactor, self.line));
+        self.gossip.leave(now, &mut transport(reactor, self.line));
     }
 }
 
--- a/crates/controller/src/revising.rs
+++ b/crates/controller/src/revising.rs
@@ -201,7 +201,7 @@
         for _ in 0..count {
             let at = (self.chance.share() * others.len() as f64) as usize;
             if let Some(to) = others.get(at) {
-                gossiping.word(reactor, self.now, u32::from(*to), &word);
+                gossiping.send_message(reactor, self.now, u32::from(*to), &word);
             }
         }
     }
@@ -401,7 +401,9 @@
         let mut durable = true;
         for given in out {
             match given {
-                Given::Send(to, word) if durable => gossiping.word(reactor, self.now, u32::from(to), &word),
+                Given::Send(to, word) if durable => {
+                    gossiping.send_message(reactor, self.now, u32::from(to), &word)
+                }
                 Given::Send(..) => {}
                 Given::Store(bytes) => {
                     durable &= stored(files::replace_durably(&self.state.join(STORED), &bytes))
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::changing::Changing;
 use crate::configuration_source::ConfigurationSource;
 use crate::ends::{peer_at, Ends, CROWD};
-use crate::gossiping::{Came, Gossiping};
+use crate::gossiping::{GossipOutput, Gossiping};
 use crate::list::{ListLine, ToFloor};
 use crate::watch;
 
@@ -148,8 +148,8 @@
             told.drain(..).for_each(|happening| self.take(happening));
             self.list.tend(&mut self.ends.reactor, now);
             let ends = &mut self.ends;
-            let came = ends.gossiping.as_mut().map(|gossiping| gossiping.tend(&ends.reactor, now));
-            self.gossip_came(came);
+            let output = ends.gossiping.as_mut().map(|gossiping| gossiping.tick(&ends.reactor, now));
+            self.take_gossip(output);
             self.revise();
             for line in self.ends.probes.late(now) {
                 self.ends.probe_ends(line, Ending::Timeout, &[]);
@@ -236,8 +236,9 @@
             {
                 let ends = &mut self.ends;
                 let now = ends.now;
-                let came = ends.gossiping.as_mut().map(|g| g.heard(&ends.reactor, now, from, &bytes));
-                self.gossip_came(came);
+                let output =
+                    ends.gossiping.as_mut().map(|g| g.handle_datagram(&ends.reactor, now, from, &bytes));
+                self.take_gossip(output);
             }
             Happening::Datagram { from, bytes, .. } => {
                 let Some(peer) = peer_at(&self.ends.deployment, from) else { return };
@@ -259,9 +260,9 @@
     }
 
     /// What gossip brought, to whom it is for.
-    fn gossip_came(&mut self, came: Option<Came>) {
-        let Some(came) = came else { return };
-        for (peer, word) in came.words {
+    fn take_gossip(&mut self, output: Option<GossipOutput>) {
+        let Some(output) = output else { return };
+        for (peer, word) in output.messages {
             let revisions = self.configuration.as_mut().and_then(ConfigurationSource::revisions);
             if let (Some(revising), Some(gossiping)) = (revisions, &mut self.ends.gossiping) {
                 if let Some(off) = revising.heard(&mut self.ends.reactor, gossiping, peer, &word) {
@@ -281,7 +282,7 @@
                 budgeting.heard(&mut self.ends, u32::from(peer), &word);
             }
         }
-        for streamer in came.believed {
+        for streamer in output.believed {
             counter!(watch::BELIEVED).increment(1);
             self.ends.arrivals.push(Box::new(move |floor| floor.hearsay(streamer)));
         }
--- a/crates/gossip/src/budget.rs
+++ b/crates/gossip/src/budget.rs
@@ -28,7 +28,7 @@
         self.0.take(now, bytes as f64)
     }
 
-    /// Whether news may go: so much is left that probes are not held up by it.
+    /// Whether news may be spread: so much is left that probes are not held up by it.
     pub fn spares(&mut self, now: Duration, bytes: usize) -> bool {
         self.0.holds(now) >= KEPT_FOR_PROBES.max(bytes as f64)
     }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use budget::{Budget, CEILING};
 pub use envelope::{Fault, LONGEST};
-pub use member::{Counts, Gossip, News, Outside};
+pub use member::{Counts, Event, Gossip, Transport};
 pub use ration::Ration;
 pub use statement::{Keyring, SIGNATURE};
 pub use view::{Standing, View};
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -27,7 +27,7 @@
 mod sending;
 mod suspicion;
 
-pub use events::{Counts, News, Outside};
+pub use events::{Counts, Event, Transport};
 
 /// News go to one member drawn by chance this often while there are any: about what the ceiling allows, so that what
 /// many have to say at once takes no longer than it must.
@@ -70,7 +70,7 @@
     refuted: Duration,
     refute_at: Option<Duration>,
     told_stale: Bucket,
-    /// When `tend` asked to be called.
+    /// When `tick` asked to be called.
     due: Duration,
     pub counts: Counts,
 }
@@ -125,7 +125,7 @@
     }
 
     /// The keys that it signs and checks with.
-    pub fn hand(&self) -> &H {
+    pub fn keyring(&self) -> &H {
         &self.keyring
     }
 
@@ -145,7 +145,7 @@
     }
 
     /// Takes another ring and key: members whose keys are gone are forgotten, with all that they said.
-    pub fn take_hand(&mut self, keyring: H, now: Duration) {
+    pub fn replace_keyring(&mut self, keyring: H, now: Duration) {
         self.keyring = keyring;
         self.view.expect(self.keyring.ring().len());
         let gone: Vec<Member> =
@@ -166,7 +166,7 @@
         self.addresses.retain(|_, at| *at != member);
     }
 
-    /// When [`Gossip::tend`] wants to be called at the latest.
+    /// When [`Gossip::tick`] wants to be called at the latest.
     pub fn next_due(&self) -> Duration {
         let news = (!self.outbox.is_empty()).then_some(self.next_news);
         let alone = self.is_alone().then_some(self.next_seeds);
@@ -192,7 +192,7 @@
     }
 
     /// Does what is due.
-    pub fn tend(&mut self, now: Duration, out: &mut impl Outside, news: &mut Vec<News>) {
+    pub fn tick(&mut self, now: Duration, out: &mut impl Transport, events: &mut Vec<Event>) {
         if let Some(late) = Health::stalled(self.due, now) {
             self.stood_still(late);
         }
@@ -202,10 +202,10 @@
         self.probe_steps(now, out);
         self.errands_over(now, out);
         for member in self.view.end_suspicions(now) {
-            news.push(News::Standing(member, Standing::Dead));
+            events.push(Event::Standing(member, Standing::Dead));
         }
         if now >= self.next_period {
-            self.end_probe(now, news);
+            self.end_probe(now, events);
             self.begin_probe(now, out);
         }
         if now >= self.next_seeds && self.is_alone() {
--- a/crates/gossip/src/member/anti_entropy.rs
+++ b/crates/gossip/src/member/anti_entropy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Gossip, Outside};
+use super::{Gossip, Transport};
 use crate::envelope::{Head, BODY, DIGEST, LONGEST, NEWS};
 use crate::probe::shuffle;
 use crate::statement::{Keyring, Statement};
@@ -17,7 +17,7 @@
 
 impl<H: Keyring> Gossip<H> {
     /// Shows one other member what is held here of a part of the ring; it answers with what differs.
-    pub(super) fn compare(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn compare(&mut self, now: Duration, out: &mut impl Transport) {
         let Some(to) = self.some_members(1, None).first().copied() else { return };
         let ring = self.keyring.ring();
         if self.compared_to >= ring.len() {
@@ -37,7 +37,7 @@
 
     /// Answers a comparison with what differs.
     pub(super) fn compared(
-        &mut self, now: Duration, head: &Head, begin: Member, told: &[u8], out: &mut impl Outside,
+        &mut self, now: Duration, head: &Head, begin: Member, told: &[u8], out: &mut impl Transport,
     ) {
         let Some((count, digests)) = told.split_first() else { return };
         let ring = self.keyring.ring();
@@ -66,7 +66,7 @@
     }
 
     /// Sends the statements collected so far, if any, as far as the ceiling allows.
-    fn answer(&mut self, now: Duration, with: Member, body: &mut Vec<u8>, out: &mut impl Outside) {
+    fn answer(&mut self, now: Duration, with: Member, body: &mut Vec<u8>, out: &mut impl Transport) {
         let body = std::mem::take(body);
         if !body.is_empty() && self.budget.spares(now, LONGEST) {
             self.send(now, NEWS, with, &body, false, out);
--- a/crates/gossip/src/member/dissemination.rs
+++ b/crates/gossip/src/member/dissemination.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use super::{Gossip, News, Outside};
+use super::{Event, Gossip, Transport};
 use crate::envelope::{Fault, BODY, MESSAGE, NEWS};
 use crate::outbox::Rank;
 use crate::statement::{life_of, Bulletin, Keyring, Said, Statement, ITEMS, ITEM_BYTES};
 use crate::{Member, LONGEST};
 
 impl<H: Keyring> Gossip<H> {
-    /// Publishes what this member holds against streamers: its latest word on all of them.
+    /// Publishes what this member holds against streamers: its latest findings on all of them.
     pub fn publish(&mut self, now: Duration, items: Vec<[u8; ITEM_BYTES]>) {
         self.bulletin_number += 1;
         let items = items.into_iter().take(ITEMS).collect();
@@ -19,12 +19,14 @@
     }
 
     /// Sends another subsystem's message to a member, as far as the ceiling allows. Tells whether it went.
-    pub fn word(&mut self, now: Duration, to: Member, message: &[u8], out: &mut impl Outside) -> bool {
+    pub fn send_message(
+        &mut self, now: Duration, to: Member, message: &[u8], out: &mut impl Transport,
+    ) -> bool {
         message.len() <= BODY && self.send(now, MESSAGE, to, message, false, out)
     }
 
     /// Sends the most urgent statements to one member drawn by chance.
-    pub(super) fn spread(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn spread(&mut self, now: Duration, out: &mut impl Transport) {
         if !self.budget.spares(now, LONGEST) {
             self.counts.held_back += 1;
             return;
@@ -37,7 +39,7 @@
     /// Takes statements up to the first that is none, or whose signature is not checked for lack of ration. Tells
     /// whether any of them holds something of this member that is over.
     pub(super) fn take_statements(
-        &mut self, now: Duration, source: Option<Member>, mut bytes: &[u8], news: &mut Vec<News>,
+        &mut self, now: Duration, source: Option<Member>, mut bytes: &[u8], events: &mut Vec<Event>,
     ) -> bool {
         let mut behind = false;
         while let Some((statement, age, used)) = Statement::read(bytes) {
@@ -61,9 +63,9 @@
                 continue;
             }
             match statement.said.clone() {
-                Said::Record(record) => self.take_record(now, record, statement, news),
-                Said::Accusation(accusation) => self.take_accusation(now, accusation, statement, news),
-                Said::Bulletin(bulletin) => self.take_bulletin(now, bulletin, age, statement, news),
+                Said::Record(record) => self.take_record(now, record, statement, events),
+                Said::Accusation(accusation) => self.take_accusation(now, accusation, statement, events),
+                Said::Bulletin(bulletin) => self.take_bulletin(now, bulletin, age, statement, events),
             }
         }
         behind
@@ -86,7 +88,7 @@
     /// Takes what a member publishes on streamers.
     fn take_bulletin(
         &mut self, now: Duration, bulletin: Bulletin, age: Duration, statement: Statement,
-        news: &mut Vec<News>,
+        events: &mut Vec<Event>,
     ) {
         let Some(known) = self.view.get(bulletin.author) else { return };
         // A life that is over says nothing of now.
@@ -96,6 +98,6 @@
         self.bulletins.insert(bulletin.author, (bulletin.life, bulletin.number));
         let seen = now.saturating_sub(age);
         self.outbox.put(statement, Rank::News, seen);
-        news.push(News::Bulletin(bulletin, age));
+        events.push(Event::Bulletin(bulletin, age));
     }
 }
--- a/crates/gossip/src/member/events.rs
+++ b/crates/gossip/src/member/events.rs
@@ -1,4 +1,4 @@
-//! What a member tells those who use it: datagrams to be sent, news, and counts.
+//! What a member gives to those who use it: datagrams to be sent, events, and counts.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -10,12 +10,12 @@
 use crate::Member;
 
 /// What a member does to the world.
-pub trait Outside {
+pub trait Transport {
     /// Sends a datagram to an address.
     fn send(&mut self, to: SocketAddrV4, bytes: &[u8]);
 }
 
-impl<F: FnMut(SocketAddrV4, &[u8])> Outside for F {
+impl<F: FnMut(SocketAddrV4, &[u8])> Transport for F {
     fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
         self(to, bytes);
     }
@@ -23,13 +23,13 @@
 
 /// What a member learned, for those who use it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum Event {
     /// Another member's standing has changed.
     Standing(Member, Standing),
     /// A bulletin by a member that takes part, how old, and that member's items.
     Bulletin(Bulletin, Duration),
     /// Another subsystem's message, from this member.
-    Word(Member, Vec<u8>),
+    Message(Member, Vec<u8>),
 }
 
 /// What was counted since the start.
--- a/crates/gossip/src/member/joining.rs
+++ b/crates/gossip/src/member/joining.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::probing::HELPERS;
-use super::{takes_part, Gossip, News, Outside};
+use super::{takes_part, Event, Gossip, Transport};
 use crate::envelope::{ANYONE, NEWS};
 use crate::outbox::Rank;
 use crate::probe::shuffle;
@@ -23,7 +23,7 @@
     }
 
     /// Says good-bye to some members, who pass it on.
-    pub fn leave(&mut self, now: Duration, out: &mut impl Outside) {
+    pub fn leave(&mut self, now: Duration, out: &mut impl Transport) {
         self.incarnation = (self.incarnation + 1).min(LAST_INCARNATION);
         self.say_alive(now, true);
         for to in self.some_members(HELPERS * 2, None) {
@@ -38,20 +38,20 @@
     }
 
     /// Takes records that an earlier process stored: seeds need not be there for a rebirth.
-    pub fn recall(&mut self, now: Duration, stored: Vec<Statement>, news: &mut Vec<News>) {
+    pub fn restore_records(&mut self, now: Duration, stored: Vec<Statement>, events: &mut Vec<Event>) {
         for statement in stored {
             let Said::Record(record) = statement.said else { continue };
             let theirs = record.subject != self.me && self.keyring.knows(record.subject);
             if theirs && statement.is_signed(&self.keyring) {
-                self.take_record(now, record, statement, news);
+                self.take_record(now, record, statement, events);
                 self.outbox.forget(record.subject);
             }
         }
     }
 
-    /// Takes a member's word on itself: that it takes part, where, or that it has left.
+    /// Takes a member's record of itself: that it takes part, where, or that it has left.
     pub(super) fn take_record(
-        &mut self, now: Duration, record: Record, statement: Statement, news: &mut Vec<News>,
+        &mut self, now: Duration, record: Record, statement: Statement, events: &mut Vec<Event>,
     ) {
         if record.subject == self.me {
             // Said in an earlier life, of which nothing was stored: this life has to be later.
@@ -69,15 +69,15 @@
         match change {
             Change::Joined => {
                 self.probes.insert(record.subject, &mut self.chance);
-                news.push(News::Standing(record.subject, Standing::Alive));
+                events.push(Event::Standing(record.subject, Standing::Alive));
                 self.outbox.put(statement, Rank::News, now);
             }
             Change::Refuted => {
-                news.push(News::Standing(record.subject, Standing::Alive));
+                events.push(Event::Standing(record.subject, Standing::Alive));
                 self.outbox.put(statement, Rank::Refutation, now);
             }
             Change::Left => {
-                news.push(News::Standing(record.subject, Standing::Left));
+                events.push(Event::Standing(record.subject, Standing::Left));
                 self.outbox.put(statement, Rank::News, now);
             }
             _ => self.outbox.put(statement, Rank::News, now),
@@ -85,7 +85,7 @@
     }
 
     /// Pings a seed drawn by chance.
-    pub(super) fn try_seed(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn try_seed(&mut self, now: Duration, out: &mut impl Transport) {
         let others: Vec<SocketAddrV4> = self.seeds.iter().copied().filter(|seed| *seed != self.at).collect();
         if others.is_empty() {
             return;
@@ -95,7 +95,7 @@
     }
 
     /// Tries a member that seems dead, or else a seed: after a split each side holds the other for dead.
-    pub(super) fn try_gone(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn try_gone(&mut self, now: Duration, out: &mut impl Transport) {
         let gone = |(member, known): (Member, &Known)| (known.standing == Standing::Dead).then_some(member);
         let mut gone: Vec<Member> = self.view.members().filter_map(gone).collect();
         shuffle(&mut gone, &mut self.chance);
@@ -106,7 +106,7 @@
     }
 
     /// Pings the first seed at whose address no known member takes part.
-    fn try_unheard_seed(&mut self, now: Duration, out: &mut impl Outside) {
+    fn try_unheard_seed(&mut self, now: Duration, out: &mut impl Transport) {
         let known = |seed: &SocketAddrV4| {
             self.addresses.get(seed).is_some_and(|member| takes_part(self.view.get(*member)))
         };
@@ -116,9 +116,9 @@
         }
     }
 
-    /// A member that was born with an old life learns from its own words that it had a later one.
+    /// A member that was born with an old life learns from its own record that it had a later one.
     pub(super) fn tell_stale(
-        &mut self, now: Duration, member: Member, at: SocketAddrV4, out: &mut impl Outside,
+        &mut self, now: Duration, member: Member, at: SocketAddrV4, out: &mut impl Transport,
     ) {
         if !self.told_stale.take(now, 1.0) {
             return;
--- a/crates/gossip/src/member/probing.rs
+++ b/crates/gossip/src/member/probing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{takes_part, Gossip, News, Outside};
+use super::{takes_part, Event, Gossip, Transport};
 use crate::envelope::{Head, ACK, ANYONE, ASK, NACK, PING};
 use crate::probe::{Errand, Probe};
 use crate::statement::{Accusation, Keyring, Said};
@@ -20,7 +20,7 @@
 
 impl<H: Keyring> Gossip<H> {
     /// Begins a protocol period: pings the next member in turn (SWIM section 3).
-    pub(super) fn begin_probe(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn begin_probe(&mut self, now: Duration, out: &mut impl Transport) {
         // Health stretches the period too, so that the wait for an answer stays inside of it.
         self.next_period = now + self.health.stretch(PERIOD);
         let (me, view) = (self.me, &self.view);
@@ -45,7 +45,7 @@
     }
 
     /// Asks others to probe one that has not answered.
-    pub(super) fn probe_steps(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn probe_steps(&mut self, now: Duration, out: &mut impl Transport) {
         let due =
             self.probes.out.as_ref().filter(|probe| !probe.asked && !probe.answered && probe.ask_at <= now);
         let Some((target, number)) = due.map(|probe| (probe.target, probe.number)) else { return };
@@ -59,7 +59,7 @@
     }
 
     /// Ends a protocol period: a member that has not answered is suspected, and accused before others.
-    pub(super) fn end_probe(&mut self, now: Duration, news: &mut Vec<News>) {
+    pub(super) fn end_probe(&mut self, now: Duration, events: &mut Vec<Event>) {
         let Some(probe) = self.probes.out.take() else { return };
         if probe.answered {
             return self.health.better();
@@ -73,18 +73,18 @@
         self.counts.accusations += 1;
         self.counts.signed += 1;
         let statement = Said::Accusation(accusation).sign(&self.keyring);
-        self.take_accusation(now, accusation, statement, news);
+        self.take_accusation(now, accusation, statement, events);
     }
 
     /// Tells those who asked for an indirect probe that there was no answer in time.
-    pub(super) fn errands_over(&mut self, now: Duration, out: &mut impl Outside) {
+    pub(super) fn errands_over(&mut self, now: Duration, out: &mut impl Transport) {
         for errand in self.probes.errands_over(now) {
             self.send(now, NACK, errand.asker, &errand.asker_number.to_be_bytes(), true, out);
         }
     }
 
     /// A ping that no probe waits for.
-    pub(super) fn ping_at(&mut self, now: Duration, to: Member, at: SocketAddrV4, out: &mut impl Outside) {
+    pub(super) fn ping_at(&mut self, now: Duration, to: Member, at: SocketAddrV4, out: &mut impl Transport) {
         let number = self.probes.next_number();
         self.send_at(now, PING, (to, at), &number.to_be_bytes(), true, out);
     }
@@ -92,7 +92,7 @@
     /// Answers a ping.
     pub(super) fn pinged(
         &mut self, now: Duration, head: &Head, from: SocketAddrV4, number: u16, behind: bool,
-        out: &mut impl Outside,
+        out: &mut impl Transport,
     ) {
         let mut body = number.to_be_bytes().to_vec();
         if head.to == ANYONE || behind {
@@ -106,7 +106,7 @@
     }
 
     /// Takes an answer to a ping of this member's own, or of one that another asked for.
-    pub(super) fn acked(&mut self, now: Duration, from: Member, number: u16, out: &mut impl Outside) {
+    pub(super) fn acked(&mut self, now: Duration, from: Member, number: u16, out: &mut impl Transport) {
         if let Some(probe) = self.probes.out.as_mut().filter(|probe| probe.number == number) {
             // Of the target itself, or of a helper that heard it.
             probe.answered |= probe.target == from || probe.helpers.contains(&from);
@@ -126,7 +126,7 @@
 
     /// Probes a member on behalf of one that had no answer from it (SWIM's ping-req).
     pub(super) fn asked(
-        &mut self, now: Duration, asker: Member, asker_number: u16, target: Member, out: &mut impl Outside,
+        &mut self, now: Duration, asker: Member, asker_number: u16, target: Member, out: &mut impl Transport,
     ) {
         if target == self.me || self.view.get(target).is_none() {
             return;
--- a/crates/gossip/src/member/receiving.rs
+++ b/crates/gossip/src/member/receiving.rs
@@ -3,18 +3,18 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Gossip, News, Outside};
+use super::{Event, Gossip, Transport};
 use crate::envelope::{self, Fault, Head, ACK, ANYONE, ASK, DIGEST, MESSAGE, NACK, NEWS, PING};
 use crate::statement::Keyring;
 use crate::Member;
 
 impl<H: Keyring> Gossip<H> {
     /// Takes a datagram that came from an address.
-    pub fn heard(
-        &mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut impl Outside,
-        news: &mut Vec<News>,
+    pub fn handle_datagram(
+        &mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut impl Transport,
+        events: &mut Vec<Event>,
     ) -> Result<(), Fault> {
-        let taken = self.take(now, from, bytes, out, news);
+        let taken = self.take(now, from, bytes, out, events);
         match taken {
             Ok(()) => self.counts.taken += 1,
             Err(fault) => *self.counts.dropped.entry(fault).or_default() += 1,
@@ -24,8 +24,8 @@
 
     /// Checks a datagram from the cheapest test to the most expensive one, and takes it where all pass.
     fn take(
-        &mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut impl Outside,
-        news: &mut Vec<News>,
+        &mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut impl Transport,
+        events: &mut Vec<Event>,
     ) -> Result<(), Fault> {
         let (head, body, signed, signature) = envelope::open(bytes)?;
         if !self.keyring.knows(head.from) || head.from == self.me {
@@ -53,7 +53,7 @@
         }
         self.windows.entry(head.from).or_default().note(head.life, head.counter);
         self.view.heard(now, head.from);
-        self.take_body(now, &head, from, source, body, out, news);
+        self.take_body(now, &head, from, source, body, out, events);
         Ok(())
     }
 
@@ -61,7 +61,7 @@
     #[allow(clippy::too_many_arguments)]
     fn take_body(
         &mut self, now: Duration, head: &Head, from: SocketAddrV4, source: Option<Member>, body: &[u8],
-        out: &mut impl Outside, news: &mut Vec<News>,
+        out: &mut impl Transport, events: &mut Vec<Event>,
     ) {
         let number = body.get(..2).map(|two| u16::from_be_bytes([two[0], two[1]]));
         let fixed = match head.kind {
@@ -71,7 +71,7 @@
             _ => body.len(),
         };
         // The statements first: what is answered may depend on them.
-        let behind = self.take_statements(now, source, body.get(fixed..).unwrap_or(&[]), news);
+        let behind = self.take_statements(now, source, body.get(fixed..).unwrap_or(&[]), events);
         let cost = match head.kind {
             PING => 1.0,
             ASK => 2.0,
@@ -92,7 +92,7 @@
                 }
             }
             (DIGEST, Some(begin)) => self.compared(now, head, begin, &body[2..], out),
-            (MESSAGE, _) => news.push(News::Word(head.from, body.to_vec())),
+            (MESSAGE, _) => events.push(Event::Message(head.from, body.to_vec())),
             _ => {}
         }
     }
--- a/crates/gossip/src/member/sending.rs
+++ b/crates/gossip/src/member/sending.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Gossip, Outside};
+use super::{Gossip, Transport};
 use crate::envelope::{self, Head, ANYONE, LONGEST, PING};
 use crate::probe::shuffle;
 use crate::statement::{Keyring, SIGNATURE};
@@ -33,7 +33,8 @@
 
     /// Sends a datagram to a member at the address of its record. Tells whether it went.
     pub(super) fn send(
-        &mut self, now: Duration, kind: u8, to: Member, body: &[u8], statements: bool, out: &mut impl Outside,
+        &mut self, now: Duration, kind: u8, to: Member, body: &[u8], statements: bool,
+        out: &mut impl Transport,
     ) -> bool {
         let Some(at) = self.view.get(to).map(|known| known.record.at) else { return false };
         self.send_at(now, kind, (to, at), body, statements, out)
@@ -42,7 +43,7 @@
     /// Sends a datagram to a member at an address. Tells whether it went.
     pub(super) fn send_at(
         &mut self, now: Duration, kind: u8, to: (Member, SocketAddrV4), body: &[u8], statements: bool,
-        out: &mut impl Outside,
+        out: &mut impl Transport,
     ) -> bool {
         let head = Head { kind, from: self.me, to: to.0, life: self.life(), counter: self.counter + 1 };
         let mut bytes = envelope::begin(&head);
--- a/crates/gossip/src/member/suspicion.rs
+++ b/crates/gossip/src/member/suspicion.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Gossip, News};
+use super::{Event, Gossip};
 use crate::outbox::Rank;
 use crate::statement::{Accusation, Keyring, Statement, LAST_INCARNATION};
 use crate::view::{Change, Standing};
@@ -12,9 +12,9 @@
 const REFUTES_EVERY: Duration = Duration::from_secs(1);
 
 impl<H: Keyring> Gossip<H> {
-    /// Takes a member's word that another one did not answer.
+    /// Takes a member's accusation that another one did not answer.
     pub(super) fn take_accusation(
-        &mut self, now: Duration, accusation: Accusation, statement: Statement, news: &mut Vec<News>,
+        &mut self, now: Duration, accusation: Accusation, statement: Statement, events: &mut Vec<Event>,
     ) {
         match self.view.accuse(now, accusation, &statement.signature) {
             Change::Accused => {
@@ -23,7 +23,7 @@
                 self.accused(now);
             }
             Change::Suspected => {
-                news.push(News::Standing(accusation.subject, Standing::Suspect));
+                events.push(Event::Standing(accusation.subject, Standing::Suspect));
                 self.outbox.put(statement, Rank::News, now);
             }
             Change::Confirmed => self.outbox.put(statement, Rank::News, now),
--- a/crates/gossip/src/tests.rs
+++ b/crates/gossip/src/tests.rs
@@ -132,7 +132,7 @@
         view.record(now, record(1, turn + 1), &[0; SIGNATURE]);
     }
     assert!(suspected <= 10, "in 100 s it began {suspected} suspicions");
-    // With another's word it is heard, whatever it said before.
+    // With another accuser it is heard, whatever it said before.
     let now = T0 + Duration::from_secs(100);
     view.accuse(now, accusation(2, 1, 100), &[0; SIGNATURE]);
     assert_eq!(view.accuse(now, accusation(3, 1, 100), &[0; SIGNATURE]), Change::Suspected);
--- a/crates/gossip_lab/src/net.rs
+++ b/crates/gossip_lab/src/net.rs
@@ -9,9 +9,9 @@
 use badgerledge_core::chance::Chance;
 use badgerledge_gossip::envelope::{begin, Head};
 use badgerledge_gossip::statement::Statement;
-use badgerledge_gossip::{Gossip, Keyring, Member, News, Outside};
+use badgerledge_gossip::{Event, Gossip, Keyring, Member, Transport};
 
-use crate::hand::Keyed;
+use crate::keyring::Keyed;
 
 /// How datagrams fare.
 #[derive(Clone, Copy, Debug)]
@@ -31,8 +31,8 @@
 /// Datagrams that wait for a member that stands still: about what a socket's buffer holds; more are lost.
 const BUFFERED: usize = 300;
 
-enum Event {
-    Tend(Member, u32),
+enum Scheduled {
+    Tick(Member, u32),
     Datagram { to: Member, from: SocketAddrV4, bytes: Vec<u8> },
 }
 
@@ -58,7 +58,7 @@
     pub revoked: Rc<RefCell<BTreeSet<Member>>>,
     ring: Rc<Vec<Member>>,
     seats: Vec<Seat>,
-    events: BTreeMap<(Duration, u64), Event>,
+    events: BTreeMap<(Duration, u64), Scheduled>,
     sequence: u64,
     chance: Chance,
     seed: u64,
@@ -71,7 +71,7 @@
 
 struct Sent(Vec<(SocketAddrV4, Vec<u8>)>);
 
-impl Outside for Sent {
+impl Transport for Sent {
     fn send(&mut self, to: SocketAddrV4, bytes: &[u8]) {
         self.0.push((to, bytes.to_vec()));
     }
@@ -103,7 +103,7 @@
         }
     }
 
-    pub fn hand(&self, me: Member) -> Keyed {
+    pub fn keyring(&self, me: Member) -> Keyed {
         Keyed::new(me, self.ring.clone(), self.revoked.clone())
     }
 
@@ -111,7 +111,7 @@
     pub fn start(&mut self, member: Member, life: u32) {
         let seeds = (0..3).map(address).collect();
         let seed = self.seed ^ u64::from(member) << 20 ^ u64::from(life);
-        let gossip = Gossip::new(member, self.hand(member), life, address(member), seeds, self.now, seed);
+        let gossip = Gossip::new(member, self.keyring(member), life, address(member), seeds, self.now, seed);
         let seat = &mut self.seats[usize::from(member)];
         (seat.gossip, seat.due) = (Some(gossip), Duration::MAX);
         seat.turn += 1;
@@ -137,7 +137,7 @@
         let now = self.now;
         for seat in &mut self.seats {
             if let Some(gossip) = &mut seat.gossip {
-                gossip.recall(now, records.clone(), &mut Vec::new());
+                gossip.restore_records(now, records.clone(), &mut Vec::new());
             }
         }
     }
@@ -154,7 +154,7 @@
         let seat = &mut self.seats[usize::from(member)];
         (seat.stalled_until, seat.due) = (until, until);
         let turn = seat.turn;
-        self.add(until, Event::Tend(member, turn));
+        self.add(until, Scheduled::Tick(member, turn));
     }
 
     pub fn get(&self, member: Member) -> Option<&Gossip<Keyed>> {
@@ -185,17 +185,17 @@
         let mut bytes = begin(head);
         bytes.extend(body);
         statements.iter().for_each(|statement| statement.write(Duration::ZERO, &mut bytes));
-        let signature = self.hand(liar).sign(&bytes);
+        let signature = self.keyring(liar).sign(&bytes);
         bytes.extend(signature);
         self.raw(liar, head.to, bytes);
     }
 
     /// Bytes from one member's address to another, as they are.
     pub fn raw(&mut self, from: Member, to: Member, bytes: Vec<u8>) {
-        self.add(self.now + Duration::from_millis(1), Event::Datagram { to, from: address(from), bytes });
+        self.add(self.now + Duration::from_millis(1), Scheduled::Datagram { to, from: address(from), bytes });
     }
 
-    fn add(&mut self, at: Duration, event: Event) {
+    fn add(&mut self, at: Duration, event: Scheduled) {
         self.sequence += 1;
         self.events.insert((at, self.sequence), event);
     }
@@ -207,7 +207,7 @@
         if due < seat.due || seat.due < now {
             (seat.due, self.sequence) = (due, self.sequence + 1);
             let turn = seat.turn;
-            self.add(due, Event::Tend(member, turn));
+            self.add(due, Scheduled::Tick(member, turn));
         }
     }
 
@@ -226,7 +226,10 @@
             for _ in 0..copies {
                 let (least, most) = self.way.delay;
                 let delay = Duration::from_secs_f64(least + (most - least) * self.chance.share());
-                self.add(self.now + delay, Event::Datagram { to, from: address(from), bytes: bytes.clone() });
+                self.add(
+                    self.now + delay,
+                    Scheduled::Datagram { to, from: address(from), bytes: bytes.clone() },
+                );
             }
         }
     }
@@ -239,8 +242,8 @@
         {
             self.now = self.now.max(at);
             match event {
-                Event::Tend(member, turn) => self.tend(member, turn),
-                Event::Datagram { to, from, bytes } => self.deliver(to, from, bytes),
+                Scheduled::Tick(member, turn) => self.tick(member, turn),
+                Scheduled::Datagram { to, from, bytes } => self.deliver(to, from, bytes),
             }
         }
         self.now = end;
@@ -259,7 +262,7 @@
         Some(self.now - begun)
     }
 
-    fn tend(&mut self, member: Member, turn: u32) {
+    fn tick(&mut self, member: Member, turn: u32) {
         let seat = &mut self.seats[usize::from(member)];
         // One that was put off, or on, has another event.
         if seat.turn != turn || self.now < seat.stalled_until.max(seat.due) {
@@ -268,7 +271,7 @@
         seat.due = Duration::MAX;
         let buffered = std::mem::take(&mut seat.buffered);
         // The loop of a controller looks at its time before it reads.
-        self.wake(member, |gossip, now, sent, news| gossip.tend(now, sent, news));
+        self.wake(member, |gossip, now, sent, events| gossip.tick(now, sent, events));
         for (from, bytes) in buffered {
             self.deliver(member, from, bytes);
         }
@@ -282,25 +285,25 @@
             }
             return;
         }
-        self.wake(to, |gossip, now, sent, news| {
-            let _ = gossip.heard(now, from, &bytes, sent, news);
+        self.wake(to, |gossip, now, sent, events| {
+            let _ = gossip.handle_datagram(now, from, &bytes, sent, events);
         });
     }
 
     fn wake(
-        &mut self, member: Member, act: impl FnOnce(&mut Gossip<Keyed>, Duration, &mut Sent, &mut Vec<News>),
+        &mut self, member: Member, act: impl FnOnce(&mut Gossip<Keyed>, Duration, &mut Sent, &mut Vec<Event>),
     ) {
         let now = self.now;
         let Some(gossip) = self.seats[usize::from(member)].gossip.as_mut() else { return };
-        let (mut sent, mut news) = (Sent(Vec::new()), Vec::new());
-        act(gossip, now, &mut sent, &mut news);
-        for one in news {
-            match one {
-                News::Standing(of, standing) => self.standings.push((now, member, of, standing)),
-                News::Bulletin(bulletin, _) => {
+        let (mut sent, mut events) = (Sent(Vec::new()), Vec::new());
+        act(gossip, now, &mut sent, &mut events);
+        for event in events {
+            match event {
+                Event::Standing(of, standing) => self.standings.push((now, member, of, standing)),
+                Event::Bulletin(bulletin, _) => {
                     self.seats[usize::from(member)].bulletins.push((now, bulletin.author))
                 }
-                News::Word(..) => {}
+                Event::Message(..) => {}
             }
         }
         self.carry(member, sent.0);
--- a/crates/gossip_lab/tests/many.rs
+++ b/crates/gossip_lab/tests/many.rs
@@ -138,7 +138,7 @@
         // In its own name, at the incarnation that holds, to whoever is there.
         let told = net.get(13).unwrap().view().get(20).unwrap().record;
         let accusation = Accusation { subject: 20, incarnation: told.incarnation, author: 13 };
-        let statement = Said::Accusation(accusation).sign(&net.hand(13));
+        let statement = Said::Accusation(accusation).sign(&net.keyring(13));
         let life = net.get(13).unwrap().life();
         for to in (0..50).filter(|to| *to != 13) {
             let counter = 1_000_000 + (net.now - since).as_millis() as u32;
@@ -170,7 +170,7 @@
     // In another's name; to another; from an unknown one; of a life long ago; too long; no datagram at all.
     net.forge(3, &head(2, 1, 900_000), &[0, 1], &[]);
     net.forge(2, &head(2, 4, 900_001), &[0, 1], &[]);
-    let bytes = net.get(2).unwrap().hand().sign(b"");
+    let bytes = net.get(2).unwrap().keyring().sign(b"");
     net.raw(2, 1, [&[0u8; 300][..], &bytes].concat());
     net.raw(2, 1, b"hello".to_vec());
     net.forge(40, &Head { kind: PING, from: 40, to: 1, life, counter: 5 }, &[0, 1], &[]);
@@ -181,7 +181,7 @@
     // A statement in another's name, within a datagram that is in order.
     let forged =
         Said::Record(Record { subject: 6, incarnation: incarnation(50, 0), left: true, at: address(6) });
-    let forged: Statement = forged.sign(&net.hand(2));
+    let forged: Statement = forged.sign(&net.keyring(2));
     net.forge(2, &Head { kind: NEWS, from: 2, to: 1, life, counter: 900_003 }, &[], &[forged]);
     net.run(Duration::from_millis(5));
     let after = &net.get(1).unwrap().counts.dropped;
@@ -220,8 +220,8 @@
     net.revoked.borrow_mut().insert(4);
     let members: Vec<Member> = net.live().map(|(member, _)| member).collect();
     for member in members {
-        let hand = net.hand(member);
-        net.with(member, |gossip, now, _| gossip.take_hand(hand, now));
+        let keyring = net.keyring(member);
+        net.with(member, |gossip, now, _| gossip.replace_keyring(keyring, now));
     }
     net.run(s(20));
     assert!(net.live().filter(|(me, _)| *me != 4).all(|(_, gossip)| gossip.view().standing(4).is_none()));
@@ -264,7 +264,7 @@
 fn a_member_that_is_told_of_its_own_last_life_goes_on_in_it() {
     let mut net = together(3, 16);
     let last = Record { subject: 1, incarnation: incarnation(u32::MAX, 0), left: false, at: address(1) };
-    let statement = Said::Record(last).sign(&net.hand(1));
+    let statement = Said::Record(last).sign(&net.keyring(1));
     let life = net.get(2).unwrap().life();
     net.forge(2, &Head { kind: NEWS, from: 2, to: 1, life, counter: 900_000 }, &[], &[statement]);
     net.run(s(5));
--- a/crates/replay/src/gossip.rs
+++ b/crates/replay/src/gossip.rs
@@ -8,7 +8,7 @@
 use anyhow::{Context, Result};
 use badgerledge_core::interface::StreamerId;
 use badgerledge_gossip::statement::ITEM_BYTES;
-use badgerledge_gossip::{Gossip, Member, News, Outside};
+use badgerledge_gossip::{Event, Gossip, Member, Transport};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Happening, Line, Reactor};
 use badgerledge_settings::{within, Sheet};
@@ -114,7 +114,7 @@
 }
 
 /// Sends what gossip says on its line.
-fn outside(reactor: &Reactor, line: Line) -> impl Outside + '_ {
+fn transport(reactor: &Reactor, line: Line) -> impl Transport + '_ {
     move |to: SocketAddrV4, bytes: &[u8]| {
         reactor.send_to(line, SocketAddr::V4(to), bytes);
     }
@@ -143,8 +143,14 @@
     pub fn take(&mut self, reactor: &Reactor, now: Duration, happening: &Happening) -> bool {
         let Happening::Datagram { line, from: SocketAddr::V4(from), bytes } = happening else { return false };
         if *line == self.line {
-            let mut news: Vec<News> = Vec::new();
-            let _ = self.gossip.heard(now, *from, bytes, &mut outside(reactor, self.line), &mut news);
+            let mut events: Vec<Event> = Vec::new();
+            let _ = self.gossip.handle_datagram(
+                now,
+                *from,
+                bytes,
+                &mut transport(reactor, self.line),
+                &mut events,
+            );
         }
         *line == self.line
     }
@@ -155,7 +161,7 @@
             self.gossip.publish(now, vec![lie(self.of)]);
         }
         if now >= self.gossip.next_due() {
-            self.gossip.tend(now, &mut outside(reactor, self.line), &mut Vec::new());
+            self.gossip.tick(now, &mut transport(reactor, self.line), &mut Vec::new());
         }
     }
 }
--- a/fuzz/fuzz_targets/datagram.rs
+++ b/fuzz/fuzz_targets/datagram.rs
@@ -8,7 +8,7 @@
 
 use badgerledge_gossip::envelope;
 use badgerledge_gossip::statement::{Keyring, Said, Signature, Statement};
-use badgerledge_gossip::{Gossip, Member, Outside, CEILING, LONGEST, SIGNATURE};
+use badgerledge_gossip::{Gossip, Member, Transport, CEILING, LONGEST, SIGNATURE};
 use libfuzzer_sys::fuzz_target;
 
 struct Credulous;
@@ -33,7 +33,7 @@
 
 struct Sent(usize);
 
-impl Outside for Sent {
+impl Transport for Sent {
     fn send(&mut self, _to: SocketAddrV4, bytes: &[u8]) {
         assert!(bytes.len() <= LONGEST);
         self.0 += bytes.len();
@@ -55,7 +55,7 @@
     let at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000);
     let mut now = Duration::from_secs(100);
     let mut gossip = Gossip::new(0, Credulous, 1, at, vec![at], now, 1);
-    let (mut sent, mut news) = (Sent(0), Vec::new());
+    let (mut sent, mut events) = (Sent(0), Vec::new());
     // Datagrams one after the other, each with its length before it; the mark is put there, so that most get past it.
     let mut rest = input;
     while let Some((length, tail)) = rest.split_first() {
@@ -66,8 +66,8 @@
         if let Ok((_, body, _, _)) = envelope::open(&datagram) {
             read_again(body);
         }
-        let _ = gossip.heard(now, at, &datagram, &mut sent, &mut news);
-        gossip.tend(now, &mut sent, &mut news);
+        let _ = gossip.handle_datagram(now, at, &datagram, &mut sent, &mut events);
+        gossip.tick(now, &mut sent, &mut events);
         now += Duration::from_millis(1);
     }
     // All within a quarter of a second at most: less than what a second may have.
