Failure reports: the package `hearsay` by its usual name

The package weighs reports by peers of streamers that fail, and was called `hearsay`. It is `failure_reports` now, with `FailureReports`, `Report` and `Observation` for `Hearsay`, `Voice` and `Own`; `take_bulletin`, `observe_join` and `observe_strain` for `heard`, `seen` and `strained`; and constants that say what they bound. How far a member is believed and the item's bytes are modules of their own. `Floor::hearsay` is `reported_in_trouble`. The metric `badgerledge_hearsay_believed_total`, log lines and the item's form are as before; the name of the decision module's method, which is not ours to change, too.

Assertions of the tests are unchanged.

--- a/crates/bench/src/capacity/roles/failure_reports.rs
+++ b/crates/bench/src/capacity/roles/failure_reports.rs
@@ -3,9 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
+use badgerledge_failure_reports::FailureReports;
 use badgerledge_gossip::statement::ITEM_BYTES;
 use badgerledge_gossip::Member;
-use badgerledge_hearsay::Hearsay;
 
 use super::{Role, CONTROLLERS, MEMORY_BYTES};
 use crate::capacity::measure::{processor_ms, with_live_bytes, Reading};
@@ -35,22 +35,22 @@
 fn readings(members: Member) -> Vec<Reading> {
     let mut spent_ms = 0.0;
     let (held, live) = with_live_bytes(|| {
-        let mut hearsay = Hearsay::default();
+        let mut reports = FailureReports::default();
         for round in 0..ROUNDS {
             let now = Duration::from_secs(1000 + 2 * u64::from(round));
             spent_ms += processor_ms(|| {
                 for member in 0..members {
                     let first = u32::from(member) * 7 % STREAMERS;
                     let items: Vec<_> = (first..first + NAMED).map(|n| item(n % STREAMERS)).collect();
-                    hearsay.heard(now, member, Duration::ZERO, &items);
+                    reports.take_bulletin(now, member, Duration::ZERO, &items);
                 }
             });
             for n in 0..STREAMERS {
                 let at = SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + n), 554);
-                hearsay.seen(now, at, n % 2 == 0);
+                reports.observe_join(now, at, n % 2 == 0);
             }
         }
-        hearsay
+        reports
     });
     drop(held);
     let bulletins = f64::from(members) * f64::from(ROUNDS);
--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -8,9 +8,9 @@
 use anyhow::{bail, Context, Result};
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_deployment::{ControllerPlace, GossipPlace};
+use badgerledge_failure_reports::{FailureReports, Kind};
 use badgerledge_gossip::statement::Statement;
 use badgerledge_gossip::{Event, Gossip, Member, Standing, Transport, LONGEST};
-use badgerledge_hearsay::{Hearsay, Kind};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Line, Reactor};
 use metrics::{counter, gauge};
@@ -40,7 +40,7 @@
 
 pub struct Gossiping {
     gossip: Gossip<Keys>,
-    hearsay: Hearsay,
+    failure_reports: FailureReports,
     line: Line,
     place: GossipPlace,
     state: Option<PathBuf>,
@@ -97,7 +97,7 @@
         tracing::info!(life, %at, known = gossip.view().taking_part(), "gossip begins");
         Ok(Self {
             gossip,
-            hearsay: Hearsay::default(),
+            failure_reports: FailureReports::default(),
             line,
             place: told.clone(),
             state: place.state.clone(),
@@ -190,7 +190,8 @@
             match event {
                 Event::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
                 Event::Bulletin(bulletin, age) => {
-                    let believed = self.hearsay.heard(now, bulletin.author, age, &bulletin.items);
+                    let believed =
+                        self.failure_reports.take_bulletin(now, bulletin.author, age, &bulletin.items);
                     for (streamer, kind) in believed.into_iter().filter(|(_, kind)| self.listens_to(*kind)) {
                         tracing::info!(%streamer, by = bulletin.author, ?kind, "believed to be in trouble");
                         output.believed.push(streamer);
@@ -205,13 +206,13 @@
     /// What a join here came to. Cancelled and throttled ones say nothing of the streamer.
     pub fn seen(&mut self, now: Duration, streamer: StreamerId, ending: Option<Ending>) {
         match ending {
-            None => self.hearsay.seen(now, streamer, true),
+            None => self.failure_reports.observe_join(now, streamer, true),
             Some(ending) if ending.is_lost() => {
-                self.hearsay.seen(now, streamer, false);
+                self.failure_reports.observe_join(now, streamer, false);
                 self.publish(now);
             }
             Some(Ending::Full) if self.place.strain => {
-                self.hearsay.strained(now, streamer, false);
+                self.failure_reports.observe_strain(now, streamer, false);
                 self.publish(now);
             }
             Some(_) => {}
@@ -231,7 +232,7 @@
             _ => value < AT_EASE_LINK,
         };
         if self.place.strain && (strained || at_ease) {
-            self.hearsay.strained(now, streamer, at_ease);
+            self.failure_reports.observe_strain(now, streamer, at_ease);
             if strained {
                 self.publish(now);
             }
@@ -247,7 +248,7 @@
         if now < self.publish_at {
             return;
         }
-        let streamers = self.hearsay.streamers(now);
+        let streamers = self.failure_reports.streamers(now);
         if streamers.iter().all(|streamer| self.published.contains(streamer))
             && now < self.publish_at + PUBLISH_EVERY * 4
         {
@@ -255,7 +256,7 @@
         }
         self.publish_at = now + PUBLISH_EVERY;
         self.published = streamers;
-        self.gossip.publish(now, self.hearsay.items(now));
+        self.gossip.publish(now, self.failure_reports.items(now));
     }
 
     /// Reads the ring anew where its file has changed. One that is not in order changes nothing.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -272,7 +272,7 @@
                         if self.list.book.entry(&id).is_some_and(ours) {
                             tracing::info!(streamer = %id, "said by others to be off their lists");
                             counter!(watch::SAID_OFF).increment(1);
-                            self.ends.arrivals.push(Box::new(move |floor| floor.hearsay(id)));
+                            self.ends.arrivals.push(Box::new(move |floor| floor.reported_in_trouble(id)));
                         }
                     }
                     continue;
@@ -284,7 +284,7 @@
         }
         for streamer in output.believed {
             counter!(watch::BELIEVED).increment(1);
-            self.ends.arrivals.push(Box::new(move |floor| floor.hearsay(streamer)));
+            self.ends.arrivals.push(Box::new(move |floor| floor.reported_in_trouble(streamer)));
         }
     }
 
--- a/crates/exchange/src/floor.rs
+++ b/crates/exchange/src/floor.rs
@@ -172,7 +172,7 @@
     }
 
     /// Several other controllers lost joins on a streamer.
-    pub fn hearsay(&mut self, streamer: StreamerId) {
+    pub fn reported_in_trouble(&mut self, streamer: StreamerId) {
         self.module.hearsay(streamer);
     }
 
--- a/crates/replay/src/gossip.rs
+++ b/crates/replay/src/gossip.rs
@@ -166,7 +166,7 @@
     }
 }
 
-/// That joins are lost on a streamer at this moment (the item's form is the hearsay package's).
+/// That joins are lost on a streamer at this moment (the item's form is the failure-reports package's).
 fn lie(of: StreamerId) -> [u8; ITEM_BYTES] {
     let mut item = [0; ITEM_BYTES];
     item[..4].copy_from_slice(&of.ip().octets());
