--- a/crates/bench/src/capacity/roles/agreement.rs
+++ b/crates/bench/src/capacity/roles/agreement.rs
@@ -15,7 +15,7 @@
 const SETTLES: Duration = Duration::from_secs(20);
 const QUIET: Duration = Duration::from_secs(30);
 /// A push that is not in force by then is told as this.
-const LONGEST: Duration = Duration::from_secs(600);
+const MAX_RUN: Duration = Duration::from_secs(600);
 
 pub const ROLE: Role = Role {
     name: "agreement",
@@ -42,9 +42,9 @@
     let held_quiet = net.held();
     net.push(members - 1, b"changed");
     let all_act = |net: &Net| net.acting_on(1) == usize::from(members);
-    let took = net.run_until(LONGEST, all_act).unwrap_or(LONGEST);
-    let none_held = net.run_until(LONGEST - took, |net| net.held() == 0);
-    let free_again = took + none_held.unwrap_or(LONGEST - took);
+    let took = net.run_until(MAX_RUN, all_act).unwrap_or(MAX_RUN);
+    let none_held = net.run_until(MAX_RUN - took, |net| net.held() == 0);
+    let free_again = took + none_held.unwrap_or(MAX_RUN - took);
     Ok(vec![
         Reading::new("stated bound", "s", net.bound().as_secs_f64()).limited(IN_FORCE_WITHIN_S),
         Reading::new("push until all act on it", "s", took.as_secs_f64()).limited(IN_FORCE_WITHIN_S),
--- a/crates/bench/src/capacity/roles/membership.rs
+++ b/crates/bench/src/capacity/roles/membership.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use badgerledge_gossip::{Member, MOST};
+use badgerledge_gossip::{Member, MAX_MEMBERS};
 use badgerledge_gossip_lab::{settled, Net};
 
 use super::signatures::SignatureCost;
@@ -18,7 +18,7 @@
 /// All pairs are looked at so seldom: it takes longer than the play between.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// A start or a death that is not settled by then is told as this.
-const LONGEST: Duration = Duration::from_secs(400);
+const MAX_RUN: Duration = Duration::from_secs(400);
 
 pub const ROLE: Role = Role {
     name: "membership",
@@ -36,7 +36,7 @@
 }
 
 fn readings(size: u64, seed: u64) -> Result<Vec<Reading>> {
-    anyhow::ensure!(size as usize <= MOST, "a ring has {MOST} members at most");
+    anyhow::ensure!(size as usize <= MAX_MEMBERS, "a ring has {MAX_MEMBERS} members at most");
     let members = size as Member;
     let cost = SignatureCost::measure()?;
     let mut net = Net::new(members, seed);
@@ -60,7 +60,7 @@
     zone().for_each(|member| net.start(member, 2));
     let returned_s = settled_within(&mut net);
     Ok(vec![
-        Reading::new("members that the ring takes", "", size as f64).limited(MOST as f64),
+        Reading::new("members that the ring takes", "", size as f64).limited(MAX_MEMBERS as f64),
         Reading::new("quiet, sent", "bytes a second", quiet_bytes).limited(BYTES_A_SECOND),
         Reading::new("quiet, processor", "of a core", (used_ms + signing_ms) / 1000.0 / member_seconds)
             .limited(CORE_SHARE),
@@ -76,7 +76,7 @@
 /// Seconds until all that live know all that live, and hold the others for dead.
 fn settled_within(net: &mut Net) -> f64 {
     let begun = net.now;
-    while !settled(net).is() && net.now < begun + LONGEST {
+    while !settled(net).is() && net.now < begun + MAX_RUN {
         net.run(LOOK_EVERY);
     }
     (net.now - begun).as_secs_f64()
--- a/crates/bench/src/signatures.rs
+++ b/crates/bench/src/signatures.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use badgerledge_gossip::{Keyring, LONGEST, SIGNATURE};
+use badgerledge_gossip::{Keyring, MAX_DATAGRAM_BYTES, SIGNATURE_BYTES};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_settings::Sheet;
 
@@ -13,7 +13,7 @@
     let private = PrivateKey::make(Role::Member(0))?;
     let ring = Ring::of(&Sheet::parse("ring", &format!("[member 0]\nkeys = {}\n", private.public()))?)?;
     let keys = Keys::new(private, ring).context("its own ring")?;
-    let bytes = [7; LONGEST - SIGNATURE];
+    let bytes = [7; MAX_DATAGRAM_BYTES - SIGNATURE_BYTES];
     let signature = keys.sign(&bytes);
     let sign = each(|| {
         std::hint::black_box(keys.sign(std::hint::black_box(&bytes)));
--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -10,7 +10,7 @@
 use badgerledge_deployment::{ControllerPlace, GossipPlace};
 use badgerledge_failure_reports::{FailureReports, Kind};
 use badgerledge_gossip::statement::Statement;
-use badgerledge_gossip::{Event, Gossip, Member, Standing, Transport, LONGEST};
+use badgerledge_gossip::{Event, Gossip, Member, MemberState, Transport, MAX_DATAGRAM_BYTES};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Line, Reactor};
 use metrics::{counter, gauge};
@@ -68,7 +68,7 @@
 /// Sends what gossip says on its line.
 fn transport(reactor: &Reactor, line: Line) -> impl Transport + '_ {
     move |to: SocketAddrV4, bytes: &[u8]| {
-        debug_assert!(bytes.len() <= LONGEST);
+        debug_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         reactor.send_to(line, SocketAddr::V4(to), bytes);
     }
 }
@@ -188,7 +188,7 @@
         let mut output = GossipOutput::default();
         for event in events {
             match event {
-                Event::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
+                Event::StateChanged(member, state) => tracing::info!(member, standing = ?state, "member"),
                 Event::Bulletin(bulletin, age) => {
                     let believed =
                         self.failure_reports.take_bulletin(now, bulletin.author, age, &bulletin.items);
@@ -277,17 +277,17 @@
     }
 
     fn show(&self) {
-        let held = |standing: Standing| {
+        let held = |state: MemberState| {
             let all = self.gossip.view().members();
-            all.filter(|(_, known)| known.standing == standing).count() as f64
+            all.filter(|(_, known)| known.state == state).count() as f64
         };
-        for (standing, name) in [
-            (Standing::Alive, "alive"),
-            (Standing::Suspect, "suspect"),
-            (Standing::Dead, "dead"),
-            (Standing::Left, "left"),
+        for (state, name) in [
+            (MemberState::Alive, "alive"),
+            (MemberState::Suspect, "suspect"),
+            (MemberState::Dead, "dead"),
+            (MemberState::Left, "left"),
         ] {
-            gauge!(watch::MEMBERS, "standing" => name).set(held(standing));
+            gauge!(watch::MEMBERS, "standing" => name).set(held(state));
         }
         let counts = &self.gossip.counts;
         gauge!(watch::GOSSIP_HEALTH).set(f64::from(self.gossip.health()));
--- a/crates/failure_reports/src/lib.rs
+++ b/crates/failure_reports/src/lib.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use badgerledge_core::interface::StreamerId;
-use badgerledge_gossip::statement::{ITEMS, ITEM_BYTES};
+use badgerledge_gossip::statement::{ITEM_BYTES, MAX_ITEMS};
 use badgerledge_gossip::Member;
 
 use crate::credit::Credit;
@@ -202,7 +202,7 @@
         };
         let mut all: Vec<(u32, Trouble, Duration)> = self.observations.iter().filter_map(lost).collect();
         all.sort_by(|a, b| a.1 .1.cmp(&b.1 .1).then(b.cmp(a)));
-        all.truncate(ITEMS);
+        all.truncate(MAX_ITEMS);
         all
     }
 }
--- a/crates/gossip/src/envelope.rs
+++ b/crates/gossip/src/envelope.rs
@@ -1,4 +1,4 @@
-//! The datagram: 16 bytes of head, a body, and a signature over both.
+//! The datagram: 16 bytes of header, a body, and a signature over both.
 //!
 //! | bytes | field |
 //! |---|---|
@@ -13,15 +13,15 @@
 
 use thiserror::Error;
 
-use crate::statement::{four, Signature, SIGNATURE};
+use crate::statement::{four, Signature, SIGNATURE_BYTES};
 use crate::Member;
 
 /// Payload bytes of a datagram at most.
-pub const LONGEST: usize = 256;
-const MARK: [u8; 3] = [b'b', b'g', 1];
-const HEAD: usize = 16;
+pub const MAX_DATAGRAM_BYTES: usize = 256;
+const MAGIC: [u8; 3] = [b'b', b'g', 1];
+const HEADER_BYTES: usize = 16;
 /// What a body holds at most.
-pub const BODY: usize = LONGEST - HEAD - SIGNATURE;
+pub const MAX_BODY_BYTES: usize = MAX_DATAGRAM_BYTES - HEADER_BYTES - SIGNATURE_BYTES;
 /// To whoever is there: a seed whose number is not known.
 pub const ANYONE: Member = Member::MAX;
 
@@ -52,14 +52,14 @@
     #[error("of a life that is over")]
     Stale,
     #[error("more signatures to check than this source is given")]
-    Rationed,
+    RateLimited,
     #[error("not signed by the member that it names")]
     Unsigned,
 }
 
-/// The head's fields.
+/// The header's fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Head {
+pub struct Header {
     pub kind: u8,
     pub from: Member,
     pub to: Member,
@@ -68,37 +68,40 @@
 }
 
 /// Begins a datagram.
-pub fn begin(head: &Head) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(LONGEST);
-    bytes.extend(MARK);
-    bytes.push(head.kind);
-    bytes.extend(head.from.to_be_bytes());
-    bytes.extend(head.to.to_be_bytes());
-    bytes.extend(head.life.to_be_bytes());
-    bytes.extend(head.counter.to_be_bytes());
+pub fn begin(header: &Header) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    bytes.extend(MAGIC);
+    bytes.push(header.kind);
+    bytes.extend(header.from.to_be_bytes());
+    bytes.extend(header.to.to_be_bytes());
+    bytes.extend(header.life.to_be_bytes());
+    bytes.extend(header.counter.to_be_bytes());
     bytes
 }
 
-/// A datagram in parts: the head, the body, what is signed and the signature.
-pub type Parts<'a> = (Head, &'a [u8], &'a [u8], Signature);
+/// A datagram in parts: the header, the body, what is signed and the signature.
+pub type Parts<'a> = (Header, &'a [u8], &'a [u8], Signature);
 
 /// Takes a datagram apart; nothing of it is believed yet.
 pub fn open(bytes: &[u8]) -> Result<Parts<'_>, Fault> {
-    if bytes.len() > LONGEST {
+    if bytes.len() > MAX_DATAGRAM_BYTES {
         return Err(Fault::Oversize);
     }
-    if bytes.len() < HEAD + SIGNATURE || bytes[..3] != MARK || !(PING..=MESSAGE).contains(&bytes[3]) {
+    if bytes.len() < HEADER_BYTES + SIGNATURE_BYTES
+        || bytes[..3] != MAGIC
+        || !(PING..=MESSAGE).contains(&bytes[3])
+    {
         return Err(Fault::Malformed);
     }
-    let (signed, signature) = bytes.split_at(bytes.len() - SIGNATURE);
+    let (signed, signature) = bytes.split_at(bytes.len() - SIGNATURE_BYTES);
     let signature = signature.try_into().map_err(|_| Fault::Malformed)?;
     let pair = |at: usize| Member::from_be_bytes([bytes[at], bytes[at + 1]]);
-    let head = Head {
+    let header = Header {
         kind: bytes[3],
         from: pair(4),
         to: pair(6),
         life: four(&bytes[8..12]),
         counter: four(&bytes[12..16]),
     };
-    Ok((head, &signed[HEAD..], signed, signature))
+    Ok((header, &signed[HEADER_BYTES..], signed, signature))
 }
--- a/crates/gossip/src/health.rs
+++ b/crates/gossip/src/health.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Points at most: timeouts grow to this many times and one.
-const MOST: u32 = 8;
+const MAX_POINTS: u32 = 8;
 /// Woken so much later than asked for, a member was stalled, and what it missed says nothing about others.
 const STALL: Duration = Duration::from_millis(400);
 
@@ -13,12 +13,12 @@
 }
 
 impl Health {
-    pub fn better(&mut self) {
+    pub fn improve(&mut self) {
         self.points = self.points.saturating_sub(1);
     }
 
-    pub fn worse(&mut self, by: u32) {
-        self.points = (self.points + by).min(MOST);
+    pub fn worsen(&mut self, by: u32) {
+        self.points = (self.points + by).min(MAX_POINTS);
     }
 
     pub fn points(&self) -> u32 {
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -6,29 +6,29 @@
 //! member may lie: what is passed on is a *statement* signed by the member that made it (see [`statement`]), each
 //! member decides alone that another is dead ([`View`]), and only a member itself raises its incarnation.
 
-mod bucket;
 mod budget;
 pub mod envelope;
 mod health;
 mod member;
 mod outbox;
 mod probe;
-mod ration;
+mod rate_limits;
 pub mod statement;
 #[cfg(test)]
 mod tests;
+mod token_bucket;
 mod view;
 mod window;
 
-pub use budget::{Budget, CEILING};
-pub use envelope::{Fault, LONGEST};
+pub use budget::{Budget, MAX_BYTES_PER_SECOND};
+pub use envelope::{Fault, MAX_DATAGRAM_BYTES};
 pub use member::{Counts, Event, Gossip, Transport};
-pub use ration::Ration;
-pub use statement::{Keyring, SIGNATURE};
-pub use view::{Standing, View};
+pub use rate_limits::RateLimits;
+pub use statement::{Keyring, SIGNATURE_BYTES};
+pub use view::{MemberState, View};
 pub use window::Window;
 
 /// A member's number in the ring of keys.
 pub type Member = u16;
 /// Members of a ring at most: twice the largest size that is rehearsed.
-pub const MOST: usize = 2048;
+pub const MAX_MEMBERS: usize = 2048;
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -7,14 +7,14 @@
 
 use badgerledge_core::chance::Chance;
 
-use crate::bucket::Bucket;
 use crate::budget::Budget;
 use crate::health::Health;
 use crate::outbox::Outbox;
 use crate::probe::Probes;
-use crate::ration::Ration;
+use crate::rate_limits::RateLimits;
 use crate::statement::{incarnation, life_of, Keyring};
-use crate::view::{Known, Standing, View, PERIOD};
+use crate::token_bucket::TokenBucket;
+use crate::view::{Known, MemberState, View, PERIOD};
 use crate::window::Window;
 use crate::Member;
 
@@ -56,7 +56,7 @@
     probes: Probes,
     health: Health,
     budget: Budget,
-    ration: Ration,
+    rate_limits: RateLimits,
     counter: u32,
     chance: Chance,
     bulletins: BTreeMap<Member, (u32, u32)>,
@@ -69,7 +69,7 @@
     next_seeds: Duration,
     refuted: Duration,
     refute_at: Option<Duration>,
-    told_stale: Bucket,
+    told_stale: TokenBucket,
     /// When `tick` asked to be called.
     due: Duration,
     pub counts: Counts,
@@ -97,7 +97,7 @@
             probes: Probes::default(),
             health: Health::default(),
             budget: Budget::new(now),
-            ration: Ration::new(now),
+            rate_limits: RateLimits::new(now),
             counter: 0,
             chance,
             bulletins: BTreeMap::new(),
@@ -110,7 +110,7 @@
             next_seeds: now,
             refuted: Duration::ZERO,
             refute_at: None,
-            told_stale: Bucket::new(TOLD_STALE, TOLD_STALE, now),
+            told_stale: TokenBucket::new(TOLD_STALE, TOLD_STALE, now),
             due: now,
             counts: Counts::default(),
         };
@@ -162,7 +162,7 @@
         self.outbox.forget(member);
         self.windows.remove(&member);
         self.bulletins.remove(&member);
-        self.ration.forget(member);
+        self.rate_limits.forget(member);
         self.addresses.retain(|_, at| *at != member);
     }
 
@@ -200,9 +200,9 @@
             self.refute(now);
         }
         self.probe_steps(now, out);
-        self.errands_over(now, out);
+        self.nack_expired(now, out);
         for member in self.view.end_suspicions(now) {
-            events.push(Event::Standing(member, Standing::Dead));
+            events.push(Event::StateChanged(member, MemberState::Dead));
         }
         if now >= self.next_period {
             self.end_probe(now, events);
@@ -229,5 +229,5 @@
 }
 
 fn takes_part(known: Option<&Known>) -> bool {
-    known.is_some_and(|known| known.standing.takes_part())
+    known.is_some_and(|known| known.state.takes_part())
 }
--- a/crates/gossip/src/member/anti_entropy.rs
+++ b/crates/gossip/src/member/anti_entropy.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Gossip, Transport};
-use crate::envelope::{Head, BODY, DIGEST, LONGEST, NEWS};
+use crate::envelope::{Header, DIGEST, MAX_BODY_BYTES, MAX_DATAGRAM_BYTES, NEWS};
 use crate::probe::shuffle;
 use crate::statement::{Keyring, Statement};
 use crate::Member;
@@ -11,7 +11,7 @@
 /// A comparison that found a difference is followed by another one after about this time.
 const COMPARE_SOON: Duration = Duration::from_millis(300);
 /// Members compared in one datagram: a byte for each.
-const SLICE: usize = BODY - 3;
+const SLICE: usize = MAX_BODY_BYTES - 3;
 /// Records that one comparison is answered with at most; the next one brings the rest.
 const ANSWERED: usize = 16;
 
@@ -30,21 +30,21 @@
         let salt = (self.counter + 1) as u8;
         body.extend(slice.iter().map(|member| self.view.digest(*member, salt)));
         self.compared_to = from + slice.len();
-        if self.budget.spares(now, LONGEST) {
+        if self.budget.spares(now, MAX_DATAGRAM_BYTES) {
             self.send(now, DIGEST, to, &body, false, out);
         }
     }
 
     /// Answers a comparison with what differs.
     pub(super) fn compared(
-        &mut self, now: Duration, head: &Head, begin: Member, told: &[u8], out: &mut impl Transport,
+        &mut self, now: Duration, header: &Header, begin: Member, told: &[u8], out: &mut impl Transport,
     ) {
         let Some((count, digests)) = told.split_first() else { return };
         let ring = self.keyring.ring();
         let Some(begin) = ring.iter().position(|member| *member == begin) else { return };
         let slice = ring[begin..].iter().zip(digests.iter().take(usize::from(*count)));
         let differs =
-            |(member, digest): &(&Member, &u8)| self.view.digest(**member, head.counter as u8) != **digest;
+            |(member, digest): &(&Member, &u8)| self.view.digest(**member, header.counter as u8) != **digest;
         let mut differ: Vec<Member> = slice.filter(differs).map(|(member, _)| *member).collect();
         if differ.is_empty() {
             return;
@@ -57,18 +57,18 @@
         let statements: Vec<Statement> = statements.take(ANSWERED).collect();
         let mut body = Vec::new();
         for statement in &statements {
-            if body.len() + statement.size() > BODY {
-                self.answer(now, head.from, &mut body, out);
+            if body.len() + statement.size() > MAX_BODY_BYTES {
+                self.answer(now, header.from, &mut body, out);
             }
             statement.write(Duration::ZERO, &mut body);
         }
-        self.answer(now, head.from, &mut body, out);
+        self.answer(now, header.from, &mut body, out);
     }
 
     /// Sends the statements collected so far, if any, as far as the ceiling allows.
     fn answer(&mut self, now: Duration, with: Member, body: &mut Vec<u8>, out: &mut impl Transport) {
         let body = std::mem::take(body);
-        if !body.is_empty() && self.budget.spares(now, LONGEST) {
+        if !body.is_empty() && self.budget.spares(now, MAX_DATAGRAM_BYTES) {
             self.send(now, NEWS, with, &body, false, out);
         }
     }
--- a/crates/gossip/src/member/dissemination.rs
+++ b/crates/gossip/src/member/dissemination.rs
@@ -3,31 +3,31 @@
 use std::time::Duration;
 
 use super::{Event, Gossip, Transport};
-use crate::envelope::{Fault, BODY, MESSAGE, NEWS};
+use crate::envelope::{Fault, MAX_BODY_BYTES, MESSAGE, NEWS};
 use crate::outbox::Rank;
-use crate::statement::{life_of, Bulletin, Keyring, Said, Statement, ITEMS, ITEM_BYTES};
-use crate::{Member, LONGEST};
+use crate::statement::{life_of, Bulletin, Claim, Keyring, Statement, ITEM_BYTES, MAX_ITEMS};
+use crate::{Member, MAX_DATAGRAM_BYTES};
 
 impl<H: Keyring> Gossip<H> {
     /// Publishes what this member holds against streamers: its latest findings on all of them.
     pub fn publish(&mut self, now: Duration, items: Vec<[u8; ITEM_BYTES]>) {
         self.bulletin_number += 1;
-        let items = items.into_iter().take(ITEMS).collect();
+        let items = items.into_iter().take(MAX_ITEMS).collect();
         let bulletin = Bulletin { author: self.me, life: self.life(), number: self.bulletin_number, items };
         self.counts.signed += 1;
-        self.outbox.put(Said::Bulletin(bulletin).sign(&self.keyring), Rank::News, now);
+        self.outbox.put(Claim::Bulletin(bulletin).sign(&self.keyring), Rank::News, now);
     }
 
     /// Sends another subsystem's message to a member, as far as the ceiling allows. Tells whether it went.
     pub fn send_message(
         &mut self, now: Duration, to: Member, message: &[u8], out: &mut impl Transport,
     ) -> bool {
-        message.len() <= BODY && self.send(now, MESSAGE, to, message, false, out)
+        message.len() <= MAX_BODY_BYTES && self.send(now, MESSAGE, to, message, false, out)
     }
 
     /// Sends the most urgent statements to one member drawn by chance.
     pub(super) fn spread(&mut self, now: Duration, out: &mut impl Transport) {
-        if !self.budget.spares(now, LONGEST) {
+        if !self.budget.spares(now, MAX_DATAGRAM_BYTES) {
             self.counts.held_back += 1;
             return;
         }
@@ -36,7 +36,7 @@
         }
     }
 
-    /// Takes statements up to the first that is none, or whose signature is not checked for lack of ration. Tells
+    /// Takes statements up to the first that is none, or whose signature is not checked since the rate is used up. Tells
     /// whether any of them holds something of this member that is over.
     pub(super) fn take_statements(
         &mut self, now: Duration, source: Option<Member>, mut bytes: &[u8], events: &mut Vec<Event>,
@@ -44,41 +44,41 @@
         let mut behind = false;
         while let Some((statement, age, used)) = Statement::read(bytes) {
             bytes = &bytes[used..];
-            behind |= match &statement.said {
-                Said::Record(r) => r.subject == self.me && r.incarnation < self.incarnation,
-                Said::Accusation(a) => a.subject == self.me && a.incarnation < self.incarnation,
-                Said::Bulletin(_) => false,
+            behind |= match &statement.claim {
+                Claim::Record(r) => r.subject == self.me && r.incarnation < self.incarnation,
+                Claim::Accusation(a) => a.subject == self.me && a.incarnation < self.incarnation,
+                Claim::Bulletin(_) => false,
             };
             // Known ones cost nothing.
-            if !self.is_new(&statement.said) {
+            if !self.is_new(&statement.claim) {
                 continue;
             }
-            if !self.ration.take(now, source, 1) {
-                *self.counts.dropped.entry(Fault::Rationed).or_default() += 1;
+            if !self.rate_limits.admit_signatures(now, source, 1) {
+                *self.counts.dropped.entry(Fault::RateLimited).or_default() += 1;
                 return behind;
             }
             self.counts.checked += 1;
-            if !self.keyring.knows(statement.said.author()) || !statement.is_signed(&self.keyring) {
+            if !self.keyring.knows(statement.claim.author()) || !statement.is_signed(&self.keyring) {
                 *self.counts.dropped.entry(Fault::Unsigned).or_default() += 1;
                 continue;
             }
-            match statement.said.clone() {
-                Said::Record(record) => self.take_record(now, record, statement, events),
-                Said::Accusation(accusation) => self.take_accusation(now, accusation, statement, events),
-                Said::Bulletin(bulletin) => self.take_bulletin(now, bulletin, age, statement, events),
+            match statement.claim.clone() {
+                Claim::Record(record) => self.take_record(now, record, statement, events),
+                Claim::Accusation(accusation) => self.take_accusation(now, accusation, statement, events),
+                Claim::Bulletin(bulletin) => self.take_bulletin(now, bulletin, age, statement, events),
             }
         }
         behind
     }
 
     /// Whether a statement could change anything here: only then is its signature checked.
-    fn is_new(&self, said: &Said) -> bool {
-        match said {
-            Said::Record(record) => self.view.get(record.subject).is_none_or(|known| {
+    fn is_new(&self, claim: &Claim) -> bool {
+        match claim {
+            Claim::Record(record) => self.view.get(record.subject).is_none_or(|known| {
                 (record.incarnation, record.left) > (known.record.incarnation, known.record.left)
             }),
-            Said::Accusation(accusation) => self.view.could_change(accusation),
-            Said::Bulletin(b) => {
+            Claim::Accusation(accusation) => self.view.could_change(accusation),
+            Claim::Bulletin(b) => {
                 b.author != self.me
                     && self.bulletins.get(&b.author).is_none_or(|held| *held < (b.life, b.number))
             }
--- a/crates/gossip/src/member/events.rs
+++ b/crates/gossip/src/member/events.rs
@@ -6,7 +6,7 @@
 
 use crate::envelope::Fault;
 use crate::statement::Bulletin;
-use crate::view::Standing;
+use crate::view::MemberState;
 use crate::Member;
 
 /// What a member does to the world.
@@ -24,8 +24,8 @@
 /// What a member learned, for those who use it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// Another member's standing has changed.
-    Standing(Member, Standing),
+    /// Another member's state has changed.
+    StateChanged(Member, MemberState),
     /// A bulletin by a member that takes part, how old, and that member's items.
     Bulletin(Bulletin, Duration),
     /// Another subsystem's message, from this member.
--- a/crates/gossip/src/member/joining.rs
+++ b/crates/gossip/src/member/joining.rs
@@ -8,8 +8,8 @@
 use crate::envelope::{ANYONE, NEWS};
 use crate::outbox::Rank;
 use crate::probe::shuffle;
-use crate::statement::{incarnation, life_of, Keyring, Record, Said, Statement, LAST_INCARNATION};
-use crate::view::{Change, Known, Standing};
+use crate::statement::{incarnation, life_of, Claim, Keyring, Record, Statement, LAST_INCARNATION};
+use crate::view::{Change, Known, MemberState};
 use crate::Member;
 
 impl<H: Keyring> Gossip<H> {
@@ -17,7 +17,7 @@
     pub(super) fn say_alive(&mut self, now: Duration, left: bool) {
         let record = Record { subject: self.me, incarnation: self.incarnation, left, at: self.at };
         self.counts.signed += 1;
-        let statement = Said::Record(record).sign(&self.keyring);
+        let statement = Claim::Record(record).sign(&self.keyring);
         self.view.record(now, record, &statement.signature);
         self.outbox.put(statement, Rank::Refutation, now);
     }
@@ -40,7 +40,7 @@
     /// Takes records that an earlier process stored: seeds need not be there for a rebirth.
     pub fn restore_records(&mut self, now: Duration, stored: Vec<Statement>, events: &mut Vec<Event>) {
         for statement in stored {
-            let Said::Record(record) = statement.said else { continue };
+            let Claim::Record(record) = statement.claim else { continue };
             let theirs = record.subject != self.me && self.keyring.knows(record.subject);
             if theirs && statement.is_signed(&self.keyring) {
                 self.take_record(now, record, statement, events);
@@ -69,15 +69,15 @@
         match change {
             Change::Joined => {
                 self.probes.insert(record.subject, &mut self.chance);
-                events.push(Event::Standing(record.subject, Standing::Alive));
+                events.push(Event::StateChanged(record.subject, MemberState::Alive));
                 self.outbox.put(statement, Rank::News, now);
             }
             Change::Refuted => {
-                events.push(Event::Standing(record.subject, Standing::Alive));
+                events.push(Event::StateChanged(record.subject, MemberState::Alive));
                 self.outbox.put(statement, Rank::Refutation, now);
             }
             Change::Left => {
-                events.push(Event::Standing(record.subject, Standing::Left));
+                events.push(Event::StateChanged(record.subject, MemberState::Left));
                 self.outbox.put(statement, Rank::News, now);
             }
             _ => self.outbox.put(statement, Rank::News, now),
@@ -96,7 +96,7 @@
 
     /// Tries a member that seems dead, or else a seed: after a split each side holds the other for dead.
     pub(super) fn try_gone(&mut self, now: Duration, out: &mut impl Transport) {
-        let gone = |(member, known): (Member, &Known)| (known.standing == Standing::Dead).then_some(member);
+        let gone = |(member, known): (Member, &Known)| (known.state == MemberState::Dead).then_some(member);
         let mut gone: Vec<Member> = self.view.members().filter_map(gone).collect();
         shuffle(&mut gone, &mut self.chance);
         match gone.first().and_then(|member| Some((*member, self.view.get(*member)?.record.at))) {
--- a/crates/gossip/src/member/probing.rs
+++ b/crates/gossip/src/member/probing.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use super::{takes_part, Event, Gossip, Transport};
-use crate::envelope::{Head, ACK, ANYONE, ASK, NACK, PING};
-use crate::probe::{Errand, Probe};
-use crate::statement::{Accusation, Keyring, Said};
+use crate::envelope::{Header, ACK, ANYONE, ASK, NACK, PING};
+use crate::probe::{IndirectProbe, Probe};
+use crate::statement::{Accusation, Claim, Keyring};
 use crate::view::PERIOD;
 use crate::Member;
 
@@ -62,24 +62,24 @@
     pub(super) fn end_probe(&mut self, now: Duration, events: &mut Vec<Event>) {
         let Some(probe) = self.probes.out.take() else { return };
         if probe.answered {
-            return self.health.better();
+            return self.health.improve();
         }
         let missed = probe.helpers.len().saturating_sub(probe.nacks.len()) as u32;
         // Helpers that say nothing either speak against this member; where none could be asked, so does the probe.
-        self.health.worse(if probe.helpers.is_empty() { 1 } else { missed });
+        self.health.worsen(if probe.helpers.is_empty() { 1 } else { missed });
         let Some(known) = self.view.get(probe.target).filter(|known| takes_part(Some(known))) else { return };
         let accusation =
             Accusation { subject: probe.target, incarnation: known.record.incarnation, author: self.me };
         self.counts.accusations += 1;
         self.counts.signed += 1;
-        let statement = Said::Accusation(accusation).sign(&self.keyring);
+        let statement = Claim::Accusation(accusation).sign(&self.keyring);
         self.take_accusation(now, accusation, statement, events);
     }
 
     /// Tells those who asked for an indirect probe that there was no answer in time.
-    pub(super) fn errands_over(&mut self, now: Duration, out: &mut impl Transport) {
-        for errand in self.probes.errands_over(now) {
-            self.send(now, NACK, errand.asker, &errand.asker_number.to_be_bytes(), true, out);
+    pub(super) fn nack_expired(&mut self, now: Duration, out: &mut impl Transport) {
+        for probe in self.probes.take_expired_indirect(now) {
+            self.send(now, NACK, probe.asker, &probe.asker_number.to_be_bytes(), true, out);
         }
     }
 
@@ -91,18 +91,18 @@
 
     /// Answers a ping.
     pub(super) fn pinged(
-        &mut self, now: Duration, head: &Head, from: SocketAddrV4, number: u16, behind: bool,
+        &mut self, now: Duration, header: &Header, from: SocketAddrV4, number: u16, behind: bool,
         out: &mut impl Transport,
     ) {
         let mut body = number.to_be_bytes().to_vec();
-        if head.to == ANYONE || behind {
+        if header.to == ANYONE || behind {
             // It does not know whom it asked, or not what was answered to it long ago.
             self.view
                 .statements(self.me)
                 .iter()
                 .for_each(|statement| statement.write(Duration::ZERO, &mut body));
         }
-        self.send_at(now, ACK, (head.from, from), &body, true, out);
+        self.send_at(now, ACK, (header.from, from), &body, true, out);
     }
 
     /// Takes an answer to a ping of this member's own, or of one that another asked for.
@@ -111,8 +111,8 @@
             // Of the target itself, or of a helper that heard it.
             probe.answered |= probe.target == from || probe.helpers.contains(&from);
         }
-        if let Some(errand) = self.probes.errand_done(from, number) {
-            self.send(now, ACK, errand.asker, &errand.asker_number.to_be_bytes(), true, out);
+        if let Some(probe) = self.probes.take_answered_indirect(from, number) {
+            self.send(now, ACK, probe.asker, &probe.asker_number.to_be_bytes(), true, out);
         }
     }
 
@@ -133,7 +133,7 @@
         }
         let number = self.probes.next_number();
         let nack_at = now + NACK_WITHIN;
-        if self.probes.take_errand(Errand { number, target, asker, asker_number, nack_at }) {
+        if self.probes.add_indirect(IndirectProbe { number, target, asker, asker_number, nack_at }) {
             self.send(now, PING, target, &number.to_be_bytes(), true, out);
         }
     }
--- a/crates/gossip/src/member/sending.rs
+++ b/crates/gossip/src/member/sending.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use super::{Gossip, Transport};
-use crate::envelope::{self, Head, ANYONE, LONGEST, PING};
+use crate::envelope::{self, Header, ANYONE, MAX_DATAGRAM_BYTES, PING};
 use crate::probe::shuffle;
-use crate::statement::{Keyring, SIGNATURE};
-use crate::view::{Known, Standing};
+use crate::statement::{Keyring, SIGNATURE_BYTES};
+use crate::view::{Known, MemberState};
 use crate::Member;
 
 impl<H: Keyring> Gossip<H> {
     /// Some other members that take part, drawn by chance.
     pub(super) fn some_members(&mut self, count: usize, but: Option<Member>) -> Vec<Member> {
         let part = |(member, known): (Member, &Known)| {
-            let ours = member != self.me && Some(member) != but && known.standing == Standing::Alive;
+            let ours = member != self.me && Some(member) != but && known.state == MemberState::Alive;
             ours.then_some(member)
         };
         // Each of all is among the chosen with the same chance (reservoir sampling).
@@ -45,13 +45,13 @@
         &mut self, now: Duration, kind: u8, to: (Member, SocketAddrV4), body: &[u8], statements: bool,
         out: &mut impl Transport,
     ) -> bool {
-        let head = Head { kind, from: self.me, to: to.0, life: self.life(), counter: self.counter + 1 };
-        let mut bytes = envelope::begin(&head);
+        let header = Header { kind, from: self.me, to: to.0, life: self.life(), counter: self.counter + 1 };
+        let mut bytes = envelope::begin(&header);
         bytes.extend(body);
         if statements {
             self.add_statements(now, to.0, kind, &mut bytes);
         }
-        if !self.budget.take(now, bytes.len() + SIGNATURE) {
+        if !self.budget.take(now, bytes.len() + SIGNATURE_BYTES) {
             self.counts.held_back += 1;
             return false;
         }
@@ -66,8 +66,8 @@
 
     /// First what the receiver itself has to know, then what is most urgent, as much as fits.
     fn add_statements(&mut self, now: Duration, to: Member, kind: u8, bytes: &mut Vec<u8>) {
-        let room = |bytes: &Vec<u8>| LONGEST - SIGNATURE - bytes.len();
-        let accused = self.view.get(to).is_some_and(|known| known.standing != Standing::Alive);
+        let room = |bytes: &Vec<u8>| MAX_DATAGRAM_BYTES - SIGNATURE_BYTES - bytes.len();
+        let accused = self.view.get(to).is_some_and(|known| known.state != MemberState::Alive);
         let own = (to == ANYONE || kind == PING && accused).then(|| self.view.statements(self.me));
         let theirs = accused.then(|| self.view.statements(to));
         for statement in theirs.into_iter().flatten().rev().chain(own.into_iter().flatten()) {
--- a/crates/gossip/src/member/suspicion.rs
+++ b/crates/gossip/src/member/suspicion.rs
@@ -5,7 +5,7 @@
 use super::{Event, Gossip};
 use crate::outbox::Rank;
 use crate::statement::{Accusation, Keyring, Statement, LAST_INCARNATION};
-use crate::view::{Change, Standing};
+use crate::view::{Change, MemberState};
 
 /// A member refutes no more often: far sooner than any suspicion ends, and a liar that accuses without end makes it
 /// say no more than that.
@@ -19,11 +19,11 @@
         match self.view.accuse(now, accusation, &statement.signature) {
             Change::Accused => {
                 // Others miss this member's answers: perhaps it is slow itself.
-                self.health.worse(1);
+                self.health.worsen(1);
                 self.accused(now);
             }
             Change::Suspected => {
-                events.push(Event::Standing(accusation.subject, Standing::Suspect));
+                events.push(Event::StateChanged(accusation.subject, MemberState::Suspect));
                 self.outbox.put(statement, Rank::News, now);
             }
             Change::Confirmed => self.outbox.put(statement, Rank::News, now),
@@ -51,7 +51,7 @@
     /// What this member missed while it stood still says nothing against others.
     pub(super) fn stood_still(&mut self, late: Duration) {
         self.counts.stalls += 1;
-        self.health.worse(2);
+        self.health.worsen(2);
         self.probes.out = None;
         self.view.stood_still(late);
     }
--- a/crates/gossip/src/outbox.rs
+++ b/crates/gossip/src/outbox.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::statement::{Said, Statement};
+use crate::statement::{Claim, Statement};
 use crate::Member;
 
 /// How urgent a statement is; the first goes first.
@@ -23,7 +23,7 @@
 }
 
 /// Statements that wait at most; of more, the one that was sent most and matters least goes.
-const MOST: usize = 512;
+const MAX_WAITING: usize = 512;
 /// News are passed on so often for every factor of ten in the number of members: few miss them, and comparing mends
 /// that (SWIM section 4.1 uses a multiple of the logarithm).
 const NEWS_TIMES: f64 = 2.0;
@@ -45,31 +45,31 @@
 }
 
 /// What a statement is about: a later one takes the place of the one before.
-fn about(said: &Said) -> (u8, Member, Member) {
-    match said {
-        Said::Record(record) => (0, record.subject, 0),
-        Said::Accusation(accusation) => (1, accusation.subject, accusation.author),
-        Said::Bulletin(bulletin) => (2, bulletin.author, 0),
+fn about(claim: &Claim) -> (u8, Member, Member) {
+    match claim {
+        Claim::Record(record) => (0, record.subject, 0),
+        Claim::Accusation(accusation) => (1, accusation.subject, accusation.author),
+        Claim::Bulletin(bulletin) => (2, bulletin.author, 0),
     }
 }
 
 impl Outbox {
     pub fn put(&mut self, statement: Statement, rank: Rank, seen: Duration) {
-        let about_it = about(&statement.said);
-        if let Said::Record(record) = &statement.said {
+        let about_it = about(&statement.claim);
+        if let Claim::Record(record) = &statement.claim {
             // What was said against an earlier incarnation is answered.
             self.waiting.retain(|w| {
-                !matches!(&w.statement.said, Said::Accusation(a)
+                !matches!(&w.statement.claim, Claim::Accusation(a)
                 if a.subject == record.subject && a.incarnation < record.incarnation)
             });
         }
-        let same = |w: &Waiting| about(&w.statement.said) == about_it;
+        let same = |w: &Waiting| about(&w.statement.claim) == about_it;
         if self.waiting.iter().any(|w| same(w) && w.statement == statement && w.rank <= rank) {
             return;
         }
         self.waiting.retain(|w| !same(w));
-        if self.waiting.len() >= MOST {
-            let last = (0..MOST).max_by_key(|at| (self.waiting[*at].rank, self.waiting[*at].sent));
+        if self.waiting.len() >= MAX_WAITING {
+            let last = (0..MAX_WAITING).max_by_key(|at| (self.waiting[*at].rank, self.waiting[*at].sent));
             last.map(|at| self.waiting.swap_remove(at));
         }
         self.waiting.push(Waiting { statement, rank, sent: 0, seen });
@@ -81,7 +81,7 @@
 
     /// Drops all that these members said: their keys hold no more.
     pub fn forget(&mut self, author: Member) {
-        self.waiting.retain(|w| w.statement.said.author() != author);
+        self.waiting.retain(|w| w.statement.claim.author() != author);
     }
 
     /// Fills a datagram with what is most urgent and was sent least, as far as there is room.
@@ -89,7 +89,7 @@
         let tens = (members as f64 + 1.0).log10().max(1.0);
         let end = out.len() + room;
         let mut put: Vec<usize> = Vec::new();
-        while end.saturating_sub(out.len()) >= SHORTEST {
+        while end.saturating_sub(out.len()) >= MIN_STATEMENT_BYTES {
             let left = end - out.len();
             let fits = |at: &usize| self.waiting[*at].statement.size() <= left && !put.contains(at);
             let first = |at: &usize| (self.waiting[*at].rank, self.waiting[*at].sent);
@@ -104,4 +104,4 @@
 }
 
 /// Bytes of the shortest statement.
-const SHORTEST: usize = 75;
+const MIN_STATEMENT_BYTES: usize = 75;
--- a/crates/gossip/src/probe.rs
+++ b/crates/gossip/src/probe.rs
@@ -21,9 +21,9 @@
     pub answered: bool,
 }
 
-/// A probe on another's behalf.
+/// A probe on another's behalf (SWIM's ping-req).
 #[derive(Clone, Debug)]
-pub struct Errand {
+pub struct IndirectProbe {
     pub number: u16,
     pub target: Member,
     pub asker: Member,
@@ -31,15 +31,15 @@
     pub nack_at: Duration,
 }
 
-/// Errands at a time: more than honest members ask for while half of them are dead; of more, nothing is done.
-const ERRANDS: usize = 64;
+/// Indirect probes at a time: more than honest members ask for while half of them are dead; of more, nothing is done.
+const MAX_INDIRECT_PROBES: usize = 64;
 
 /// The order of probes.
 #[derive(Default)]
 pub struct Probes {
     order: Vec<Member>,
     pub out: Option<Probe>,
-    errands: Vec<Errand>,
+    indirect: Vec<IndirectProbe>,
     number: u16,
 }
 
@@ -74,34 +74,35 @@
         }
     }
 
-    pub fn take_errand(&mut self, errand: Errand) -> bool {
-        let room = self.errands.len() < ERRANDS;
+    /// Takes one on, if there is room. Tells whether it did.
+    pub fn add_indirect(&mut self, probe: IndirectProbe) -> bool {
+        let room = self.indirect.len() < MAX_INDIRECT_PROBES;
         if room {
-            self.errands.push(errand);
+            self.indirect.push(probe);
         }
         room
     }
 
-    /// The errand that an answer belongs to.
-    pub fn errand_done(&mut self, target: Member, number: u16) -> Option<Errand> {
-        let at = self.errands.iter().position(|errand| errand.target == target && errand.number == number)?;
-        Some(self.errands.swap_remove(at))
+    /// The indirect probe that an answer belongs to, which is then over.
+    pub fn take_answered_indirect(&mut self, target: Member, number: u16) -> Option<IndirectProbe> {
+        let at = self.indirect.iter().position(|probe| probe.target == target && probe.number == number)?;
+        Some(self.indirect.swap_remove(at))
     }
 
-    /// Errands whose time is over without an answer.
-    pub fn errands_over(&mut self, now: Duration) -> Vec<Errand> {
+    /// Indirect probes whose time is over without an answer.
+    pub fn take_expired_indirect(&mut self, now: Duration) -> Vec<IndirectProbe> {
         let (over, rest) =
-            std::mem::take(&mut self.errands).into_iter().partition(|errand| errand.nack_at <= now);
-        self.errands = rest;
+            std::mem::take(&mut self.indirect).into_iter().partition(|probe| probe.nack_at <= now);
+        self.indirect = rest;
         over
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        let probe =
+        let own =
             self.out
                 .as_ref()
                 .map(|probe| if probe.asked || probe.answered { probe.over_at } else { probe.ask_at });
-        self.errands.iter().map(|errand| errand.nack_at).chain(probe).min()
+        self.indirect.iter().map(|indirect| indirect.nack_at).chain(own).min()
     }
 }
 
--- a/crates/gossip/src/ration.rs
+++ b/crates/gossip/src/rate_limits.rs
@@ -1,9 +1,9 @@
-//! Rations of what costs: a flood from one source leaves the others, and the controller, their time.
+//! Rate limits of what costs: a flood from one source leaves the others, and the controller, their time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::bucket::Bucket;
+use crate::token_bucket::TokenBucket;
 use crate::Member;
 
 /// Signatures checked a second for a source that is a member's address: three for each datagram of a member that
@@ -20,16 +20,16 @@
 
 /// Buckets by source. There are as many as members at most, and one for strangers.
 #[derive(Clone, Debug)]
-pub struct Ration {
-    members: BTreeMap<Member, Bucket>,
-    answers: BTreeMap<Member, Bucket>,
-    strangers: Bucket,
-    all: Bucket,
+pub struct RateLimits {
+    members: BTreeMap<Member, TokenBucket>,
+    answers: BTreeMap<Member, TokenBucket>,
+    strangers: TokenBucket,
+    all: TokenBucket,
 }
 
-impl Ration {
+impl RateLimits {
     pub fn new(now: Duration) -> Self {
-        let full = |rate: f64| Bucket::new(rate, rate, now);
+        let full = |rate: f64| TokenBucket::new(rate, rate, now);
         Self {
             members: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -40,11 +40,11 @@
 
     /// Whether so many signatures of a source may be checked now. A source is a member whose address the datagram
     /// came from, or a stranger.
-    pub fn take(&mut self, now: Duration, source: Option<Member>, signatures: u32) -> bool {
+    pub fn admit_signatures(&mut self, now: Duration, source: Option<Member>, signatures: u32) -> bool {
         let cost = f64::from(signatures);
         let own = match source {
             Some(member) => {
-                let full = || Bucket::new(MEMBERS, MEMBERS, now);
+                let full = || TokenBucket::new(MEMBERS, MEMBERS, now);
                 self.members.entry(member).or_insert_with(full).take(now, cost)
             }
             None => self.strangers.take(now, cost),
@@ -53,8 +53,8 @@
     }
 
     /// Whether a member is answered now, where the answer costs so many datagrams.
-    pub fn answers(&mut self, now: Duration, member: Member, cost: f64) -> bool {
-        let full = || Bucket::new(ANSWERS, ANSWERS, now);
+    pub fn admit_answer(&mut self, now: Duration, member: Member, cost: f64) -> bool {
+        let full = || TokenBucket::new(ANSWERS, ANSWERS, now);
         self.answers.entry(member).or_insert_with(full).take(now, cost)
     }
 
--- a/crates/gossip/src/statement.rs
+++ b/crates/gossip/src/statement.rs
@@ -15,8 +15,8 @@
 use crate::Member;
 
 /// Bytes of an Ed25519 signature (RFC 8032 section 5.1.6).
-pub const SIGNATURE: usize = 64;
-pub type Signature = [u8; SIGNATURE];
+pub const SIGNATURE_BYTES: usize = 64;
+pub type Signature = [u8; SIGNATURE_BYTES];
 
 const ALIVE: u8 = 1;
 const LEFT: u8 = 2;
@@ -28,7 +28,7 @@
 /// Bytes of one item of a bulletin: address (4), port (2), kind (1), value (1).
 pub const ITEM_BYTES: usize = 8;
 /// Items of a bulletin at most: as many as fit into a datagram of their own.
-pub const ITEMS: usize = 11;
+pub const MAX_ITEMS: usize = 11;
 /// What an age of one stands for; ages stop growing at 255 of it.
 pub const AGE_STEP: Duration = Duration::from_millis(200);
 
@@ -71,9 +71,9 @@
     pub items: Vec<[u8; ITEM_BYTES]>,
 }
 
-/// A statement as it is passed on, whatever its kind.
+/// What a statement says, and its signature covers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Said {
+pub enum Claim {
     Record(Record),
     Accusation(Accusation),
     Bulletin(Bulletin),
@@ -82,7 +82,7 @@
 /// A statement with its signature.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Statement {
-    pub said: Said,
+    pub claim: Claim,
     pub signature: Signature,
 }
 
@@ -97,33 +97,33 @@
     (incarnation >> 16) as u32
 }
 
-impl Said {
+impl Claim {
     pub fn author(&self) -> Member {
         match self {
-            Said::Record(record) => record.subject,
-            Said::Accusation(accusation) => accusation.author,
-            Said::Bulletin(bulletin) => bulletin.author,
+            Claim::Record(record) => record.subject,
+            Claim::Accusation(accusation) => accusation.author,
+            Claim::Bulletin(bulletin) => bulletin.author,
         }
     }
 
     /// The bytes that are signed.
     pub fn bytes(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(BULLETIN_BYTES + ITEMS * ITEM_BYTES);
+        let mut bytes = Vec::with_capacity(BULLETIN_BYTES + MAX_ITEMS * ITEM_BYTES);
         match self {
-            Said::Record(r) => {
+            Claim::Record(r) => {
                 bytes.push(if r.left { LEFT } else { ALIVE });
                 bytes.extend(r.subject.to_be_bytes());
                 bytes.extend(&r.incarnation.to_be_bytes()[2..]);
                 bytes.extend(r.at.ip().octets());
                 bytes.extend(r.at.port().to_be_bytes());
             }
-            Said::Accusation(a) => {
+            Claim::Accusation(a) => {
                 bytes.push(ACCUSED);
                 bytes.extend(a.subject.to_be_bytes());
                 bytes.extend(&a.incarnation.to_be_bytes()[2..]);
                 bytes.extend(a.author.to_be_bytes());
             }
-            Said::Bulletin(b) => {
+            Claim::Bulletin(b) => {
                 bytes.push(BULLETIN);
                 bytes.extend(b.author.to_be_bytes());
                 bytes.extend(b.life.to_be_bytes());
@@ -137,72 +137,72 @@
 
     pub fn sign(self, keyring: &impl Keyring) -> Statement {
         let signature = keyring.sign(&self.bytes());
-        Statement { said: self, signature }
+        Statement { claim: self, signature }
     }
 }
 
 impl Statement {
     /// Bytes on the wire.
     pub fn size(&self) -> usize {
-        SIGNATURE
-            + match &self.said {
-                Said::Record(_) => RECORD_BYTES,
-                Said::Accusation(_) => ACCUSATION_BYTES,
-                Said::Bulletin(b) => BULLETIN_BYTES + b.items.len() * ITEM_BYTES + 1,
+        SIGNATURE_BYTES
+            + match &self.claim {
+                Claim::Record(_) => RECORD_BYTES,
+                Claim::Accusation(_) => ACCUSATION_BYTES,
+                Claim::Bulletin(b) => BULLETIN_BYTES + b.items.len() * ITEM_BYTES + 1,
             }
     }
 
     pub fn is_signed(&self, keyring: &impl Keyring) -> bool {
-        keyring.signed(self.said.author(), &self.said.bytes(), &self.signature)
+        keyring.signed(self.claim.author(), &self.claim.bytes(), &self.signature)
     }
 
     /// Appends it to a datagram. A bulletin goes with its age.
     pub fn write(&self, age: Duration, out: &mut Vec<u8>) {
-        out.extend(self.said.bytes());
+        out.extend(self.claim.bytes());
         out.extend(self.signature);
-        if let Said::Bulletin(_) = self.said {
+        if let Claim::Bulletin(_) = self.claim {
             out.push((age.as_millis() / AGE_STEP.as_millis()).min(255) as u8);
         }
     }
 
     /// Reads one at the front: it, its age, and the bytes that it takes. Nothing where there is none.
     pub fn read(bytes: &[u8]) -> Option<(Self, Duration, usize)> {
-        let said = read_said(bytes)?;
-        let signed = said.bytes().len();
-        let signature = bytes.get(signed..signed + SIGNATURE)?.try_into().ok()?;
-        let end = signed + SIGNATURE;
-        Some(match said {
-            Said::Bulletin(_) => {
+        let claim = read_claim(bytes)?;
+        let signed = claim.bytes().len();
+        let signature = bytes.get(signed..signed + SIGNATURE_BYTES)?.try_into().ok()?;
+        let end = signed + SIGNATURE_BYTES;
+        Some(match claim {
+            Claim::Bulletin(_) => {
                 let age = AGE_STEP * u32::from(*bytes.get(end)?);
-                (Self { said, signature }, age, end + 1)
+                (Self { claim, signature }, age, end + 1)
             }
-            said => (Self { said, signature }, Duration::ZERO, end),
+            claim => (Self { claim, signature }, Duration::ZERO, end),
         })
     }
 }
 
-fn read_said(bytes: &[u8]) -> Option<Said> {
+fn read_claim(bytes: &[u8]) -> Option<Claim> {
     match *bytes.first()? {
         kind @ (ALIVE | LEFT) => {
             let b: &[u8; RECORD_BYTES] = bytes.get(..RECORD_BYTES)?.try_into().ok()?;
             let at = SocketAddrV4::new(Ipv4Addr::new(b[9], b[10], b[11], b[12]), two(&b[13..15]));
             let (subject, incarnation) = (two(&b[1..3]), six(&b[3..9]));
-            Some(Said::Record(Record { subject, incarnation, left: kind == LEFT, at }))
+            Some(Claim::Record(Record { subject, incarnation, left: kind == LEFT, at }))
         }
         ACCUSED => {
             let b: &[u8; ACCUSATION_BYTES] = bytes.get(..ACCUSATION_BYTES)?.try_into().ok()?;
             let (subject, incarnation, author) = (two(&b[1..3]), six(&b[3..9]), two(&b[9..11]));
-            Some(Said::Accusation(Accusation { subject, incarnation, author }))
+            Some(Claim::Accusation(Accusation { subject, incarnation, author }))
         }
         BULLETIN => {
             let b: &[u8; BULLETIN_BYTES] = bytes.get(..BULLETIN_BYTES)?.try_into().ok()?;
             let count = usize::from(b[11]);
-            if count > ITEMS {
+            if count > MAX_ITEMS {
                 return None;
             }
             let items = bytes.get(BULLETIN_BYTES..BULLETIN_BYTES + count * ITEM_BYTES)?;
             let items = items.chunks_exact(ITEM_BYTES).filter_map(|item| item.try_into().ok()).collect();
-            Some(Said::Bulletin(Bulletin {
+            Some(Claim::Bulletin(Bulletin {
                 author: two(&b[1..3]),
                 life: four(&b[3..7]),
                 number: four(&b[7..11]),
--- a/crates/gossip/src/tests.rs
+++ b/crates/gossip/src/tests.rs
@@ -6,9 +6,11 @@
 
 use quickcheck::{Gen, QuickCheck};
 
-use crate::statement::{incarnation, Accusation, Bulletin, Record, Said, Statement, ITEMS};
+use crate::statement::{incarnation, Accusation, Bulletin, Claim, Record, Statement, MAX_ITEMS};
 use crate::view::{Change, View};
-use crate::{envelope, Budget, Member, Standing, Window, CEILING, LONGEST, SIGNATURE};
+use crate::{
+    envelope, Budget, Member, MemberState, Window, MAX_BYTES_PER_SECOND, MAX_DATAGRAM_BYTES, SIGNATURE_BYTES,
+};
 
 const T0: Duration = Duration::from_secs(100);
 const AT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000);
@@ -25,7 +27,7 @@
 fn view(me: Member) -> View {
     let mut view = View::new(me);
     (0..3).for_each(|member| {
-        view.record(T0, record(member, 0), &[0; SIGNATURE]);
+        view.record(T0, record(member, 0), &[0; SIGNATURE_BYTES]);
     });
     view
 }
@@ -40,7 +42,7 @@
             let lives = life + u32::from(*later && step % 16 == 0);
             let counter = (highest + u32::from(*step)).saturating_sub(120);
             let may = lives > life || (counter + 64 > highest && !seen.contains(&counter));
-            let same = window.may(lives, counter) == may;
+            let same = window.accepts(lives, counter) == may;
             if may {
                 if lives > life {
                     (life, highest) = (lives, counter);
@@ -48,7 +50,7 @@
                 }
                 highest = highest.max(counter);
                 seen.insert(counter);
-                window.note(lives, counter);
+                window.record(lives, counter);
             }
             same
         })
@@ -71,7 +73,7 @@
             let within = |one: &&(Duration, usize)| one.0 >= *from && one.0 < *from + Duration::from_secs(1);
             sent.iter().filter(within).map(|one| one.1).sum()
         };
-        sent.iter().all(|one| second(&one.0) <= CEILING)
+        sent.iter().all(|one| second(&one.0) <= MAX_BYTES_PER_SECOND)
     }
     let gen = Gen::from_size_and_seed(2000, 8);
     QuickCheck::new().rng(gen).tests(50).quickcheck(kept as fn(Vec<(u8, u8)>) -> bool);
@@ -79,27 +81,30 @@
 
 #[test]
 fn statements_come_back_as_they_went() {
-    let items = (0..ITEMS as u8).map(|n| [n; 8]).collect();
+    let items = (0..MAX_ITEMS as u8).map(|n| [n; 8]).collect();
     let all = [
-        Said::Record(record(513, 65_535)),
-        Said::Record(Record { left: true, ..record(1, 2) }),
-        Said::Accusation(accusation(3, 65_534, 9)),
-        Said::Bulletin(Bulletin { author: 9, life: u32::MAX, number: 77, items }),
-        Said::Bulletin(Bulletin { author: 9, life: 1, number: 1, items: Vec::new() }),
+        Claim::Record(record(513, 65_535)),
+        Claim::Record(Record { left: true, ..record(1, 2) }),
+        Claim::Accusation(accusation(3, 65_534, 9)),
+        Claim::Bulletin(Bulletin { author: 9, life: u32::MAX, number: 77, items }),
+        Claim::Bulletin(Bulletin { author: 9, life: 1, number: 1, items: Vec::new() }),
     ];
-    for said in all {
-        let statement = Statement { said, signature: [7; SIGNATURE] };
+    for claim in all {
+        let statement = Statement { claim, signature: [7; SIGNATURE_BYTES] };
         let mut bytes = Vec::new();
         statement.write(Duration::from_millis(600), &mut bytes);
         assert_eq!(bytes.len(), statement.size());
         let (read, age, used) = Statement::read(&bytes).unwrap();
-        let aged =
-            if matches!(read.said, Said::Bulletin(_)) { Duration::from_millis(600) } else { Duration::ZERO };
+        let aged = if matches!(read.claim, Claim::Bulletin(_)) {
+            Duration::from_millis(600)
+        } else {
+            Duration::ZERO
+        };
         assert_eq!((&read, age, used), (&statement, aged, bytes.len()));
         // Torn anywhere it is none.
         assert!((0..bytes.len()).all(|end| Statement::read(&bytes[..end]).is_none()));
         // The largest fits into a datagram with a probe's number.
-        assert!(bytes.len() + 2 <= envelope::BODY);
+        assert!(bytes.len() + 2 <= envelope::MAX_BODY_BYTES);
     }
 }
 
@@ -108,7 +113,7 @@
     fn harmless(bytes: Vec<u8>, marked: bool) -> bool {
         let bytes = if marked { [b"bg\x01\x01", &bytes[..]].concat() } else { bytes };
         if let Ok((_, body, signed, _)) = envelope::open(&bytes) {
-            assert!(bytes.len() <= LONGEST && signed.len() + SIGNATURE == bytes.len());
+            assert!(bytes.len() <= MAX_DATAGRAM_BYTES && signed.len() + SIGNATURE_BYTES == bytes.len());
             let mut rest = body;
             while let Some((statement, _, used)) = Statement::read(rest) {
                 assert_eq!(used, statement.size());
@@ -127,15 +132,15 @@
     let mut suspected = 0;
     for turn in 0..100u16 {
         let now = T0 + Duration::from_secs(u64::from(turn));
-        let change = view.accuse(now, accusation(2, 1, turn), &[0; SIGNATURE]);
+        let change = view.accuse(now, accusation(2, 1, turn), &[0; SIGNATURE_BYTES]);
         suspected += usize::from(change == Change::Suspected);
-        view.record(now, record(1, turn + 1), &[0; SIGNATURE]);
+        view.record(now, record(1, turn + 1), &[0; SIGNATURE_BYTES]);
     }
     assert!(suspected <= 10, "in 100 s it began {suspected} suspicions");
     // With another accuser it is heard, whatever it said before.
     let now = T0 + Duration::from_secs(100);
-    view.accuse(now, accusation(2, 1, 100), &[0; SIGNATURE]);
-    assert_eq!(view.accuse(now, accusation(3, 1, 100), &[0; SIGNATURE]), Change::Suspected);
+    view.accuse(now, accusation(2, 1, 100), &[0; SIGNATURE_BYTES]);
+    assert_eq!(view.accuse(now, accusation(3, 1, 100), &[0; SIGNATURE_BYTES]), Change::Suspected);
 }
 
 #[test]
@@ -144,9 +149,9 @@
     for life in 1..20u32 {
         let incarnation = incarnation(life, 0);
         let accusation = Accusation { subject: 1, incarnation, author: 2 };
-        assert_eq!(view.accuse(T0, accusation, &[0; SIGNATURE]), Change::Suspected);
+        assert_eq!(view.accuse(T0, accusation, &[0; SIGNATURE_BYTES]), Change::Suspected);
         let reborn = Record { incarnation: crate::statement::incarnation(life + 1, 0), ..record(1, 0) };
-        view.record(T0, reborn, &[0; SIGNATURE]);
+        view.record(T0, reborn, &[0; SIGNATURE_BYTES]);
     }
 }
 
@@ -185,23 +190,23 @@
         Self { views, refutations, on_the_way: BTreeSet::new(), accusations_left, losses_left }
     }
 
-    fn tell_others(&mut self, from: Member, said: Said0) {
-        self.on_the_way.extend((0..3).filter(|to| *to != from).map(|to| (to, said)));
+    fn tell_others(&mut self, from: Member, claim: Said0) {
+        self.on_the_way.extend((0..3).filter(|to| *to != from).map(|to| (to, claim)));
     }
 
     /// A member takes what comes to it; what it says to that goes out.
-    fn take(&mut self, to: Member, said: Said0) {
+    fn take(&mut self, to: Member, claim: Said0) {
         let view = &mut self.views[usize::from(to)];
-        match said {
+        match claim {
             Said0::Record(record) => {
-                view.record(T0, record, &[0; SIGNATURE]);
+                view.record(T0, record, &[0; SIGNATURE_BYTES]);
             }
             Said0::Accusation(accusation) => {
-                if view.accuse(T0, accusation, &[0; SIGNATURE]) == Change::Accused {
+                if view.accuse(T0, accusation, &[0; SIGNATURE_BYTES]) == Change::Accused {
                     let own = &mut self.refutations[usize::from(to)];
                     *own += 1;
                     let refuted = record(to, *own);
-                    view.record(T0, refuted, &[0; SIGNATURE]);
+                    view.record(T0, refuted, &[0; SIGNATURE_BYTES]);
                     self.tell_others(to, Said0::Record(refuted));
                 }
             }
@@ -225,19 +230,19 @@
         }
         for (me, other) in live.iter().flat_map(|me| (0..3).map(move |other| (*me, other))) {
             let view = &self.views[usize::from(me)];
-            if other != me && view.standing(other) == Some(Standing::Suspect) {
+            if other != me && view.state_of(other) == Some(MemberState::Suspect) {
                 let mut world = self.clone();
                 world.views[usize::from(me)].end_suspicion(other, T0);
                 next.push(world);
             }
-            let alive = view.standing(other) == Some(Standing::Alive);
+            let alive = view.state_of(other) == Some(MemberState::Alive);
             if other != me && alive && self.accusations_left > 0 {
                 let mut world = self.clone();
                 world.accusations_left -= 1;
                 let incarnation = view.get(other).unwrap().record.incarnation;
-                let said = Said0::Accusation(Accusation { subject: other, incarnation, author: me });
-                world.take(me, said);
-                world.tell_others(me, said);
+                let claim = Said0::Accusation(Accusation { subject: other, incarnation, author: me });
+                world.take(me, claim);
+                world.tell_others(me, claim);
                 next.push(world);
             }
         }
@@ -251,10 +256,10 @@
                 let statements: Vec<Statement> =
                     (0..3).flat_map(|member| self.views[usize::from(from)].statements(member)).collect();
                 for statement in statements {
-                    match statement.said {
-                        Said::Record(record) => self.take(to, Said0::Record(record)),
-                        Said::Accusation(accusation) => self.take(to, Said0::Accusation(accusation)),
-                        Said::Bulletin(_) => {}
+                    match statement.claim {
+                        Claim::Record(record) => self.take(to, Said0::Record(record)),
+                        Claim::Accusation(accusation) => self.take(to, Said0::Accusation(accusation)),
+                        Claim::Bulletin(_) => {}
                     }
                 }
             }
@@ -294,12 +299,12 @@
             let held = view(me).get(other).unwrap();
             let first = view(self.live[0]).get(other).unwrap();
             assert_eq!(
-                (held.standing, held.record),
-                (first.standing, first.record),
+                (held.state, held.record),
+                (first.state, first.record),
                 "{me} of {other}: {settled:?}"
             );
             if self.live.contains(&other) {
-                assert_eq!(held.standing, Standing::Alive, "{me} of {other}: {settled:?}");
+                assert_eq!(held.state, MemberState::Alive, "{me} of {other}: {settled:?}");
             }
         }
     }
--- a/crates/gossip/src/bucket.rs
+++ b/crates/gossip/src/token_bucket.rs
@@ -1,9 +1,9 @@
-//! A bucket of tokens that fills at a rate up to a most.
+//! A token bucket: it fills at a rate, up to a most.
 
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug)]
-pub struct Bucket {
+pub struct TokenBucket {
     /// Tokens a second.
     rate: f64,
     most: f64,
@@ -11,14 +11,14 @@
     at: Duration,
 }
 
-impl Bucket {
+impl TokenBucket {
     /// A full one.
     pub fn new(rate: f64, most: f64, now: Duration) -> Self {
         Self { rate, most, tokens: most, at: now }
     }
 
     /// What is in it now.
-    pub fn holds(&mut self, now: Duration) -> f64 {
+    pub fn available(&mut self, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.tokens = (self.tokens + passed * self.rate).min(self.most);
         self.at = self.at.max(now);
@@ -27,7 +27,7 @@
 
     /// Takes so much, if it is there.
     pub fn take(&mut self, now: Duration, cost: f64) -> bool {
-        let may = self.holds(now) >= cost;
+        let may = self.available(now) >= cost;
         self.tokens -= if may { cost } else { 0.0 };
         may
     }
--- a/crates/gossip/src/window.rs
+++ b/crates/gossip/src/window.rs
@@ -20,7 +20,7 @@
     }
 
     /// Whether a message may still be taken: it was not yet, and is not too old.
-    pub fn may(&self, life: u32, counter: u32) -> bool {
+    pub fn accepts(&self, life: u32, counter: u32) -> bool {
         if life != self.life {
             return life > self.life;
         }
@@ -31,7 +31,7 @@
     }
 
     /// Notes one that was taken.
-    pub fn note(&mut self, life: u32, counter: u32) {
+    pub fn record(&mut self, life: u32, counter: u32) {
         if life > self.life {
             *self = Self { life, highest: counter, seen: 1 };
             return;
--- a/crates/gossip_lab/src/keyring.rs
+++ b/crates/gossip_lab/src/keyring.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use badgerledge_gossip::statement::Signature;
-use badgerledge_gossip::{Keyring, Member, SIGNATURE};
+use badgerledge_gossip::{Keyring, Member, SIGNATURE_BYTES};
 
 /// A member's key is its number and the run's secret.
 #[derive(Clone)]
@@ -28,7 +28,7 @@
     for byte in bytes {
         sum = (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
     }
-    let mut signature = [0; SIGNATURE];
+    let mut signature = [0; SIGNATURE_BYTES];
     for part in signature.chunks_exact_mut(8) {
         sum = (sum ^ sum >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         part.copy_from_slice(&sum.to_be_bytes());
--- a/crates/gossip_lab/src/main.rs
+++ b/crates/gossip_lab/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use badgerledge_gossip::{Member, Standing};
+use badgerledge_gossip::{Member, MemberState};
 use badgerledge_gossip_lab::{settled, Net};
 use clap::{Parser, Subcommand};
 use hdrhistogram::Histogram;
@@ -110,17 +110,17 @@
     let mut net = together(size, seed);
     for death in 0..deaths {
         let member = (death * usize::from(size) / deaths) as Member;
-        let (begun, told) = (net.now, net.standings.len());
+        let (begun, told) = (net.now, net.state_changes.len());
         net.kill(member);
         let all = |net: &Net| settled(net).haunted == 0;
         net.run_until(Duration::from_secs(120), all);
-        let of = |standing: Standing| {
+        let of = |state: MemberState| {
             let told =
-                net.standings[told..].iter().filter(move |told| told.2 == member && told.3 == standing);
+                net.state_changes[told..].iter().filter(move |told| told.2 == member && told.3 == state);
             told.map(|told| (told.0 - begun).as_millis() as u64)
         };
-        of(Standing::Suspect).min().map(|ms| times.first.record(ms.max(1))).transpose()?;
-        of(Standing::Dead).try_for_each(|ms| times.dead.record(ms.max(1)))?;
+        of(MemberState::Suspect).min().map(|ms| times.first.record(ms.max(1))).transpose()?;
+        of(MemberState::Dead).try_for_each(|ms| times.dead.record(ms.max(1)))?;
     }
     Ok(times)
 }
@@ -145,11 +145,11 @@
 fn show_loss(loss: f64, members: Member, seconds: u64, seed: u64) {
     let mut net = together(members, seed);
     net.way.loss = loss;
-    let told = net.standings.len();
+    let told = net.state_changes.len();
     net.run(Duration::from_secs(seconds));
-    let count = |standing: Standing| net.standings[told..].iter().filter(|told| told.3 == standing).count();
+    let count = |state: MemberState| net.state_changes[told..].iter().filter(|told| told.3 == state).count();
     let pairs = f64::from(members) * f64::from(members - 1) * seconds as f64 / 60.0;
-    let (dead, suspect) = (count(Standing::Dead), count(Standing::Suspect));
+    let (dead, suspect) = (count(MemberState::Dead), count(MemberState::Suspect));
     let line = json!({"seed": seed, "members": members, "loss": loss, "seconds": seconds, "suspicions": suspect,
         "false_deaths": dead, "false_deaths_per_pair_minute": dead as f64 / pairs});
     println!("{line}");
--- a/crates/gossip_lab/src/net.rs
+++ b/crates/gossip_lab/src/net.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use badgerledge_core::chance::Chance;
-use badgerledge_gossip::envelope::{begin, Head};
+use badgerledge_gossip::envelope::{begin, Header};
 use badgerledge_gossip::statement::Statement;
 use badgerledge_gossip::{Event, Gossip, Keyring, Member, Transport};
 
@@ -54,7 +54,7 @@
     /// Whether the way from one to another is cut.
     pub cut: Box<dyn Fn(Member, Member) -> bool>,
     /// When each member came to hold another for dead, suspect or alive: who, whom, when and what.
-    pub standings: Vec<(Duration, Member, Member, badgerledge_gossip::Standing)>,
+    pub state_changes: Vec<(Duration, Member, Member, badgerledge_gossip::MemberState)>,
     pub revoked: Rc<RefCell<BTreeSet<Member>>>,
     ring: Rc<Vec<Member>>,
     seats: Vec<Seat>,
@@ -92,7 +92,7 @@
             now: Duration::from_secs(1000),
             way: Way::default(),
             cut: Box::new(|_, _| false),
-            standings: Vec::new(),
+            state_changes: Vec::new(),
             revoked: Rc::default(),
             ring: Rc::new((0..members).collect()),
             seats: (0..members).map(|_| seat()).collect(),
@@ -181,7 +181,7 @@
     }
 
     /// A datagram that a liar makes up: signed by it, in whatever name and with whatever in it.
-    pub fn forge(&mut self, liar: Member, head: &Head, body: &[u8], statements: &[Statement]) {
+    pub fn forge(&mut self, liar: Member, head: &Header, body: &[u8], statements: &[Statement]) {
         let mut bytes = begin(head);
         bytes.extend(body);
         statements.iter().for_each(|statement| statement.write(Duration::ZERO, &mut bytes));
@@ -299,7 +299,7 @@
         act(gossip, now, &mut sent, &mut events);
         for event in events {
             match event {
-                Event::Standing(of, standing) => self.standings.push((now, member, of, standing)),
+                Event::StateChanged(of, state) => self.state_changes.push((now, member, of, state)),
                 Event::Bulletin(bulletin, _) => {
                     self.seats[usize::from(member)].bulletins.push((now, bulletin.author))
                 }
--- a/crates/gossip_lab/src/watch.rs
+++ b/crates/gossip_lab/src/watch.rs
@@ -1,6 +1,6 @@
 //! What came of a run.
 
-use badgerledge_gossip::{Member, Standing};
+use badgerledge_gossip::{Member, MemberState};
 
 use crate::Net;
 
@@ -27,13 +27,13 @@
     let mut found = Settled::default();
     for (_, gossip) in net.live() {
         for member in &live {
-            match gossip.view().standing(*member) {
-                Some(Standing::Alive) => {}
-                Some(Standing::Suspect) => found.suspected += 1,
+            match gossip.view().state_of(*member) {
+                Some(MemberState::Alive) => {}
+                Some(MemberState::Suspect) => found.suspected += 1,
                 _ => found.missed += 1,
             }
         }
-        let held = gossip.view().members().filter(|(_, known)| known.standing.takes_part());
+        let held = gossip.view().members().filter(|(_, known)| known.state.takes_part());
         found.haunted += held.filter(|(member, _)| live.binary_search(member).is_err()).count();
     }
     found
--- a/crates/keys/src/main.rs
+++ b/crates/keys/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use anyhow::{bail, Context, Result};
-use badgerledge_gossip::{Member, MOST};
+use badgerledge_gossip::{Member, MAX_MEMBERS};
 use badgerledge_keys::{PrivateKey, Ring, Role};
 use badgerledge_settings::Sheet;
 use clap::{Parser, Subcommand};
@@ -126,8 +126,8 @@
 
 fn make(role: Role, out: &Path, ring: &Path) -> Result<()> {
     let (Role::Member(number) | Role::Author(number)) = role;
-    if usize::from(number) >= MOST {
-        bail!("{role}: 0 to {} is taken", MOST - 1);
+    if usize::from(number) >= MAX_MEMBERS {
+        bail!("{role}: 0 to {} is taken", MAX_MEMBERS - 1);
     }
     let mut lines = lines(ring)?;
     let private = PrivateKey::make(role)?;
--- a/crates/keys/src/ring.rs
+++ b/crates/keys/src/ring.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use badgerledge_gossip::statement::Signature;
-use badgerledge_gossip::{Member, MOST};
+use badgerledge_gossip::{Member, MAX_MEMBERS};
 use badgerledge_settings::{Fault, Faults, Sheet};
 use ed25519_dalek::VerifyingKey;
 use garde::Validate;
@@ -152,8 +152,9 @@
     for name in sheet.named(role) {
         let place = format!("{role} {name}");
         let wrong = |key: &str, value: &str, why: &str| sheet.fault(&place, key, value, why);
-        let Some(number) = name.parse().ok().filter(|number: &Member| usize::from(*number) < MOST) else {
-            faults.push(wrong("", "", &format!("a number of 0 to {} is taken", MOST - 1)));
+        let Some(number) = name.parse().ok().filter(|number: &Member| usize::from(*number) < MAX_MEMBERS)
+        else {
+            faults.push(wrong("", "", &format!("a number of 0 to {} is taken", MAX_MEMBERS - 1)));
             continue;
         };
         match sheet.section::<Section>(&place) {
--- a/fuzz/fuzz_targets/datagram.rs
+++ b/fuzz/fuzz_targets/datagram.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use badgerledge_gossip::envelope;
-use badgerledge_gossip::statement::{Keyring, Said, Signature, Statement};
-use badgerledge_gossip::{Gossip, Member, Transport, CEILING, LONGEST, SIGNATURE};
+use badgerledge_gossip::statement::{Claim, Keyring, Signature, Statement};
+use badgerledge_gossip::{
+    Gossip, Member, Transport, MAX_BYTES_PER_SECOND, MAX_DATAGRAM_BYTES, SIGNATURE_BYTES,
+};
 use libfuzzer_sys::fuzz_target;
 
 struct Credulous;
 
 impl Keyring for Credulous {
     fn sign(&self, _bytes: &[u8]) -> Signature {
-        [0; SIGNATURE]
+        [0; SIGNATURE_BYTES]
     }
 
     fn signed(&self, _member: Member, _bytes: &[u8], _signature: &Signature) -> bool {
@@ -35,7 +37,7 @@
 
 impl Transport for Sent {
     fn send(&mut self, _to: SocketAddrV4, bytes: &[u8]) {
-        assert!(bytes.len() <= LONGEST);
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         self.0 += bytes.len();
     }
 }
@@ -45,7 +47,7 @@
     while let Some((statement, age, used)) = Statement::read(rest) {
         let mut bytes = Vec::new();
         statement.write(age, &mut bytes);
-        let bulletin = matches!(statement.said, Said::Bulletin(_));
+        let bulletin = matches!(statement.claim, Claim::Bulletin(_));
         assert_eq!(&bytes[..bytes.len() - usize::from(bulletin)], &rest[..used - usize::from(bulletin)]);
         rest = &rest[used..];
     }
@@ -62,7 +64,7 @@
         let (bytes, more) = tail.split_at(tail.len().min(usize::from(*length)));
         rest = more;
         let mut datagram = [b"bg\x01", bytes].concat();
-        datagram.resize(datagram.len().max(16 + SIGNATURE), 0);
+        datagram.resize(datagram.len().max(16 + SIGNATURE_BYTES), 0);
         if let Ok((_, body, _, _)) = envelope::open(&datagram) {
             read_again(body);
         }
@@ -71,5 +73,5 @@
         now += Duration::from_millis(1);
     }
     // All within a quarter of a second at most: less than what a second may have.
-    assert!(now > Duration::from_secs(101) || sent.0 <= CEILING);
+    assert!(now > Duration::from_secs(101) || sent.0 <= MAX_BYTES_PER_SECOND);
 });
