Bench: the backdrop, the pusher and play are modules of their own, and one loop serves each

Three benchmarks of set-ups started subscriptions until so many play by the same lines, three served for a while by the same, and so did those of the relay. `Backdrop::start_playing` and `serve`, `Scene::start_playing` and `run_for` stand once.

The larger sizes, and `--role relayed-packets`, were not run.

--- a/crates/bench/src/capacity/roles/subscriptions.rs
+++ b/crates/bench/src/capacity/roles/subscriptions.rs
@@ -5,7 +5,7 @@
 
 use super::{Role, CONNECTIONS_EACH, MEMORY_BYTES};
 use crate::capacity::measure::Reading;
-use crate::{relay, set_ups};
+use crate::{playing, relay};
 
 /// Seconds of relaying, by the clock on the wall.
 const RELAYS_FOR: f64 = 4.0;
@@ -15,7 +15,7 @@
     size_unit: "subscriptions",
     sizes: &[250, 500, 1000, 2000, 4000],
     plan_size: CONNECTIONS_EACH,
-    measure: |size, _seed| playing(size as usize),
+    measure: |size, _seed| readings_of_play(size as usize),
 };
 
 pub const RELAY: Role = Role {
@@ -23,11 +23,11 @@
     size_unit: "streams",
     sizes: &[1, 4, 16, 64, 128],
     plan_size: CONNECTIONS_EACH,
-    measure: |size, _seed| relayed(size as usize),
+    measure: |size, _seed| readings_of_relay(size as usize),
 };
 
-fn playing(subscriptions: usize) -> Result<Vec<Reading>> {
-    let spent = set_ups::playing(subscriptions)?;
+fn readings_of_play(subscriptions: usize) -> Result<Vec<Reading>> {
+    let spent = playing::measure(subscriptions)?;
     let mut readings = vec![
         Reading::new("subscriptions that play", "", spent.subscriptions as f64),
         Reading::new("resident memory over the empty program", "bytes", spent.resident_bytes)
@@ -42,7 +42,7 @@
     Ok(readings)
 }
 
-fn relayed(streams: usize) -> Result<Vec<Reading>> {
+fn readings_of_relay(streams: usize) -> Result<Vec<Reading>> {
     let packet_s = relay::processor_of_a_packet(streams, RELAYS_FOR)?.as_secs_f64();
     Ok(vec![Reading::new("a packet", "us of a core", packet_s * 1e6)])
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,12 +2,15 @@
 //! measured against, in one run on one core. None of it is part of CI.
 
 mod accounting;
+mod backdrop;
 mod capacity;
 mod changes;
 mod counted;
 mod fixture;
 mod load;
+mod playing;
 mod pump;
+mod pusher;
 mod relay;
 mod round;
 mod set_ups;
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -1,100 +1,19 @@
 //! Relayed media: MB a second through the controller against a bare byte pump, and what each packet costs.
 
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use badgerledge_core::interface::Health;
-use badgerledge_reactor::{Bounds, Happening, Line, Reactor};
-use badgerledge_rtsp::{frame_header, Framer, Server, Unit};
-use badgerledge_standins::{free_port, packet, ListService, Packet};
+use badgerledge_reactor::Reactor;
+use badgerledge_standins::{free_port, ListService};
 use badgerledge_witness::Witness;
-use rtsp_types::{Method, StatusCode};
 
 use crate::capacity::child::processor_time_of;
 use crate::fixture::{shared, wait_for, Controller, Source};
 use crate::load::{Load, Then};
-
-const BOUNDS: Bounds = Bounds { input: 72 * 1024, output: 256 * 1024 };
-/// Bytes that may be on their way in all: enough to keep every buffer busy, too few for any to overflow, so that
-/// no packet is lost and what comes out is what the relay carries.
-const ON_THE_WAY: u64 = 192 * 1024;
-const PACKET: usize = 1400;
-
-/// A streamer that sends as fast as its packets are taken.
-struct Pusher {
-    listener: Line,
-    at: SocketAddr,
-    streams: BTreeMap<Line, (Framer, Server)>,
-    /// The streams that play, and whether their first packet has gone.
-    playing: Vec<(Line, bool)>,
-    frame: Vec<u8>,
-    sent: u64,
-}
-
-impl Pusher {
-    fn new(reactor: &mut Reactor) -> Result<Self> {
-        let (listener, at) = reactor.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), BOUNDS)?;
-        let carried = packet(Packet { sequence: 0, rung: 0, rate: 1 }, 1, 0, PACKET);
-        let frame = [&frame_header(0, carried.len() as u16)[..], &carried].concat();
-        Ok(Self { listener, at, streams: BTreeMap::new(), playing: Vec::new(), frame, sent: 0 })
-    }
-
-    fn take(&mut self, reactor: &mut Reactor, happening: &Happening) -> bool {
-        match happening {
-            Happening::Accepted { line, listener, .. } if *listener == self.listener => {
-                self.streams.insert(*line, Default::default());
-            }
-            Happening::Readable(line) if self.streams.contains_key(line) => self.read(reactor, *line),
-            Happening::Closed(line, _) if self.streams.remove(line).is_some() => {
-                self.playing.retain(|playing| playing.0 != *line);
-            }
-            _ => return false,
-        }
-        true
-    }
-
-    fn read(&mut self, reactor: &mut Reactor, line: Line) {
-        let mut input = reactor.lift(line);
-        while let Some((framer, server)) = self.streams.get_mut(&line) {
-            let Ok(Some((unit, used))) = framer.next(input.as_slice()) else { break };
-            if let Unit::Request(request) = unit {
-                match request.method() {
-                    Method::Setup => server.set_up("1".to_owned(), 60, (0, 1)),
-                    Method::Play => {
-                        server.play();
-                        self.playing.push((line, false));
-                    }
-                    _ => {}
-                }
-                let mut bytes = Vec::new();
-                if server.answer(&request, StatusCode::Ok).write(&mut bytes).is_ok() {
-                    reactor.send(line, &[&bytes]);
-                }
-            }
-            input.consume(used);
-        }
-        reactor.lay_back(line, input);
-    }
-
-    /// Sends on all streams in turn, as much as may be on the way. Before all viewers play each gets one packet,
-    /// without which its SETUP is not granted: more would be held for it, and overflow.
-    fn push(&mut self, reactor: &mut Reactor, arrived: u64, most: u64, all_play: bool) {
-        let share = ON_THE_WAY / self.playing.len().max(1) as u64 / PACKET as u64 + 1;
-        for (line, begun) in &mut self.playing {
-            let share = if all_play { share } else { u64::from(!*begun) };
-            for _ in 0..share {
-                let full = self.sent.saturating_sub(arrived) >= ON_THE_WAY || self.sent >= most;
-                if full || !reactor.send(*line, &[&self.frame]) {
-                    break;
-                }
-                (self.sent, *begun) = (self.sent + PACKET as u64, true);
-            }
-        }
-    }
-}
+use crate::pusher::{Pusher, PACKET};
 
 /// The pusher, its list, and viewers who play.
 struct Scene {
@@ -133,21 +52,31 @@
         Ok(())
     }
 
-    /// MB a second that come to the viewers at an address.
-    fn rate(&mut self, at: SocketAddr, seconds: f64, streams: usize) -> Result<f64> {
-        let mut load = Load::new(vec![at], Then::Play, streams as u64)?;
-        let begin = self.reactor.clock() + Duration::from_secs(10);
-        while load.playing() < streams && self.reactor.clock() < begin {
-            self.turn(&mut load, streams, u64::MAX)?;
+    /// Goes on for a while with so many viewers.
+    fn run_for(&mut self, load: &mut Load, viewers: usize, span: Duration) -> Result<()> {
+        let end = self.reactor.clock() + span;
+        while self.reactor.clock() < end {
+            self.turn(load, viewers, u64::MAX)?;
         }
-        let warm = self.reactor.clock() + Duration::from_millis(500);
-        while self.reactor.clock() < warm {
+        Ok(())
+    }
+
+    /// Viewers at an address, once so many streams play or that time is over.
+    fn start_playing(&mut self, at: SocketAddr, streams: usize, within: Duration) -> Result<Load> {
+        let mut load = Load::new(vec![at], Then::Play, streams as u64)?;
+        let end = self.reactor.clock() + within;
+        while load.playing() < streams && self.reactor.clock() < end {
             self.turn(&mut load, streams, u64::MAX)?;
         }
+        Ok(load)
+    }
+
+    /// MB a second that come to the viewers at an address.
+    fn rate(&mut self, at: SocketAddr, seconds: f64, streams: usize) -> Result<f64> {
+        let mut load = self.start_playing(at, streams, Duration::from_secs(10))?;
+        self.run_for(&mut load, streams, Duration::from_millis(500))?;
         let (begun, before) = (self.reactor.clock(), load.media_bytes);
-        while self.reactor.clock() < begun + Duration::from_secs_f64(seconds) {
-            self.turn(&mut load, streams, u64::MAX)?;
-        }
+        self.run_for(&mut load, streams, Duration::from_secs_f64(seconds))?;
         let span = (self.reactor.clock() - begun).as_secs_f64();
         Ok((load.media_bytes - before) as f64 / span / 1e6)
     }
@@ -172,17 +101,10 @@
 pub fn processor_of_a_packet(streams: usize, seconds: f64) -> Result<Duration> {
     let mut scene = Scene::new()?;
     let controller = scene.controller()?;
-    let mut load = Load::new(vec![controller.at], Then::Play, streams as u64)?;
-    let begin = scene.reactor.clock() + Duration::from_secs(20);
-    while load.playing() < streams && scene.reactor.clock() < begin {
-        scene.turn(&mut load, streams, u64::MAX)?;
-    }
+    let mut load = scene.start_playing(controller.at, streams, Duration::from_secs(20))?;
     anyhow::ensure!(load.playing() == streams, "not all streams play");
     let (before, from) = (load.media_packets, processor_time_of(controller.process())?);
-    let end = scene.reactor.clock() + Duration::from_secs_f64(seconds);
-    while scene.reactor.clock() < end {
-        scene.turn(&mut load, streams, u64::MAX)?;
-    }
+    scene.run_for(&mut load, streams, Duration::from_secs_f64(seconds))?;
     let used = processor_time_of(controller.process())? - from;
     let packets = (load.media_packets - before).max(1);
     Ok(used.div_f64(packets as f64))
