Changes: outcomes, actions and a schedule of moves, by these names

`fate` is `outcome`, `Fate` is `Outcome`, with `placement` and `action` for `lies` and `then`; `Under` is `Subscription`, `Counts` is `Configuration`, `Leavers` is `MoveSchedule` with `cancel` and `pop_due`. `arrange` keeps its name, which other packages use. Renames alone; the assertions of the tests are unchanged.

--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use anyhow::Result;
-use badgerledge_changes::{fate, Counts, Stage, Under};
+use badgerledge_changes::{outcome, Configuration, Stage, Subscription};
 use badgerledge_core::interface::Asked;
 use badgerledge_deployment::entries::entries_of;
 use badgerledge_deployment::kinds::canonical;
@@ -48,12 +48,12 @@
     })?;
     let (shared, known) = (text.shared(), text.titles());
     let fates = least(|| {
-        let counts = Counts { shared, titles: known };
+        let configuration = Configuration { shared, titles: known };
         for job in 0..held {
             let asked = Asked { title: u64::from(job % titles), copies: 3, ..Asked::default() };
-            std::hint::black_box(fate(
-                &Under { asked, stage: Stage::Plays { cell: Some(job % 40) } },
-                counts,
+            std::hint::black_box(outcome(
+                &Subscription { asked, stage: Stage::Plays { cell: Some(job % 40) } },
+                configuration,
             ));
         }
         Ok(())
--- a/crates/changes/src/leavers.rs
+++ b/crates/changes/src/move_schedule.rs
@@ -1,18 +1,18 @@
-//! Subscriptions that are to leave their streamers, each at its time.
+//! Subscriptions that are to be moved off their streamers, each at its time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use badgerledge_core::interface::{JobId, StreamerId};
 
-/// Who is to leave which streamer, and when. Each leaves once at most.
+/// Which subscription is to leave which streamer, and when. Each leaves once at most.
 #[derive(Debug, Default)]
-pub struct Leavers {
+pub struct MoveSchedule {
     due: BTreeSet<(Duration, JobId)>,
     from: BTreeMap<JobId, (Duration, StreamerId)>,
 }
 
-impl Leavers {
+impl MoveSchedule {
     /// Lets these leave within a time, spread evenly over it, so that the holders of their titles get no more set-ups in
     /// any part of it than in another. In the order given: by chance, or whoever is first suffers from every change.
     /// One that was to leave already keeps its time where it is the sooner one.
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Those that need not leave any more: a later change lets them stay, or they have ended.
-    pub fn stays(&mut self, job: JobId) {
+    /// One need not leave any more: a later change lets it stay, or it has ended.
+    pub fn cancel(&mut self, job: JobId) {
         if let Some((at, _)) = self.from.remove(&job) {
             self.due.remove(&(at, job));
         }
@@ -43,7 +43,7 @@
     }
 
     /// The next whose time has come, and the streamer that it was to leave: it may be elsewhere by now.
-    pub fn next(&mut self, now: Duration) -> Option<(JobId, StreamerId)> {
+    pub fn pop_due(&mut self, now: Duration) -> Option<(JobId, StreamerId)> {
         let (at, job) = self.due.first().copied().filter(|due| due.0 <= now)?;
         self.due.remove(&(at, job));
         self.from.remove(&job).map(|(_, from)| (job, from))
--- a/crates/changes/src/numbers.rs
+++ b/crates/changes/src/numbers.rs
@@ -4,31 +4,31 @@
 
 use badgerledge_deployment::Shared;
 
-/// The settings that are told, in the numbers of those that are held: room types keep theirs, new ones come behind, and
+/// New settings, in the numbers of those that are held: room types keep theirs, new ones come behind, and
 /// one that was taken away stays under its number, retired, for what plays under it.
 ///
 /// # Errors
 /// Where a zone, a kind or a rung would change the number by which streamers and the list know it.
-pub fn arrange(held: &Shared, mut told: Shared) -> Result<Shared, String> {
-    places("zone", &held.fleet.zones, &told.fleet.zones)?;
-    places("kind", &held.fleet.kinds, &told.fleet.kinds)?;
-    rungs(&held.ladder.rates_kb, &told.ladder.rates_kb)?;
-    let highest = told.ladder.rates_kb.len().saturating_sub(1) as u8;
+pub fn arrange(held: &Shared, mut new: Shared) -> Result<Shared, String> {
+    places("zone", &held.fleet.zones, &new.fleet.zones)?;
+    places("kind", &held.fleet.kinds, &new.fleet.kinds)?;
+    rungs(&held.ladder.rates_kb, &new.ladder.rates_kb)?;
+    let highest = new.ladder.rates_kb.len().saturating_sub(1) as u8;
     let mut room_types = Vec::new();
     for (name, old) in &held.room_types {
-        match told.room_types.iter().position(|(known, _)| known == name) {
-            Some(at) => room_types.push(told.room_types.remove(at)),
+        match new.room_types.iter().position(|(known, _)| known == name) {
+            Some(at) => room_types.push(new.room_types.remove(at)),
             None => {
                 let mut old = old.clone();
                 (old.top, old.floor) = (old.top.map(|top| top.min(highest)), old.floor.min(highest));
-                told.retired.insert(name.clone());
+                new.retired.insert(name.clone());
                 room_types.push((name.clone(), old));
             }
         }
     }
-    room_types.append(&mut told.room_types);
-    told.room_types = room_types;
-    Ok(told)
+    room_types.append(&mut new.room_types);
+    new.room_types = room_types;
+    Ok(new)
 }
 
 /// Streamers and the list name zones and kinds by number: a name may change in its place, and new ones come behind.
--- a/crates/changes/src/fate.rs
+++ b/crates/changes/src/outcome.rs
@@ -1,12 +1,12 @@
-//! What becomes of one subscription.
+//! What a change means for one subscription.
 
 use badgerledge_catalogue::Catalogue;
 use badgerledge_core::interface::Asked;
 use badgerledge_deployment::Shared;
 
-/// What counts from now on: settings in the held numbers ([`crate::arrange`]), and the titles.
+/// What is in force from now on: settings in the held numbers ([`crate::arrange`]), and the titles.
 #[derive(Clone, Copy)]
-pub struct Counts<'a> {
+pub struct Configuration<'a> {
     pub shared: &'a Shared,
     pub titles: &'a Catalogue,
 }
@@ -22,16 +22,16 @@
     Plays { cell: Option<u32> },
 }
 
-/// A subscription under way.
+/// A subscription under way, as far as a change looks at it.
 #[derive(Clone, Copy, Debug)]
-pub struct Under {
+pub struct Subscription {
     pub asked: Asked,
     pub stage: Stage,
 }
 
 /// What happens to it next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Then {
+pub enum Action {
     GoesOn,
     /// Its join goes to where its title lies no more, and has not left: it is taken back, and placed anew.
     Withdrawn,
@@ -41,42 +41,46 @@
     MovesOn,
 }
 
-/// What becomes of a subscription.
+/// What a change means for one subscription.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Fate {
+pub struct Outcome {
     /// The highest rung that is left to it.
     pub top: u8,
     /// From which cell on its title lies, and on how many: on none where it can't be placed again, so that nothing moves
     /// it away from where it plays.
-    pub lies: (u32, u32),
-    pub then: Then,
+    pub placement: (u32, u32),
+    pub action: Action,
 }
 
 /// Decides it. A floor that rises is left to the module's own steps: raising all at once would take room from others.
 /// Seats that become fewer take nobody's: new ones wait until there are some.
-pub fn fate(under: &Under, counts: Counts<'_>) -> Fate {
-    let Under { asked, stage } = under;
-    let Counts { shared, titles } = counts;
+pub fn outcome(subscription: &Subscription, configuration: Configuration<'_>) -> Outcome {
+    let Subscription { asked, stage } = subscription;
+    let Configuration { shared, titles } = configuration;
     let highest = shared.ladder.rates_kb.len().saturating_sub(1).min(usize::from(u8::MAX)) as u8;
     let room_type = shared.room_types.get(asked.room_type);
-    let top = room_type.and_then(|(_, told)| told.top).unwrap_or(highest).min(highest).min(asked.max_rung);
+    let top = room_type
+        .and_then(|(_, room_type)| room_type.top)
+        .unwrap_or(highest)
+        .min(highest)
+        .min(asked.max_rung);
     let open = room_type.is_some_and(|(name, _)| !shared.retired.contains(name));
     let title = titles.title(asked.title).filter(|_| open);
     let Some(title) = title else {
-        let then = match stage {
-            Stage::Waits | Stage::Joins { sent: false, .. } => Then::TurnedAway,
+        let action = match stage {
+            Stage::Waits | Stage::Joins { sent: false, .. } => Action::TurnedAway,
             // It may have been set up already: it plays out where it is.
-            Stage::Joins { sent: true, .. } | Stage::Plays { .. } => Then::GoesOn,
+            Stage::Joins { sent: true, .. } | Stage::Plays { .. } => Action::GoesOn,
         };
-        return Fate { top, lies: (asked.first_cell, 0), then };
+        return Outcome { top, placement: (asked.first_cell, 0), action };
     };
-    let lies = (title.first_cell, title.copies);
-    let now = Asked { first_cell: lies.0, copies: lies.1, ..*asked };
+    let placement = (title.first_cell, title.copies);
+    let now = Asked { first_cell: placement.0, copies: placement.1, ..*asked };
     let held = |cell: Option<u32>| cell.is_none_or(|cell| now.held_by(cell, shared.fleet.cells));
-    let then = match *stage {
-        Stage::Joins { cell, sent: false } if !held(cell) => Then::Withdrawn,
-        Stage::Joins { cell, sent: true } | Stage::Plays { cell } if !held(cell) => Then::MovesOn,
-        _ => Then::GoesOn,
+    let action = match *stage {
+        Stage::Joins { cell, sent: false } if !held(cell) => Action::Withdrawn,
+        Stage::Joins { cell, sent: true } | Stage::Plays { cell } if !held(cell) => Action::MovesOn,
+        _ => Action::GoesOn,
     };
-    Fate { top, lies, then }
+    Outcome { top, placement, action }
 }
--- a/crates/changes/src/tests.rs
+++ b/crates/changes/src/tests.rs
@@ -1,4 +1,4 @@
-//! Fates of subscriptions under changes.
+//! What becomes of subscriptions under changes.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use badgerledge_settings::Sheet;
 use quickcheck::{Gen, QuickCheck};
 
-use crate::{arrange, fate, Counts, Leavers, Stage, Then, Under};
+use crate::{arrange, outcome, Action, Configuration, MoveSchedule, Stage, Subscription};
 
 const TEXT: &str = "\
 [fleet]
@@ -43,9 +43,9 @@
     Catalogue::among(&Sheet::parse("titles", text).unwrap()).unwrap()
 }
 
-fn under(stage: Stage) -> Under {
+fn under(stage: Stage) -> Subscription {
     let asked = Asked { title: 7, copies: 2, max_rung: 9, ..Asked::default() };
-    Under { asked, stage }
+    Subscription { asked, stage }
 }
 
 const STAGES: [Stage; 4] = [
@@ -55,43 +55,43 @@
     Stage::Plays { cell: Some(1) },
 ];
 
-fn fates(told: &Shared, text: &str) -> [Then; 4] {
+fn actions(told: &Shared, text: &str) -> [Action; 4] {
     let titles = titles(text);
-    STAGES.map(|stage| fate(&under(stage), Counts { shared: told, titles: &titles }).then)
+    STAGES.map(|stage| outcome(&under(stage), Configuration { shared: told, titles: &titles }).action)
 }
 
 #[test]
 fn what_is_not_touched_goes_on() {
-    assert_eq!(fates(&shared(TEXT), TITLE), [Then::GoesOn; 4]);
+    assert_eq!(actions(&shared(TEXT), TITLE), [Action::GoesOn; 4]);
     let more = TEXT.replace("zones = north, south", "zones = north, west") + "[room_type new]\n";
     let more = more + "join_objective_ms = 1\nclient_timeout_ms = 2\nbenefit = 1\n";
     let told = arrange(&shared(TEXT), shared(&more)).unwrap();
-    assert_eq!(fates(&told, TITLE), [Then::GoesOn; 4]);
+    assert_eq!(actions(&told, TITLE), [Action::GoesOn; 4]);
 }
 
 /// A title that lies elsewhere: what waits is placed there, what has not left is taken back, what plays is moved.
 #[test]
 fn a_title_that_lies_elsewhere() {
     let moved = TITLE.replace("first_cell = 0", "first_cell = 3");
-    let wanted = [Then::GoesOn, Then::Withdrawn, Then::MovesOn, Then::MovesOn];
-    assert_eq!(fates(&shared(TEXT), &moved), wanted);
+    let wanted = [Action::GoesOn, Action::Withdrawn, Action::MovesOn, Action::MovesOn];
+    assert_eq!(actions(&shared(TEXT), &moved), wanted);
     let titles = titles(&moved);
     let told = shared(TEXT);
-    let lies = fate(&under(Stage::Waits), Counts { shared: &told, titles: &titles }).lies;
-    assert_eq!(lies, (3, 2));
+    let placement = outcome(&under(Stage::Waits), Configuration { shared: &told, titles: &titles }).placement;
+    assert_eq!(placement, (3, 2));
     // One cell more on the one side, and it still lies where it plays.
     let next = TITLE.replace("first_cell = 0", "first_cell = 1");
-    assert_eq!(fates(&told, &next), [Then::GoesOn; 4]);
+    assert_eq!(actions(&told, &next), [Action::GoesOn; 4]);
     // A streamer that the list has left out is of no known cell: it is left alone.
     let unknown = under(Stage::Plays { cell: None });
-    assert_eq!(fate(&unknown, Counts { shared: &told, titles: &titles }).then, Then::GoesOn);
+    assert_eq!(outcome(&unknown, Configuration { shared: &told, titles: &titles }).action, Action::GoesOn);
 }
 
 /// A title or a room type that is gone: what waits for it is answered, what plays plays out and nothing moves it.
 #[test]
 fn what_is_gone_plays_out() {
-    let wanted = [Then::TurnedAway, Then::TurnedAway, Then::GoesOn, Then::GoesOn];
-    assert_eq!(fates(&shared(TEXT), ""), wanted);
+    let wanted = [Action::TurnedAway, Action::TurnedAway, Action::GoesOn, Action::GoesOn];
+    assert_eq!(actions(&shared(TEXT), ""), wanted);
     let show = &TEXT[TEXT.find("[room_type show]").unwrap()..];
     let less = shared(&(TEXT[..TEXT.find("[room_type clip]").unwrap()].to_owned() + show));
     let told = arrange(&shared(TEXT), less).unwrap();
@@ -100,13 +100,13 @@
         (names, told.room_type("clip"), told.room_type("show")),
         (vec!["clip", "show"], None, Some(1))
     );
-    assert_eq!(fates(&told, &TITLE.replace("clip", "show")), wanted);
+    assert_eq!(actions(&told, &TITLE.replace("clip", "show")), wanted);
     let titles = titles(TITLE);
-    let plays = fate(&under(STAGES[3]), Counts { shared: &told, titles: &titles });
-    assert_eq!(plays.lies.1, 0);
+    let plays = outcome(&under(STAGES[3]), Configuration { shared: &told, titles: &titles });
+    assert_eq!(plays.placement.1, 0);
     // It comes back under its number.
     let again = arrange(&told, shared(TEXT)).unwrap();
-    assert_eq!(fates(&again, TITLE), [Then::GoesOn; 4]);
+    assert_eq!(actions(&again, TITLE), [Action::GoesOn; 4]);
     assert!(again.retired.is_empty());
 }
 
@@ -120,7 +120,7 @@
     let top = |room_type: usize| {
         let mut under = under(STAGES[3]);
         under.asked.room_type = room_type;
-        fate(&under, Counts { shared: &told, titles: &titles }).top
+        outcome(&under, Configuration { shared: &told, titles: &titles }).top
     };
     assert_eq!((top(0), top(1)), (1, 0));
 }
@@ -147,16 +147,16 @@
         let from: StreamerId = "127.0.0.1:1".parse().unwrap();
         let (now, within) = (Duration::from_secs(100), Duration::from_secs(30));
         let all: Vec<_> = (0..u32::from(count)).map(|job| (job, from)).collect();
-        let mut leavers = Leavers::default();
-        leavers.spread(now, within, &all);
+        let mut schedule = MoveSchedule::default();
+        schedule.spread(now, within, &all);
         // A later change finds some of them again, and lets others stay.
         let again: Vec<_> = all.iter().copied().filter(|(job, _)| job % 3 == u32::from(others) % 3).collect();
-        leavers.spread(now + within, within, &again);
-        (0..u32::from(others)).for_each(|job| leavers.stays(job));
+        schedule.spread(now + within, within, &again);
+        (0..u32::from(others)).for_each(|job| schedule.cancel(job));
         let mut tenths = [0; 10];
         let mut left = Vec::new();
-        while let Some(at) = leavers.next_due() {
-            let Some((job, _)) = leavers.next(at) else { return false };
+        while let Some(at) = schedule.next_due() {
+            let Some((job, _)) = schedule.pop_due(at) else { return false };
             if at < now || at >= now + within {
                 return false;
             }
--- a/crates/controller/src/changing.rs
+++ b/crates/controller/src/changing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use badgerledge_catalogue::Catalogue;
-use badgerledge_changes::{fate, Counts, Fate, Leavers, Stage, Then, Under};
+use badgerledge_changes::{outcome, Action, Configuration, MoveSchedule, Outcome, Stage, Subscription};
 use badgerledge_core::chance::Chance;
 use badgerledge_core::interface::{JobId, StreamerId};
 use badgerledge_deployment::Shared;
@@ -29,19 +29,19 @@
 /// What a round does of a change before all else.
 pub struct Turn {
     told: Map<String, Value>,
-    fates: Vec<(JobId, Fate)>,
+    outcomes: Vec<(JobId, Outcome)>,
 }
 
 pub struct Changing {
     pending: bool,
-    leavers: Leavers,
+    moves: MoveSchedule,
     within: Duration,
     chance: Chance,
 }
 
 impl Changing {
     pub fn new(within: Duration, seed: u64) -> Self {
-        Self { pending: false, leavers: Leavers::default(), within, chance: Chance(seed) }
+        Self { pending: false, moves: MoveSchedule::default(), within, chance: Chance(seed) }
     }
 
     /// The ends act on something else by now: the next round tells the module.
@@ -54,7 +54,7 @@
         if self.pending {
             Some(Duration::ZERO)
         } else {
-            self.leavers.next_due()
+            self.moves.next_due()
         }
     }
 
@@ -63,57 +63,57 @@
         if !std::mem::take(&mut self.pending) {
             return None;
         }
-        let counts = Counts { shared: &ends.deployment.shared, titles: &ends.catalogue };
-        let mut fates = Vec::new();
+        let configuration = Configuration { shared: &ends.deployment.shared, titles: &ends.catalogue };
+        let mut outcomes = Vec::new();
         let mut leaving: Vec<(JobId, StreamerId)> = Vec::new();
         for (job, held) in book.all() {
-            let found = fate(&Under { asked: held.asked, stage: stage(held, ends) }, counts);
-            match (found.then, &held.join) {
-                (Then::MovesOn, Some(join)) => leaving.push((job, join.streamer)),
-                _ => self.leavers.stays(job),
+            let found = outcome(&Subscription { asked: held.asked, stage: stage(held, ends) }, configuration);
+            match (found.action, &held.join) {
+                (Action::MovesOn, Some(join)) => leaving.push((job, join.streamer)),
+                _ => self.moves.cancel(job),
             }
-            fates.push((job, found));
+            outcomes.push((job, found));
         }
         // In an order by chance: or those held longest would always be the first to go.
         for at in (1..leaving.len()).rev() {
             leaving.swap(at, (self.chance.share() * (at + 1) as f64) as usize);
         }
-        self.leavers.spread(ends.now, self.within, &leaving);
-        let count = |then: Then| fates.iter().filter(|(_, fate)| fate.then == then).count();
-        let (turned_away, withdrawn) = (count(Then::TurnedAway), count(Then::Withdrawn));
+        self.moves.spread(ends.now, self.within, &leaving);
+        let count = |action: Action| outcomes.iter().filter(|(_, outcome)| outcome.action == action).count();
+        let (turned_away, withdrawn) = (count(Action::TurnedAway), count(Action::Withdrawn));
         tracing::info!(
-            held = fates.len(),
+            held = outcomes.len(),
             moves = leaving.len(),
             withdrawn,
             turned_away,
             "a change is carried out"
         );
-        Some(Turn { told: ends.deployment.told(), fates })
+        Some(Turn { told: ends.deployment.told(), outcomes })
     }
 
     /// Carries a change out, and lets those go whose time to leave has come.
     pub fn carry_out(&mut self, turn: Option<Turn>, floor: &mut Floor<'_, '_, Ends>, now: Duration) {
-        if let Some(Turn { told, fates }) = turn {
-            fates.iter().for_each(|(job, fate)| floor.ends_at(*job, fate.top));
+        if let Some(Turn { told, outcomes }) = turn {
+            outcomes.iter().for_each(|(job, outcome)| floor.ends_at(*job, outcome.top));
             floor.retell(told);
-            for (job, Fate { lies, then, .. }) in fates {
-                floor.relocate(job, lies.0, lies.1);
-                match then {
-                    Then::Withdrawn => floor.withdraw(job),
-                    Then::TurnedAway => floor.turn_away(job),
-                    Then::GoesOn | Then::MovesOn => {}
+            for (job, Outcome { placement, action, .. }) in outcomes {
+                floor.relocate(job, placement.0, placement.1);
+                match action {
+                    Action::Withdrawn => floor.withdraw(job),
+                    Action::TurnedAway => floor.turn_away(job),
+                    Action::GoesOn | Action::MovesOn => {}
                 }
             }
         }
-        while let Some((job, from)) = self.leavers.next(now) {
+        while let Some((job, from)) = self.moves.pop_due(now) {
             if floor.move_on(job, from) {
                 // A join that is out ends or plays within its viewer's time: it is looked at again.
-                self.leavers.spread(now + LOOK_AGAIN, Duration::ZERO, &[(job, from)]);
+                self.moves.spread(now + LOOK_AGAIN, Duration::ZERO, &[(job, from)]);
             } else {
                 counter!(watch::MOVED_ON).increment(1);
             }
         }
-        gauge!(watch::TO_MOVE_ON).set(self.leavers.len() as f64);
+        gauge!(watch::TO_MOVE_ON).set(self.moves.len() as f64);
     }
 }
 
