Ways: deliveries and datagrams in flight by these names, and a short loop for streams

`Fate` is `Delivery`, `coming` is `in_flight`, `usual` is `default_way`. `Streams::carry`, the longest function of the package, is a loop over the halves of streams, `Half::carry` and `Half::allowance`; `Streams::tend`, which only called it, is gone. `Ways`, `Way`, `End` and their methods keep their names, which tests of other packages use.

One thing differs: where a send met a full line, its next turn took the place of a sooner one of another stream; now the sooner of both counts.

--- a/crates/replay/src/messages.rs
+++ b/crates/replay/src/messages.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use badgerledge_reactor::{Happening, Reactor};
 use badgerledge_standins::free_port;
-use badgerledge_ways::{Fate, Way, Ways};
+use badgerledge_ways::{Delivery, Way, Ways};
 
 pub struct Messages {
     pub ways: Ways,
@@ -41,8 +41,10 @@
 
     /// Datagrams handed on, and lost.
     pub fn counts(&self) -> (u64, u64) {
-        let of = |fate: Fate| self.ways.record.iter().filter(|e| !e.stream && e.fate == fate).count() as u64;
-        (of(Fate::Passed), of(Fate::Lost))
+        let of = |delivery: Delivery| {
+            self.ways.record.iter().filter(|e| !e.stream && e.delivery == delivery).count() as u64
+        };
+        (of(Delivery::Passed), of(Delivery::Lost))
     }
 
     /// The most payload bytes that a controller sent in datagrams in any second, and the mean of all over the time
--- a/crates/ways/src/lib.rs
+++ b/crates/ways/src/lib.rs
@@ -23,7 +23,7 @@
 
 /// What happened to a datagram, or to some bytes of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Delivery {
     Passed,
     Lost,
 }
@@ -35,12 +35,12 @@
     pub from: End,
     pub to: End,
     pub bytes: usize,
-    pub fate: Fate,
+    pub delivery: Delivery,
     pub stream: bool,
 }
 
-/// On their way at a time at most; more are lost, as in a network that is full.
-const COMING: usize = 16 * 1024;
+/// Datagrams on their way at a time at most; more are lost, as in a network that is full.
+const MAX_IN_FLIGHT: usize = 16 * 1024;
 
 struct Front {
     line: Line,
@@ -52,8 +52,8 @@
 pub struct Ways {
     fronts: Vec<Front>,
     ways: BTreeMap<(End, End), Way>,
-    usual: Way,
-    coming: BTreeSet<(Duration, u64, End, End, Vec<u8>)>,
+    default_way: Way,
+    in_flight: BTreeSet<(Duration, u64, End, End, Vec<u8>)>,
     sequence: u64,
     streams: Streams,
     draw: Draw,
@@ -63,11 +63,13 @@
 }
 
 impl Ways {
-    /// Ends that are at these addresses themselves; all ways are as the `usual` one until they are set.
+    /// Ends that are at these addresses themselves; all ways are as `default_way` until they are set.
     ///
     /// # Errors
     /// Where an address for an end can't be had.
-    pub fn new(reactor: &mut Reactor, own: &[SocketAddr], usual: Way, seed: u64) -> std::io::Result<Self> {
+    pub fn new(
+        reactor: &mut Reactor, own: &[SocketAddr], default_way: Way, seed: u64,
+    ) -> std::io::Result<Self> {
         let (mut fronts, mut streams) = (Vec::new(), Streams::default());
         for (end, own) in own.iter().enumerate() {
             // The stream's port first: the kernel keeps the two apart, and one that is free for one may not be for the
@@ -81,9 +83,19 @@
             };
             fronts.push(Front { line, reached, own: *own });
         }
-        let (ways, coming, record) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        let (ways, in_flight, record) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
         let draw = Draw::new(seed);
-        Ok(Self { fronts, ways, usual, coming, sequence: 0, streams, draw, record, strangers: Vec::new() })
+        Ok(Self {
+            fronts,
+            ways,
+            default_way,
+            in_flight,
+            sequence: 0,
+            streams,
+            draw,
+            record,
+            strangers: Vec::new(),
+        })
     }
 
     /// Where the others reach an end.
@@ -97,8 +109,8 @@
 
     /// The way from one end to another, to be changed.
     pub fn way(&mut self, from: End, to: End) -> &mut Way {
-        let usual = self.usual;
-        self.ways.entry((from, to)).or_insert(usual)
+        let default_way = self.default_way;
+        self.ways.entry((from, to)).or_insert(default_way)
     }
 
     /// Changes all ways from some ends to others.
@@ -113,8 +125,8 @@
         self.ways.clear();
     }
 
-    fn now_way(&self, from: End, to: End) -> Way {
-        self.ways.get(&(from, to)).copied().unwrap_or(self.usual)
+    fn current_way(&self, from: End, to: End) -> Way {
+        self.ways.get(&(from, to)).copied().unwrap_or(self.default_way)
     }
 
     fn end_at(&self, ip: IpAddr) -> Option<End> {
@@ -137,35 +149,35 @@
         if let Happening::Accepted { line, listener, from } = happening {
             let Some(to) = self.streams.end_of(*listener) else { return false };
             let from = self.end_at(from.ip());
-            let way = from.map_or(self.usual, |from| self.now_way(from, to));
+            let way = from.map_or(self.default_way, |from| self.current_way(from, to));
             self.streams.accepted(reactor, *line, from, (to, self.fronts[to].own), way);
             return true;
         }
-        let Self { ways, usual, streams, record, .. } = self;
-        streams.take(reactor, now, happening, &way_of(ways, *usual), record)
+        let Self { ways, default_way, streams, record, .. } = self;
+        streams.take(reactor, now, happening, &way_of(ways, *default_way), record)
     }
 
     fn datagram(&mut self, now: Duration, from: End, to: End, bytes: &[u8]) {
-        let way = self.now_way(from, to);
-        let mut note = |fate| {
-            self.record.push(Entry { at: now, from, to, bytes: bytes.len(), fate, stream: false });
+        let way = self.current_way(from, to);
+        let mut note = |delivery| {
+            self.record.push(Entry { at: now, from, to, bytes: bytes.len(), delivery, stream: false });
         };
-        if way.cut || self.coming.len() >= COMING || self.draw.share() < way.loss {
-            return note(Fate::Lost);
+        if way.cut || self.in_flight.len() >= MAX_IN_FLIGHT || self.draw.share() < way.loss {
+            return note(Delivery::Lost);
         }
-        note(Fate::Passed);
+        note(Delivery::Passed);
         let copies = if self.draw.share() < way.doubled { 2 } else { 1 };
         for _ in 0..copies {
             // Drawn for each by itself: a later one may come sooner.
             let at = now + way.late(&mut self.draw);
             self.sequence += 1;
-            self.coming.insert((at, self.sequence, from, to, bytes.to_vec()));
+            self.in_flight.insert((at, self.sequence, from, to, bytes.to_vec()));
         }
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        let coming = self.coming.first().map(|message| message.0);
-        coming.into_iter().chain(self.streams.next_due()).min()
+        let in_flight = self.in_flight.first().map(|message| message.0);
+        in_flight.into_iter().chain(self.streams.next_due()).min()
     }
 
     /// Hands on what is due.
@@ -173,19 +185,21 @@
         for (to, bytes) in std::mem::take(&mut self.strangers) {
             reactor.send_to(self.fronts[to].line, self.fronts[to].own, &bytes);
         }
-        while self.coming.first().is_some_and(|message| message.0 <= now) {
-            let Some((_, _, from, to, bytes)) = self.coming.pop_first() else { break };
+        while self.in_flight.first().is_some_and(|message| message.0 <= now) {
+            let Some((_, _, from, to, bytes)) = self.in_flight.pop_first() else { break };
             // From the address that stands for the sender, so that the receiver knows whom it is from.
             reactor.send_to(self.fronts[from].line, self.fronts[to].own, &bytes);
         }
-        let Self { ways, usual, streams, .. } = self;
-        streams.tend(reactor, now, &way_of(ways, *usual));
+        let Self { ways, default_way, streams, .. } = self;
+        streams.carry(reactor, now, &way_of(ways, *default_way));
     }
 }
 
 /// The way between two ends, of which one may be nobody on the rig.
-fn way_of(ways: &BTreeMap<(End, End), Way>, usual: Way) -> impl Fn(Option<End>, Option<End>) -> Way + '_ {
-    move |from, to| from.zip(to).and_then(|pair| ways.get(&pair).copied()).unwrap_or(usual)
+fn way_of(
+    ways: &BTreeMap<(End, End), Way>, default_way: Way,
+) -> impl Fn(Option<End>, Option<End>) -> Way + '_ {
+    move |from, to| from.zip(to).and_then(|pair| ways.get(&pair).copied()).unwrap_or(default_way)
 }
 
 #[cfg(test)]
--- a/crates/ways/src/streams.rs
+++ b/crates/ways/src/streams.rs
@@ -7,7 +7,7 @@
 
 use badgerledge_reactor::{Bounds, Happening, Line, Reactor};
 
-use crate::{End, Entry, Fate, Way};
+use crate::{Delivery, End, Entry, Way};
 
 const BOUNDS: Bounds = Bounds { input: 256 * 1024, output: 1024 * 1024 };
 const CONNECT_WITHIN: Duration = Duration::from_secs(5);
@@ -99,8 +99,8 @@
         if !bytes.is_empty() {
             let lost = way.half_open || half.out == Line::MAX;
             if let (Some(from), Some(to)) = (half.from, half.to) {
-                let fate = if lost { Fate::Lost } else { Fate::Passed };
-                record.push(Entry { at: now, from, to, bytes: bytes.len(), fate, stream: true });
+                let delivery = if lost { Delivery::Lost } else { Delivery::Passed };
+                record.push(Entry { at: now, from, to, bytes: bytes.len(), delivery, stream: true });
             }
             if !lost {
                 let late = if way.cut { Duration::MAX } else { now + way.late };
@@ -126,55 +126,57 @@
     }
 
     /// Hands on what is due, as fast as each way carries it.
-    fn carry(
+    pub fn carry(
         &mut self, reactor: &mut Reactor, now: Duration, way_of: &dyn Fn(Option<End>, Option<End>) -> Way,
     ) {
-        let mut over = Vec::new();
-        self.next = None;
+        let (mut over, mut next) = (Vec::new(), None);
         for (line, half) in &mut self.halves {
             let way = way_of(half.from, half.to);
             if way.cut {
                 continue;
             }
-            let room = match way.slow {
-                None => f64::INFINITY,
-                Some(rate) => {
-                    let since = now.saturating_sub(half.carried.0).min(SHARE_EVERY * 4);
-                    half.carried.1 + since.as_secs_f64() * rate as f64
-                }
-            };
-            let mut left = room;
-            while let Some((at, bytes)) = half.waits.front_mut() {
-                // What waited through a cut goes once it is over.
-                let due = *at <= now || *at == Duration::MAX;
-                if !due || left < 1.0 {
-                    let next = if due { now + SHARE_EVERY } else { *at };
-                    self.next = Some(self.next.map_or(next, |known| known.min(next)));
-                    break;
-                }
-                let count = bytes.len().min(left as usize);
-                if !reactor.send(half.out, &[&bytes[..count]]) {
-                    self.next = Some(now + SHARE_EVERY);
-                    break;
-                }
-                left -= count as f64;
-                bytes.drain(..count);
-                if bytes.is_empty() {
-                    half.waits.pop_front();
-                }
-            }
-            half.carried = (now, if left.is_finite() { left } else { 0.0 });
+            let due = half.carry(reactor, now, way.slow);
+            next = next.into_iter().chain(due).min();
             if half.ended && half.waits.is_empty() {
                 over.push((*line, half.out));
             }
         }
+        self.next = next;
         over.into_iter().for_each(|(line, other)| self.end(reactor, line, other));
     }
+}
 
-    /// Hands on what is due.
-    pub fn tend(
-        &mut self, reactor: &mut Reactor, now: Duration, way_of: &dyn Fn(Option<End>, Option<End>) -> Way,
-    ) {
-        self.carry(reactor, now, way_of);
+impl Half {
+    /// Hands on what is due, at so many bytes a second at most. Tells when it is to be called again, if anything waits.
+    fn carry(&mut self, reactor: &mut Reactor, now: Duration, rate: Option<u64>) -> Option<Duration> {
+        let mut left = self.allowance(now, rate);
+        let mut next = None;
+        while let Some((at, bytes)) = self.waits.front_mut() {
+            // What waited through a cut goes once it is over.
+            let due = *at <= now || *at == Duration::MAX;
+            if !due {
+                next = Some(*at);
+                break;
+            }
+            let count = bytes.len().min(left as usize);
+            if left < 1.0 || !reactor.send(self.out, &[&bytes[..count]]) {
+                next = Some(now + SHARE_EVERY);
+                break;
+            }
+            left -= count as f64;
+            bytes.drain(..count);
+            if bytes.is_empty() {
+                self.waits.pop_front();
+            }
+        }
+        self.carried = (now, if left.is_finite() { left } else { 0.0 });
+        next
+    }
+
+    /// Bytes that may go now.
+    fn allowance(&self, now: Duration, rate: Option<u64>) -> f64 {
+        let Some(rate) = rate else { return f64::INFINITY };
+        let since = now.saturating_sub(self.carried.0).min(SHARE_EVERY * 4);
+        self.carried.1 + since.as_secs_f64() * rate as f64
     }
 }
--- a/crates/ways/src/tests.rs
+++ b/crates/ways/src/tests.rs
@@ -119,9 +119,10 @@
     assert_eq!(two.says(1, b"four", PATIENCE), Some((b, b"four".to_vec())));
     two.ways.heal();
     assert_eq!(two.says(0, b"five", PATIENCE), Some((a, b"five".to_vec())));
-    let fates: Vec<(End, Fate)> = two.ways.record.iter().map(|entry| (entry.from, entry.fate)).collect();
-    let passed = Fate::Passed;
-    assert_eq!(fates, [(0, passed), (1, passed), (0, Fate::Lost), (1, passed), (0, passed)]);
+    let deliveries: Vec<(End, Delivery)> =
+        two.ways.record.iter().map(|entry| (entry.from, entry.delivery)).collect();
+    let passed = Delivery::Passed;
+    assert_eq!(deliveries, [(0, passed), (1, passed), (0, Delivery::Lost), (1, passed), (0, passed)]);
 }
 
 #[test]
