--- a/crates/controller/src/gossiping.rs
+++ b/crates/controller/src/gossiping.rs
@@ -1,5 +1,5 @@
 //! Gossip among controllers, joined to the ends: keys and what outlives the process from files, datagrams through the
-//! loop, news to whom they are for.
+//! loop, events to whom they are for.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -8,9 +8,9 @@
 use anyhow::{bail, Context, Result};
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_deployment::{ControllerPlace, GossipPlace};
+use badgerledge_failure_reports::{FailureReports, Kind};
 use badgerledge_gossip::statement::Statement;
-use badgerledge_gossip::{Gossip, Member, News, Outside, Standing, LONGEST};
-use badgerledge_hearsay::{Hearsay, Kind};
+use badgerledge_gossip::{Event, Gossip, Member, MemberState, Transport, MAX_DATAGRAM_BYTES};
 use badgerledge_keys::{Keys, PrivateKey, Ring, Role};
 use badgerledge_reactor::{Line, Reactor};
 use metrics::{counter, gauge};
@@ -40,7 +40,7 @@
 
 pub struct Gossiping {
     gossip: Gossip<Keys>,
-    hearsay: Hearsay,
+    failure_reports: FailureReports,
     line: Line,
     place: GossipPlace,
     state: Option<PathBuf>,
@@ -58,17 +58,17 @@
 
 /// What comes of a wake, for the other subsystems.
 #[derive(Default)]
-pub struct Came {
-    /// Another controller's word for the budget.
-    pub words: Vec<(Member, Vec<u8>)>,
+pub struct GossipOutput {
+    /// Messages of other controllers, for the subsystem that knows their form.
+    pub messages: Vec<(Member, Vec<u8>)>,
     /// Streamers that are now believed to be in trouble.
     pub believed: Vec<StreamerId>,
 }
 
 /// Sends what gossip says on its line.
-fn outside(reactor: &Reactor, line: Line) -> impl Outside + '_ {
+fn transport(reactor: &Reactor, line: Line) -> impl Transport + '_ {
     move |to: SocketAddrV4, bytes: &[u8]| {
-        debug_assert!(bytes.len() <= LONGEST);
+        debug_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         reactor.send_to(line, SocketAddr::V4(to), bytes);
     }
 }
@@ -93,11 +93,11 @@
         let life = next_life(place.state.as_deref());
         let mut gossip = Gossip::new(place.number as Member, keys, life, at, seeds.collect(), now, seed);
         let stored = place.state.as_deref().map(stored_records).unwrap_or_default();
-        gossip.recall(now, stored, &mut Vec::new());
+        gossip.restore_records(now, stored, &mut Vec::new());
         tracing::info!(life, %at, known = gossip.view().taking_part(), "gossip begins");
         Ok(Self {
             gossip,
-            hearsay: Hearsay::default(),
+            failure_reports: FailureReports::default(),
             line,
             place: told.clone(),
             state: place.state.clone(),
@@ -118,7 +118,7 @@
     }
 
     pub fn keys(&self) -> &Keys {
-        self.gossip.hand()
+        self.gossip.keyring()
     }
 
     /// The ring, if it was read anew since this was last asked.
@@ -144,14 +144,14 @@
     }
 
     /// Does what is due.
-    pub fn tend(&mut self, reactor: &Reactor, now: Duration) -> Came {
+    pub fn tick(&mut self, reactor: &Reactor, now: Duration) -> GossipOutput {
         if now < self.next_due() {
-            return Came::default();
+            return GossipOutput::default();
         }
-        let mut news = Vec::new();
-        let mut out = outside(reactor, self.line);
+        let mut events = Vec::new();
+        let mut out = transport(reactor, self.line);
         if now >= self.gossip.next_due() {
-            self.gossip.tend(now, &mut out, &mut news);
+            self.gossip.tick(now, &mut out, &mut events);
         }
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
@@ -163,53 +163,56 @@
             self.store_at = now + self.store_after;
             self.store();
         }
-        self.take(now, news)
+        self.take(now, events)
     }
 
-    pub fn heard(&mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8]) -> Came {
-        let SocketAddr::V4(from) = from else { return Came::default() };
-        let (mut news, mut out) = (Vec::new(), outside(reactor, self.line));
-        if let Err(fault) = self.gossip.heard(now, from, bytes, &mut out, &mut news) {
+    pub fn handle_datagram(
+        &mut self, reactor: &Reactor, now: Duration, from: SocketAddr, bytes: &[u8],
+    ) -> GossipOutput {
+        let SocketAddr::V4(from) = from else { return GossipOutput::default() };
+        let (mut events, mut out) = (Vec::new(), transport(reactor, self.line));
+        if let Err(fault) = self.gossip.handle_datagram(now, from, bytes, &mut out, &mut events) {
             tracing::debug!(%from, "dropped: {fault}");
         }
-        self.take(now, news)
+        self.take(now, events)
     }
 
-    /// Sends a member another subsystem's word.
-    pub fn word(&mut self, reactor: &Reactor, now: Duration, to: u32, word: &[u8]) {
-        let mut out = outside(reactor, self.line);
+    /// Sends a member another subsystem's message.
+    pub fn send_message(&mut self, reactor: &Reactor, now: Duration, to: u32, message: &[u8]) {
+        let mut out = transport(reactor, self.line);
         let to = Member::try_from(to).ok();
-        to.map(|to| self.gossip.word(now, to, word, &mut out));
+        to.map(|to| self.gossip.send_message(now, to, message, &mut out));
     }
 
-    fn take(&mut self, now: Duration, news: Vec<News>) -> Came {
-        let mut came = Came::default();
-        for one in news {
-            match one {
-                News::Standing(member, standing) => tracing::info!(member, ?standing, "member"),
-                News::Bulletin(bulletin, age) => {
-                    let believed = self.hearsay.heard(now, bulletin.author, age, &bulletin.items);
+    fn take(&mut self, now: Duration, events: Vec<Event>) -> GossipOutput {
+        let mut output = GossipOutput::default();
+        for event in events {
+            match event {
+                Event::StateChanged(member, state) => tracing::info!(member, standing = ?state, "member"),
+                Event::Bulletin(bulletin, age) => {
+                    let believed =
+                        self.failure_reports.take_bulletin(now, bulletin.author, age, &bulletin.items);
                     for (streamer, kind) in believed.into_iter().filter(|(_, kind)| self.listens_to(*kind)) {
                         tracing::info!(%streamer, by = bulletin.author, ?kind, "believed to be in trouble");
-                        came.believed.push(streamer);
+                        output.believed.push(streamer);
                     }
                 }
-                News::Word(member, word) => came.words.push((member, word)),
+                Event::Message(member, message) => output.messages.push((member, message)),
             }
         }
-        came
+        output
     }
 
     /// What a join here came to. Cancelled and throttled ones say nothing of the streamer.
     pub fn seen(&mut self, now: Duration, streamer: StreamerId, ending: Option<Ending>) {
         match ending {
-            None => self.hearsay.seen(now, streamer, true),
+            None => self.failure_reports.observe_join(now, streamer, true),
             Some(ending) if ending.is_lost() => {
-                self.hearsay.seen(now, streamer, false);
+                self.failure_reports.observe_join(now, streamer, false);
                 self.publish(now);
             }
             Some(Ending::Full) if self.place.strain => {
-                self.hearsay.strained(now, streamer, false);
+                self.failure_reports.observe_strain(now, streamer, false);
                 self.publish(now);
             }
             Some(_) => {}
@@ -229,7 +232,7 @@
             _ => value < AT_EASE_LINK,
         };
         if self.place.strain && (strained || at_ease) {
-            self.hearsay.strained(now, streamer, at_ease);
+            self.failure_reports.observe_strain(now, streamer, at_ease);
             if strained {
                 self.publish(now);
             }
@@ -245,7 +248,7 @@
         if now < self.publish_at {
             return;
         }
-        let streamers = self.hearsay.streamers(now);
+        let streamers = self.failure_reports.streamers(now);
         if streamers.iter().all(|streamer| self.published.contains(streamer))
             && now < self.publish_at + PUBLISH_EVERY * 4
         {
@@ -253,7 +256,7 @@
         }
         self.publish_at = now + PUBLISH_EVERY;
         self.published = streamers;
-        self.gossip.publish(now, self.hearsay.items(now));
+        self.gossip.publish(now, self.failure_reports.items(now));
     }
 
     /// Reads the ring anew where its file has changed. One that is not in order changes nothing.
@@ -267,24 +270,24 @@
             Ok(keys) => {
                 tracing::info!("the ring of keys was read anew");
                 self.new_keys = Some(keys.clone());
-                self.gossip.take_hand(keys, now);
+                self.gossip.replace_keyring(keys, now);
             }
             Err(fault) => tracing::error!("{fault:#}; the keys read before go on holding"),
         }
     }
 
     fn show(&self) {
-        let held = |standing: Standing| {
+        let held = |state: MemberState| {
             let all = self.gossip.view().members();
-            all.filter(|(_, known)| known.standing == standing).count() as f64
+            all.filter(|(_, known)| known.state == state).count() as f64
         };
-        for (standing, name) in [
-            (Standing::Alive, "alive"),
-            (Standing::Suspect, "suspect"),
-            (Standing::Dead, "dead"),
-            (Standing::Left, "left"),
+        for (state, name) in [
+            (MemberState::Alive, "alive"),
+            (MemberState::Suspect, "suspect"),
+            (MemberState::Dead, "dead"),
+            (MemberState::Left, "left"),
         ] {
-            gauge!(watch::MEMBERS, "standing" => name).set(held(standing));
+            gauge!(watch::MEMBERS, "standing" => name).set(held(state));
         }
         let counts = &self.gossip.counts;
         gauge!(watch::GOSSIP_HEALTH).set(f64::from(self.gossip.health()));
@@ -312,7 +315,7 @@
     /// Says good-bye.
     pub fn leave(&mut self, reactor: &Reactor, now: Duration) {
         self.store();
-        self.gossip.leave(now, &mut outside(reactor, self.line));
+        self.gossip.leave(now, &mut transport(reactor, self.line));
     }
 }
 
--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -7,14 +7,14 @@
 
 use badgerledge_core::chance::Chance;
 
-use crate::bucket::Bucket;
 use crate::budget::Budget;
 use crate::health::Health;
 use crate::outbox::Outbox;
 use crate::probe::Probes;
-use crate::ration::Ration;
+use crate::rate_limits::RateLimits;
 use crate::statement::{incarnation, life_of, Keyring};
-use crate::view::{Known, Standing, View, PERIOD};
+use crate::token_bucket::TokenBucket;
+use crate::view::{Known, MemberState, View, PERIOD};
 use crate::window::Window;
 use crate::Member;
 
@@ -27,7 +27,7 @@
 mod sending;
 mod suspicion;
 
-pub use events::{Counts, News, Outside};
+pub use events::{Counts, Event, Transport};
 
 /// News go to one member drawn by chance this often while there are any: about what the ceiling allows, so that what
 /// many have to say at once takes no longer than it must.
@@ -56,7 +56,7 @@
     probes: Probes,
     health: Health,
     budget: Budget,
-    ration: Ration,
+    rate_limits: RateLimits,
     counter: u32,
     chance: Chance,
     bulletins: BTreeMap<Member, (u32, u32)>,
@@ -69,8 +69,8 @@
     next_seeds: Duration,
     refuted: Duration,
     refute_at: Option<Duration>,
-    told_stale: Bucket,
-    /// When `tend` asked to be called.
+    told_stale: TokenBucket,
+    /// When `tick` asked to be called.
     due: Duration,
     pub counts: Counts,
 }
@@ -97,7 +97,7 @@
             probes: Probes::default(),
             health: Health::default(),
             budget: Budget::new(now),
-            ration: Ration::new(now),
+            rate_limits: RateLimits::new(now),
             counter: 0,
             chance,
             bulletins: BTreeMap::new(),
@@ -110,7 +110,7 @@
             next_seeds: now,
             refuted: Duration::ZERO,
             refute_at: None,
-            told_stale: Bucket::new(TOLD_STALE, TOLD_STALE, now),
+            told_stale: TokenBucket::new(TOLD_STALE, TOLD_STALE, now),
             due: now,
             counts: Counts::default(),
         };
@@ -125,7 +125,7 @@
     }
 
     /// The keys that it signs and checks with.
-    pub fn hand(&self) -> &H {
+    pub fn keyring(&self) -> &H {
         &self.keyring
     }
 
@@ -145,7 +145,7 @@
     }
 
     /// Takes another ring and key: members whose keys are gone are forgotten, with all that they said.
-    pub fn take_hand(&mut self, keyring: H, now: Duration) {
+    pub fn replace_keyring(&mut self, keyring: H, now: Duration) {
         self.keyring = keyring;
         self.view.expect(self.keyring.ring().len());
         let gone: Vec<Member> =
@@ -162,11 +162,11 @@
         self.outbox.forget(member);
         self.windows.remove(&member);
         self.bulletins.remove(&member);
-        self.ration.forget(member);
+        self.rate_limits.forget(member);
         self.addresses.retain(|_, at| *at != member);
     }
 
-    /// When [`Gossip::tend`] wants to be called at the latest.
+    /// When [`Gossip::tick`] wants to be called at the latest.
     pub fn next_due(&self) -> Duration {
         let news = (!self.outbox.is_empty()).then_some(self.next_news);
         let alone = self.is_alone().then_some(self.next_seeds);
@@ -192,7 +192,7 @@
     }
 
     /// Does what is due.
-    pub fn tend(&mut self, now: Duration, out: &mut impl Outside, news: &mut Vec<News>) {
+    pub fn tick(&mut self, now: Duration, out: &mut impl Transport, events: &mut Vec<Event>) {
         if let Some(late) = Health::stalled(self.due, now) {
             self.stood_still(late);
         }
@@ -200,12 +200,12 @@
             self.refute(now);
         }
         self.probe_steps(now, out);
-        self.errands_over(now, out);
+        self.nack_expired(now, out);
         for member in self.view.end_suspicions(now) {
-            news.push(News::Standing(member, Standing::Dead));
+            events.push(Event::StateChanged(member, MemberState::Dead));
         }
         if now >= self.next_period {
-            self.end_probe(now, news);
+            self.end_probe(now, events);
             self.begin_probe(now, out);
         }
         if now >= self.next_seeds && self.is_alone() {
@@ -229,5 +229,5 @@
 }
 
 fn takes_part(known: Option<&Known>) -> bool {
-    known.is_some_and(|known| known.standing.takes_part())
+    known.is_some_and(|known| known.state.takes_part())
 }
--- a/fuzz/fuzz_targets/datagram.rs
+++ b/fuzz/fuzz_targets/datagram.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use badgerledge_gossip::envelope;
-use badgerledge_gossip::statement::{Keyring, Said, Signature, Statement};
-use badgerledge_gossip::{Gossip, Member, Outside, CEILING, LONGEST, SIGNATURE};
+use badgerledge_gossip::statement::{Claim, Keyring, Signature, Statement};
+use badgerledge_gossip::{
+    Gossip, Member, Transport, MAX_BYTES_PER_SECOND, MAX_DATAGRAM_BYTES, SIGNATURE_BYTES,
+};
 use libfuzzer_sys::fuzz_target;
 
 struct Credulous;
 
 impl Keyring for Credulous {
     fn sign(&self, _bytes: &[u8]) -> Signature {
-        [0; SIGNATURE]
+        [0; SIGNATURE_BYTES]
     }
 
     fn signed(&self, _member: Member, _bytes: &[u8], _signature: &Signature) -> bool {
@@ -33,9 +35,9 @@
 
 struct Sent(usize);
 
-impl Outside for Sent {
+impl Transport for Sent {
     fn send(&mut self, _to: SocketAddrV4, bytes: &[u8]) {
-        assert!(bytes.len() <= LONGEST);
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         self.0 += bytes.len();
     }
 }
@@ -45,7 +47,7 @@
     while let Some((statement, age, used)) = Statement::read(rest) {
         let mut bytes = Vec::new();
         statement.write(age, &mut bytes);
-        let bulletin = matches!(statement.said, Said::Bulletin(_));
+        let bulletin = matches!(statement.claim, Claim::Bulletin(_));
         assert_eq!(&bytes[..bytes.len() - usize::from(bulletin)], &rest[..used - usize::from(bulletin)]);
         rest = &rest[used..];
     }
@@ -55,21 +57,21 @@
     let at = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000);
     let mut now = Duration::from_secs(100);
     let mut gossip = Gossip::new(0, Credulous, 1, at, vec![at], now, 1);
-    let (mut sent, mut news) = (Sent(0), Vec::new());
+    let (mut sent, mut events) = (Sent(0), Vec::new());
     // Datagrams one after the other, each with its length before it; the mark is put there, so that most get past it.
     let mut rest = input;
     while let Some((length, tail)) = rest.split_first() {
         let (bytes, more) = tail.split_at(tail.len().min(usize::from(*length)));
         rest = more;
         let mut datagram = [b"bg\x01", bytes].concat();
-        datagram.resize(datagram.len().max(16 + SIGNATURE), 0);
+        datagram.resize(datagram.len().max(16 + SIGNATURE_BYTES), 0);
         if let Ok((_, body, _, _)) = envelope::open(&datagram) {
             read_again(body);
         }
-        let _ = gossip.heard(now, at, &datagram, &mut sent, &mut news);
-        gossip.tend(now, &mut sent, &mut news);
+        let _ = gossip.handle_datagram(now, at, &datagram, &mut sent, &mut events);
+        gossip.tick(now, &mut sent, &mut events);
         now += Duration::from_millis(1);
     }
     // All within a quarter of a second at most: less than what a second may have.
-    assert!(now > Duration::from_secs(101) || sent.0 <= CEILING);
+    assert!(now > Duration::from_secs(101) || sent.0 <= MAX_BYTES_PER_SECOND);
 });
