--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -40,7 +40,7 @@
 pub use planning::plan_of;
 pub use preview::{Preview, StagePreview};
 pub use proposal::{epoch_key, Proposal, Read};
-pub use report::{Last, Report, Reports};
+pub use report::{LastReport, Report, Reports};
 pub use schedule::{arm_of, duty_of, Duty, Own, Schedule, Turn};
 pub use state::{AfterStop, Arm, Bounds, Fleet, Pace, Progress, Rollout, Spec, StageSpec, Status, Subject};
 pub use text::{PaceDefaults, SECTION, SETTINGS_SECTION};
--- a/crates/rollout/src/order.rs
+++ b/crates/rollout/src/order.rs
@@ -32,13 +32,45 @@
 /// # Errors
 /// Where the roll does not stand as the order wants it.
 pub fn apply(read: &Read, order: &Order, unix_s: u64) -> Result<Proposal, Refusal> {
+    let rollout = read.rollout.as_ref();
     let to = match order {
-        Order::Start(spec) => start(read.rollout.as_ref(), spec, unix_s)?,
-        _ => moved(read.rollout.as_ref().ok_or(Refusal::NoRoll)?, order, unix_s)?,
+        Order::Start(spec) => start(rollout, spec, unix_s)?,
+        Order::Pause => {
+            let rollout = while_in(rollout, &[Status::Running], "running")?;
+            with_status(rollout, unix_s, Status::Paused, "paused by an operator")
+        }
+        Order::GoOn => {
+            let rollout = while_in(rollout, &[Status::Paused, Status::Stopped], "paused or stopped")?;
+            with_status(rollout, unix_s, Status::Running, "an operator let it go on")
+        }
+        Order::Stop => {
+            let rollout = while_in(rollout, &[Status::Running, Status::Paused], "running or paused")?;
+            with_status(rollout, unix_s, Status::Stopped, "stopped by an operator")
+        }
+        Order::Back => {
+            let taken = [Status::Running, Status::Paused, Status::Stopped];
+            let rollout = while_in(rollout, &taken, "running or paused or stopped")?;
+            back(rollout, unix_s, Pace::Paced, "taken back by an operator")
+        }
     };
     Ok(Proposal::between(read, &to))
 }
 
+/// The roll, where it stands as an order wants it.
+fn while_in<'a>(
+    rollout: Option<&'a Rollout>, taken: &[Status], told: &'static str,
+) -> Result<&'a Rollout, Refusal> {
+    let rollout = rollout.ok_or(Refusal::NoRoll)?;
+    match rollout.progress.status {
+        status if taken.contains(&status) => Ok(rollout),
+        status => Err(Refusal::Status(status, told)),
+    }
+}
+
+fn with_status(rollout: &Rollout, unix_s: u64, status: Status, why: &str) -> Rollout {
+    next(rollout, unix_s, why, |progress| progress.status = status)
+}
+
 fn start(before: Option<&Rollout>, spec: &Spec, unix_s: u64) -> Result<Rollout, Refusal> {
     if let Some(before) = before {
         if !before.progress.status.is_over() {
@@ -61,33 +93,6 @@
     Ok(Rollout { spec: spec.clone(), progress })
 }
 
-fn moved(rollout: &Rollout, order: &Order, unix_s: u64) -> Result<Rollout, Refusal> {
-    let status = rollout.progress.status;
-    let check = |taken: &[Status], told: &'static str| match taken.contains(&status) {
-        true => Ok(()),
-        false => Err(Refusal::Status(status, told)),
-    };
-    let to = |status: Status, why: &str| next(rollout, unix_s, why, |progress| progress.status = status);
-    match order {
-        Order::Pause => {
-            check(&[Status::Running], "running")?;
-            Ok(to(Status::Paused, "paused by an operator"))
-        }
-        Order::GoOn => {
-            check(&[Status::Paused, Status::Stopped], "paused or stopped")?;
-            Ok(to(Status::Running, "an operator let it go on"))
-        }
-        Order::Stop => {
-            check(&[Status::Running, Status::Paused], "running or paused")?;
-            Ok(to(Status::Stopped, "stopped by an operator"))
-        }
-        Order::Back | Order::Start(_) => {
-            check(&[Status::Running, Status::Paused, Status::Stopped], "running or paused or stopped")?;
-            Ok(back(rollout, unix_s, Pace::Paced, "taken back by an operator"))
-        }
-    }
-}
-
 /// The first wave of going back.
 pub(crate) fn back(rollout: &Rollout, unix_s: u64, pace: Pace, why: &str) -> Rollout {
     next(rollout, unix_s, why, |progress| {
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -28,7 +28,7 @@
 
 /// The last word of a member.
 #[derive(Clone, Debug)]
-pub struct Last {
+pub struct LastReport {
     pub report: Report,
     /// When it came, by the conductor's clock.
     pub at: Duration,
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 pub struct Reports {
     heard: Heard,
-    last: BTreeMap<Member, Last>,
+    last: BTreeMap<Member, LastReport>,
 }
 
 impl Reports {
@@ -60,15 +60,16 @@
             return Ok(());
         }
         self.heard.take(now, report.member, &report.said)?;
-        let same =
-            |before: &&Last| before.report.arm == report.arm && before.report.said.life == report.said.life;
+        let same = |before: &&LastReport| {
+            before.report.arm == report.arm && before.report.said.life == report.said.life
+        };
         let since = before.filter(same).and_then(|before| before.ready_since);
         let ready_since = report.ready.then_some(since.unwrap_or(now));
-        self.last.insert(report.member, Last { report, at: now, ready_since });
+        self.last.insert(report.member, LastReport { report, at: now, ready_since });
         Ok(())
     }
 
-    pub fn last(&self, member: Member) -> Option<&Last> {
+    pub fn last(&self, member: Member) -> Option<&LastReport> {
         self.last.get(&member)
     }
 
@@ -78,12 +79,12 @@
     }
 
     /// The last word of a member that came within this time.
-    pub fn fresh(&self, now: Duration, member: Member, within: Duration) -> Option<&Last> {
+    pub fn fresh(&self, now: Duration, member: Member, within: Duration) -> Option<&LastReport> {
         self.last(member).filter(|last| now.saturating_sub(last.at) <= within)
     }
 }
 
-impl Last {
+impl LastReport {
     /// Whether it has been ready on this side for so long.
     pub fn is_settled(&self, now: Duration, arm: Arm, settle: Duration) -> bool {
         let long = |since: Duration| now.saturating_sub(since) >= settle;
