--- a/crates/rollout/src/heard.rs
+++ b/crates/rollout/src/count_log.rs
@@ -59,16 +59,16 @@
     }
 }
 
-/// A controller's word on its counts, since its process began, by room type.
+/// A controller's report of its counts, since its process began, by room type.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Said {
+pub struct CountReport {
     pub life: u32,
     pub by_room_type: Vec<Counted>,
 }
 
-/// Why a word is not taken.
+/// Why a report is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Unlikely {
+pub enum ReportFault {
     #[error("a part is more than the whole that it is of")]
     Parts,
     #[error("it has {0} room types; {1} at most are taken")]
@@ -77,11 +77,12 @@
     TooMany,
 }
 
-/// Room types at most: a word with all of them fits a datagram of the gossip's.
-const ROOM_TYPES: usize = 16;
+/// Room types at most: a report with all of them fits a datagram of the gossip's.
+const MAX_ROOM_TYPES: usize = 16;
 
+/// What is held of one member.
 #[derive(Clone, Debug, Default)]
-struct One {
+struct MemberCounts {
     life: u32,
     /// Of lives before this one.
     before: Vec<Counted>,
@@ -90,53 +91,53 @@
     since: Duration,
 }
 
-/// The counts of all, as far as they were heard. Words that are late, doubled or lost change nothing but how fresh it is:
+/// The counts of all, as far as they were reported. Reports that are late, doubled or lost change nothing but how fresh it is:
 /// within a life counts only grow, and a later life's begin anew.
 #[derive(Clone, Debug, Default)]
-pub struct Heard {
-    all: BTreeMap<Member, One>,
+pub struct CountLog {
+    all: BTreeMap<Member, MemberCounts>,
     /// Requests a second that a controller can serve at most.
-    most: f64,
+    max_requests_per_s: f64,
 }
 
-impl Heard {
-    /// `most` bounds what one controller can claim to have served in a second: a liar's weight is bounded by it.
-    pub fn new(most: f64) -> Self {
-        Self { all: BTreeMap::new(), most }
+impl CountLog {
+    /// `max_requests_per_s` bounds what one controller can claim to have served in a second: a liar's weight is bounded by it.
+    pub fn new(max_requests_per_s: f64) -> Self {
+        Self { all: BTreeMap::new(), max_requests_per_s }
     }
 
-    /// Takes a word.
+    /// Takes a report.
     ///
     /// # Errors
     /// Where it can't be true; nothing has changed then.
-    pub fn take(&mut self, now: Duration, by: Member, said: &Said) -> Result<(), Unlikely> {
-        if said.by_room_type.len() > ROOM_TYPES {
-            return Err(Unlikely::RoomTypes(said.by_room_type.len(), ROOM_TYPES));
+    pub fn take(&mut self, now: Duration, by: Member, report: &CountReport) -> Result<(), ReportFault> {
+        if report.by_room_type.len() > MAX_ROOM_TYPES {
+            return Err(ReportFault::RoomTypes(report.by_room_type.len(), MAX_ROOM_TYPES));
         }
-        if !said.by_room_type.iter().all(Counted::fits) {
-            return Err(Unlikely::Parts);
+        if !report.by_room_type.iter().all(Counted::fits) {
+            return Err(ReportFault::Parts);
         }
-        let fresh = One { life: said.life, since: now, ..One::default() };
-        let one = self.all.entry(by).or_insert(fresh);
-        if said.life < one.life {
+        let fresh = MemberCounts { life: report.life, since: now, ..MemberCounts::default() };
+        let entry = self.all.entry(by).or_insert(fresh);
+        if report.life < entry.life {
             return Ok(());
         }
-        if said.life > one.life {
-            let ended = std::mem::take(&mut one.now);
-            add(&mut one.before, &ended);
-            (one.life, one.since) = (said.life, now);
+        if report.life > entry.life {
+            let ended = std::mem::take(&mut entry.now);
+            add(&mut entry.before, &ended);
+            (entry.life, entry.since) = (report.life, now);
         }
-        let asked: u64 = said.by_room_type.iter().map(|counted| counted.asked).sum();
-        let known: u64 = one.now.iter().map(|counted| counted.asked).sum();
+        let asked: u64 = report.by_room_type.iter().map(|counted| counted.asked).sum();
+        let known: u64 = entry.now.iter().map(|counted| counted.asked).sum();
         // What it had before it was first heard of is not counted against it: only the growth since.
-        let span = now.saturating_sub(one.since).as_secs_f64() + 10.0;
-        if !one.now.is_empty() && asked.saturating_sub(known) as f64 > self.most * span {
-            return Err(Unlikely::TooMany);
+        let span = now.saturating_sub(entry.since).as_secs_f64() + 10.0;
+        if !entry.now.is_empty() && asked.saturating_sub(known) as f64 > self.max_requests_per_s * span {
+            return Err(ReportFault::TooMany);
         }
-        for (n, counted) in said.by_room_type.iter().enumerate() {
-            match one.now.get_mut(n) {
+        for (n, counted) in report.by_room_type.iter().enumerate() {
+            match entry.now.get_mut(n) {
                 Some(held) => *held = held.with(counted, u64::max),
-                None => one.now.push(*counted),
+                None => entry.now.push(*counted),
             }
         }
         Ok(())
@@ -144,15 +145,15 @@
 
     /// All that a member counted, over its lives.
     pub fn of(&self, member: Member) -> Vec<Counted> {
-        let Some(one) = self.all.get(&member) else { return Vec::new() };
-        let mut whole = one.before.clone();
-        add(&mut whole, &one.now);
+        let Some(entry) = self.all.get(&member) else { return Vec::new() };
+        let mut whole = entry.before.clone();
+        add(&mut whole, &entry.now);
         whole
     }
 
     /// The life that a member is in: one that changes often is in a crash loop.
     pub fn life(&self, member: Member) -> Option<u32> {
-        self.all.get(&member).map(|one| one.life)
+        self.all.get(&member).map(|entry| entry.life)
     }
 }
 
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -17,7 +17,7 @@
 
 /// Why a plan is refused.
 #[derive(Clone, Debug, PartialEq, Error)]
-pub enum Wrong {
+pub enum PlanFault {
     #[error("stage {0} of {1}: a share over the one before it and up to 1 is taken")]
     Share(usize, f64),
     #[error("the last stage ends at {0} of the fleet; it must end at 1")]
@@ -45,26 +45,26 @@
     ///
     /// # Errors
     /// Where stages are empty, out of order or over the fleet, or a member is unknown or named twice.
-    pub fn new(number: u32, fleet: &[Place], shares: &[f64], last: &[Member]) -> Result<Self, Wrong> {
-        let (Some(end), false) = (shares.last(), fleet.is_empty()) else { return Err(Wrong::Nothing) };
+    pub fn new(number: u32, fleet: &[Place], shares: &[f64], last: &[Member]) -> Result<Self, PlanFault> {
+        let (Some(end), false) = (shares.last(), fleet.is_empty()) else { return Err(PlanFault::Nothing) };
         let mut before = 0.0;
         for (stage, share) in shares.iter().enumerate() {
             // Not a number is no share either.
             let rises = *share > before && *share <= 1.0;
             if !rises {
-                return Err(Wrong::Share(stage, *share));
+                return Err(PlanFault::Share(stage, *share));
             }
             before = *share;
         }
         if *end < 1.0 {
-            return Err(Wrong::Unfinished(*end));
+            return Err(PlanFault::Unfinished(*end));
         }
         let mut seen = BTreeSet::new();
         if let Some(twice) = fleet.iter().find(|place| !seen.insert(place.member)) {
-            return Err(Wrong::Twice(twice.member));
+            return Err(PlanFault::Twice(twice.member));
         }
         if let Some(unknown) = last.iter().find(|member| !seen.contains(member)) {
-            return Err(Wrong::Unknown(*unknown));
+            return Err(PlanFault::Unknown(*unknown));
         }
         let mut zones: BTreeMap<u16, Vec<Member>> = BTreeMap::new();
         fleet.iter().for_each(|place| zones.entry(place.zone).or_default().push(place.member));
@@ -84,7 +84,7 @@
         }
         stages.iter_mut().for_each(|members| members.sort_unstable());
         match stages.iter().position(Vec::is_empty) {
-            Some(stage) => Err(Wrong::Empty(stage)),
+            Some(stage) => Err(PlanFault::Empty(stage)),
             None => Ok(Self { stages }),
         }
     }
--- a/crates/rollout/src/always.rs
+++ b/crates/rollout/src/sequential_test.rs
@@ -5,7 +5,7 @@
 //! in units of its deviation, moves like a Brownian motion in the information; the mixture boundary of Robbins (1970), as
 //! used by Johari and others (2017), is crossed by it with a chance of alpha at most, over all looks together.
 
-use crate::cell::Cell;
+use crate::tally::Tally;
 
 /// A difference of two rates: how much more of the new side's goes wrong, and its variance if the builds are alike.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -19,28 +19,29 @@
 
 /// Controllers of one zone differ by this part of their rate at least. Without it 66 of 4,000 rolls of alike builds were stopped
 /// at 40 controllers, and 87 at 10; a wider scatter for few new ones made stages longer and no verdict better (86 and 109).
-const DIFFER: f64 = 0.6;
+const MIN_SCATTER: f64 = 0.6;
 /// Of what goes wrong often they differ by less of it: benefit that is not served, a tenth, by some hundredths of the whole.
-const DIFFER_AT_MOST: f64 = 0.01;
+const MAX_SCATTER: f64 = 0.01;
 
 /// The same without the new controller that has most of what goes wrong over the old side's rate: what one controller alone
 /// shows may be its own fault, or a lie.
-pub fn without_the_worst(new: &[Cell], old: &[Cell]) -> Option<Difference> {
-    let sum = |of: fn(&Cell) -> f64| old.iter().map(of).sum::<f64>();
-    let rate = sum(|cell| cell.bad) / sum(|cell| cell.of).max(1.0);
-    let over = |cell: &Cell| cell.bad - rate * cell.of;
+pub fn without_the_worst(new: &[Tally], old: &[Tally]) -> Option<Difference> {
+    let sum = |of: fn(&Tally) -> f64| old.iter().map(of).sum::<f64>();
+    let rate = sum(|tally| tally.bad) / sum(|tally| tally.of).max(1.0);
+    let over = |tally: &Tally| tally.bad - rate * tally.of;
     let worst = (0..new.len()).max_by(|a, b| over(&new[*a]).total_cmp(&over(&new[*b])))?;
-    let rest: Vec<Cell> =
-        new.iter().enumerate().filter(|(n, _)| *n != worst).map(|(_, cell)| *cell).collect();
+    let rest: Vec<Tally> =
+        new.iter().enumerate().filter(|(n, _)| *n != worst).map(|(_, tally)| *tally).collect();
     difference(&rest, old)
 }
 
 /// One zone's difference; nothing where a side has seen nothing, or the old side is too few to tell how it scatters.
-pub fn difference(new: &[Cell], old: &[Cell]) -> Option<Difference> {
-    let sum =
-        |cells: &[Cell]| cells.iter().fold((0.0, 0.0), |(bad, of), cell| (bad + cell.bad, of + cell.of));
+pub fn difference(new: &[Tally], old: &[Tally]) -> Option<Difference> {
+    let sum = |tallies: &[Tally]| {
+        tallies.iter().fold((0.0, 0.0), |(bad, of), tally| (bad + tally.bad, of + tally.of))
+    };
     let ((new_bad, new_of), (old_bad, old_of)) = (sum(new), sum(old));
-    let controllers = old.iter().filter(|cell| cell.of > 0.0).count();
+    let controllers = old.iter().filter(|tally| tally.of > 0.0).count();
     if new_of <= 0.0 || old_of <= 0.0 || controllers < 2 {
         return None;
     }
@@ -49,14 +50,15 @@
     let chance = (usual * (1.0 - usual)).max(0.0);
     let rate = old_bad / old_of;
     // What controllers scatter over what chance does to each, by the method of moments.
-    let squares: f64 = old.iter().map(|cell| (cell.bad - rate * cell.of).powi(2) / cell.of.max(1.0)).sum();
+    let squares: f64 =
+        old.iter().map(|tally| (tally.bad - rate * tally.of).powi(2) / tally.of.max(1.0)).sum();
     let seen = squares / (controllers - 1) as f64;
-    let spread = old_of - old.iter().map(|cell| cell.of * cell.of).sum::<f64>() / old_of;
+    let spread = old_of - old.iter().map(|tally| tally.of * tally.of).sum::<f64>() / old_of;
     let own = ((seen - chance) * (controllers - 1) as f64 / spread.max(1.0)).max(0.0);
     // Of few controllers it is itself known badly, and may look like none by luck: they always differ by some of the rate.
-    let own = (own * (1.0 + 4.0 / controllers as f64)).max((DIFFER * usual).min(DIFFER_AT_MOST).powi(2));
-    let of_side = |cells: &[Cell], of: f64| -> f64 {
-        cells.iter().map(|cell| cell.of * cell.of * own + cell.of * chance).sum::<f64>() / (of * of)
+    let own = (own * (1.0 + 4.0 / controllers as f64)).max((MIN_SCATTER * usual).min(MAX_SCATTER).powi(2));
+    let of_side = |tallies: &[Tally], of: f64| -> f64 {
+        tallies.iter().map(|tally| tally.of * tally.of * own + tally.of * chance).sum::<f64>() / (of * of)
     };
     let more = (new_bad - CONTINUITY).max(0.0) / new_of - rate;
     Some(Difference { more, variance: of_side(new, new_of) + of_side(old, old_of) })
--- a/crates/rollout/src/cell.rs
+++ b/crates/rollout/src/tally.rs
@@ -2,7 +2,7 @@
 
 /// A part that went wrong, of a whole.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cell {
+pub struct Tally {
     pub bad: f64,
     pub of: f64,
 }
--- a/crates/rollout/src/tests/rolls.rs
+++ b/crates/rollout/src/tests/rolls.rs
@@ -5,7 +5,7 @@
 use badgerledge_core::chance::Chance;
 
 use super::limits;
-use crate::{judge, Counted, Measure, Place, Plan, Side, Stage, Verdict};
+use crate::{judge, Controller, Counted, Measure, Place, Plan, Stage, Verdict};
 
 /// What is wrong with the new build.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,10 +126,10 @@
         }
     }
 
-    fn side(&self) -> Side {
+    fn controller(&self) -> Controller {
         let since = (0..2).map(|n| self.counted[n].since(&self.base[n])).collect();
         let Place { member, zone } = self.place;
-        Side { member, zone, new: self.changed_at.is_some(), since, ..Side::default() }
+        Controller { member, zone, new: self.changed_at.is_some(), since, ..Controller::default() }
     }
 }
 
@@ -168,13 +168,17 @@
             now += LOOK;
             let stress = if burst.is_some_and(|at| now > at && now < at + 30.0) { 3.0 } else { 1.0 };
             all.iter_mut().for_each(|one| one.serves(&mut chance, now, worse, stress));
-            let sides: Vec<Side> = all.iter().map(One::side).collect();
-            let new: u64 =
-                sides.iter().filter(|side| side.new).flat_map(|side| &side.since).map(|c| c.asked).sum();
+            let controllers: Vec<Controller> = all.iter().map(One::controller).collect();
+            let new: u64 = controllers
+                .iter()
+                .filter(|controller| controller.new)
+                .flat_map(|controller| &controller.since)
+                .map(|c| c.asked)
+                .sum();
             let usual =
                 [(Measure::JoinsLost, 0.011), (Measure::Late, 0.022), (Measure::Unserved, 0.1)].into();
             let lasted = Duration::from_secs_f64(now - begun);
-            let verdict = judged(&Stage { lasted, sides, usual, ..Stage::default() });
+            let verdict = judged(&Stage { lasted, controllers, usual, ..Stage::default() });
             let more = match worse {
                 Worse::Alike => 0.0,
                 Worse::Loses(more) | Worse::Late(more) | Worse::AfterAMinute(more) => more,
@@ -211,8 +215,13 @@
 
 /// Joins lost and of how many, of one side.
 fn lost(stage: &Stage, new: bool) -> (f64, f64) {
-    let sides = stage.sides.iter().filter(|side| side.new == new).flat_map(|side| &side.since);
-    sides.fold((0.0, 0.0), |(lost, of), counted| (lost + counted.lost as f64, of + counted.joins as f64))
+    let controllers = stage
+        .controllers
+        .iter()
+        .filter(|controller| controller.new == new)
+        .flat_map(|controller| &controller.since);
+    controllers
+        .fold((0.0, 0.0), |(lost, of), counted| (lost + counted.lost as f64, of + counted.joins as f64))
 }
 
 fn stops(worse: bool, stage: &Stage) -> Verdict {
