--- a/crates/controller/src/changing.rs
+++ b/crates/controller/src/changing.rs
@@ -88,7 +88,7 @@
             turned_away,
             "a change is carried out"
         );
-        Some(Turn { told: ends.deployment.told(), outcomes })
+        Some(Turn { told: ends.deployment.module_settings(), outcomes })
     }
 
     /// Carries a change out, and lets those go whose time to leave has come.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -93,7 +93,7 @@
         let automatic = deployment.shared.fleet.discovery == "automatic";
         let list = ListLine::new(&place, automatic, ORIGIN, seed ^ 1);
         let budgeting = Budgeting::new(&deployment, reactor.now(), seed.rotate_left(48));
-        let exchange = Exchange::new(reactor.now(), seed, deployment.told(), most);
+        let exchange = Exchange::new(reactor.now(), seed, deployment.module_settings(), most);
         let mut ends = Ends::new(reactor, deployment, catalogue, seed);
         (ends.listen, ends.datagrams, ends.most_viewers) = (at, datagrams, most + most / IDLE_SHARE);
         if let Some(told) = &gossip_place {
--- a/crates/deployment/src/tests.rs
+++ b/crates/deployment/src/tests.rs
@@ -52,7 +52,7 @@
 
 #[test]
 fn the_module_is_told_what_the_file_says() {
-    let told = serde_json::Value::Object(read(WHOLE).unwrap().told());
+    let told = serde_json::Value::Object(read(WHOLE).unwrap().module_settings());
     let at = |path: &str| told.pointer(path).unwrap_or_else(|| panic!("{path} is not told")).to_string();
     assert_eq!((at("/zone"), at("/me"), at("/balancers")), ("1".into(), "1".into(), "2".into()));
     assert_eq!(at("/profiles/1/effect"), "\"single_shot\"");
@@ -74,7 +74,7 @@
 
 #[test]
 fn reports_by_probe_alone_are_told_and_the_defaults_say_what_was_said_before() {
-    let told = |text: &str| serde_json::Value::Object(read(text).unwrap().told());
+    let told = |text: &str| serde_json::Value::Object(read(text).unwrap().module_settings());
     let before = told(WHOLE);
     assert_eq!(
         (before["report"]["how"].as_str(), before["prices"]["probe"].as_f64()),
--- a/crates/replay/src/day.rs
+++ b/crates/replay/src/day.rs
@@ -217,7 +217,7 @@
         for name in sheet.named("trouble") {
             troubles.push((name.to_owned(), sheet.section::<Trouble>(&format!("trouble {name}"))?));
         }
-        let gossip = sheet.has("gossip").then(|| sheet.section::<GossipDay>("gossip")).transpose()?;
+        let gossip: Option<GossipDay> = sheet.optional_section("gossip")?;
         let revisions = script(sheet)?;
         let shared_text = sheet.copy(&SHARED_SECTIONS);
         let old_text = old_shape(sheet)?;
--- a/crates/settings/src/sheet.rs
+++ b/crates/settings/src/sheet.rs
@@ -117,16 +117,20 @@
         Err(Faults(faults.collect()))
     }
 
+    /// The same, or nothing where the section is not there.
+    pub fn optional_section<T>(&self, section: &str) -> Result<Option<T>, Faults>
+    where
+        T: DeserializeOwned + Validate<Context = ()>,
+    {
+        self.has(section).then(|| self.section(section)).transpose()
+    }
+
     /// The same, or its default where the section is not there.
     pub fn section_or_default<T>(&self, section: &str) -> Result<T, Faults>
     where
         T: DeserializeOwned + Validate<Context = ()> + Default,
     {
-        if self.has(section) {
-            self.section(section)
-        } else {
-            Ok(T::default())
-        }
+        Ok(self.optional_section(section)?.unwrap_or_default())
     }
 
     /// Whether all sections are of kinds that a program knows; a misspelt one would else be passed over.
