--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::control::{CloseReason, ConnectionId, ControlOutput};
 use crate::lease::{Grant, LeaseProof, Nonce};
 use crate::message::ToWatcher;
+use crate::regional::RegionalGrant;
 use crate::tokens::Tokens;
 use crate::{ControllerId, Digest, MachineId, Number};
 use admission::{Admission, Admitted};
@@ -100,6 +101,7 @@
     turn: ConnectionId,
     next_tick: Duration,
     chance: Chance,
+    regional_leases: u64,
 }
 
 impl Relay {
@@ -119,6 +121,7 @@
             turn: 0,
             next_tick: now,
             chance: Chance(seed),
+            regional_leases: 0,
         }
     }
 
@@ -177,7 +180,7 @@
             Kind::Queued(held) => *held = hello,
             Kind::Watcher(session) if session.controller() == hello.controller => {
                 session.begin_again(hello);
-                self.welcome(id, ledger, out);
+                self.welcome(id, hello, ledger, out);
                 self.update(now, id, ledger, out);
             }
             Kind::Watcher(_) => self.close(id, CloseReason::Protocol, out),
@@ -199,12 +202,15 @@
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.kind = Kind::Watcher(Box::new(Session::new(hello, now)));
-        self.welcome(id, ledger, out);
+        self.welcome(id, hello, ledger, out);
         self.update(now, id, ledger, out);
     }
 
-    fn welcome(&self, id: ConnectionId, ledger: &Ledger, out: &mut Vec<ControlOutput>) {
-        let welcome = ToWatcher::Welcome { relay: self.me, number: ledger.number() };
+    fn welcome(&self, id: ConnectionId, hello: Hello, ledger: &Ledger, out: &mut Vec<ControlOutput>) {
+        // What it is offered first: a watcher takes no lower one after that.
+        let first = ledger.allowed_before(hello.active, hello.held).map(|allowed| allowed.number);
+        let number = first.unwrap_or(ledger.number());
+        let welcome = ToWatcher::Welcome { relay: self.me, number };
         out.push(ControlOutput::to_watcher(id, welcome));
     }
 
@@ -322,6 +328,34 @@
         self.rounds.awaits(grant)
     }
 
+    /// The watcher that asked for a lease last on this connection takes a regional one as well.
+    pub(crate) fn takes_regional(&mut self, id: ConnectionId) {
+        self.rounds.takes_regional(id);
+    }
+
+    /// Roots over which machines are to be asked to vouch, with those that did so far.
+    pub(crate) fn regional_asks(&mut self, now: Duration, quorum: usize) -> Vec<(Digest, Vec<MachineId>)> {
+        self.rounds.regional_asks(now, quorum)
+    }
+
+    /// Whether a regional grant is one that this relay waits for.
+    pub(crate) fn awaits_regional(&self, grant: &RegionalGrant) -> bool {
+        self.rounds.awaits_regional(grant)
+    }
+
+    /// A machine vouched over one of this relay's roots.
+    pub(crate) fn vouched(&mut self, grant: RegionalGrant, out: &mut Vec<ControlOutput>) {
+        for (id, proof) in self.rounds.vouched(grant) {
+            self.regional_leases += 1;
+            out.push(ControlOutput::to_watcher(id, ToWatcher::RegionalLease(proof)));
+        }
+    }
+
+    /// Regional leases that were handed down so far.
+    pub(crate) fn regional_leases(&self) -> u64 {
+        self.regional_leases
+    }
+
     /// Whether all watchers have the revision that is handed down, or have had the time for it. Tells its number.
     pub(crate) fn ready(&self, now: Duration) -> Option<Number> {
         let (number, since) = self.handed_down;
