--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -10,14 +10,14 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::heard::{Counted, Unlikely};
+use crate::count_log::{Counted, ReportFault};
 use crate::order::{self, Order, Refusal};
 use crate::plan::Member;
 use crate::proposal::{next, Proposal, Read};
 use crate::report::{Report, Reports};
 use crate::schedule::{Schedule, Turn};
 use crate::state::{AfterStop, Arm, Pace, Rollout, Status};
-use crate::verdict::{judge, Evidence, Side, Stage, Verdict, Waits};
+use crate::verdict::{judge, Controller, Evidence, Stage, Verdict, Waits};
 
 /// The time, passed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +115,7 @@
     ///
     /// # Errors
     /// Where its counts can't be true; nothing has changed then.
-    pub fn take(&mut self, now: Duration, report: Report) -> Result<(), Unlikely> {
+    pub fn take(&mut self, now: Duration, report: Report) -> Result<(), ReportFault> {
         self.reports.take(now, report)
     }
 
@@ -237,7 +237,7 @@
         let lasted = now.clock.saturating_sub(watched.since);
         let stage = Stage {
             lasted,
-            sides: self.sides(now.clock, rollout, watched),
+            controllers: self.controllers(now.clock, rollout, watched),
             troubled: troubled.clone(),
             usual: rollout.spec.bounds.usual.clone(),
         };
@@ -299,9 +299,9 @@
         }
     }
 
-    fn sides(&self, now: Duration, rollout: &Rollout, watched: &Watched) -> Vec<Side> {
+    fn controllers(&self, now: Duration, rollout: &Rollout, watched: &Watched) -> Vec<Controller> {
         let spec = &rollout.spec;
-        let side = |place: &crate::plan::Place| {
+        let controller = |place: &crate::plan::Place| {
             let member = place.member;
             let arm = watched.schedule.arm_of(&rollout.progress, member);
             let fresh = self.reports.fresh(now, member, spec.silent_after);
@@ -311,7 +311,7 @@
             let of_new = report.filter(|report| report.arm == Arm::New);
             let is_due = told.is_some_and(|told| now.saturating_sub(told) >= spec.ready_within);
             let is_ready = |report: &Report| report.arm == Arm::New && report.ready;
-            Side {
+            Controller {
                 member,
                 zone: place.zone,
                 new: arm == Arm::New,
@@ -324,7 +324,7 @@
                 silent: fresh.is_none(),
             }
         };
-        spec.fleet.places.iter().map(side).collect()
+        spec.fleet.places.iter().map(controller).collect()
     }
 
     /// What a member counted on its side since its counts began; nothing where they have not.
--- a/crates/rollout/src/explain.rs
+++ b/crates/rollout/src/explain.rs
@@ -3,7 +3,8 @@
 
 use std::fmt;
 
-use crate::verdict::{Evidence, Measure, Waits};
+use crate::measure::Measure;
+use crate::verdict::{Evidence, Waits};
 
 /// The names of the measures in settings and messages.
 pub const MEASURE_NAMES: [(Measure, &str); 5] = [
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,7 +1,7 @@
 //! A change in stages, judged side by side. No I/O, no clock, no chance.
 //!
-//! [`Plan`] says which members change in which stage. [`Heard`] keeps what controllers count, however
-//! late, doubled or lost their words come. [`judge`] holds the new side's counts against the old side's
+//! [`Plan`] says which members change in which stage. [`CountLog`] keeps what controllers count, however
+//! late, doubled or lost their reports come. [`judge`] holds the new side's counts against the old side's
 //! at the same time, zone by zone, with a test that holds however often it is looked at, and that takes a
 //! controller, not a request, as its unit.
 //!
@@ -11,11 +11,11 @@
 //!
 //! Nothing carries it out yet: no controller calls it, and no program pushes a proposal.
 
-mod always;
-mod cell;
+mod comparison;
 mod conductor;
+mod count_log;
 mod explain;
-mod heard;
+mod measure;
 mod order;
 mod pace;
 mod plan;
@@ -24,7 +24,9 @@
 mod proposal;
 mod report;
 mod schedule;
+mod sequential_test;
 mod state;
+mod tally;
 mod text;
 mod verdict;
 
@@ -32,11 +34,12 @@
 mod tests;
 
 pub use conductor::{Conductor, Decision, Now, Wait};
+pub use count_log::{CountLog, CountReport, Counted, ReportFault};
 pub use explain::MEASURE_NAMES;
-pub use heard::{Counted, Heard, Said, Unlikely};
+pub use measure::Measure;
 pub use order::{apply, Order, Refusal};
 pub use pace::{derive, BackWave};
-pub use plan::{Member, Place, Plan, Wrong};
+pub use plan::{Member, Place, Plan, PlanFault};
 pub use planning::plan_of;
 pub use preview::{Preview, StagePreview};
 pub use proposal::{epoch_key, Proposal, Read};
@@ -44,4 +47,4 @@
 pub use schedule::{arm_of, duty_of, Duty, Own, Schedule, Turn};
 pub use state::{AfterStop, Arm, Bounds, Fleet, Pace, Progress, Rollout, Spec, StageSpec, Status, Subject};
 pub use text::{PaceDefaults, SECTION, SETTINGS_SECTION};
-pub use verdict::{judge, Evidence, Limits, Measure, Side, Stage, Verdict, Waits};
+pub use verdict::{judge, Controller, Evidence, Limits, Stage, Verdict, Waits};
--- a/crates/rollout/src/preview.rs
+++ b/crates/rollout/src/preview.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::plan::{Member, Wrong};
+use crate::measure::Measure;
+use crate::plan::{Member, PlanFault};
 use crate::schedule::Schedule;
 use crate::state::{Pace, Spec};
-use crate::verdict::Measure;
 
 /// What a plan will do.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,7 +39,7 @@
     ///
     /// # Errors
     /// Where stages and fleet make no plan.
-    pub fn of(spec: &Spec, asked_per_s: f64) -> Result<Self, Wrong> {
+    pub fn of(spec: &Spec, asked_per_s: f64) -> Result<Self, PlanFault> {
         let (plan, schedule) = (spec.plan()?, Schedule::new(spec)?);
         let mut stages = Vec::new();
         for (number, stage) in spec.stages.iter().enumerate() {
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::heard::{Counted, Heard, Said, Unlikely};
+use crate::count_log::{CountLog, CountReport, Counted, ReportFault};
 use crate::plan::Member;
 use crate::state::Arm;
 
@@ -23,7 +23,7 @@
     pub broke_a_rule: bool,
     pub near_a_limit: bool,
     pub refuses: bool,
-    pub said: Said,
+    pub said: CountReport,
 }
 
 /// The last word of a member.
@@ -39,21 +39,21 @@
 /// The last words of all.
 #[derive(Clone, Debug)]
 pub struct Reports {
-    heard: Heard,
+    heard: CountLog,
     last: BTreeMap<Member, LastReport>,
 }
 
 impl Reports {
     /// `most` bounds the requests a second that a member can claim to have served.
     pub fn new(most: f64) -> Self {
-        Self { heard: Heard::new(most), last: BTreeMap::new() }
+        Self { heard: CountLog::new(most), last: BTreeMap::new() }
     }
 
     /// Takes a word. One that is older than the last one changes nothing.
     ///
     /// # Errors
     /// Where its counts can't be true; nothing has changed then.
-    pub fn take(&mut self, now: Duration, report: Report) -> Result<(), Unlikely> {
+    pub fn take(&mut self, now: Duration, report: Report) -> Result<(), ReportFault> {
         let order = |report: &Report| (report.said.life, report.sequence);
         let before = self.last.get(&report.member);
         if before.is_some_and(|before| order(&before.report) >= order(&report)) {
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::plan::{rank, Member, Wrong};
+use crate::plan::{rank, Member, PlanFault};
 use crate::state::{Arm, Progress, Rollout, Spec, Status};
 
 /// The stage, from 0, and the wave within it, from 1, in which a member changes.
@@ -20,7 +20,7 @@
 impl Schedule {
     /// # Errors
     /// Where the plan's stages and fleet make no plan.
-    pub fn new(spec: &Spec) -> Result<Self, Wrong> {
+    pub fn new(spec: &Spec) -> Result<Self, PlanFault> {
         let plan = spec.plan()?;
         let last: BTreeSet<Member> = spec.last.iter().copied().collect();
         let (mut turns, mut zones) = (BTreeMap::new(), Vec::new());
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -8,8 +8,9 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::plan::{Member, Place, Plan, Wrong};
-use crate::verdict::{Limits, Measure};
+use crate::measure::Measure;
+use crate::plan::{Member, Place, Plan, PlanFault};
+use crate::verdict::Limits;
 
 /// A roll: its plan and how far it has come.
 #[derive(Clone, Debug, PartialEq)]
@@ -143,7 +144,7 @@
     ///
     /// # Errors
     /// Where stages and fleet make no plan.
-    pub fn plan(&self) -> Result<Plan, Wrong> {
+    pub fn plan(&self) -> Result<Plan, PlanFault> {
         let shares: Vec<f64> = self.stages.iter().map(|stage| stage.share).collect();
         Plan::new(self.number, &self.fleet.places, &shares, &self.last)
     }
--- a/crates/rollout/src/tests/plays/fleet.rs
+++ b/crates/rollout/src/tests/plays/fleet.rs
@@ -4,7 +4,7 @@
 
 use badgerledge_core::chance::Chance;
 
-use crate::{duty_of, Arm, Counted, Duty, Member, Own, Report, Rollout, Said};
+use crate::{duty_of, Arm, CountReport, Counted, Duty, Member, Own, Report, Rollout};
 
 /// What is wrong with the new side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,7 +136,7 @@
             broke_a_rule: self.arm == Arm::New && self.fails(now, defect),
             near_a_limit: false,
             refuses: false,
-            said: Said { life: self.life, by_room_type: vec![counted] },
+            said: CountReport { life: self.life, by_room_type: vec![counted] },
         })
     }
 }
--- a/crates/rollout/src/tests/support.rs
+++ b/crates/rollout/src/tests/support.rs
@@ -4,7 +4,7 @@
 
 use badgerledge_settings::Sheet;
 
-use crate::{Arm, Counted, Member, Pace, PaceDefaults, Progress, Report, Rollout, Said, Spec, Status};
+use crate::{Arm, CountReport, Counted, Member, Pace, PaceDefaults, Progress, Report, Rollout, Spec, Status};
 
 /// Three zones of ten.
 pub const PLAN: &str = "\
@@ -67,6 +67,6 @@
         broke_a_rule: false,
         near_a_limit: false,
         refuses: false,
-        said: Said { life: 1, by_room_type: vec![counted] },
+        said: CountReport { life: 1, by_room_type: vec![counted] },
     }
 }
--- a/crates/rollout/src/text/reader.rs
+++ b/crates/rollout/src/text/reader.rs
@@ -9,9 +9,9 @@
 use super::raw::Raw;
 use super::{PaceDefaults, SECTION, SETTINGS_SECTION, SLASH};
 use crate::explain::MEASURE_NAMES;
-use crate::plan::{Member, Place, Wrong};
+use crate::measure::Measure;
+use crate::plan::{Member, Place, PlanFault};
 use crate::state::{AfterStop, Bounds, Fleet, Pace, Progress, Spec, StageSpec, Status, Subject};
-use crate::verdict::Measure;
 
 /// A sheet and what is wrong with its roll.
 pub struct Reader<'a> {
@@ -212,10 +212,12 @@
 }
 
 /// The key that a plan's fault is about.
-fn key_of(wrong: &Wrong) -> &'static str {
+fn key_of(wrong: &PlanFault) -> &'static str {
     match wrong {
-        Wrong::Twice(_) => "fleet",
-        Wrong::Unknown(_) => "last",
-        Wrong::Share(..) | Wrong::Unfinished(_) | Wrong::Empty(_) | Wrong::Nothing => "shares",
+        PlanFault::Twice(_) => "fleet",
+        PlanFault::Unknown(_) => "last",
+        PlanFault::Share(..) | PlanFault::Unfinished(_) | PlanFault::Empty(_) | PlanFault::Nothing => {
+            "shares"
+        }
     }
 }
--- a/crates/rollout/src/text/writer.rs
+++ b/crates/rollout/src/text/writer.rs
@@ -6,9 +6,9 @@
 use badgerledge_distribution::state::Entry;
 
 use super::{SECTION, SETTINGS_SECTION, SLASH};
+use crate::measure::Measure;
 use crate::plan::Member;
 use crate::state::{AfterStop, Fleet, Pace, Progress, Rollout, Spec, Subject};
-use crate::verdict::Measure;
 
 impl Rollout {
     /// Its sections as text that [`Rollout::of`] reads again.
