Crossing: a token bucket and messages, by these names

`Purse` is `SharedBucket` (a token bucket on a controller's share of the budget), `Word` is `Message`, `Lending::tend` and `heard` are `request` and `handle`; constants say what they bound. Renames alone: the bytes of a message and all assertions of the tests are unchanged.

--- a/crates/bench/src/capacity/roles/lending.rs
+++ b/crates/bench/src/capacity/roles/lending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use badgerledge_crossing::{Lending, WORD};
+use badgerledge_crossing::{Lending, MESSAGE_BYTES};
 
 use super::{Role, BYTES_A_SECOND, CONTROLLERS, CORE_SHARE};
 use crate::capacity::measure::{processor_ms, Reading};
@@ -45,7 +45,7 @@
         Reading::new(
             "sent by each",
             "bytes a second",
-            words as f64 * (WORD as f64 + ENVELOPE) / controller_seconds,
+            words as f64 * (MESSAGE_BYTES as f64 + ENVELOPE) / controller_seconds,
         )
         .limited(BYTES_A_SECOND),
         Reading::new("processor", "of a core", spent_ms / 1000.0 / controller_seconds).limited(CORE_SHARE),
@@ -58,12 +58,12 @@
     let mut words = Vec::new();
     for (me, lending) in all.iter_mut().enumerate() {
         let demand = if me % WANTING == 0 { 3.0 * SHARE } else { 0.2 * SHARE };
-        lending.tend(now, demand, |to, word| words.push((me as u32, to, word)));
+        lending.request(now, demand, |to, word| words.push((me as u32, to, word)));
     }
     let mut count = 0;
     while let Some((from, to, word)) = words.pop() {
         count += 1;
-        if let Some(answer) = all[to as usize].heard(now, from, word) {
+        if let Some(answer) = all[to as usize].handle(now, from, word) {
             words.push((to, from, answer));
         }
     }
--- a/crates/controller/src/budgeting.rs
+++ b/crates/controller/src/budgeting.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use badgerledge_core::interface::JobId;
-use badgerledge_crossing::{plan, Crosser, Lending, Plan, Purse, Step, Word};
+use badgerledge_crossing::{plan, Crosser, Lending, Message, Plan, SharedBucket, Step};
 use badgerledge_deployment::Deployment;
 use badgerledge_exchange::book::{Book, Held, Join};
 
@@ -23,7 +23,7 @@
     from: Option<u16>,
     /// Whether it ends in this controller's building.
     here: bool,
-    purse: Purse,
+    bucket: SharedBucket,
     lending: Lending,
     planned: f64,
 }
@@ -41,10 +41,10 @@
         let (budget, place) = (deployment.shared.crossing.as_ref()?, &deployment.place);
         let zones = &deployment.shared.fleet.zones;
         let part = |from: Option<u16>, here: bool, way: u16| {
-            let purse = Purse::new(budget.rate_kb_s, budget.burst_kb, place.controllers, now);
+            let bucket = SharedBucket::new(budget.rate_kb_s, budget.burst_kb, place.controllers, now);
             let seed = seed ^ u64::from(way).rotate_left(32);
-            let lending = Lending::new(place.number, place.controllers, purse.share(), now, seed);
-            Part { from, here, purse, lending, planned: 0.0 }
+            let lending = Lending::new(place.number, place.controllers, bucket.share(), now, seed);
+            Part { from, here, bucket, lending, planned: 0.0 }
         };
         let mut parts = BTreeMap::new();
         if budget.per == "pair" {
@@ -66,10 +66,10 @@
     }
 
     /// Takes a word of another controller. Tells whether it was one, and answers it.
-    pub fn heard(&mut self, ends: &mut Ends, peer: u32, bytes: &[u8]) -> bool {
-        let Some((way, word)) = Word::read(bytes) else { return false };
+    pub fn handle(&mut self, ends: &mut Ends, peer: u32, bytes: &[u8]) -> bool {
+        let Some((way, message)) = Message::read(bytes) else { return false };
         let part = self.parts.get_mut(&way);
-        if let Some(answer) = part.and_then(|part| part.lending.heard(ends.now, peer, word)) {
+        if let Some(answer) = part.and_then(|part| part.lending.handle(ends.now, peer, message)) {
             ends.tell(peer, &answer.write(way));
         }
         true
@@ -84,7 +84,7 @@
         for (way, part) in &mut self.parts {
             let made = part.here.then(|| part.plan(ends, book, &spent));
             let wanted = made.as_ref().map_or(0.0, |(_, wanted)| *wanted);
-            part.lending.tend(now, wanted, |peer, word| ends.tell(peer, &word.write(*way)));
+            part.lending.request(now, wanted, |peer, message| ends.tell(peer, &message.write(*way)));
             plans.extend(made.map(|(plan, _)| (part.from, plan)));
         }
         plans
@@ -110,8 +110,8 @@
         // Joins that are out will play at the rungs they were sent with: not the plan's to change yet.
         let out: f64 = book.out().filter_map(|one| crosser(ends, one, ours)).map(|one| rate_of(&one)).sum();
         let owned = self.lending.owned(ends.now);
-        self.purse.spend(ends.now, owned, bytes as f64 / 1000.0, self.planned * EVERY.as_secs_f64());
-        let made = plan(&crossers, (self.purse.may_plan(owned) - out).max(0.0));
+        self.bucket.spend(ends.now, owned, bytes as f64 / 1000.0, self.planned * EVERY.as_secs_f64());
+        let made = plan(&crossers, (self.bucket.may_plan(owned) - out).max(0.0));
         self.planned = made.planned + out;
         let wanted: f64 = crossers.iter().filter_map(|one| one.steps.last()).map(|step| step.rate).sum();
         (made, wanted + out)
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -242,7 +242,7 @@
             }
             Happening::Datagram { from, bytes, .. } => {
                 let Some(peer) = peer_at(&self.ends.deployment, from) else { return };
-                let heard = self.budgeting.as_mut().is_some_and(|b| b.heard(&mut self.ends, peer, &bytes));
+                let heard = self.budgeting.as_mut().is_some_and(|b| b.handle(&mut self.ends, peer, &bytes));
                 if !heard {
                     self.ends.arrivals.push(Box::new(move |floor| floor.peer(peer, &bytes)));
                 }
@@ -279,7 +279,7 @@
                 }
             }
             if let Some(budgeting) = &mut self.budgeting {
-                budgeting.heard(&mut self.ends, u32::from(peer), &word);
+                budgeting.handle(&mut self.ends, u32::from(peer), &word);
             }
         }
         for streamer in output.believed {
--- a/crates/crossing/src/lending.rs
+++ b/crates/crossing/src/lending.rs
@@ -2,52 +2,52 @@
 //!
 //! One that wants more asks; one that has enough over grants a rate for a fixed time. Nobody's clock is trusted: the
 //! borrower counts the time from its own asking, the lender from its granting, which is later, and somewhat longer.
-//! So no kB is spent by two. Words may be lost, late or come twice.
+//! So no kB is spent by two. Messages may be lost, late or come twice.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use badgerledge_core::chance::Chance;
 
-/// How long a grant lasts for the borrower: long against the way of a word, short against a change of demand.
+/// How long a grant lasts for the borrower: long against the way of a message, short against a change of demand.
 pub const GRANT_LASTS: Duration = Duration::from_secs(10);
 /// How long the lender goes without: clocks may run apart by one in a hundred each.
 const LENDER_WAITS: Duration = Duration::from_millis(10_300);
 /// The part of its share that a controller lends at most. A reborn one does not know what it lent before, and keeps
 /// to the rest until that has run out.
 const LENDABLE: f64 = 0.5;
-/// Grants are no smaller than this part of a share: smaller ones are not worth their words.
-const LEAST: f64 = 0.05;
+/// Grants are no smaller than this part of a share: smaller ones are not worth their messages.
+const MIN_GRANT: f64 = 0.05;
 /// A controller asks this often while it wants more, so many of the others at a time.
 const ASK_EVERY: Duration = Duration::from_secs(2);
-const ASKED: usize = 3;
+const ASKED_AT_A_TIME: usize = 3;
 /// What a lender keeps over its own demand.
-const KEPT: f64 = 1.2;
+const RESERVE: f64 = 1.2;
 
-/// Bytes of a word.
-pub const WORD: usize = 23;
+/// Bytes of a message.
+pub const MESSAGE_BYTES: usize = 23;
 
-/// A word between two controllers.
+/// A message between two controllers.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Word {
+pub enum Message {
     /// Who asks numbers its asking.
     Ask { number: u64, wanted: f32 },
     /// The answer to that asking.
     Grant { number: u64, rate: f32 },
 }
 
-/// What marks a word of this kind, and its version.
-const MARK: [u8; 4] = *b"blc2";
+/// What marks a message of this kind, and its version.
+const MAGIC: [u8; 4] = *b"blc2";
 
-impl Word {
-    /// The word as bytes. `way` says whose budget it is about: which two buildings, or all.
-    pub fn write(self, way: u16) -> [u8; WORD] {
+impl Message {
+    /// The message as bytes. `way` says whose budget it is about: which two buildings, or all.
+    pub fn write(self, way: u16) -> [u8; MESSAGE_BYTES] {
         let (kind, number, rate) = match self {
-            Word::Ask { number, wanted } => (1, number, wanted),
-            Word::Grant { number, rate } => (2, number, rate),
+            Message::Ask { number, wanted } => (1, number, wanted),
+            Message::Grant { number, rate } => (2, number, rate),
         };
-        let mut bytes = [0; WORD];
-        bytes[..4].copy_from_slice(&MARK);
+        let mut bytes = [0; MESSAGE_BYTES];
+        bytes[..4].copy_from_slice(&MAGIC);
         bytes[4] = kind;
         bytes[5..13].copy_from_slice(&number.to_be_bytes());
         bytes[13..17].copy_from_slice(&rate.to_be_bytes());
@@ -59,21 +59,21 @@
         bytes
     }
 
-    /// The word in these bytes, and its way; nothing where they are none, or were changed.
+    /// The message in these bytes, and its way; nothing where they are none, or were changed.
     pub fn read(bytes: &[u8]) -> Option<(u16, Self)> {
-        let bytes: &[u8; WORD] = bytes.try_into().ok()?;
+        let bytes: &[u8; MESSAGE_BYTES] = bytes.try_into().ok()?;
         let number = u64::from_be_bytes(bytes[5..13].try_into().ok()?);
         let rate = f32::from_be_bytes(bytes[13..17].try_into().ok()?);
         if !rate.is_finite() || rate < 0.0 {
             return None;
         }
-        let word = match bytes[4] {
-            1 => Word::Ask { number, wanted: rate },
-            2 => Word::Grant { number, rate },
+        let message = match bytes[4] {
+            1 => Message::Ask { number, wanted: rate },
+            2 => Message::Grant { number, rate },
             _ => return None,
         };
         let way = u16::from_be_bytes([bytes[17], bytes[18]]);
-        (word.write(way) == *bytes).then_some((way, word))
+        (message.write(way) == *bytes).then_some((way, message))
     }
 }
 
@@ -136,8 +136,8 @@
         self.asked.retain(|_, (at, _)| *at + GRANT_LASTS > now);
     }
 
-    /// Tells what would be spent, and asks others where that is more than is owned. `say` sends a word.
-    pub fn tend(&mut self, now: Duration, demand: f64, mut say: impl FnMut(u32, Word)) {
+    /// Tells what would be spent, and asks others where that is more than is owned. `send` sends a message.
+    pub fn request(&mut self, now: Duration, demand: f64, mut send: impl FnMut(u32, Message)) {
         self.demand = demand;
         let owned = self.owned(now);
         if demand <= owned || now < self.ask_at || self.controllers < 2 {
@@ -145,21 +145,21 @@
         }
         // A random part keeps many that want more from asking in step.
         self.ask_at = now + ASK_EVERY.mul_f64(0.75 + 0.5 * self.chance.share());
-        for _ in 0..ASKED.min(self.controllers as usize - 1) {
+        for _ in 0..ASKED_AT_A_TIME.min(self.controllers as usize - 1) {
             let other = (self.chance.share() * f64::from(self.controllers - 1)) as u32;
             let other = if other >= self.me { other + 1 } else { other };
             self.next_number = self.next_number.wrapping_add(1);
             self.asked.insert(self.next_number, (now, other));
-            say(other, Word::Ask { number: self.next_number, wanted: (demand - owned) as f32 });
+            send(other, Message::Ask { number: self.next_number, wanted: (demand - owned) as f32 });
         }
     }
 
-    /// Takes a word of another controller, and answers it where there is something to answer.
-    pub fn heard(&mut self, now: Duration, from: u32, word: Word) -> Option<Word> {
+    /// Takes a message of another controller, and answers it where there is something to answer.
+    pub fn handle(&mut self, now: Duration, from: u32, message: Message) -> Option<Message> {
         self.forget(now);
-        match word {
-            Word::Ask { number, wanted } => self.grant(now, from, number, f64::from(wanted)),
-            Word::Grant { number, rate } => {
+        match message {
+            Message::Ask { number, wanted } => self.grant(now, from, number, f64::from(wanted)),
+            Message::Grant { number, rate } => {
                 // Counted from the asking, which was before the granting whatever the way took.
                 let (asked, _) = self.asked.get(&number).copied().filter(|(_, whom)| *whom == from)?;
                 self.asked.remove(&number);
@@ -172,21 +172,21 @@
         }
     }
 
-    fn grant(&mut self, now: Duration, to: u32, number: u64, wanted: f64) -> Option<Word> {
+    fn grant(&mut self, now: Duration, to: u32, number: u64, wanted: f64) -> Option<Message> {
         // Nothing in the first while after birth: what was lent before is not known.
         if now < self.born + LENDER_WAITS || self.granted.contains_key(&(to, number)) || wanted <= 0.0 {
             return None;
         }
         let lent: f64 = self.lent.iter().map(|(_, rate)| rate).sum();
-        let over = (self.share - lent - KEPT * self.demand).min(LENDABLE * self.share - lent);
+        let over = (self.share - lent - RESERVE * self.demand).min(LENDABLE * self.share - lent);
         let rate = over.min(wanted);
-        if rate < LEAST * self.share {
+        if rate < MIN_GRANT * self.share {
             return None;
         }
         // Rounded down, so that what is lent here is no less than what is told.
         let told = (rate * 0.999) as f32;
         self.lent.push((now + LENDER_WAITS, rate));
         self.granted.insert((to, number), now + LENDER_WAITS);
-        Some(Word::Grant { number, rate: told })
+        Some(Message::Grant { number, rate: told })
     }
 }
--- a/crates/crossing/src/purse.rs
+++ b/crates/crossing/src/shared_bucket.rs
@@ -5,7 +5,7 @@
 /// A token bucket on this controller's own share. It is empty at birth: a controller that is killed and reborn in
 /// one window must not get the burst twice.
 #[derive(Clone, Debug)]
-pub struct Purse {
+pub struct SharedBucket {
     /// This controller's own share, kB a second, and of the burst, kB.
     share: f64,
     burst: f64,
@@ -17,11 +17,11 @@
 
 /// The share of the rate that is planned for: the rest is for rates that vary between two plans. With 0.9 the
 /// simulated totals stay under the budget in all windows; with 1.0 half of the windows need the burst.
-const PLANNED: f64 = 0.9;
-/// An overdrawn purse pays back within this time, by planning less. Shorter times lower rungs for noise.
-const PAY_BACK: Duration = Duration::from_secs(2);
+const PLANNED_SHARE: f64 = 0.9;
+/// An overdrawn bucket pays back within this time, by planning less. Shorter times lower rungs for noise.
+const PAY_BACK_WITHIN: Duration = Duration::from_secs(2);
 
-impl Purse {
+impl SharedBucket {
     /// `rate` (kB a second) and `burst` (kB) are the whole budget's, shared by so many controllers.
     pub fn new(rate: f64, burst: f64, controllers: u32, now: Duration) -> Self {
         let parts = f64::from(controllers.max(1));
@@ -49,7 +49,7 @@
 
     /// The nominal rate that may be planned now, of the `owned` one.
     pub fn may_plan(&self, owned: f64) -> f64 {
-        let short = (-self.level).max(0.0) / PAY_BACK.as_secs_f64();
-        ((PLANNED * owned - short) / self.stretch.max(1.0)).max(0.0)
+        let short = (-self.level).max(0.0) / PAY_BACK_WITHIN.as_secs_f64();
+        ((PLANNED_SHARE * owned - short) / self.stretch.max(1.0)).max(0.0)
     }
 }
--- a/crates/crossing/src/tests.rs
+++ b/crates/crossing/src/tests.rs
@@ -7,7 +7,7 @@
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{plan, Crosser, Lending, Purse, Step, Word};
+use crate::{plan, Crosser, Lending, Message, SharedBucket, Step};
 
 const RATE: f64 = 3000.0;
 const BURST: f64 = 1500.0;
@@ -19,7 +19,7 @@
 
 /// One controller of the simulation. Its clock runs by its own pace from its own start.
 struct One {
-    purse: Purse,
+    bucket: SharedBucket,
     lending: Lending,
     pace: f64,
     dead_until: f64,
@@ -33,7 +33,7 @@
 struct Simulation {
     all: Vec<One>,
     /// Words on their way: when, from, to.
-    words: Vec<(f64, u32, u32, Word)>,
+    messages: Vec<(f64, u32, u32, Message)>,
     chance: Pcg64Mcg,
     now: f64,
     spent: Vec<f64>,
@@ -44,7 +44,7 @@
     fn new(count: u32, seed: u64) -> Self {
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
         let all = (0..count).map(|n| born(n, count, 0.0, &mut chance)).collect();
-        Self { all, words: Vec::new(), chance, now: 0.0, spent: Vec::new(), lent_words: 0 }
+        Self { all, messages: Vec::new(), chance, now: 0.0, spent: Vec::new(), lent_words: 0 }
     }
 
     /// One tick: troubles, words, spending and planning.
@@ -67,14 +67,14 @@
             if self.now < one.stalled_until {
                 continue;
             }
-            one.purse.spend(now, owned, spent, one.planned * TICK);
-            one.planned = one.purse.may_plan(owned).min(one.demand);
-            let (words, at, cut) = (&mut self.words, self.now, self.now < one.cut_until);
+            one.bucket.spend(now, owned, spent, one.planned * TICK);
+            one.planned = one.bucket.may_plan(owned).min(one.demand);
+            let (messages, at, cut) = (&mut self.messages, self.now, self.now < one.cut_until);
             let (demand, mut said) = (one.demand, 0);
-            one.lending.tend(now, demand, |to, word| {
+            one.lending.request(now, demand, |to, message| {
                 said += 1;
                 if !cut {
-                    words.push((at + 0.05 * f64::from(said), n as u32, to, word));
+                    messages.push((at + 0.05 * f64::from(said), n as u32, to, message));
                 }
             });
         }
@@ -105,25 +105,26 @@
     fn pass_words(&mut self) {
         let due: Vec<_> = {
             let now = self.now;
-            let (due, coming) = std::mem::take(&mut self.words).into_iter().partition(|word| word.0 <= now);
-            self.words = coming;
+            let (due, coming) =
+                std::mem::take(&mut self.messages).into_iter().partition(|message| message.0 <= now);
+            self.messages = coming;
             due
         };
-        for (_, from, to, word) in due {
+        for (_, from, to, message) in due {
             let one = &mut self.all[to as usize];
             if self.now < one.dead_until || self.now < one.cut_until {
                 continue;
             }
             let now = clock(one.pace, self.now);
-            let answer = one.lending.heard(now, from, word);
+            let answer = one.lending.handle(now, from, message);
             // Some words come twice, some are late by seconds, some are lost.
             let draw = share(&mut self.chance);
             if let Some(answer) = answer.filter(|_| draw > 0.1) {
                 self.lent_words += 1;
                 let late = if draw < 0.2 { 6.0 } else { 0.05 };
-                self.words.push((self.now + late, to, from, answer));
+                self.messages.push((self.now + late, to, from, answer));
                 if draw > 0.9 {
-                    self.words.push((self.now + 2.0, to, from, answer));
+                    self.messages.push((self.now + 2.0, to, from, answer));
                 }
             }
         }
@@ -137,10 +138,10 @@
 fn born(n: u32, count: u32, at: f64, chance: &mut Pcg64Mcg) -> One {
     let pace = 0.99 + 0.02 * share(chance);
     let now = clock(pace, at);
-    let purse = Purse::new(RATE, BURST, count, now);
-    let lending = Lending::new(n, count, purse.share(), now, chance.next_u64());
+    let bucket = SharedBucket::new(RATE, BURST, count, now);
+    let lending = Lending::new(n, count, bucket.share(), now, chance.next_u64());
     let demand = RATE / f64::from(count) * (0.3 + 2.0 * share(chance));
-    One { purse, lending, pace, dead_until: 0.0, stalled_until: 0.0, cut_until: 0.0, planned: 0.0, demand }
+    One { bucket, lending, pace, dead_until: 0.0, stalled_until: 0.0, cut_until: 0.0, planned: 0.0, demand }
 }
 
 /// The plain model: the sum over any window of ticks stays under the budget and the stated bound.
@@ -190,13 +191,13 @@
                 let one = &mut simulation.all[n as usize];
                 let now = clock(one.pace, simulation.now);
                 let owned = one.lending.owned(now);
-                one.purse.spend(now, owned, one.planned * TICK, one.planned * TICK);
-                one.planned = one.purse.may_plan(owned).min(one.demand);
-                let (words, at, cut) =
-                    (&mut simulation.words, simulation.now, simulation.now < one.cut_until);
-                one.lending.tend(now, one.demand, |to, word| {
+                one.bucket.spend(now, owned, one.planned * TICK, one.planned * TICK);
+                one.planned = one.bucket.may_plan(owned).min(one.demand);
+                let (messages, at, cut) =
+                    (&mut simulation.messages, simulation.now, simulation.now < one.cut_until);
+                one.lending.request(now, one.demand, |to, message| {
                     if !cut {
-                        words.push((at, n, to, word));
+                        messages.push((at, n, to, message));
                     }
                 });
             }
@@ -213,16 +214,16 @@
 #[test]
 fn a_reborn_controller_has_no_burst_and_keeps_to_what_it_cannot_have_lent() {
     let now = Duration::from_secs(50);
-    let purse = Purse::new(RATE, BURST, 3, now);
-    assert_eq!(purse.level(), 0.0);
-    let mut lending = Lending::new(0, 3, purse.share(), now, 1);
+    let bucket = SharedBucket::new(RATE, BURST, 3, now);
+    assert_eq!(bucket.level(), 0.0);
+    let mut lending = Lending::new(0, 3, bucket.share(), now, 1);
     assert_eq!(lending.owned(now), 500.0);
-    let word = Word::Ask { number: 1, wanted: 400.0 };
-    assert_eq!(lending.heard(now, 1, word), None, "it does not know what it lent before");
+    let message = Message::Ask { number: 1, wanted: 400.0 };
+    assert_eq!(lending.handle(now, 1, message), None, "it does not know what it lent before");
     let later = now + Duration::from_secs(11);
     assert_eq!(lending.owned(later), 1000.0);
-    assert!(matches!(lending.heard(later, 1, word), Some(Word::Grant { .. })));
-    assert_eq!(lending.heard(later, 1, word), None, "an asking that comes twice is granted once");
+    assert!(matches!(lending.handle(later, 1, message), Some(Message::Grant { .. })));
+    assert_eq!(lending.handle(later, 1, message), None, "an asking that comes twice is granted once");
 }
 
 #[test]
@@ -231,27 +232,27 @@
     let mut lending = Lending::new(0, 2, 1000.0, now, 1);
     let owned = lending.owned(now);
     let mut asked = None;
-    lending.tend(now, 5000.0, |to, word| asked = Some((to, word)));
-    let Some((1, Word::Ask { number, .. })) = asked else { panic!("{asked:?}") };
-    lending.heard(now, 1, Word::Grant { number: number + 9, rate: 100.0 });
-    lending.heard(now, 5, Word::Grant { number, rate: 100.0 });
-    lending.heard(now, 1, Word::Grant { number, rate: 900.0 });
+    lending.request(now, 5000.0, |to, message| asked = Some((to, message)));
+    let Some((1, Message::Ask { number, .. })) = asked else { panic!("{asked:?}") };
+    lending.handle(now, 1, Message::Grant { number: number + 9, rate: 100.0 });
+    lending.handle(now, 5, Message::Grant { number, rate: 100.0 });
+    lending.handle(now, 1, Message::Grant { number, rate: 900.0 });
     assert_eq!(lending.owned(now), owned);
-    lending.heard(now, 1, Word::Grant { number, rate: 100.0 });
+    lending.handle(now, 1, Message::Grant { number, rate: 100.0 });
     assert_eq!(lending.owned(now), owned, "the asking was answered, if badly");
 }
 
 #[test]
 fn words_come_back_as_they_went_and_changed_ones_do_not() {
-    let word = Word::Grant { number: 77, rate: 12.5 };
-    let bytes = word.write(513);
-    assert_eq!(Word::read(&bytes), Some((513, word)));
+    let message = Message::Grant { number: 77, rate: 12.5 };
+    let bytes = message.write(513);
+    assert_eq!(Message::read(&bytes), Some((513, message)));
     for at in 0..bytes.len() {
         let mut changed = bytes;
         changed[at] ^= 1;
-        assert_eq!(Word::read(&changed), None, "byte {at}");
+        assert_eq!(Message::read(&changed), None, "byte {at}");
     }
-    assert_eq!(Word::read(&bytes[..20]), None);
+    assert_eq!(Message::read(&bytes[..20]), None);
 }
 
 fn crosser(job: u32, rung: u8, benefit: f64) -> Crosser {
