--- a/crates/platform/src/pool_tests.rs
+++ b/crates/platform/src/pool_tests.rs
@@ -108,7 +108,7 @@
     let mut far = rig.joined(1);
     let line = rig.pool_line();
     rig.pool.join_done(line, 1);
-    rig.pool.tend(rig.now + secs(22), &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now + secs(22), &[], &mut rig.reactor);
     assert_eq!(line_of(&far), "", "it is closed towards the streamer");
     far.write_all(b"a release\n").unwrap();
     let read = rig.until(|rig, it| match it {
@@ -119,7 +119,7 @@
     // It takes no join any more, and is ended where the streamer does not close it.
     rig.now += secs(22);
     drop(rig.joined(2));
-    rig.pool.tend(rig.now + secs(2), &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now + secs(2), &[], &mut rig.reactor);
     assert!(!rig.pool.is(line));
 }
 
@@ -150,7 +150,7 @@
     rig.pool.join_done(rig.pool_line(), 1);
     far.shutdown(Shutdown::Both).unwrap();
     rig.ends(true);
-    rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
     assert_eq!(rig.happened(), []);
     let (again, _) = rig.listener.accept().unwrap();
     // Its process ends.
@@ -165,7 +165,7 @@
         _ => None,
     });
     rig.ends(true);
-    rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
     if rig.happened().is_empty() {
         rig.ends(true);
         assert_eq!(rig.happened(), [Happened::Lost(id())], "at {port}");
@@ -182,7 +182,7 @@
     rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let mut turned_down = |after: Duration| {
         rig.now += after;
-        rig.pool.tend(rig.now, &[id()], &mut rig.reactor);
+        rig.pool.sweep(rig.now, &[id()], &mut rig.reactor);
         if rig.pool.conns() > 1 {
             rig.ends(true);
         }
@@ -257,17 +257,45 @@
     lines[..3].iter().for_each(|line| front.accepted(*line, now));
     assert!(front.is_full());
     front.answer(lines[0], b"told", &mut reactor);
-    assert_eq!(front.missed(now, |_| false), Some(lines[0]), "the one that was told something");
+    assert_eq!(front.gives_way(now, |_| false), Some(lines[0]), "the one that was told something");
     front.gone(lines[0], now, &mut reactor);
     front.accepted(lines[3], now);
     let later = now + secs(1);
-    let missed = front.missed(later, |line| line == lines[1]);
-    assert_eq!(missed, Some(lines[2]), "the oldest silent one without an open set-up");
+    let other = front.gives_way(later, |line| line == lines[1]);
+    assert_eq!(other, Some(lines[2]), "the oldest silent one without an open set-up");
     front.gone(lines[2], later, &mut reactor);
     front.accepted(lines[4], later);
     assert_eq!(front.late(now + secs(2), |line| line == lines[1]), [lines[3]]);
 }
 
+/// Found on a day of rude clients: connections that asked once, were refused and stayed, and silent ones that came by
+/// hundreds, took the places of those on which viewers had been served longer ago, and releases found no way. Harm: of
+/// a crowd in which all may have their first set-up on the way, one gives way for each that served.
+#[test]
+fn connections_that_served_viewers_do_not_give_way_to_a_crowd() {
+    let (mut reactor, lines, _far) = viewers(9);
+    let (mut front, now) = (Front::new(8), secs(1000));
+    for (line, since) in lines.iter().zip(0..4) {
+        front.accepted(*line, now + secs(since));
+        front.trust(*line, now + secs(since), &mut reactor);
+    }
+    let later = now + secs(10);
+    for line in &lines[4..8] {
+        front.accepted(*line, later);
+    }
+    front.answer(lines[4], b"refused", &mut reactor);
+    let mut gone = Vec::new();
+    while let Some(line) = front.gives_way(later, |_| false) {
+        front.gone(line, later, &mut reactor);
+        gone.push(line);
+    }
+    let [first, second, third, fourth, refused, new @ ..] = &lines[..8] else { unreachable!() };
+    // Two of eight are kept to the last, and older ones give way before those that are new.
+    assert_eq!(gone[..3], [*refused, *first, *second]);
+    assert_eq!(gone[3..6], *new);
+    assert_eq!(gone[6..], [*third, *fourth]);
+}
+
 /// Found on the calm day of 300 controllers: what was handed over at the start lost its connection after two seconds,
 /// since no answer is owed on it, and ends that came before the next set-up were not told. A viewer that gives its
 /// set-up up lost its connection likewise, under its next set-up. Harm: one that says nothing else stays so long.
@@ -340,7 +368,7 @@
     // No process listens there for now.
     let place = rig.listener.local_addr().unwrap();
     rig.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[], &mut rig.reactor);
     if rig.pool.conns() > 0 {
         rig.ends(false);
     }
@@ -349,7 +377,7 @@
         rig.ends(false);
     }
     rig.listener = TcpListener::bind(place).unwrap();
-    rig.pool.tend(rig.now, &[], &mut rig.reactor);
+    rig.pool.sweep(rig.now, &[], &mut rig.reactor);
     assert_eq!(rig.pool.conns(), 1, "a connection is begun for what waits");
     let (far, _) = rig.listener.accept().unwrap();
     rig.until(|rig, it| match it {
