Tests: plays of the distribution tier on four threads, three fleets of processes at a time

Change: the plays from seeds are independent of each other and run on four threads; their seeds, checks and bounds are the same. Of the process tests three fleets run at a time in place of two; a play in which the rig stood still is void as before.

--- a/crates/distribution/src/tests/control/plays.rs
+++ b/crates/distribution/src/tests/control/plays.rs
@@ -1,17 +1,22 @@
 //! Plays from seeds: cuts one way and both, losses, stalls, deaths with and without disks, pushes on both sides of a
 //! split, doubles of changes. What must hold is in `net/checks.rs`.
 
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use super::super::edits::put;
 use super::super::net::{region_of, Broken, Net, Node, EXCLUSIVE};
-use crate::{ControllerId, MachineId};
+use crate::{ControllerId, MachineId, Number};
 
 /// Steps come at most so far apart: about a lease.
 const STEP_SECONDS: f64 = 5.0;
 /// After the network is whole: pauses of watchers, a catch-up, and the next change.
 const HEALING_SECONDS: f64 = 60.0;
 
+/// Plays at a time.
+const THREADS: u64 = 4;
+
 struct Size {
     machines: MachineId,
     acceptors: MachineId,
@@ -156,26 +161,56 @@
     (net.faults_at_the_end(), net)
 }
 
+/// What a play that broke nothing came to.
+struct Came {
+    certified: Number,
+    tally: [usize; 4],
+    longest: Duration,
+    regional_leases: usize,
+}
+
+type Play = fn(u64, Broken) -> (Vec<String>, Net);
+
+/// Does the same for each seed, on some threads; a play does not depend on any other.
+fn for_each_seed<T: Send>(seeds: Range<u64>, of: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let share = |thread: u64| seeds.clone().skip(thread as usize).step_by(THREADS as usize);
+    std::thread::scope(|scope| {
+        let of = &of;
+        let threads: Vec<_> = (0..THREADS)
+            .map(|thread| {
+                let share = share(thread);
+                scope.spawn(move || share.map(of).collect::<Vec<T>>())
+            })
+            .collect();
+        threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    })
+}
+
 /// Tells how many regional leases there were.
-fn plays(play: fn(u64, Broken) -> (Vec<String>, Net), seeds: std::ops::Range<u64>) -> usize {
-    let (mut certified, mut tally, mut longest, plays) = (0, [0; 4], 0.0f64, seeds.end - seeds.start);
-    let mut regional = 0;
-    for seed in seeds {
+fn plays(play: Play, seeds: Range<u64>) -> usize {
+    let count = seeds.end - seeds.start;
+    let all = for_each_seed(seeds, |seed| {
         let (faults, net) = play(seed, Broken::default());
         assert!(faults.is_empty(), "seed {seed}: {faults:?}");
-        certified += net.seen.highest();
-        tally.iter_mut().zip(net.seen.tally()).for_each(|(sum, of)| *sum += of);
-        longest = longest.max(net.seen.longest.as_secs_f64());
-        regional += net.seen.regional_leases;
-    }
-    let [taken, rejected, unknown, unanswered] = tally;
+        Came {
+            certified: net.seen.highest(),
+            tally: net.seen.tally(),
+            longest: net.seen.longest,
+            regional_leases: net.seen.regional_leases,
+        }
+    });
+    let of_tally = |which: usize| all.iter().map(|came| came.tally[which]).sum::<usize>();
+    let [taken, rejected, unknown, unanswered] = [0, 1, 2, 3].map(of_tally);
+    let certified: Number = all.iter().map(|came| came.certified).sum();
+    let regional = all.iter().map(|came| came.regional_leases).sum();
+    let longest = all.iter().map(|came| came.longest).max().unwrap_or_default();
     println!(
-        "{plays} plays, none broken: {certified} revisions; {taken} pushes taken, {rejected} rejected, \
-         {unknown} unknown, {unanswered} unanswered by machines that died; longest contradiction {longest:.2} s; \
+        "{count} plays, none broken: {certified} revisions; {taken} pushes taken, {rejected} rejected, \
+         {unknown} unknown, {unanswered} unanswered by machines that died; longest contradiction {longest:.2?}; \
          {regional} regional leases"
     );
-    let enough = taken as u64 > plays && rejected as u64 > plays / 4;
-    assert!(enough, "too little happened for a proof: {tally:?}");
+    let enough = taken as u64 > count && rejected as u64 > count / 4;
+    assert!(enough, "too little happened for a proof: {taken} taken, {rejected} rejected");
     regional
 }
 
@@ -206,8 +241,17 @@
     shows_in(play, broken, seeds, fault)
 }
 
-fn shows_in(play: fn(u64, Broken) -> (Vec<String>, Net), broken: Broken, seeds: u64, fault: &str) -> bool {
-    (0..seeds).any(|seed| play(seed, broken).0.iter().any(|found| found.contains(fault)))
+fn shows_in(play: Play, broken: Broken, seeds: u64, fault: &str) -> bool {
+    let shown = AtomicBool::new(false);
+    for_each_seed(0..seeds, |seed| {
+        if shown.load(Ordering::Relaxed) {
+            return;
+        }
+        if play(seed, broken).0.iter().any(|found| found.contains(fault)) {
+            shown.store(true, Ordering::Relaxed);
+        }
+    });
+    shown.into_inner()
 }
 
 /// The checks bite: with what each guards taken out, a play fails by it.
--- a/crates/replay/tests/distribution/fleet.rs
+++ b/crates/replay/tests/distribution/fleet.rs
@@ -32,7 +32,7 @@
 /// A play is tried so often where the rig stood still.
 const PLAYS: usize = 3;
 /// Plays at a time: each has some eight processes.
-const AT_A_TIME: usize = 2;
+const AT_A_TIME: usize = 3;
 /// The number of the stand-in among the control machines.
 pub const STAND_IN: u16 = 99;
 /// Two rounds of a controller, which it states as its share of the bound.
