Platform: count and log what became of set-ups and joins, at SIGTERM and at the end

The report's logs told that a shutdown began with so many held, and nothing of how it went. Now the line at SIGTERM has the pending set-ups and all counts, the line at the end how long it took, what is left pending, held and unwritten, and the counts since the signal. At trace level: each join as it is sent, set-ups refused or rejected before the module, answers given because the time is over.

--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -31,6 +31,10 @@
         }
         let Some(session) = self.store.remove(job) else { return };
         trace_session(wire_id, "answered", (cause, cool_down));
+        match cause {
+            THROTTLED => self.store.counts.throttled += 1,
+            _ => self.store.counts.failed += 1,
+        }
         self.store.withdraw_join(self.now, job, &session, self.transport);
     }
 }
@@ -61,6 +65,8 @@
         // Its length was checked when the set-up arrived.
         let offer =
             streamers::offer(wire_id, room_type, title, timeout, rung, description).unwrap_or_default();
+        trace_session(wire_id, "join sent", (streamer, number, timeout));
+        self.store.counts.joins += 1;
         self.store.timers.insert((until, Timer::JoinTimeout(job, number)));
         self.transport.join(job, wire_id, streamer, offer);
     }
@@ -103,6 +109,7 @@
         if let Phase::Out(streamer) = session.phase {
             session.phase = Phase::Waiting;
             let (wire_id, sent_at) = (session.wire_id, session.join_sent_at);
+            self.store.counts.withdrawn_joins += 1;
             self.transport.withdraw_join(job, wire_id, streamer);
             self.store.report_outcome(
                 self.now,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 mod phase;
 mod release_causes;
 mod request;
+mod request_counts;
 mod serve;
 mod session_store;
 mod session_table;
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::connections::Connections;
 use crate::inbound::{StreamerHandler, ViewerHandler};
 use crate::request::PlatformSettings;
+use crate::request_counts::RequestCounts;
 use crate::session_table::SessionTable;
 use crate::streamer_pool::{PoolEvent, StreamerPool};
 use crate::unanswered::{ClosedBy, Step, UnansweredSetUp};
@@ -69,8 +70,9 @@
     first_fresh_query: Option<u64>,
     /// When the configuration is reread next, and the time after which it is not retried.
     reread: Option<(Duration, Duration)>,
-    /// When SIGTERM or SIGINT was received.
+    /// When SIGTERM or SIGINT was received, and the counts at that time.
     terminating_since: Option<Duration>,
+    counts_at_signal: RequestCounts,
 }
 
 /// Runs until SIGTERM was received and all sessions have ended.
@@ -139,6 +141,7 @@
             first_fresh_query: None,
             reread: None,
             terminating_since: None,
+            counts_at_signal: RequestCounts::default(),
         };
         service.publish_list(Listing::Cached);
         service.sessions.round(CLOCK_START, &mut service.connections);
@@ -172,10 +175,33 @@
         for (by, step, count) in self.sessions.store.unanswered.all() {
             tracing::info!(?by, %step, count, "set-ups whose connection closed before their answer");
         }
-        tracing::info!(held = self.sessions.len(), "ends");
+        self.log_end();
         Ok(())
     }
 
+    /// Logs how the shutdown went: its duration, what became of the set-ups since the signal, and what is
+    /// left behind.
+    fn log_end(&self) {
+        let took =
+            self.connections.reactor.clock().saturating_sub(self.terminating_since.unwrap_or_default());
+        let counts = self.sessions.store.counts;
+        let Connections { viewer_pool, streamer_pool, reactor, .. } = &self.connections;
+        let unwritten: usize = viewer_pool
+            .connections()
+            .chain(streamer_pool.established())
+            .map(|connection| reactor.unwritten_bytes(connection))
+            .sum();
+        tracing::info!(
+            took_ms = took.as_millis() as u64,
+            pending = self.sessions.pending_count(),
+            held = self.sessions.len(),
+            unwritten_bytes = unwritten,
+            requests = %counts,
+            since_signal = %counts.since(&self.counts_at_signal),
+            "ends"
+        );
+    }
+
     fn next_wake(&self) -> Duration {
         let next_round_at = match self.sessions.has_inputs() {
             true => Some(self.next_round_at),
@@ -286,8 +312,12 @@
                 self.reload(now);
             }
             ReactorEvent::Signal(signal) => {
-                tracing::info!(signal, held = self.sessions.len(), "shutting down");
-                self.terminating_since.get_or_insert(now);
+                let (pending, held) = (self.sessions.pending_count(), self.sessions.len());
+                let counts = self.sessions.store.counts;
+                tracing::info!(signal, pending, held, requests = %counts, "shutting down");
+                if self.terminating_since.is_none() {
+                    (self.terminating_since, self.counts_at_signal) = (Some(now), counts);
+                }
             }
             ReactorEvent::Readable(_) | ReactorEvent::Drained(_) | ReactorEvent::Timer(_) => {}
         }
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -11,6 +11,7 @@
 
 use crate::phase::Phase;
 use crate::request::PlatformSettings;
+use crate::request_counts::RequestCounts;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step, UnansweredCounts, UnansweredSetUp};
 
@@ -74,6 +75,8 @@
     pub pending_count: usize,
     /// Set-ups whose connection closed before their answer.
     pub unanswered: UnansweredCounts,
+    /// What became of set-ups and joins since the start.
+    pub counts: RequestCounts,
 }
 
 impl SessionStore {
@@ -171,6 +174,7 @@
         &mut self, now: Duration, job: JobId, session: &Session, transport: &mut impl Transport,
     ) {
         let Phase::Out(streamer) = session.phase else { return };
+        self.counts.withdrawn_joins += 1;
         transport.withdraw_join(job, session.wire_id, streamer);
         let join = (streamer, session.joins - 1, session.join_sent_at);
         self.report_outcome(now, job, join, Ending::Cancelled, true, Vec::new());
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -18,6 +18,7 @@
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, INVALID_REQUEST, MOVED, NORMAL, THROTTLED};
 use crate::request::{self, PlatformSettings};
+use crate::request_counts::RequestCounts;
 use crate::session_store::{trace_session, ModuleInput, OfferFields, Session, SessionStore, Timer};
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step, UnansweredCounts};
@@ -70,6 +71,7 @@
             next_job: 1,
             pending_count: 0,
             unanswered: UnansweredCounts::default(),
+            counts: RequestCounts::default(),
         };
         let (max_pending, max_playing) = (memory_mb * PENDING_PER_MB, memory_mb * PLAYING_PER_MB);
         Self {
@@ -92,6 +94,11 @@
         self.store.sessions.is_empty()
     }
 
+    /// The number of set-ups that wait for their answer.
+    pub fn pending_count(&self) -> usize {
+        self.store.pending_count
+    }
+
     /// The number of pending set-ups of a viewer's connection.
     pub fn pending_on(&self, connection: SocketId) -> usize {
         self.store.pending_by_connection.get(&connection).map_or(0, BTreeSet::len)
@@ -141,10 +148,13 @@
         if self.store.by_wire_id.contains_key(&wire_id) {
             return self.reject(now, connection, wire_id, transport);
         }
+        self.store.counts.taken += 1;
         if self.store.pending_count >= self.max_pending
             || self.pending_on(connection) >= self.max_pending / PENDING_PER_CONNECTION_DIVISOR
         {
             let cool_down = self.store.settings.max_cool_down.min(FULL_COOL_DOWN);
+            trace_session(wire_id, "refused: too many pending set-ups", connection);
+            self.store.counts.throttled += 1;
             transport.answer(connection, &viewers::release(wire_id, THROTTLED, cool_down));
             return;
         }
@@ -217,8 +227,12 @@
             on_connection.is_some_and(|session| session.phase.is_pending())
         });
         if let Some(job) = pending_here {
+            self.store.counts.invalid += 1;
             self.expire(now, job, transport);
         }
+        trace_session(wire_id, "rejected as invalid", connection);
+        self.store.counts.taken += 1;
+        self.store.counts.invalid += 1;
         transport.answer(connection, &viewers::release(wire_id, INVALID_REQUEST, Duration::ZERO));
     }
 
@@ -233,6 +247,7 @@
         trace_session(wire_id, "ended by its viewer", session.phase);
         match session.phase {
             Phase::Waiting | Phase::Out(_) if session.connection == connection => {
+                self.store.counts.abandoned += 1;
                 self.expire(now, job, transport)
             }
             Phase::Waiting | Phase::Out(_) => self.answer_failed(now, job, transport),
@@ -250,6 +265,7 @@
     ) {
         for job in self.store.pending_by_connection.get(&connection).cloned().unwrap_or_default() {
             self.store.count_unanswered(now, job, closed_by, None);
+            self.store.counts.abandoned += 1;
             self.expire(now, job, transport);
         }
     }
@@ -289,6 +305,7 @@
             );
         }
         trace_session(wire_id, "stands", streamer);
+        self.store.counts.accepted += 1;
         transport.mark_serving(connection);
         self.store.set_playing(job, streamer);
         let latency = now.saturating_sub(sent_at);
@@ -458,6 +475,7 @@
         let Some(session) = self.store.get(job).filter(|session| session.joins == number + 1) else { return };
         if let Phase::Out(streamer) = session.phase {
             transport.withdraw_join(job, session.wire_id, streamer);
+            self.store.counts.withdrawn_joins += 1;
             self.join_ended(now, job, Ending::Timeout, None);
         }
     }
@@ -477,6 +495,8 @@
         if !transport.answer(connection, &viewers::release(wire_id, FAILED, Duration::ZERO)) {
             self.store.count_unanswered(now, job, ClosedBy::Network, Some(Step::NotTaken));
         }
+        trace_session(wire_id, "answered as failed: its time is over", connection);
+        self.store.counts.failed += 1;
         self.expire(now, job, transport);
     }
 
