--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_input;
 mod changes;
+mod duplicates;
 mod gossip;
 mod harness;
 mod other_client;
@@ -10,6 +11,7 @@
 mod platform_harness;
 mod races;
 mod revisions;
+mod shutdown;
 mod subscriptions;
 
 /// The program under test.
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -39,6 +39,8 @@
     pub connections: Connections,
     /// When each offer arrived.
     pub offers: Arc<Mutex<Vec<Instant>>>,
+    /// How much later than others the first connection is read, in milliseconds.
+    first_read_delay_ms: Arc<AtomicUsize>,
 }
 
 impl Streamer {
@@ -55,17 +57,26 @@
         let offers = Arc::new(Mutex::new(Vec::new()));
         let (shared_mode, shared_connections, shared_offers) =
             (mode.clone(), connections.clone(), offers.clone());
+        let first_read_delay_ms = Arc::new(AtomicUsize::new(0));
+        let shared_delay = first_read_delay_ms.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 if shared_mode.load(Ordering::SeqCst) == EXITED {
                     break;
                 }
+                let is_first = shared_connections.lock().unwrap().is_empty();
                 shared_connections.lock().unwrap().push(stream.try_clone().unwrap());
                 let (mode, forward, offers) = (shared_mode.clone(), forward.clone(), shared_offers.clone());
-                std::thread::spawn(move || serve(stream, &mode, &forward, &offers));
+                let read_delay_ms = if is_first { shared_delay.clone() } else { Arc::default() };
+                std::thread::spawn(move || serve(stream, &mode, &read_delay_ms, &forward, &offers));
             }
         });
-        Self { id, at, mode, received, connections, offers }
+        Self { id, at, mode, received, connections, offers, first_read_delay_ms }
+    }
+
+    /// Reads messages on its first connection this much later than on others.
+    pub fn read_first_connection_late(&self, delay: Duration) {
+        self.first_read_delay_ms.store(delay.as_millis() as usize, Ordering::SeqCst);
     }
 
     /// Sends a message on its newest connection.
@@ -101,9 +112,13 @@
 }
 
 /// Serves one connection of a streamer.
-fn serve(stream: TcpStream, mode: &AtomicU8, forward: &Sender<Value>, offers: &Mutex<Vec<Instant>>) {
+fn serve(
+    stream: TcpStream, mode: &AtomicU8, read_delay_ms: &AtomicUsize, forward: &Sender<Value>,
+    offers: &Mutex<Vec<Instant>>,
+) {
     let mut out = stream.try_clone().unwrap();
     for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        std::thread::sleep(Duration::from_millis(read_delay_ms.load(Ordering::SeqCst) as u64));
         let message: Value = serde_json::from_str(&line).expect("a message");
         if message["op"] == "offer" {
             offers.lock().unwrap().push(Instant::now());
@@ -372,6 +387,19 @@
         (frame[0], wire_id, value)
     }
 
+    /// Sends a set-up unless the connection has ended.
+    pub fn try_set_up(&mut self, wire_id: u64, waits_ms: &str) -> std::io::Result<()> {
+        self.0.write_all(&set_up(wire_id, waits_ms, "v=0"))
+    }
+
+    /// Whether nothing is received for this time.
+    pub fn receives_nothing_for(&self, quiet: Duration) -> bool {
+        self.0.set_read_timeout(Some(quiet)).unwrap();
+        let received = self.0.peek(&mut [0; 1]);
+        self.0.set_read_timeout(Some(TIMEOUT)).unwrap();
+        received.is_err()
+    }
+
     /// Sets a subscription up, and returns whether it was accepted before its connection was closed.
     pub fn try_establish(&mut self, wire_id: u64) -> bool {
         let mut kind = [0; 3];
