Platform: a shutdown ends before the kill, with every set-up answered

What callers saw: set-ups taken by a stopping controller had no answer when SIGKILL came.

Silent streamers are not needed; they only lengthen it.

Change: from SIGTERM the process knows the earliest kill, min(longest client timeout, 3 s) + 0.7 s (3 s where the settings name none). 0.7 s before it all pending set-ups are answered, no join begins with less than half a join objective left, and a set-up with less than its join objective is refused at once with a time to come back. Then the listener closes once its queue is empty, streamers' connections close before viewers' (so that a release that was just sent still passes), each is half-closed when its output is written, and the process exits at the latest 0.25 s before the kill, whatever the others do. What plays is left playing for the hand-over, as it was at each kill; what was moved away is ended on both sides. SIGHUP may shorten the schedule.

A set-up that is refused because of the shutdown marks its connection as one of viewers: no other will, and releases may wait for one (races::a_stopping_process_keeps_a_release_... failed without it).

A unit test is replaced: it asked that playing sessions be ended on both sides after 30 s. The new ones ask that they are untouched, that moved ones end, that pending ones have one answer each and that later ones are refused.

With the guard on late joins taken out, answers_come_by_the_time_limit_of_a_shutdown fails.

--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -42,6 +42,10 @@
 impl<W: Transport> DecisionSink for Dispatcher<'_, W> {
     fn send_join(&mut self, job: JobId, streamer: StreamerId, try_until: Duration) {
         let (now, max_joins) = (self.now, self.store.settings.max_joins);
+        if self.store.is_too_late_to_join(job, now) {
+            // The next timers answer the set-up, before it is placed again.
+            self.store.answer_sooner(job, now);
+        }
         let Some(session) = self.store.get_mut(job) else { return };
         let number = session.joins;
         if session.phase != Phase::Waiting || now >= session.answer_by || number >= max_joins {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 mod serve;
 mod session_store;
 mod session_table;
+mod shutdown_schedule;
 mod streamer_pool;
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -14,6 +14,8 @@
 /// Largest client timeout that a viewer may state: a longer one would occupy a session for nothing.
 const MAX_CLIENT_TIMEOUT: Duration = Duration::from_secs(600);
 const MAX_HINT_MS: f64 = 1e10;
+/// The join objective of a room type whose settings name none.
+const DEFAULT_JOIN_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// The settings that limit requests and connections.
 pub struct PlatformSettings {
@@ -36,8 +38,10 @@
     pub progress_interval: Duration,
     /// Largest cool-down that may be sent to a viewer; zero if none may be sent.
     pub max_cool_down: Duration,
-    /// Largest client timeout of all room types.
+    /// Largest client timeout of all room types; zero if the settings name none.
     pub max_client_timeout: Duration,
+    /// The join objective of each room type.
+    join_objectives: Vec<Duration>,
 }
 
 impl PlatformSettings {
@@ -53,10 +57,15 @@
                 |value: &Value| value.as_str().or_else(|| value.get("name")?.as_str()).map(str::to_owned);
             list(path).iter().filter_map(name).collect::<Vec<_>>()
         };
+        let join_objective = |profile: &Value| {
+            let us = profile.get("aimUs").and_then(Value::as_u64);
+            us.map_or(DEFAULT_JOIN_OBJECTIVE, Duration::from_micros)
+        };
         let client_timeout_us = |profile: &Value| profile.get("deadlineUs")?.as_u64();
         let duration = |path: &str, default_us: f64| Duration::from_micros(number(path, default_us) as u64);
         Self {
             room_types: names("/profiles"),
+            join_objectives: list("/profiles").iter().map(join_objective).collect(),
             positions: number("/familyInfo/positions", 1.0).max(1.0),
             rungs: (list("/familyInfo/levelKb").len() as f64).max(1.0),
             zones: names("/failureDomains"),
@@ -78,6 +87,12 @@
         }
     }
 
+    /// The join objective of a room type, by its index: the time in which a request is placed and answered,
+    /// unless something fails.
+    pub fn join_objective(&self, room_type: usize) -> Duration {
+        self.join_objectives.get(room_type).copied().unwrap_or(DEFAULT_JOIN_OBJECTIVE)
+    }
+
     /// The index of a name in a list of the settings.
     pub fn index_of(names: &[String], name: &str) -> Option<usize> {
         names.iter().position(|known| known == name)
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -2,8 +2,8 @@
 //! module at most once per tick.
 
 mod discovery;
+mod shutdown;
 
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -21,7 +21,6 @@
 use crate::connections::Connections;
 use crate::inbound::{StreamerHandler, ViewerHandler};
 use crate::request::PlatformSettings;
-use crate::request_counts::RequestCounts;
 use crate::session_table::SessionTable;
 use crate::streamer_pool::{PoolEvent, StreamerPool};
 use crate::unanswered::{ClosedBy, Step, UnansweredSetUp};
@@ -37,13 +36,6 @@
 /// listener, two for each signal, two datagram sockets; the connections accepted in one wait; and the
 /// configuration file while it is reread.
 const RESERVED_DESCRIPTORS: usize = 15 + MAX_ACCEPTS_PER_WAIT + 1;
-/// Viewers still arrive for 0.6 s after SIGTERM, so the process serves at least this long.
-const MIN_SHUTDOWN: Duration = Duration::from_millis(1500);
-/// All sessions are ended at the latest after this time, or after the longest client timeout if that is
-/// longer.
-const MAX_SHUTDOWN: Duration = Duration::from_secs(30);
-/// How long peers may take to read the last messages and close: as long as a release may take.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// If the name service does not answer, health checks succeed after this time: by then all events it could
 /// have reported count as reported, and nine in ten restarts must be ready within ten seconds.
 const READY_WITHOUT_LIST_AFTER: Duration = Duration::from_millis(4500);
@@ -54,8 +46,10 @@
     sessions: SessionTable,
     streamers: StreamerList,
     rng: Rng,
-    /// The socket that viewers connect to.
-    listener: SocketId,
+    /// The socket that viewers connect to, until it is closed at shutdown.
+    listener: Option<SocketId>,
+    /// Whether a connection was accepted in the last wait.
+    accepted_in_last_wait: bool,
     /// The datagram socket to the name service, and when the next query is sent.
     name_service_socket: SocketId,
     next_query_at: Duration,
@@ -70,12 +64,11 @@
     first_fresh_query: Option<u64>,
     /// When the configuration is reread next, and the time after which it is not retried.
     reread: Option<(Duration, Duration)>,
-    /// When SIGTERM or SIGINT was received, and the counts at that time.
-    terminating_since: Option<Duration>,
-    counts_at_signal: RequestCounts,
+    /// Since SIGTERM or SIGINT.
+    shutdown: Option<shutdown::Shutdown>,
 }
 
-/// Runs until SIGTERM was received and all sessions have ended.
+/// Runs until the shutdown that SIGTERM begins has ended.
 pub fn run() -> Result<()> {
     let path = configuration::path()?;
     let configuration = configuration::read(&path)?;
@@ -130,7 +123,8 @@
             sessions,
             streamers,
             rng,
-            listener: 0,
+            listener: None,
+            accepted_in_last_wait: false,
             name_service_socket,
             next_query_at: CLOCK_START,
             next_sweep_at: CLOCK_START,
@@ -140,38 +134,40 @@
             list_is_fresh: false,
             first_fresh_query: None,
             reread: None,
-            terminating_since: None,
-            counts_at_signal: RequestCounts::default(),
+            shutdown: None,
         };
         service.publish_list(Listing::Cached);
         service.sessions.round(CLOCK_START, &mut service.connections);
         // Listens only now, so that the first health check finds the list loaded and the decision module
         // running.
         let listening = service.connections.reactor.listen(listen, viewer_pool::BOUNDS);
-        (service.listener, _) = listening.with_context(|| format!("listening at {listen}"))?;
+        let (listener, _) = listening.with_context(|| format!("listening at {listen}"))?;
+        service.listener = Some(listener);
         tracing::info!(name, %listen, sockets, memory_mb, last, "serves");
         Ok(service)
     }
 
     fn serve(mut self) -> Result<()> {
         let mut events = Vec::new();
-        while !self.is_finished() {
+        while !self.advance_shutdown() {
             let until = self.next_wake();
+            self.accepted_in_last_wait = false;
             self.connections.reactor.wait(Some(until), &mut events).context("event loop")?;
             self.connections.now = self.connections.reactor.now();
             events.drain(..).for_each(|event| self.handle_event(event));
-            self.poll();
+            if !self.is_closing() {
+                self.poll();
+            }
             self.process_pool_events();
             let now = self.connections.now;
             self.sessions.run_timers(now, &mut self.connections);
-            if now >= self.next_round_at && self.sessions.has_inputs() {
+            if now >= self.next_round_at && self.sessions.has_inputs() && !self.is_closing() {
                 self.next_round_at = now + self.sessions.store.settings.tick;
                 self.sessions.round(now, &mut self.connections);
             }
             self.process_pool_events();
             self.connections.reactor.flush();
         }
-        self.close_gracefully()?;
         for (by, step, count) in self.sessions.store.unanswered.all() {
             tracing::info!(?by, %step, count, "set-ups whose connection closed before their answer");
         }
@@ -179,30 +175,10 @@
         Ok(())
     }
 
-    /// Logs how the shutdown went: its duration, what became of the set-ups since the signal, and what is
-    /// left behind.
-    fn log_end(&self) {
-        let took =
-            self.connections.reactor.clock().saturating_sub(self.terminating_since.unwrap_or_default());
-        let counts = self.sessions.store.counts;
-        let Connections { viewer_pool, streamer_pool, reactor, .. } = &self.connections;
-        let unwritten: usize = viewer_pool
-            .connections()
-            .chain(streamer_pool.established())
-            .map(|connection| reactor.unwritten_bytes(connection))
-            .sum();
-        tracing::info!(
-            took_ms = took.as_millis() as u64,
-            pending = self.sessions.pending_count(),
-            held = self.sessions.len(),
-            unwritten_bytes = unwritten,
-            requests = %counts,
-            since_signal = %counts.since(&self.counts_at_signal),
-            "ends"
-        );
-    }
-
     fn next_wake(&self) -> Duration {
+        if self.is_closing() {
+            return self.next_shutdown_step().unwrap_or(self.connections.now);
+        }
         let next_round_at = match self.sessions.has_inputs() {
             true => Some(self.next_round_at),
             false => self.sessions.next_timer().map(|at| at.max(self.next_round_at)),
@@ -210,57 +186,11 @@
         next_round_at
             .into_iter()
             .chain([self.next_query_at, self.next_sweep_at])
+            .chain(self.next_shutdown_step())
             .min()
             .unwrap_or(self.next_sweep_at)
     }
 
-    /// After SIGTERM: whether no more viewers arrive, no session is left and no output is pending, or the
-    /// time limit is over.
-    fn is_finished(&mut self) -> bool {
-        let (now, Some(since)) = (self.connections.now, self.terminating_since) else { return false };
-        let elapsed = now.saturating_sub(since);
-        if elapsed >= MAX_SHUTDOWN.max(self.sessions.store.settings.max_client_timeout) {
-            self.sessions.close_all(now, &mut self.connections);
-            self.connections.reactor.flush();
-            return true;
-        }
-        if elapsed < MIN_SHUTDOWN || !self.sessions.is_empty() {
-            return false;
-        }
-        let Connections { viewer_pool, streamer_pool, reactor, .. } = &self.connections;
-        !viewer_pool.has_pending_output(now, reactor) && !streamer_pool.has_pending_output(now, reactor)
-    }
-
-    /// Shuts down all connections for writing, and waits until the peers have read what was sent and have
-    /// closed too: the kernel resets a connection that is closed with unread input, and output in transit
-    /// would be lost.
-    fn close_gracefully(&mut self) -> Result<()> {
-        let Connections { reactor, viewer_pool, streamer_pool, .. } = &mut self.connections;
-        reactor.close(self.listener);
-        let until = reactor.clock() + CLOSE_TIMEOUT;
-        let mut open: BTreeSet<SocketId> =
-            viewer_pool.connections().chain(streamer_pool.established()).collect();
-        let (mut shut, mut events) = (BTreeSet::new(), Vec::new());
-        while !open.is_empty() && reactor.clock() < until {
-            for connection in &open {
-                if reactor.unwritten_bytes(*connection) == 0 && shut.insert(*connection) {
-                    reactor.shut_down_write(*connection);
-                }
-            }
-            reactor.wait(Some(until), &mut events).context("event loop")?;
-            for event in events.drain(..) {
-                match event {
-                    ReactorEvent::Closed(connection, _) => drop(open.remove(&connection)),
-                    ReactorEvent::Readable(connection) => {
-                        reactor.consume(connection, reactor.input(connection).len())
-                    }
-                    _ => {}
-                }
-            }
-        }
-        Ok(())
-    }
-
     fn handle_event(&mut self, event: ReactorEvent) {
         let now = self.connections.now;
         match event {
@@ -311,23 +241,19 @@
             ReactorEvent::Signal(SIGHUP) => {
                 self.reload(now);
             }
-            ReactorEvent::Signal(signal) => {
-                let (pending, held) = (self.sessions.pending_count(), self.sessions.len());
-                let counts = self.sessions.store.counts;
-                tracing::info!(signal, pending, held, requests = %counts, "shutting down");
-                if self.terminating_since.is_none() {
-                    (self.terminating_since, self.counts_at_signal) = (Some(now), counts);
-                }
-            }
+            ReactorEvent::Signal(signal) => self.begin_shutdown(signal),
             ReactorEvent::Readable(_) | ReactorEvent::Drained(_) | ReactorEvent::Timer(_) => {}
         }
     }
 
     fn read_viewer(&mut self, connection: SocketId) {
+        if self.connections.viewer_pool.is_shut_down(connection) {
+            return self.discard_crossed_input(connection);
+        }
         let now = self.connections.now;
         let mut input = self.connections.reactor.take_input(connection);
-        let ready = (self.list_is_fresh || now >= CLOCK_START + READY_WITHOUT_LIST_AFTER)
-            && self.terminating_since.is_none();
+        let ready =
+            (self.list_is_fresh || now >= CLOCK_START + READY_WITHOUT_LIST_AFTER) && self.shutdown.is_none();
         let fault = loop {
             let mut handler = ViewerHandler {
                 service: (&mut self.sessions, &mut self.connections),
@@ -354,6 +280,7 @@
     /// evicted; if there is none, the new connection is closed.
     fn accept_viewer(&mut self, connection: SocketId) {
         let now = self.connections.now;
+        self.accepted_in_last_wait = true;
         while self.connections.viewer_pool.is_full() {
             let candidate = self
                 .connections
--- a/crates/platform/src/serve/discovery.rs
+++ b/crates/platform/src/serve/discovery.rs
@@ -1,5 +1,5 @@
 //! Discovery: queries the name service for the list of streamers and passes its answers to the streamer pool
-//! and the decision module. SIGHUP rereads the configuration for the address of the name service.
+//! and the decision module. SIGHUP rereads the configuration for the address of the name service and the longest client timeout.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use super::{Service, CLOCK_START};
 use crate::configuration;
 use crate::inbound::ListEntries;
+use crate::request::PlatformSettings;
 use crate::session_table::ListEntry;
 
 /// Query interval: an event counts as reported after 1.5 s, so a lost answer is requested again several times
@@ -44,14 +45,17 @@
         self.reread_configuration();
     }
 
-    /// Rereads the configuration for the address of the name service. An invalid file changes nothing and is
-    /// retried for a while, since it may be half written.
+    /// Rereads the configuration for the address of the name service and the longest client timeout. An
+    /// invalid file changes nothing and is retried for a while, since it may be half written.
     pub(super) fn reread_configuration(&mut self) {
         let now = self.connections.now;
         let Some((_, until)) = self.reread.take_if(|(at, _)| *at <= now) else { return };
         match configuration::read(&self.configuration_path) {
             Ok(configuration) => {
                 tracing::info!(names = %configuration.name_service, "configuration reread");
+                let settings = PlatformSettings::new(&configuration.settings);
+                self.sessions.store.settings.max_client_timeout = settings.max_client_timeout;
+                self.shorten_shutdown(settings.max_client_timeout);
                 self.connections.configuration.name_service = configuration.name_service;
                 self.streamers.forget_queries();
                 self.next_query_at = now;
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -77,6 +77,8 @@
     pub unanswered: UnansweredCounts,
     /// What became of set-ups and joins since the start.
     pub counts: RequestCounts,
+    /// During a shutdown, when each set-up must have its answer.
+    pub answers_limited_to: Option<Duration>,
 }
 
 impl SessionStore {
@@ -136,6 +138,38 @@
         }
     }
 
+    /// The sessions that wait for their answer.
+    pub fn pending_jobs(&self) -> Vec<JobId> {
+        self.pending_by_connection.values().flatten().copied().collect()
+    }
+
+    /// The sessions that were moved away from a streamer which has not yet ended them.
+    pub fn jobs_being_moved(&self) -> Vec<JobId> {
+        let sessions = self.sessions.iter();
+        sessions
+            .filter(|(_, session)| matches!(session.phase, Phase::Leaves(_)))
+            .map(|(job, _)| *job)
+            .collect()
+    }
+
+    /// Whether a join of this session would have too little time before the process exits: less than a join
+    /// gets before it times out.
+    pub fn is_too_late_to_join(&self, job: JobId, now: Duration) -> bool {
+        let Some(session) = self.get(job).filter(|_| self.answers_limited_to.is_some()) else { return false };
+        let Some(offer) = &session.offer else { return false };
+        session.answer_by.saturating_sub(now) < self.settings.join_objective(offer.room_type) / 2
+    }
+
+    /// Moves the answer deadline of a pending session to this time, if that is sooner.
+    pub fn answer_sooner(&mut self, job: JobId, answer_by: Duration) {
+        let Some(session) = self.sessions.get_mut(&job) else { return };
+        if answer_by < session.answer_by {
+            self.timers.remove(&(session.answer_by, Timer::AnswerDeadline(job)));
+            session.answer_by = answer_by;
+            self.timers.insert((answer_by, Timer::AnswerDeadline(job)));
+        }
+    }
+
     /// Marks a session as playing at a streamer.
     pub fn set_playing(&mut self, job: JobId, streamer: StreamerId) {
         self.remove_from_index(job);
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -37,8 +37,8 @@
 /// three some.
 const PENDING_PER_CONNECTION_DIVISOR: usize = 4;
 const PLAYING_PER_MB: usize = 200;
-/// The cool-down sent when the session table itself is full.
-const FULL_COOL_DOWN: Duration = Duration::from_millis(500);
+/// The cool-down sent when the session table is full, or the process shuts down.
+const REFUSAL_COOL_DOWN: Duration = Duration::from_millis(500);
 
 /// The id of a streamer in the decision module: the 32 bits of its name in the list and not its address,
 /// since another streamer may start at the address of a removed one.
@@ -72,6 +72,7 @@
             pending_count: 0,
             unanswered: UnansweredCounts::default(),
             counts: RequestCounts::default(),
+            answers_limited_to: None,
         };
         let (max_pending, max_playing) = (memory_mb * PENDING_PER_MB, memory_mb * PLAYING_PER_MB);
         Self {
@@ -152,16 +153,25 @@
         if self.store.pending_count >= self.max_pending
             || self.pending_on(connection) >= self.max_pending / PENDING_PER_CONNECTION_DIVISOR
         {
-            let cool_down = self.store.settings.max_cool_down.min(FULL_COOL_DOWN);
             trace_session(wire_id, "refused: too many pending set-ups", connection);
-            self.store.counts.throttled += 1;
-            transport.answer(connection, &viewers::release(wire_id, THROTTLED, cool_down));
-            return;
+            return self.refuse(connection, wire_id, transport);
         }
         let mut subscription = request.subscription;
         let stated = subscription.client_timeout;
-        subscription.client_timeout = stated - ANSWER_MARGIN.min(stated / 10);
-        let answer_by = now + stated - ANSWER_DEADLINE_MARGIN.min(stated / 20);
+        let mut answer_by = now + stated - ANSWER_DEADLINE_MARGIN.min(stated / 20);
+        let mut available = stated;
+        if let Some(limit) = self.store.answers_limited_to {
+            answer_by = answer_by.min(limit);
+            available = available.min(limit.saturating_sub(now));
+            let objective = self.store.settings.join_objective(subscription.room_type);
+            if available < objective.min(stated) {
+                trace_session(wire_id, "refused: the process shuts down", connection);
+                self.refuse(connection, wire_id, transport);
+                // No other connection may serve a viewer any more, and releases may wait for one.
+                return transport.mark_serving(connection);
+            }
+        }
+        subscription.client_timeout = available - ANSWER_MARGIN.min(available / 10);
         let offer = OfferFields {
             room_type: subscription.room_type,
             title: request.title,
@@ -184,6 +194,13 @@
         self.store.inputs.push(Box::new(move |module| module.request(job, subscription)));
     }
 
+    /// Refuses a set-up of which nothing was sent to any streamer: trying again later is harmless.
+    fn refuse(&mut self, connection: SocketId, wire_id: u64, transport: &mut impl Transport) {
+        let cool_down = self.store.settings.max_cool_down.min(REFUSAL_COOL_DOWN);
+        self.store.counts.throttled += 1;
+        transport.answer(connection, &viewers::release(wire_id, THROTTLED, cool_down));
+    }
+
     /// Accepts a session that already plays. It gets no answer; one at a streamer that is not listed is
     /// released.
     fn accept_handover(
@@ -452,21 +469,7 @@
                 }
                 Timer::JoinTimeout(job, number) => self.join_timed_out(now, job, number, transport),
                 Timer::AnswerDeadline(job) => self.answer_overdue(now, job, transport),
-                Timer::MoveTimeout(job) => {
-                    let moved = self
-                        .store
-                        .get(job)
-                        .map(|session| (session.phase, session.wire_id, session.connection));
-                    if let Some((Phase::Leaves(streamer), wire_id, connection)) = moved {
-                        transport.send(streamer, streamers::end(wire_id, NORMAL));
-                        transport.release(
-                            connection,
-                            wire_id,
-                            viewers::release(wire_id, NORMAL, Duration::ZERO),
-                        );
-                        self.store.remove(job);
-                    }
-                }
+                Timer::MoveTimeout(job) => self.end_moved(job, transport),
             }
         }
     }
@@ -483,9 +486,13 @@
     /// Answers a viewer that is about to give up without an answer from the decision module.
     fn answer_overdue(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
         let Some(session) = self.store.get(job) else { return };
-        if session.phase.is_pending() {
-            self.answer_failed(now, job, transport);
+        if !session.phase.is_pending() {
+            return;
+        }
+        if self.store.answers_limited_to.is_some() {
+            return self.answer_at_shutdown(now, job, transport);
         }
+        self.answer_failed(now, job, transport);
     }
 
     /// Answers a pending set-up as failed, and drops it.
@@ -500,22 +507,49 @@
         self.expire(now, job, transport);
     }
 
-    /// Ends all sessions at shutdown: each gets its answer or its release, at both sides.
-    pub fn close_all(&mut self, now: Duration, transport: &mut impl Transport) {
-        for job in self.store.sessions.keys().copied().collect::<Vec<_>>() {
-            let Some(session) = self.store.get(job) else { continue };
-            let (connection, wire_id) = (session.connection, session.wire_id);
-            match session.phase {
-                Phase::Waiting | Phase::Out(_) => self.answer_failed(now, job, transport),
-                Phase::Stands(streamer) | Phase::Leaves(streamer) => {
-                    transport.send(streamer, streamers::end(wire_id, NORMAL));
-                    transport.release(connection, wire_id, viewers::release(wire_id, FAILED, Duration::ZERO));
-                    self.finish(now, job, Ending::Cancelled, Vec::new());
-                }
-            }
+    /// Limits the time of all answers during a shutdown: pending set-ups are answered by then, and later ones
+    /// are refused unless their join objective ends sooner.
+    pub fn limit_answers(&mut self, limit: Duration) {
+        self.store.answers_limited_to = Some(limit);
+        for job in self.store.pending_jobs() {
+            self.store.answer_sooner(job, limit);
         }
     }
 
+    /// Ends what a process that exits cannot leave behind: pending set-ups get their answer, and sessions that
+    /// were moved away are ended at their streamers. Sessions that play are left to the next process.
+    pub fn close_pending(&mut self, now: Duration, transport: &mut impl Transport) {
+        self.store.answers_limited_to = Some(now);
+        for job in self.store.pending_jobs() {
+            self.answer_at_shutdown(now, job, transport);
+        }
+        for job in self.store.jobs_being_moved() {
+            self.end_moved(job, transport);
+        }
+    }
+
+    /// Answers a pending set-up as the process exits: it may be repeated if nothing of it was sent.
+    fn answer_at_shutdown(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
+        let Some(session) = self.store.get(job) else { return };
+        let (connection, wire_id) = (session.connection, session.wire_id);
+        if session.joins > 0 {
+            return self.answer_failed(now, job, transport);
+        }
+        trace_session(wire_id, "refused: the process shuts down", connection);
+        self.refuse(connection, wire_id, transport);
+        self.expire(now, job, transport);
+    }
+
+    /// Ends a session at the streamer that it was moved away from.
+    fn end_moved(&mut self, job: JobId, transport: &mut impl Transport) {
+        let Some(session) = self.store.get(job) else { return };
+        let Phase::Leaves(streamer) = session.phase else { return };
+        let (wire_id, connection) = (session.wire_id, session.connection);
+        transport.send(streamer, streamers::end(wire_id, NORMAL));
+        transport.release(connection, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
+        self.store.remove(job);
+    }
+
     /// Runs one round of the decision module: applies all inputs, then carries out its decisions.
     pub fn round(&mut self, now: Duration, transport: &mut impl Transport) {
         let mut inputs = std::mem::take(&mut self.list_inputs);
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -200,6 +200,22 @@
             .map(|(connection_id, _)| *connection_id)
     }
 
+    /// Shuts down the established connections for writing on which nothing is left to be written; they close
+    /// once their streamer has closed them too.
+    pub fn shut_down_written(&mut self, now: Duration, reactor: &mut Reactor) {
+        for (connection_id, connection) in &mut self.connections {
+            let queued = self
+                .streamers
+                .get(&connection.streamer)
+                .is_some_and(|state| !state.queued_messages.is_empty());
+            let unwritten = reactor.unwritten_bytes(*connection_id) > 0;
+            if connection.established && connection.shut_down_at.is_none() && !queued && !unwritten {
+                connection.shut_down_at = Some(now);
+                reactor.shut_down_write(*connection_id);
+            }
+        }
+    }
+
     /// Whether bytes are not yet written, or messages wait for a connection.
     pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
         let has_queued = |state: &StreamerState| {
--- a/crates/platform/src/viewer_pool.rs
+++ b/crates/platform/src/viewer_pool.rs
@@ -45,6 +45,8 @@
     serves_viewers: bool,
     /// Since when an incomplete frame waits for its rest.
     incomplete_since: Option<Duration>,
+    /// Shut down for writing: nothing can be sent on it any more.
+    shut_down: bool,
 }
 
 impl ViewerConnection {
@@ -114,6 +116,27 @@
         self.connections.keys().copied()
     }
 
+    /// Whether there are no connections.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// The connections that are not shut down for writing.
+    pub fn open(&self) -> impl Iterator<Item = SocketId> + '_ {
+        let open = self.connections.iter().filter(|(_, viewer)| !viewer.shut_down);
+        open.map(|(connection, _)| *connection)
+    }
+
+    /// Marks a connection as shut down for writing.
+    pub fn shut_down(&mut self, connection: SocketId) {
+        self.connections.entry(connection).and_modify(|viewer| viewer.shut_down = true);
+    }
+
+    /// Whether a connection is shut down for writing.
+    pub fn is_shut_down(&self, connection: SocketId) -> bool {
+        self.connections.get(&connection).is_some_and(|viewer| viewer.shut_down)
+    }
+
     /// Whether a release waits for a connection or for its acknowledgement, or bytes are not yet written.
     pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
         let queued = self.queued.iter().any(|release| now < release.since + QUEUED_RELEASE_LIFETIME);
@@ -168,6 +191,7 @@
             last_answer: None,
             serves_viewers: false,
             incomplete_since: None,
+            shut_down: false,
         };
         self.connections.insert(connection, viewer);
     }
@@ -209,7 +233,8 @@
 
     /// Sends a message on a connection. Returns false if it is closed or accepts no more output.
     pub fn answer(&mut self, connection: SocketId, message: &[u8], reactor: &mut Reactor) -> bool {
-        let Some(viewer) = self.connections.get_mut(&connection) else { return false };
+        let viewer = self.connections.get_mut(&connection).filter(|viewer| !viewer.shut_down);
+        let Some(viewer) = viewer else { return false };
         viewer.was_sent_output = true;
         reactor.send(connection, &[message])
     }
