Platform: an end or an answer counts for the join that it belongs to

Cause: joins of one session share the id on the wire. The next join went out on the idle connection on which the one before was refused, so that a copy was taken for its end; an end on any other connection of that streamer was taken for the release of the session, whatever its connection and cause.

Change: a join takes no connection on which an earlier join of its session ended within 8 s. An end on such a connection is a copy as long as the connection on which the session was answered is open (streamers release there), or if its cause is one that only refuses joins (34, 47, 102). Once that connection is closed a release is taken from any, so that no true end is lost (duplicates::a_release_is_passed_on_..., which held before). Inside the program joins are named by session and number (JoinId), in the pool, its events and the table: by reading, no ending could reach a later join, but nothing kept it so.

A refusal that crosses the end of its withdrawn join (left open on docs/platform.md) is covered by the same record.

--- a/crates/platform/src/connection_pool_tests.rs
+++ b/crates/platform/src/connection_pool_tests.rs
@@ -7,6 +7,7 @@
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Reactor, ReactorEvent, SocketId};
 
+use crate::join_id::JoinId;
 use crate::session_table::streamer_id;
 use crate::streamer_pool::{PoolEvent, StreamerPool};
 use crate::viewer_pool::{ViewerPool, BOUNDS};
@@ -17,6 +18,11 @@
     Duration::from_secs(n)
 }
 
+/// The first join of a session.
+fn first_join(job: u32) -> JoinId {
+    JoinId { job, number: 0 }
+}
+
 struct Harness {
     reactor: Reactor,
     pool: StreamerPool,
@@ -54,7 +60,7 @@
 
     fn join(&mut self, job: u32) {
         let offer = format!("join {job}\n").into_bytes();
-        self.pool.join(job, job.into(), streamer(), offer, self.now, &mut self.reactor);
+        self.pool.join(first_join(job), job.into(), streamer(), offer, self.now, &mut self.reactor);
     }
 
     fn until<T>(&mut self, mut found: impl FnMut(&mut Self, &ReactorEvent) -> Option<T>) -> T {
@@ -108,7 +114,7 @@
     let mut harness = Harness::new(8);
     let mut remote = harness.join_established(1);
     let connection = harness.pool_connection();
-    harness.pool.finish_join(connection, 1);
+    harness.pool.join_answered(connection, 1);
     harness.pool.sweep(harness.now + secs(22), &[], &mut harness.reactor);
     assert_eq!(read_line(&remote), "", "the connection is shut down towards the streamer");
     remote.write_all(b"a release\n").unwrap();
@@ -126,6 +132,26 @@
     assert!(!harness.pool.contains(connection));
 }
 
+/// A second copy of a refusal could not be told from the refusal of a later join of that session on the same
+/// connection. Joins of other sessions use it again.
+#[test]
+fn a_join_does_not_use_a_connection_on_which_an_earlier_join_of_its_session_was_refused() {
+    let mut harness = Harness::new(8);
+    let first = harness.join_established(1);
+    let connection = harness.pool_connection();
+    harness.pool.join_refused(connection, 1, harness.now);
+    let offer = b"join 1 again\n".to_vec();
+    let again = JoinId { job: 1, number: 1 };
+    harness.pool.join(again, 1, streamer(), offer, harness.now, &mut harness.reactor);
+    assert_eq!(harness.pool.connection_count(), 2);
+    assert_eq!(harness.pool.outstanding_join(connection, 1), None);
+    assert!(harness.pool.has_ended_join(connection, 1, harness.now));
+    assert!(!harness.pool.has_ended_join(connection, 1, harness.now + secs(8)));
+    harness.join(2);
+    harness.reactor.flush();
+    assert_eq!(read_line(&first), "join 2");
+}
+
 /// A malformed answer fails all joins on its connection, and a late answer must not be taken for that of the
 /// next join.
 #[test]
@@ -133,7 +159,7 @@
     let mut harness = Harness::new(3);
     let first = harness.join_established(1);
     let second = harness.join_established(2);
-    harness.pool.withdraw_join(1, 1, streamer(), harness.now, &mut harness.reactor);
+    harness.pool.withdraw_join(first_join(1), 1, streamer(), harness.now, &mut harness.reactor);
     assert!(read_line(&first).contains("\"why\":16"));
     let _third = harness.join_established(3);
     // All connections are in use: one is shared now, but not the one on which a join was abandoned.
@@ -142,7 +168,7 @@
     assert_eq!(read_line(&second), "join 4");
     second.shutdown(Shutdown::Both).unwrap();
     harness.close_connection(false);
-    let ended = [2, 4].map(|job| PoolEvent::JoinEnded(job, Ending::Reset));
+    let ended = [2, 4].map(|job| PoolEvent::JoinEnded(first_join(job), Ending::Reset));
     assert_eq!(harness.take_events(), ended);
 }
 
@@ -150,7 +176,7 @@
 fn a_streamer_is_lost_when_it_refuses_connections_and_not_when_one_closes() {
     let mut harness = Harness::new(8);
     let remote = harness.join_established(1);
-    harness.pool.finish_join(harness.pool_connection(), 1);
+    harness.pool.join_answered(harness.pool_connection(), 1);
     remote.shutdown(Shutdown::Both).unwrap();
     harness.close_connection(true);
     harness.pool.sweep(harness.now, &[streamer()], &mut harness.reactor);
@@ -182,7 +208,7 @@
 fn a_streamer_that_refuses_connections_is_lost_if_the_open_ones_are_silent() {
     let mut harness = Harness::new(8);
     let _silent = harness.join_established(1);
-    harness.pool.finish_join(harness.pool_connection(), 1);
+    harness.pool.join_answered(harness.pool_connection(), 1);
     harness.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let mut sweep_after = |after: Duration| {
         harness.now += after;
@@ -206,7 +232,7 @@
     harness.pool.streamer_listed(streamer_id(2), address, now, &mut harness.reactor);
     assert_eq!(
         harness.take_events(),
-        [PoolEvent::JoinEnded(1, Ending::Reset), PoolEvent::StreamerLost(streamer())]
+        [PoolEvent::JoinEnded(first_join(1), Ending::Reset), PoolEvent::StreamerLost(streamer())]
     );
 }
 
@@ -331,19 +357,22 @@
     let mut harness = Harness::new(1);
     let mut remote = harness.join_established(1);
     let connection = harness.pool_connection();
-    harness.pool.finish_join(connection, 1);
+    harness.pool.join_answered(connection, 1);
     remote.write_all(b"a release\n").unwrap();
     std::thread::sleep(Duration::from_millis(50));
     let other = streamer_id(2);
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     harness.pool.streamer_listed(other, address_of(&listener), harness.now, &mut harness.reactor);
-    harness.pool.join(2, 2, other, b"join 2\n".to_vec(), harness.now, &mut harness.reactor);
+    harness.pool.join(first_join(2), 2, other, b"join 2\n".to_vec(), harness.now, &mut harness.reactor);
     let events = harness.take_events();
-    assert_eq!(events, [PoolEvent::Readable(connection), PoolEvent::JoinEnded(2, Ending::ConnectFailed)]);
+    assert_eq!(
+        events,
+        [PoolEvent::Readable(connection), PoolEvent::JoinEnded(first_join(2), Ending::ConnectFailed)]
+    );
     assert_eq!(harness.reactor.input(connection), b"a release\n");
     // Once the input is handled the connection can be closed.
     harness.reactor.consume(connection, 10);
-    harness.pool.join(3, 3, other, b"join 3\n".to_vec(), harness.now, &mut harness.reactor);
+    harness.pool.join(first_join(3), 3, other, b"join 3\n".to_vec(), harness.now, &mut harness.reactor);
     assert_eq!((harness.take_events(), harness.pool.contains(connection)), (Vec::new(), false));
 }
 
@@ -360,7 +389,7 @@
         harness.reactor.flush_connection(connection);
     }
     harness.join(2);
-    assert_eq!(harness.take_events(), [PoolEvent::JoinEnded(2, Ending::ConnectFailed)]);
+    assert_eq!(harness.take_events(), [PoolEvent::JoinEnded(first_join(2), Ending::ConnectFailed)]);
     drop(remote);
 }
 
@@ -371,7 +400,7 @@
     let mut harness = Harness::new(8);
     let remote = harness.join_established(1);
     let connection = harness.pool_connection();
-    harness.pool.finish_join(connection, 1);
+    harness.pool.join_answered(connection, 1);
     harness.pool.send(streamer(), b"end 1\n".to_vec(), harness.now, &mut harness.reactor);
     harness.reactor.flush();
     assert_eq!(read_line(&remote), "end 1");
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use badgerledge_core::interface::{JobId, StreamerId};
+use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::{Reactor, SocketId};
 use badgerledge_signalling::viewers;
 
 use crate::configuration::Configuration;
+use crate::join_id::JoinId;
 use crate::streamer_pool::StreamerPool;
 use crate::transport::Transport;
 use crate::viewer_pool::ViewerPool;
@@ -41,12 +42,12 @@
         self.viewer_pool.mark_serving(connection, self.now, &mut self.reactor);
     }
 
-    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
-        self.streamer_pool.join(job, wire_id, streamer, offer, self.now, &mut self.reactor);
+    fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
+        self.streamer_pool.join(join, wire_id, streamer, offer, self.now, &mut self.reactor);
     }
 
-    fn withdraw_join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId) {
-        self.streamer_pool.withdraw_join(job, wire_id, streamer, self.now, &mut self.reactor);
+    fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId) {
+        self.streamer_pool.withdraw_join(join, wire_id, streamer, self.now, &mut self.reactor);
     }
 
     fn send(&mut self, streamer: StreamerId, message: Vec<u8>) {
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use badgerledge_core::interface::{DecisionSink, Ending, JobId, Listing, StreamerId};
 use badgerledge_signalling::{streamers, viewers};
 
+use crate::join_id::JoinId;
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, THROTTLED};
 use crate::session_store::{trace_session, OfferFields, SessionStore, Timer};
@@ -72,7 +73,7 @@
         trace_session(wire_id, "join sent", (streamer, number, timeout));
         self.store.counts.joins += 1;
         self.store.timers.insert((until, Timer::JoinTimeout(job, number)));
-        self.transport.join(job, wire_id, streamer, offer);
+        self.transport.join(JoinId { job, number }, wire_id, streamer, offer);
     }
 
     fn throttle(&mut self, job: JobId, cool_down: Duration) {
@@ -114,7 +115,7 @@
             session.phase = Phase::Waiting;
             let (wire_id, sent_at) = (session.wire_id, session.join_sent_at);
             self.store.counts.withdrawn_joins += 1;
-            self.transport.withdraw_join(job, wire_id, streamer);
+            self.transport.withdraw_join(JoinId { job, number }, wire_id, streamer);
             self.store.report_outcome(
                 self.now,
                 job,
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -11,6 +11,7 @@
 use badgerledge_signalling::{streamers, viewers, Fault};
 
 use crate::connections::Connections;
+use crate::release_causes::join_refusals::{ERROR, FULL, MOOT};
 use crate::release_causes::FAILED;
 use crate::request::PlatformSettings;
 use crate::session_table::{streamer_id, ListEntry, SessionTable};
@@ -101,13 +102,42 @@
     pub fault: Option<Fault>,
 }
 
+impl StreamerHandler<'_> {
+    /// Handles an end that is not that of an outstanding join on this connection: the release of a session, or
+    /// a second copy of the end of an earlier join.
+    fn session_ended(&mut self, wire_id: u64, cause: u64, load: Option<&str>) {
+        if self.is_copy_of_join_end(wire_id, cause) {
+            return tracing::debug!(
+                target: "badgerledge_platform::hearing",
+                wire_id = format!("{wire_id:016x}"),
+                cause,
+                line = self.connection,
+                "ignoring a second end of a join"
+            );
+        }
+        let (sessions, connections) = &mut self.service;
+        sessions.ended_by_streamer(self.now, self.streamer, wire_id, cause, load, *connections);
+    }
+
+    /// Whether an end repeats that of a join which ended on this connection earlier. A streamer releases a
+    /// session on the connection that it answered on, and on another one only once that is closed.
+    fn is_copy_of_join_end(&self, wire_id: u64, cause: u64) -> bool {
+        let (sessions, connections) = &self.service;
+        let pool = &connections.streamer_pool;
+        let answered_on = sessions.streamer_connection(wire_id);
+        let released_elsewhere = answered_on.is_some_and(|own| own != self.connection && pool.is_open(own));
+        pool.has_ended_join(self.connection, wire_id, self.now)
+            && (released_elsewhere || matches!(cause, FULL | ERROR | MOOT))
+    }
+}
+
 impl streamers::MessageHandler for StreamerHandler<'_> {
     fn answered(&mut self, wire_id: u64, description: &str) {
         let (sessions, connections) = &mut self.service;
         match connections.streamer_pool.outstanding_join(self.connection, wire_id) {
-            Some(job) => {
-                connections.streamer_pool.finish_join(self.connection, wire_id);
-                sessions.join_answered(self.now, job, description, *connections);
+            Some(join) => {
+                connections.streamer_pool.join_answered(self.connection, wire_id);
+                sessions.join_answered(self.now, join, self.connection, description, *connections);
             }
             // An answer that arrives after its join was withdrawn must not leave a session playing, so the
             // session is ended. A duplicate answer is ignored, and so is one that coincides with a further
@@ -126,17 +156,17 @@
 
     fn ended(&mut self, wire_id: u64, cause: u64, load: Option<&str>) {
         let (sessions, connections) = &mut self.service;
-        let Some(job) = connections.streamer_pool.outstanding_join(self.connection, wire_id) else {
-            return sessions.ended_by_streamer(self.now, self.streamer, wire_id, cause, load, *connections);
+        let Some(join) = connections.streamer_pool.outstanding_join(self.connection, wire_id) else {
+            return self.session_ended(wire_id, cause, load);
         };
-        connections.streamer_pool.finish_join(self.connection, wire_id);
+        connections.streamer_pool.join_refused(self.connection, wire_id, self.now);
         let ending = match cause {
-            34 => Ending::Full,
-            47 => Ending::Error,
-            102 => Ending::Moot,
+            FULL => Ending::Full,
+            ERROR => Ending::Error,
+            MOOT => Ending::Moot,
             _ => Ending::Reset,
         };
-        sessions.join_ended(self.now, job, ending, load);
+        sessions.join_ended(self.now, join, ending, load);
     }
 
     fn tested(&mut self, wire_id: u64, passed: bool, load: Option<&str>) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod dispatcher;
 mod inbound;
+mod join_id;
 mod phase;
 mod release_causes;
 mod request;
--- a/crates/platform/src/release_causes.rs
+++ b/crates/platform/src/release_causes.rs
@@ -10,3 +10,13 @@
 pub const THROTTLED: u8 = 42;
 /// The set-up request was invalid.
 pub const INVALID_REQUEST: u8 = 96;
+
+/// Causes with which a streamer refuses a join; never those of a session that plays.
+pub mod join_refusals {
+    /// The streamer is full; the join never ran.
+    pub const FULL: u64 = 34;
+    /// The streamer failed.
+    pub const ERROR: u64 = 47;
+    /// The join never left.
+    pub const MOOT: u64 = 102;
+}
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -9,6 +9,7 @@
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::streamers;
 
+use crate::join_id::JoinId;
 use crate::phase::Phase;
 use crate::request::PlatformSettings;
 use crate::request_counts::RequestCounts;
@@ -40,6 +41,8 @@
     pub joins: u16,
     pub join_sent_at: Duration,
     pub phase: Phase,
+    /// The streamer's connection that it was answered on; none if it was handed over.
+    pub streamer_connection: Option<SocketId>,
 }
 
 /// Timers of sessions and of the decision module.
@@ -92,6 +95,15 @@
         self.sessions.get_mut(&job)
     }
 
+    /// Returns the session of an outstanding join, unless that join has ended.
+    pub fn joining(&self, join: JoinId) -> Option<(&Session, StreamerId)> {
+        let session = self.get(join.job).filter(|session| session.joins == join.number + 1)?;
+        match session.phase {
+            Phase::Out(streamer) => Some((session, streamer)),
+            _ => None,
+        }
+    }
+
     /// Returns the job of a session.
     #[cfg(test)]
     pub fn job(&self, wire_id: u64) -> Option<JobId> {
@@ -170,11 +182,12 @@
         }
     }
 
-    /// Marks a session as playing at a streamer.
-    pub fn set_playing(&mut self, job: JobId, streamer: StreamerId) {
+    /// Marks a session as playing at a streamer that answered on this connection.
+    pub fn set_playing(&mut self, job: JobId, streamer: StreamerId, connection: SocketId) {
         self.remove_from_index(job);
         let Some(session) = self.sessions.get_mut(&job) else { return };
         (session.phase, session.offer) = (Phase::Stands(streamer), None);
+        session.streamer_connection = Some(connection);
         let answer_deadline = (session.answer_by, Timer::AnswerDeadline(job));
         self.by_streamer.entry(streamer).or_default().insert(job);
         self.timers.remove(&answer_deadline);
@@ -209,8 +222,9 @@
     ) {
         let Phase::Out(streamer) = session.phase else { return };
         self.counts.withdrawn_joins += 1;
-        transport.withdraw_join(job, session.wire_id, streamer);
-        let join = (streamer, session.joins - 1, session.join_sent_at);
+        let number = session.joins - 1;
+        transport.withdraw_join(JoinId { job, number }, session.wire_id, streamer);
+        let join = (streamer, number, session.join_sent_at);
         self.report_outcome(now, job, join, Ending::Cancelled, true, Vec::new());
     }
 
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -15,6 +15,7 @@
 use badgerledge_signalling::{streamers, Fault};
 
 use crate::dispatcher::Dispatcher;
+use crate::join_id::JoinId;
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, INVALID_REQUEST, MOVED, NORMAL, THROTTLED};
 use crate::request::{self, PlatformSettings};
@@ -125,6 +126,12 @@
         )
     }
 
+    /// The streamer's connection that a session was answered on, if it was.
+    pub fn streamer_connection(&self, wire_id: u64) -> Option<SocketId> {
+        let job = self.store.by_wire_id.get(&wire_id)?;
+        self.store.get(*job)?.streamer_connection
+    }
+
     /// The streamers with playing sessions.
     pub fn playing_streamers(&self) -> impl Iterator<Item = StreamerId> + '_ {
         self.store.by_streamer.keys().copied()
@@ -187,6 +194,7 @@
             joins: 0,
             join_sent_at: now,
             phase: Phase::Waiting,
+            streamer_connection: None,
         };
         let job = self.store.insert(session);
         trace_session(wire_id, "set-up", (connection, subscription.path_key));
@@ -228,6 +236,7 @@
             joins: 1,
             join_sent_at: now,
             phase,
+            streamer_connection: None,
         };
         let job = self.store.insert(session);
         self.store.inputs.push(Box::new(move |module| module.resumed(job, subscription, streamer)));
@@ -295,14 +304,14 @@
         self.store.withdraw_join(now, job, &session, transport);
     }
 
-    /// Handles a streamer's answer to the outstanding join: the session plays.
+    /// Handles a streamer's answer to a join, on this connection to it: the session plays.
     pub fn join_answered(
-        &mut self, now: Duration, job: JobId, description: &str, transport: &mut impl Transport,
+        &mut self, now: Duration, join: JoinId, streamer_connection: SocketId, description: &str,
+        transport: &mut impl Transport,
     ) {
-        let Some(session) = self.store.get(job) else { return };
-        let Phase::Out(streamer) = session.phase else { return };
-        let (wire_id, connection, number, sent_at) =
-            (session.wire_id, session.connection, session.joins - 1, session.join_sent_at);
+        let JoinId { job, number } = join;
+        let Some((session, streamer)) = self.store.joining(join) else { return };
+        let (wire_id, connection, sent_at) = (session.wire_id, session.connection, session.join_sent_at);
         let message = viewers::answer(wire_id, description.as_bytes());
         if !message.is_some_and(|message| transport.answer(connection, &message)) {
             // The viewer cannot be answered, so the session must not play.
@@ -324,20 +333,21 @@
         trace_session(wire_id, "stands", streamer);
         self.store.counts.accepted += 1;
         transport.mark_serving(connection);
-        self.store.set_playing(job, streamer);
+        self.store.set_playing(job, streamer, streamer_connection);
         let latency = now.saturating_sub(sent_at);
         self.store.inputs.push(Box::new(move |module| module.join_served(job, number, streamer, latency)));
     }
 
-    /// Handles the end of the outstanding join without an answer.
-    pub fn join_ended(&mut self, now: Duration, job: JobId, ending: Ending, load: Option<&str>) {
+    /// Handles the end of a join without an answer.
+    pub fn join_ended(&mut self, now: Duration, join: JoinId, ending: Ending, load: Option<&str>) {
         let usage = self.store.parse_usage(load);
-        let Some(session) = self.store.get_mut(job) else { return };
-        let Phase::Out(streamer) = session.phase else { return };
-        session.phase = Phase::Waiting;
-        trace_session(session.wire_id, "join ended", (streamer, ending));
-        let join = (streamer, session.joins - 1, session.join_sent_at);
-        self.store.report_outcome(now, job, join, ending, false, usage);
+        let Some((session, streamer)) = self.store.joining(join) else { return };
+        trace_session(session.wire_id, "join ended", (streamer, join.number, ending));
+        let outcome = (streamer, join.number, session.join_sent_at);
+        if let Some(session) = self.store.get_mut(join.job) {
+            session.phase = Phase::Waiting;
+        }
+        self.store.report_outcome(now, join.job, outcome, ending, false, usage);
     }
 
     /// Handles a streamer's release of a playing session, and releases its viewer.
@@ -467,20 +477,20 @@
                 Timer::DecisionModule(token) => {
                     self.store.inputs.push(Box::new(move |m| m.timer_fired(token)))
                 }
-                Timer::JoinTimeout(job, number) => self.join_timed_out(now, job, number, transport),
+                Timer::JoinTimeout(job, number) => {
+                    self.join_timed_out(now, JoinId { job, number }, transport)
+                }
                 Timer::AnswerDeadline(job) => self.answer_overdue(now, job, transport),
                 Timer::MoveTimeout(job) => self.end_moved(job, transport),
             }
         }
     }
 
-    fn join_timed_out(&mut self, now: Duration, job: JobId, number: u16, transport: &mut impl Transport) {
-        let Some(session) = self.store.get(job).filter(|session| session.joins == number + 1) else { return };
-        if let Phase::Out(streamer) = session.phase {
-            transport.withdraw_join(job, session.wire_id, streamer);
-            self.store.counts.withdrawn_joins += 1;
-            self.join_ended(now, job, Ending::Timeout, None);
-        }
+    fn join_timed_out(&mut self, now: Duration, join: JoinId, transport: &mut impl Transport) {
+        let Some((session, streamer)) = self.store.joining(join) else { return };
+        transport.withdraw_join(join, session.wire_id, streamer);
+        self.store.counts.withdrawn_joins += 1;
+        self.join_ended(now, join, Ending::Timeout, None);
     }
 
     /// Answers a viewer that is about to give up without an answer from the decision module.
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -10,10 +10,13 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use badgerledge_core::interface::{Ending, JobId, StreamerId};
+use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Bounds, Reactor, SocketId};
 use badgerledge_signalling::{streamers, MAX_MESSAGE_BYTES};
 
+use crate::join_id::JoinId;
+use crate::release_causes::NORMAL;
+
 /// Room for the longest message, and for the messages of one round.
 const BOUNDS: Bounds = Bounds { input: MAX_MESSAGE_BYTES + 1, output: 8 * MAX_MESSAGE_BYTES };
 /// Fraction of the idle time in the settings after which a connection takes no join and is closed: a streamer
@@ -32,6 +35,9 @@
 const QUEUED_MESSAGE_LIFETIME: Duration = Duration::from_secs(8);
 /// Maximum of bytes that wait for one streamer: about two hundred releases.
 const MAX_QUEUED_BYTES: usize = MAX_MESSAGE_BYTES;
+/// How long a connection remembers the joins that ended on it: second copies of refusals come up to a second
+/// later.
+const ENDED_JOIN_MEMORY: Duration = Duration::from_secs(8);
 /// Failed connection attempts in a row after which a streamer counts as lost, if it is silent or closed all
 /// connections.
 const MAX_FAILED_ATTEMPTS: u32 = 2;
@@ -39,7 +45,7 @@
 /// What became of joins, probes and streamers as connections closed or failed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PoolEvent {
-    JoinEnded(JobId, Ending),
+    JoinEnded(JoinId, Ending),
     ProbeFinished(StreamerId, Ending, Duration),
     /// None of the sessions at this streamer can be playing any more.
     StreamerLost(StreamerId),
@@ -64,8 +70,10 @@
     /// When something was last received on it.
     last_received_at: Duration,
     /// Joins that wait for it to be established, with their offers; and outstanding joins.
-    queued_joins: Vec<(JobId, u64, Vec<u8>)>,
-    outstanding_joins: Vec<(JobId, u64)>,
+    queued_joins: Vec<(JoinId, u64, Vec<u8>)>,
+    outstanding_joins: Vec<(JoinId, u64)>,
+    /// When joins on it ended without an answer, with their sessions' ids; oldest first.
+    ended_joins: VecDeque<(Duration, u64)>,
     /// When a join on it was abandoned: it takes no more joins.
     abandoned_at: Option<Duration>,
     /// Shut down for writing; it closes once the streamer has closed it too.
@@ -260,6 +268,7 @@
                 last_received_at: now,
                 queued_joins: Vec::new(),
                 outstanding_joins: Vec::new(),
+                ended_joins: VecDeque::new(),
                 abandoned_at: None,
                 shut_down_at: None,
                 outstanding_probes: Vec::new(),
@@ -301,11 +310,13 @@
     }
 
     /// The connection for a join or a probe: an idle one, a new one, or at the limit the one with the fewest
-    /// joins.
+    /// joins. A join takes none on which an earlier join of its session ended, since a second copy of that end
+    /// could not be told from its own.
     fn connection_for(
-        &mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
+        &mut self, streamer: StreamerId, wire_id: Option<u64>, now: Duration, reactor: &mut Reactor,
     ) -> Option<SocketId> {
-        let ids = self.streamers.get(&streamer)?.connection_ids.clone();
+        let mut ids = self.streamers.get(&streamer)?.connection_ids.clone();
+        ids.retain(|id| wire_id.is_none_or(|wire_id| !self.has_ended_join(*id, wire_id, now)));
         let usable = |connection: &&StreamerConnection| {
             connection.established
                 && connection.is_idle()
@@ -343,54 +354,78 @@
 
     /// Sends a join, or queues it until its connection is established.
     pub fn join(
-        &mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>, now: Duration,
+        &mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>, now: Duration,
         reactor: &mut Reactor,
     ) {
-        let Some(connection_id) = self.connection_for(streamer, now, reactor) else {
-            return self.events.push(PoolEvent::JoinEnded(job, Ending::ConnectFailed));
+        let Some(connection_id) = self.connection_for(streamer, Some(wire_id), now, reactor) else {
+            return self.events.push(PoolEvent::JoinEnded(join, Ending::ConnectFailed));
         };
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         if !connection.established {
-            return connection.queued_joins.push((job, wire_id, offer));
+            return connection.queued_joins.push((join, wire_id, offer));
         }
         connection.last_sent_at = now;
         if reactor.send(connection_id, &[&offer]) {
-            connection.outstanding_joins.push((job, wire_id));
+            connection.outstanding_joins.push((join, wire_id));
         } else {
-            self.events.push(PoolEvent::JoinEnded(job, Ending::Moot));
+            self.events.push(PoolEvent::JoinEnded(join, Ending::Moot));
         }
     }
 
     /// Withdraws a join: its streamer is notified before anything else is sent to it for that session.
     pub fn withdraw_join(
-        &mut self, job: JobId, wire_id: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
+        &mut self, join: JoinId, wire_id: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
     ) {
         let ids = self.streamers.get(&streamer).map_or(&[][..], |state| &state.connection_ids);
         for connection_id in ids {
             let Some(connection) = self.connections.get_mut(connection_id) else { continue };
-            connection.queued_joins.retain(|(queued_job, ..)| *queued_job != job);
-            if connection.outstanding_joins.iter().any(|(join_job, _)| *join_job == job) {
-                connection.outstanding_joins.retain(|(join_job, _)| *join_job != job);
+            connection.queued_joins.retain(|(queued, ..)| *queued != join);
+            if connection.outstanding_joins.iter().any(|(outstanding, _)| *outstanding == join) {
+                connection.outstanding_joins.retain(|(outstanding, _)| *outstanding != join);
+                connection.record_ended_join(wire_id, now);
                 (connection.abandoned_at, connection.last_sent_at) = (Some(now), now);
-                reactor.send(*connection_id, &[&streamers::end(wire_id, 16)]);
+                reactor.send(*connection_id, &[&streamers::end(wire_id, NORMAL)]);
                 reactor.flush_connection(*connection_id);
             }
         }
     }
 
     /// The outstanding join of that session on a connection.
-    pub fn outstanding_join(&self, connection_id: SocketId, wire_id: u64) -> Option<JobId> {
+    pub fn outstanding_join(&self, connection_id: SocketId, wire_id: u64) -> Option<JoinId> {
         let joins = &self.connections.get(&connection_id)?.outstanding_joins;
-        joins.iter().find(|(_, join_wire_id)| *join_wire_id == wire_id).map(|(job, _)| *job)
+        joins.iter().find(|(_, join_wire_id)| *join_wire_id == wire_id).map(|(join, _)| *join)
     }
 
-    /// Removes the finished join of that session from this connection.
-    pub fn finish_join(&mut self, connection_id: SocketId, wire_id: u64) {
+    /// Removes an outstanding join that was answered.
+    pub fn join_answered(&mut self, connection_id: SocketId, wire_id: u64) {
         if let Some(connection) = self.connections.get_mut(&connection_id) {
             connection.outstanding_joins.retain(|(_, join_wire_id)| *join_wire_id != wire_id);
         }
     }
 
+    /// Removes an outstanding join that was refused.
+    pub fn join_refused(&mut self, connection_id: SocketId, wire_id: u64, now: Duration) {
+        self.join_answered(connection_id, wire_id);
+        if let Some(connection) = self.connections.get_mut(&connection_id) {
+            connection.record_ended_join(wire_id, now);
+        }
+    }
+
+    /// Whether a join of that session lately ended on a connection without an answer.
+    pub fn has_ended_join(&self, connection_id: SocketId, wire_id: u64, now: Duration) -> bool {
+        let connection = self.connections.get(&connection_id);
+        connection.is_some_and(|connection| {
+            let mut ended = connection.ended_joins.iter();
+            ended.any(|(ended_at, ended_id)| *ended_id == wire_id && now < *ended_at + ENDED_JOIN_MEMORY)
+        })
+    }
+
+    /// Whether a connection is open for both sides: its streamer sends what concerns its sessions on it.
+    pub fn is_open(&self, connection_id: SocketId) -> bool {
+        let connection = self.connections.get(&connection_id);
+        connection.is_some_and(|connection| connection.established && connection.shut_down_at.is_none())
+    }
+
     /// Sends a message on the connection that received input last, or as soon as there is a connection.
     pub fn send(&mut self, streamer: StreamerId, message: Vec<u8>, now: Duration, reactor: &mut Reactor) {
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
@@ -438,7 +473,7 @@
 
     /// Sends a probe, or queues it until its connection is established.
     pub fn probe(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
-        let Some(connection_id) = self.connection_for(streamer, now, reactor) else {
+        let Some(connection_id) = self.connection_for(streamer, None, now, reactor) else {
             return self.events.push(PoolEvent::ProbeFinished(
                 streamer,
                 Ending::ConnectFailed,
@@ -491,11 +526,11 @@
         for (probe_id, _) in &connection.outstanding_probes {
             reactor.send(connection_id, &[&streamers::test(*probe_id)]);
         }
-        for (job, wire_id, offer) in std::mem::take(&mut connection.queued_joins) {
+        for (join, wire_id, offer) in std::mem::take(&mut connection.queued_joins) {
             if accepts_joins && reactor.send(connection_id, &[&offer]) {
-                connection.outstanding_joins.push((job, wire_id));
+                connection.outstanding_joins.push((join, wire_id));
             } else {
-                self.events.push(PoolEvent::JoinEnded(job, Ending::Moot));
+                self.events.push(PoolEvent::JoinEnded(join, Ending::Moot));
             }
         }
     }
@@ -587,8 +622,8 @@
         );
         let unsent_ending = if ending == Ending::ConnectFailed { ending } else { Ending::Moot };
         let queued =
-            connection.queued_joins.iter().map(|(job, ..)| PoolEvent::JoinEnded(*job, unsent_ending));
-        let joins = connection.outstanding_joins.iter().map(|(job, _)| PoolEvent::JoinEnded(*job, ending));
+            connection.queued_joins.iter().map(|(join, ..)| PoolEvent::JoinEnded(*join, unsent_ending));
+        let joins = connection.outstanding_joins.iter().map(|(join, _)| PoolEvent::JoinEnded(*join, ending));
         let probe_finished = |sent_at: Duration| {
             PoolEvent::ProbeFinished(connection.streamer, ending, now.saturating_sub(sent_at))
         };
@@ -604,6 +639,15 @@
 }
 
 impl StreamerConnection {
+    /// Remembers a join that ended on this connection without an answer.
+    fn record_ended_join(&mut self, wire_id: u64, now: Duration) {
+        let is_old = |(ended_at, _): &(Duration, u64)| *ended_at + ENDED_JOIN_MEMORY <= now;
+        while self.ended_joins.front().is_some_and(is_old) {
+            self.ended_joins.pop_front();
+        }
+        self.ended_joins.push_back((now, wire_id));
+    }
+
     fn has_no_requests(&self) -> bool {
         self.outstanding_joins.is_empty()
             && self.queued_joins.is_empty()
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use badgerledge_core::decide::Controller;
-use badgerledge_core::interface::{DecisionSink, Ending, Health, JobId, Listing, Start, StreamerId};
+use badgerledge_core::interface::{DecisionSink, Ending, Health, Listing, Start, StreamerId};
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::viewers::{self, Parameters};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use serde_json::{json, Value};
 
 use crate::dispatcher::Dispatcher;
+use crate::join_id::JoinId;
 use crate::request::PlatformSettings;
 use crate::session_table::{streamer_id, ListEntry, SessionTable};
 use crate::transport::Transport;
@@ -20,6 +21,8 @@
 
 const START: Duration = Duration::from_secs(1000);
 const STREAMERS: u32 = 4;
+/// The streamers' connection that joins are answered on.
+const STREAMER_CONNECTION: SocketId = 900;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -49,7 +52,7 @@
     /// Frames sent on each viewers' connection.
     viewer_frames: Vec<(SocketId, Vec<u8>)>,
     /// Outstanding joins at streamers.
-    outstanding: BTreeMap<u64, (JobId, StreamerId)>,
+    outstanding: BTreeMap<u64, (JoinId, StreamerId)>,
     /// Messages to streamers on their playing sessions.
     streamer_messages: Vec<(StreamerId, String)>,
     full_connections: BTreeSet<SocketId>,
@@ -68,15 +71,15 @@
         self.viewer_frames.push((connection, message));
     }
     fn mark_serving(&mut self, _connection: SocketId) {}
-    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
+    fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
         let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
         assert_eq!(offer["call"], json!(format!("{wire_id:016x}")));
-        assert_eq!(self.outstanding.insert(wire_id, (job, streamer)), None, "two outstanding joins");
+        assert_eq!(self.outstanding.insert(wire_id, (join, streamer)), None, "two outstanding joins");
     }
-    fn withdraw_join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId) {
+    fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId) {
         assert_eq!(
             self.outstanding.remove(&wire_id),
-            Some((job, streamer)),
+            Some((join, streamer)),
             "a withdrawn join was outstanding"
         );
     }
@@ -159,14 +162,14 @@
     }
 
     fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
-        let (job, streamer) = self.transport.outstanding.remove(&wire_id)?;
-        self.sessions.join_answered(self.now, job, "a500\r\nc=IN", &mut self.transport);
+        let (join, streamer) = self.transport.outstanding.remove(&wire_id)?;
+        self.sessions.join_answered(self.now, join, STREAMER_CONNECTION, "a500\r\nc=IN", &mut self.transport);
         Some(streamer)
     }
 
     fn join_ends(&mut self, wire_id: u64, ending: Ending) {
-        if let Some((job, _)) = self.transport.outstanding.remove(&wire_id) {
-            self.sessions.join_ended(self.now, job, ending, Some("x0:0.4;x1:0.2"));
+        if let Some((join, _)) = self.transport.outstanding.remove(&wire_id) {
+            self.sessions.join_ended(self.now, join, ending, Some("x0:0.4;x1:0.2"));
         }
     }
 }
@@ -486,6 +489,32 @@
     assert!(harness.transport.outstanding.is_empty(), "no join after closing began");
 }
 
+/// Guards against an end that is late being applied to the next join of the same session.
+#[test]
+fn an_end_or_answer_of_an_earlier_join_does_not_affect_the_present_one() {
+    let mut harness = Harness::new();
+    harness.set_up(1, 1, &[("left", "4000")]);
+    harness.advance(10);
+    let (first_join, _) = harness.transport.outstanding[&1];
+    harness.join_ends(1, Ending::Reset);
+    harness.advance(200);
+    let (second_join, _) = harness.transport.outstanding[&1];
+    assert_eq!((first_join.job, first_join.number + 1), (second_join.job, second_join.number));
+    harness.sessions.join_ended(harness.now, first_join, Ending::Reset, None);
+    harness.sessions.join_answered(
+        harness.now,
+        first_join,
+        STREAMER_CONNECTION,
+        "late",
+        &mut harness.transport,
+    );
+    harness.advance(200);
+    assert_eq!(harness.transport.outstanding.get(&1).map(|entry| entry.0), Some(second_join));
+    assert_eq!(harness.transport.frames_of(1), []);
+    assert!(harness.answer(1).is_some());
+    assert_eq!(harness.transport.frames_of(1), [(9, 0)]);
+}
+
 /// A session that was moved away ends on both sides as the process exits: nobody else would end it.
 #[test]
 fn closing_ends_a_session_that_was_moved_away() {
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -1,8 +1,10 @@
 //! The operations on sockets that the session table and the dispatcher need.
 
-use badgerledge_core::interface::{JobId, StreamerId};
+use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::SocketId;
 
+use crate::join_id::JoinId;
+
 /// The sockets, as the session table sees them.
 pub trait Transport {
     /// Sends a message on a viewer's connection. Returns false if the connection accepts no more output.
@@ -13,9 +15,9 @@
     /// Marks a connection as one that serves viewers, as opposed to one of a health checker.
     fn mark_serving(&mut self, connection: SocketId);
     /// Starts a join, on a connection of its own where one is available.
-    fn join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
+    fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
     /// Withdraws an outstanding join.
-    fn withdraw_join(&mut self, job: JobId, wire_id: u64, streamer: StreamerId);
+    fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId);
     /// Sends a message to a streamer on any of its connections.
     fn send(&mut self, streamer: StreamerId, message: Vec<u8>);
     /// Sends a probe to a streamer.
