Test rigs: ports that a process started by another thread cannot hold

Cause: free_port bound a listener to see whether the port is free. A process that another thread starts at that moment inherits the descriptor until its exec, so the port went on listening in a process that never answers: clients were accepted and reset, or the controller could not bind it. Two test processes side by side could also name the same port; relay's own version drew from the range of outgoing connections.

A failed test of health now shows the controller's log.

--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -248,7 +248,15 @@
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         let mut test_connection = Viewer(stream);
         test_connection.send(52, 1, &[(75, "\0")]);
-        test_connection.receive() == (53, 1, vec![1])
+        match test_connection.try_receive() {
+            Ok(frame) => frame == (53, 1, vec![1]),
+            Err(error) => panic!("no answer to a test at {}: {error}; log:\n{}", self.at, self.log()),
+        }
+    }
+
+    /// What the process has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap()
     }
 
     /// Waits for the process to exit successfully.
@@ -279,7 +287,7 @@
     pub fn wait_log(&self, texts: &[&str]) {
         let end = Instant::now() + TIMEOUT;
         loop {
-            let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+            let log = self.log();
             if log.lines().any(|line| texts.iter().all(|text| line.contains(text))) {
                 return;
             }
@@ -378,13 +386,18 @@
 
     /// Receives the next frame: its kind, its subscription, and its first parameter's value.
     pub fn receive(&mut self) -> (u8, u64, Vec<u8>) {
+        self.try_receive().expect("a frame in time")
+    }
+
+    /// Receives the next frame, unless the connection has ended or nothing arrives in time.
+    fn try_receive(&mut self) -> std::io::Result<(u8, u64, Vec<u8>)> {
         let mut length = [0; 2];
-        self.0.read_exact(&mut length).expect("a frame in time");
+        self.0.read_exact(&mut length)?;
         let mut frame = vec![0; usize::from(u16::from_be_bytes(length))];
-        self.0.read_exact(&mut frame).unwrap();
+        self.0.read_exact(&mut frame)?;
         let wire_id = u64::from_be_bytes(frame[1..9].try_into().unwrap());
         let value = frame.get(12..).map_or_else(Vec::new, <[u8]>::to_vec);
-        (frame[0], wire_id, value)
+        Ok((frame[0], wire_id, value))
     }
 
     /// Sends a set-up unless the connection has ended.
--- a/crates/controller/tests/it/shutdown.rs
+++ b/crates/controller/tests/it/shutdown.rs
@@ -106,7 +106,7 @@
         }
         viewers.into_iter().map(|viewer| viewer.join().unwrap()).collect()
     });
-    let log = std::fs::read_to_string(controller.folder.path().join("log")).unwrap();
+    let log = controller.log();
     let lost: Vec<u64> = records.iter().flat_map(Record::lost).collect();
     let sent: usize = records.iter().map(|record| record.sent.len()).sum();
     assert!(lost.is_empty(), "{} of {sent} set-ups are lost: {lost:?}\n{log}", lost.len());
--- a/crates/relay/tests/it/harness.rs
+++ b/crates/relay/tests/it/harness.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -366,7 +366,7 @@
     }
 }
 
-/// A port that the kernel gives.
+/// A port that no other process uses and that is named only once.
 fn free_port(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    SocketAddr::new(ip, badgerledge_standins::free_port().unwrap().port())
 }
