Platform: the next join waits until the end of a lost one can have been read

Cause: the end goes out on the connection of the withdrawn join, the next offer in the same turn of the loop on another. Nothing orders two connections on the way.

A refusal by the streamer and a join that was never sent are reported at once, as before. A streamer that reads nothing for longer cannot be told anything by anybody.

--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, THROTTLED};
 use crate::session_store::{trace_session, OfferFields, SessionStore, Timer};
+use crate::session_table::WITHDRAWAL_READ_WITHIN;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step};
 
@@ -112,18 +113,12 @@
             return;
         };
         if let Phase::Out(streamer) = session.phase {
-            session.phase = Phase::Waiting;
-            let (wire_id, sent_at) = (session.wire_id, session.join_sent_at);
+            session.phase = Phase::Withdrawn(streamer, Ending::Cancelled);
+            let wire_id = session.wire_id;
             self.store.counts.withdrawn_joins += 1;
             self.transport.withdraw_join(JoinId { job, number }, wire_id, streamer);
-            self.store.report_outcome(
-                self.now,
-                job,
-                (streamer, number, sent_at),
-                Ending::Cancelled,
-                false,
-                Vec::new(),
-            );
+            let read_at = self.now + WITHDRAWAL_READ_WITHIN;
+            self.store.timers.insert((read_at, Timer::WithdrawalRead(job, number)));
         }
     }
 
--- a/crates/platform/src/phase.rs
+++ b/crates/platform/src/phase.rs
@@ -1,6 +1,6 @@
 //! The phases of a session.
 
-use badgerledge_core::interface::StreamerId;
+use badgerledge_core::interface::{Ending, StreamerId};
 
 /// The phase of a session. The names of the variants are written to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,6 +9,9 @@
     Waiting,
     /// A join at this streamer is outstanding.
     Out(StreamerId),
+    /// A join at this streamer was withdrawn or its connection broke. The streamer may not have read that yet,
+    /// so no other join is sent for a while.
+    Withdrawn(StreamerId, Ending),
     /// Playing at this streamer.
     Stands(StreamerId),
     /// Moved away from this streamer, which has not yet ended it.
@@ -18,6 +21,6 @@
 impl Phase {
     /// Whether the viewer still waits for an answer to its set-up.
     pub fn is_pending(self) -> bool {
-        matches!(self, Self::Waiting | Self::Out(_))
+        matches!(self, Self::Waiting | Self::Out(_) | Self::Withdrawn(..))
     }
 }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -360,7 +360,7 @@
         while !self.connections.streamer_pool.events.is_empty() {
             for event in std::mem::take(&mut self.connections.streamer_pool.events) {
                 match event {
-                    PoolEvent::JoinEnded(join, ending) => self.sessions.join_ended(now, join, ending, None),
+                    PoolEvent::JoinEnded(join, ending) => self.sessions.join_lost(now, join, ending),
                     PoolEvent::ProbeFinished(streamer, ending, latency) => {
                         self.sessions.probe_finished(streamer, ending, latency, None)
                     }
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -50,6 +50,8 @@
 pub enum Timer {
     /// A join has not been answered in time.
     JoinTimeout(JobId, u16),
+    /// The streamer of a withdrawn join has read its end by now.
+    WithdrawalRead(JobId, u16),
     /// A set-up must be answered now.
     AnswerDeadline(JobId),
     /// A streamer has not ended a moved session in time.
@@ -130,7 +132,7 @@
     pub fn remove_from_index(&mut self, job: JobId) {
         let Some(session) = self.sessions.get(&job) else { return };
         match session.phase {
-            Phase::Waiting | Phase::Out(_) => {
+            Phase::Waiting | Phase::Out(_) | Phase::Withdrawn(..) => {
                 self.pending_count -= 1;
                 if let Some(pending) = self.pending_by_connection.get_mut(&session.connection) {
                     pending.remove(&job);
@@ -216,16 +218,22 @@
     }
 
     /// Withdraws the outstanding join of a removed session, if there is one, and reports it to the decision
-    /// module.
+    /// module; or reports a join that was withdrawn before.
     pub fn withdraw_join(
         &mut self, now: Duration, job: JobId, session: &Session, transport: &mut impl Transport,
     ) {
-        let Phase::Out(streamer) = session.phase else { return };
-        self.counts.withdrawn_joins += 1;
-        let number = session.joins - 1;
-        transport.withdraw_join(JoinId { job, number }, session.wire_id, streamer);
+        let number = session.joins.saturating_sub(1);
+        let (streamer, ending) = match session.phase {
+            Phase::Out(streamer) => (streamer, Ending::Cancelled),
+            Phase::Withdrawn(streamer, ending) => (streamer, ending),
+            _ => return,
+        };
+        if matches!(session.phase, Phase::Out(_)) {
+            self.counts.withdrawn_joins += 1;
+            transport.withdraw_join(JoinId { job, number }, session.wire_id, streamer);
+        }
         let join = (streamer, number, session.join_sent_at);
-        self.report_outcome(now, job, join, Ending::Cancelled, true, Vec::new());
+        self.report_outcome(now, job, join, ending, true, Vec::new());
     }
 
     /// Counts a set-up whose viewer will not receive an answer, at the given step or else the one that it has
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -28,6 +28,10 @@
 /// delayed event loop; a tenth of the timeout if that is less. A join that would have been answered within
 /// this margin is lost.
 const ANSWER_MARGIN: Duration = Duration::from_millis(120);
+/// How long after a join was withdrawn, or its connection broke, the next one of its session may be placed. The
+/// two travel on different connections, and a busy streamer may read one some milliseconds before the other;
+/// a tenth of the time that is left if that is less.
+pub const WITHDRAWAL_READ_WITHIN: Duration = Duration::from_millis(50);
 /// How much sooner than the viewer gives up the session table answers by itself; a twentieth of the timeout
 /// if that is less.
 const ANSWER_DEADLINE_MARGIN: Duration = Duration::from_millis(50);
@@ -272,11 +276,11 @@
         let Some(session) = self.store.get(job) else { return };
         trace_session(wire_id, "ended by its viewer", session.phase);
         match session.phase {
-            Phase::Waiting | Phase::Out(_) if session.connection == connection => {
+            phase if phase.is_pending() && session.connection == connection => {
                 self.store.counts.abandoned += 1;
                 self.expire(now, job, transport)
             }
-            Phase::Waiting | Phase::Out(_) => self.answer_failed(now, job, transport),
+            Phase::Waiting | Phase::Out(_) | Phase::Withdrawn(..) => self.answer_failed(now, job, transport),
             Phase::Stands(streamer) => {
                 transport.send(streamer, streamers::end(wire_id, NORMAL));
                 self.finish(now, job, Ending::Cancelled, Vec::new());
@@ -338,7 +342,33 @@
         self.store.inputs.push(Box::new(move |module| module.join_served(job, number, streamer, latency)));
     }
 
-    /// Handles the end of a join without an answer.
+    /// Handles the end of a join whose streamer may not know of it yet: it was withdrawn, or its connection
+    /// broke. The decision module hears of it when the streamer has read it, and places no other join before.
+    pub fn join_lost(&mut self, now: Duration, join: JoinId, ending: Ending) {
+        if matches!(ending, Ending::ConnectFailed | Ending::Moot) {
+            // It was never sent.
+            return self.join_ended(now, join, ending, None);
+        }
+        let Some((session, streamer)) = self.store.joining(join) else { return };
+        trace_session(session.wire_id, "join lost", (streamer, join.number, ending));
+        let time_left = session.answer_by.saturating_sub(now);
+        let read_at = now + WITHDRAWAL_READ_WITHIN.min(time_left / 10);
+        if let Some(session) = self.store.get_mut(join.job) {
+            session.phase = Phase::Withdrawn(streamer, ending);
+        }
+        self.store.timers.insert((read_at, Timer::WithdrawalRead(join.job, join.number)));
+    }
+
+    /// Reports a lost join to the decision module, once its streamer has read that.
+    fn withdrawal_read(&mut self, now: Duration, join: JoinId) {
+        let Some(session) = self.store.get_mut(join.job) else { return };
+        let Phase::Withdrawn(streamer, ending) = session.phase else { return };
+        session.phase = Phase::Waiting;
+        let outcome = (streamer, join.number, session.join_sent_at);
+        self.store.report_outcome(now, join.job, outcome, ending, false, Vec::new());
+    }
+
+    /// Handles the end of a join by its streamer.
     pub fn join_ended(&mut self, now: Duration, join: JoinId, ending: Ending, load: Option<&str>) {
         let usage = self.store.parse_usage(load);
         let Some((session, streamer)) = self.store.joining(join) else { return };
@@ -480,6 +510,7 @@
                 Timer::JoinTimeout(job, number) => {
                     self.join_timed_out(now, JoinId { job, number }, transport)
                 }
+                Timer::WithdrawalRead(job, number) => self.withdrawal_read(now, JoinId { job, number }),
                 Timer::AnswerDeadline(job) => self.answer_overdue(now, job, transport),
                 Timer::MoveTimeout(job) => self.end_moved(job, transport),
             }
@@ -490,7 +521,7 @@
         let Some((session, streamer)) = self.store.joining(join) else { return };
         transport.withdraw_join(join, session.wire_id, streamer);
         self.store.counts.withdrawn_joins += 1;
-        self.join_ended(now, join, Ending::Timeout, None);
+        self.join_lost(now, join, Ending::Timeout);
     }
 
     /// Answers a viewer that is about to give up without an answer from the decision module.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -167,6 +167,13 @@
         Some(streamer)
     }
 
+    /// A join ends as its connection fails.
+    fn join_is_lost(&mut self, wire_id: u64, ending: Ending) {
+        if let Some((join, _)) = self.transport.outstanding.remove(&wire_id) {
+            self.sessions.join_lost(self.now, join, ending);
+        }
+    }
+
     fn join_ends(&mut self, wire_id: u64, ending: Ending) {
         if let Some((join, _)) = self.transport.outstanding.remove(&wire_id) {
             self.sessions.join_ended(self.now, join, ending, Some("x0:0.4;x1:0.2"));
@@ -291,7 +298,11 @@
             }
             Step::JoinEnds(wire_id, n) => {
                 let all = [Ending::Full, Ending::Error, Ending::Reset, Ending::ConnectFailed, Ending::Moot];
-                harness.join_ends(wire_id, all[usize::from(n) % all.len()]);
+                let ending = all[usize::from(n) % all.len()];
+                match n % 2 {
+                    0 => harness.join_ends(wire_id, ending),
+                    _ => harness.join_is_lost(wire_id, ending),
+                }
             }
             Step::Release(wire_id, n) => {
                 let Some(streamer) = model.get(&wire_id).and_then(|viewer| viewer.plays_at) else { continue };
@@ -489,6 +500,31 @@
     assert!(harness.transport.outstanding.is_empty(), "no join after closing began");
 }
 
+/// The next join of a session is not sent before the streamer of a lost one has had time to read its end, and
+/// at once where the streamer refused it or nothing was sent. A viewer that leaves meanwhile ends the session.
+#[test]
+fn the_next_join_waits_until_the_end_of_a_lost_one_is_read() {
+    for (ending, waits) in [(Ending::Reset, true), (Ending::ConnectFailed, false), (Ending::Moot, false)] {
+        let mut harness = Harness::new();
+        harness.set_up(1, 1, &[("left", "4000")]);
+        harness.advance(10);
+        harness.join_is_lost(1, ending);
+        harness.advance(30);
+        assert_eq!(harness.transport.outstanding.is_empty(), waits, "{ending:?}");
+        harness.advance(40);
+        assert!(!harness.transport.outstanding.is_empty(), "{ending:?}");
+    }
+    let mut harness = Harness::new();
+    harness.set_up(1, 1, &[("left", "4000")]);
+    harness.advance(10);
+    harness.join_is_lost(1, Ending::Reset);
+    harness.advance(10);
+    harness.sessions.ended_by_viewer(harness.now, 1, 1, &mut harness.transport);
+    harness.advance(200);
+    assert!(harness.sessions.is_empty() && harness.transport.outstanding.is_empty());
+    assert_eq!(harness.transport.frames_of(1), []);
+}
+
 /// Guards against an end that is late being applied to the next join of the same session.
 #[test]
 fn an_end_or_answer_of_an_earlier_join_does_not_affect_the_present_one() {
