Platform: a join whose end cannot be written ends with its connection

Behind output that its streamer does not read, the end waits or is dropped, and the join stays outstanding at the streamer beside the next one.

Change: an end that cannot be written at once is reported by the pool, and the connection is closed after what has arrived on it is handled; other joins on it end as reset.

The test of the pool failed before with the end behind unread bytes and with full output; it passes.

--- a/crates/platform/src/connection_pool_tests.rs
+++ b/crates/platform/src/connection_pool_tests.rs
@@ -1,6 +1,6 @@
 //! Connections to streamers and viewers on loopback sockets; the time is passed in, not waited for.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -393,6 +393,30 @@
     drop(remote);
 }
 
+/// Guards against a join that stays outstanding because its end is queued behind bytes that its streamer does
+/// not read, or finds no room: the connection must be closed instead, which ends the join too.
+#[test]
+fn a_withdrawn_join_whose_end_cannot_be_written_is_reported() {
+    for output_is_full in [false, true] {
+        let mut harness = Harness::new(4);
+        let remote = harness.join_established(1);
+        let connection = harness.pool_connection();
+        let long = vec![b' '; 16 * 1024];
+        while harness.reactor.unwritten_bytes(connection) == 0 {
+            harness.reactor.send(connection, &[&long]);
+            harness.reactor.flush_connection(connection);
+        }
+        while output_is_full && harness.reactor.send(connection, &[&long]) {}
+        while output_is_full && harness.reactor.send(connection, &[b" "]) {}
+        harness.pool.withdraw_join(first_join(1), 1, streamer(), harness.now, &mut harness.reactor);
+        assert_eq!(harness.take_events(), [PoolEvent::EndNotWritten(connection)], "full: {output_is_full}");
+        harness.pool.close(connection, Ending::Reset, harness.now, &mut harness.reactor);
+        assert_eq!(harness.take_events(), [], "the withdrawn join has no further end");
+        let received = std::io::copy(&mut &remote, &mut std::io::sink());
+        assert!(received.is_ok() || received.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset));
+    }
+}
+
 /// Guards against an end for a streamer that is lost because its connection closed as it was sent, or was
 /// never established: the session would play on without a viewer. A streamer may receive an end twice.
 #[test]
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -354,6 +354,14 @@
         }
     }
 
+    /// Closes a connection to a streamer after what has arrived on it is handled.
+    fn close_streamer_connection(&mut self, connection: SocketId) {
+        let now = self.connections.now;
+        self.connections.reactor.read_available(connection);
+        self.read_streamer(connection);
+        self.connections.streamer_pool.close(connection, Ending::Reset, now, &mut self.connections.reactor);
+    }
+
     /// Passes the events of the streamer pool to the session table, until no new events arise.
     fn process_pool_events(&mut self) {
         let now = self.connections.now;
@@ -365,6 +373,7 @@
                         self.sessions.probe_finished(streamer, ending, latency, None)
                     }
                     PoolEvent::Readable(connection) => self.read_streamer(connection),
+                    PoolEvent::EndNotWritten(connection) => self.close_streamer_connection(connection),
                     PoolEvent::StreamerLost(streamer) => {
                         let sessions = self.sessions.playing_at(streamer);
                         tracing::debug!(%streamer, held = sessions, "streamer lost with its sessions");
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -51,6 +51,9 @@
     StreamerLost(StreamerId),
     /// Input was read on a connection outside of the event loop's wait.
     Readable(SocketId),
+    /// The end of a withdrawn join could not be written on a connection: it must be closed once its input is
+    /// handled.
+    EndNotWritten(SocketId),
 }
 
 /// Why no connection attempt could be started.
@@ -372,20 +375,32 @@
         }
     }
 
-    /// Withdraws a join: its streamer is notified before anything else is sent to it for that session.
+    /// Withdraws a join: its streamer is notified before anything else is sent to it for that session. If the
+    /// end cannot be written at once, the caller must close the connection, which ends the join as well.
     pub fn withdraw_join(
         &mut self, join: JoinId, wire_id: u64, streamer: StreamerId, now: Duration, reactor: &mut Reactor,
     ) {
-        let ids = self.streamers.get(&streamer).map_or(&[][..], |state| &state.connection_ids);
+        let ids = self.streamers.get(&streamer).map_or_else(Vec::new, |state| state.connection_ids.clone());
         for connection_id in ids {
-            let Some(connection) = self.connections.get_mut(connection_id) else { continue };
+            let Some(connection) = self.connections.get_mut(&connection_id) else { continue };
             connection.queued_joins.retain(|(queued, ..)| *queued != join);
-            if connection.outstanding_joins.iter().any(|(outstanding, _)| *outstanding == join) {
-                connection.outstanding_joins.retain(|(outstanding, _)| *outstanding != join);
-                connection.record_ended_join(wire_id, now);
-                (connection.abandoned_at, connection.last_sent_at) = (Some(now), now);
-                reactor.send(*connection_id, &[&streamers::end(wire_id, NORMAL)]);
-                reactor.flush_connection(*connection_id);
+            let count = connection.outstanding_joins.len();
+            connection.outstanding_joins.retain(|(outstanding, _)| *outstanding != join);
+            if connection.outstanding_joins.len() == count {
+                continue;
+            }
+            connection.record_ended_join(wire_id, now);
+            (connection.abandoned_at, connection.last_sent_at) = (Some(now), now);
+            let sent = reactor.send(connection_id, &[&streamers::end(wire_id, NORMAL)]);
+            if !sent || !flush_completely(connection_id, reactor) {
+                tracing::debug!(
+                    target: "badgerledge_platform::pool",
+                    %streamer,
+                    line = connection_id,
+                    wire_id = format_args!("{wire_id:016x}"),
+                    "the end of a join cannot be written"
+                );
+                self.events.push(PoolEvent::EndNotWritten(connection_id));
             }
         }
     }
