Core: the best step of a rack's subscriptions comes from a heap

A profile put 95% of the time into allocate_rungs: for each step it looked at all subscriptions of the rack again, for each join as for each tick.

Change: allocation is a module of its own that keeps the next step of each subscription in a heap, ordered by benefit per rate; of equal ones the last, as before. It takes the same steps: compared with the definition on 10,000 random cases with many equal benefits, equal in each. Work at 100, 1,000 and 10,000 subscriptions: one look at each and one for each step taken.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -19,8 +19,11 @@
 use crate::settings::Settings;
 use crate::state::{remove_departed, NetworkLink, NetworkLinks, Streamer, Subscription};
 
+mod allocation;
 mod sums;
 
+use allocation::{take_best_steps, Step};
+
 /// Fraction of a link's capacity that rungs may fill.
 const TARGET_UTILIZATION: f64 = 0.94;
 /// Interval between decisions on moves (the design's tick).
@@ -1084,10 +1087,7 @@
     fn allocate_rungs(&self, uplink: NetworkLink, joining: Option<StreamerId>) -> BTreeMap<JobId, u8> {
         let mut link_headroom: BTreeMap<StreamerId, f64> = BTreeMap::new();
         let mut uplink_headroom = self.allowed_demand(uplink, joining.is_some());
-        let next_worthwhile_step = |subscription, rung| {
-            self.next_step(subscription, rung).filter(|step| step.0 >= self.min_benefit_per_rate)
-        };
-        let mut allocations = Vec::new();
+        let (mut floors, mut placed, mut links) = (Vec::new(), Vec::new(), Vec::new());
         for (job, subscription) in &self.subscriptions {
             let Some(id) = subscription.streamer.filter(|id| self.uplink(*id) == uplink) else { continue };
             let headroom = link_headroom
@@ -1096,23 +1096,17 @@
             let floor = self.settings.floor(&subscription.request);
             *headroom -= self.settings.rate(&subscription.request, floor);
             uplink_headroom -= self.settings.rate(&subscription.request, floor);
-            allocations.push((*job, subscription, id, floor, next_worthwhile_step(subscription, floor)));
+            floors.push((*job, floor));
+            placed.push(subscription);
+            links.push(id);
         }
-        loop {
-            let steps =
-                allocations.iter().enumerate().filter_map(|(index, allocation)| Some((index, allocation.4?)));
-            let Some((index, (_, rate))) = steps.max_by(|a, b| a.1 .0.total_cmp(&b.1 .0)) else { break };
-            let (_, subscription, id, rung, step) = &mut allocations[index];
-            let Some(headroom) =
-                link_headroom.get_mut(id).filter(|headroom| **headroom >= rate && uplink_headroom >= rate)
-            else {
-                *step = None;
-                continue;
-            };
-            (*headroom, uplink_headroom, *rung) = (*headroom - rate, uplink_headroom - rate, *rung + 1);
-            *step = next_worthwhile_step(subscription, *rung);
-        }
-        allocations.into_iter().map(|allocation| (allocation.0, allocation.3)).collect()
+        let next_step = |index: usize, taken: u8| {
+            let (benefit_per_rate, added_rate) = self.next_step(placed[index], floors[index].1 + taken)?;
+            let step = Step { benefit_per_rate, added_rate };
+            (benefit_per_rate >= self.min_benefit_per_rate).then_some(step)
+        };
+        let taken = take_best_steps(&links, &mut link_headroom, uplink_headroom, next_step);
+        floors.into_iter().zip(taken).map(|((job, floor), taken)| (job, floor + taken)).collect()
     }
 
     /// Lowers rungs over the allowance at once; raises rungs that have headroom, each at most once per step
