--- a/crates/reactor/src/reactor/connections.rs
+++ b/crates/reactor/src/reactor/connections.rs
@@ -77,6 +77,15 @@
         self.deregister(id);
     }
 
+    /// Closes a connection at once with a reset: its peer sees an error in place of an end.
+    pub fn reset(&mut self, id: SocketId) {
+        if let Some(Source::Stream { socket, .. }) = self.sources.get(&id) {
+            // Without it the peer sees an ordinary end.
+            let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
+        }
+        self.deregister(id);
+    }
+
     /// Shuts a connection down for writing, but still reads input: it ends once the peer closes it too or has
     /// gone. Output that is not written by then is lost.
     pub fn shut_down_write(&mut self, id: SocketId) {
