Platform: a shutdown counts from when its signal may have been sent

Found by reading, forced by a test: a process that gets no processor time as it is signalled (stopped for 0.7 s with a kill after 1.3 s) counted its shutdown from when it read the signal, and was killed.

At most one wait, some 100 ms, is given away.

--- a/crates/controller/tests/it/shutdown.rs
+++ b/crates/controller/tests/it/shutdown.rs
@@ -74,8 +74,9 @@
 }
 
 /// Stops a controller under load as the platform does, and checks that nothing is lost and that the process
-/// exits before it would be killed. One streamer does not answer from the signal on.
-fn check_shutdown(client_timeout: Duration) {
+/// exits before it would be killed. One streamer does not answer from the signal on, and the process gets no
+/// processor time for `stopped` as it is signalled.
+fn check_shutdown(client_timeout: Duration, stopped: Duration) {
     let (accepting, silent) = (Streamer::new(1), Streamer::new(2));
     let listed = list(2, &[&accepting, &silent]);
     let mut controller = Controller::start_with(name_service(listed), &[&accepting, &silent], |settings| {
@@ -94,8 +95,13 @@
             .collect();
         std::thread::sleep(Duration::from_millis(300));
         silent.mode.store(SILENT, Ordering::SeqCst);
+        if !stopped.is_zero() {
+            controller.signal(Signal::STOP);
+        }
         controller.signal(Signal::TERM);
         let killed_at = Instant::now() + client_timeout.min(Duration::from_secs(3)) + KILL_MARGIN;
+        std::thread::sleep(stopped);
+        controller.signal(Signal::CONT);
         let mut exited = false;
         while !exited && Instant::now() < killed_at {
             exited = controller.child.try_wait().unwrap().is_some();
@@ -117,11 +123,18 @@
 /// Guards against a process that serves on as long as a session plays, and is killed with set-ups pending.
 #[test]
 fn a_stopping_process_answers_every_set_up_and_exits_before_it_is_killed() {
-    check_shutdown(Duration::from_millis(4000));
+    check_shutdown(Duration::from_millis(4000), Duration::ZERO);
 }
 
 /// The same with short client timeouts: the process is killed soon after SIGTERM.
 #[test]
 fn a_stopping_process_with_short_client_timeouts_exits_before_it_is_killed() {
-    check_shutdown(Duration::from_millis(600));
+    check_shutdown(Duration::from_millis(600), Duration::ZERO);
+}
+
+/// Guards against a shutdown that is counted from when a delayed process reads its signal: the platform counts
+/// from when it sends it.
+#[test]
+fn a_process_that_is_stopped_as_it_is_signalled_exits_before_it_is_killed() {
+    check_shutdown(Duration::from_millis(600), Duration::from_millis(700));
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,6 +20,7 @@
 mod session_store;
 mod session_table;
 mod shutdown_schedule;
+mod signal_times;
 mod streamer_pool;
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::inbound::{StreamerHandler, ViewerHandler};
 use crate::request::PlatformSettings;
 use crate::session_table::SessionTable;
+use crate::signal_times::SignalTimes;
 use crate::streamer_pool::{PoolEvent, StreamerPool};
 use crate::unanswered::{ClosedBy, Step, UnansweredSetUp};
 use crate::viewer_pool::{self, ViewerPool};
@@ -64,6 +65,8 @@
     first_fresh_query: Option<u64>,
     /// When the configuration is reread next, and the time after which it is not retried.
     reread: Option<(Duration, Duration)>,
+    /// When a signal that the last wait reported may have been sent.
+    signal_times: SignalTimes,
     /// Since SIGTERM or SIGINT.
     shutdown: Option<shutdown::Shutdown>,
 }
@@ -134,6 +137,7 @@
             list_is_fresh: false,
             first_fresh_query: None,
             reread: None,
+            signal_times: SignalTimes::default(),
             shutdown: None,
         };
         service.publish_list(Listing::Cached);
@@ -152,8 +156,10 @@
         while !self.advance_shutdown() {
             let until = self.next_wake();
             self.accepted_in_last_wait = false;
+            let (woke_before, waits_since) = (self.connections.now, self.connections.reactor.clock());
             self.connections.reactor.wait(Some(until), &mut events).context("event loop")?;
             self.connections.now = self.connections.reactor.now();
+            self.signal_times.record_wait(woke_before, waits_since, until, self.connections.now);
             events.drain(..).for_each(|event| self.handle_event(event));
             if !self.is_closing() {
                 self.poll();
--- a/crates/platform/src/serve/shutdown.rs
+++ b/crates/platform/src/serve/shutdown.rs
@@ -44,9 +44,10 @@
         if self.shutdown.is_some() {
             return tracing::info!(signal, pending, held, "already shutting down");
         }
-        let schedule = ShutdownSchedule::new(now, self.sessions.store.settings.max_client_timeout);
-        let answer_within_ms = (schedule.answer_by() - now).as_millis() as u64;
-        let killed_after_ms = (schedule.killed_at() - now).as_millis() as u64;
+        let longest_timeout = self.sessions.store.settings.max_client_timeout;
+        let schedule = ShutdownSchedule::new(self.signal_times.earliest(), longest_timeout);
+        let answer_within_ms = schedule.answer_by().saturating_sub(now).as_millis() as u64;
+        let killed_after_ms = schedule.killed_at().saturating_sub(now).as_millis() as u64;
         tracing::info!(
             signal,
             pending,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,6 +14,9 @@
 use badgerledge_soak::{play, Outcome, Plan, Record, Violation};
 use clap::Parser;
 
+/// Violations of one rule that are printed with their timeline for each run.
+const MAX_SHOWN_PER_RULE: usize = 2;
+
 /// Plays short, dense runs of real controllers under faults, and judges them by the protocol's rules.
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -115,8 +118,13 @@
         return;
     }
     println!("  plan: {}", serde_json::to_string(&outcome.plan).unwrap_or_default());
-    for violation in outcome.violations.iter().take(5) {
-        println!("  {}", describe(violation, &outcome.record));
+    let mut shown: BTreeMap<&str, usize> = BTreeMap::new();
+    for violation in &outcome.violations {
+        let count = shown.entry(violation.rule).or_default();
+        *count += 1;
+        if *count <= MAX_SHOWN_PER_RULE {
+            println!("  {}", describe(violation, &outcome.record));
+        }
     }
 }
 
