Controller: set-ups that wait are answered when run is told to stop

The same class as the platform's fault, looked for in run over RTSP: on SIGTERM the process ended at once, and set-ups that it had taken, or that were unread on accepted connections, had no answer.

Change: the listener closes, what has arrived is read and throttled, each waiting set-up is answered (throttled without a join, terminated with one), and viewers' connections are half-closed and read until their peers close, half a second at most. What plays breaks with the process as before; its viewers come again. The three places that built the exchange's executor are one.

Relay read for it too: it stores and sends what was decided and ends, without a wait for others; nothing changed.

--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -1,7 +1,7 @@
 //! The controller's event loop. Events from the reactor go to the connections at once; decisions are made in
 //! rounds, at most one per tick.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
@@ -42,6 +42,11 @@
 /// Metrics connections open at a time.
 const MAX_METRICS_CONNECTIONS: usize = 16;
 
+/// How long viewers may take to read their last answers and close as the process stops.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// After this time throttled viewers may come back to a process that stops: another one serves by then.
+const STOP_COOL_DOWN: Duration = Duration::from_secs(1);
+
 /// The running controller: event loop, connections and module.
 pub struct Service {
     connections: Connections,
@@ -182,6 +187,7 @@
             }
             self.connections.reactor.flush();
         }
+        self.answer_waiting()?;
         let connections = &mut self.connections;
         if let Some(gossiping) = &mut connections.gossiping {
             gossiping.leave(&connections.reactor, connections.now);
@@ -191,6 +197,40 @@
         Ok(())
     }
 
+    /// Answers the set-ups that wait as the process stops, and those that have arrived and are unread; then
+    /// shuts the viewers' connections down and reads them until their peers close, so that no answer is lost
+    /// to a reset.
+    fn answer_waiting(&mut self) -> Result<()> {
+        let mut events = Vec::new();
+        let until = self.connections.reactor.clock() + CLOSE_TIMEOUT;
+        self.connections.reactor.close(self.listener);
+        let now = self.connections.reactor.clock();
+        self.connections.reactor.wait(Some(now), &mut events).context("event loop")?;
+        self.connections.now = self.connections.reactor.now();
+        events.drain(..).for_each(|event| self.dispatch(event));
+        self.exchange.hold_joins(Some(STOP_COOL_DOWN));
+        self.run_round();
+        self.handle_join_events();
+        self.exchange.answer_waiting(self.connections.now, &mut self.connections, STOP_COOL_DOWN);
+        self.connections.reactor.flush();
+        let mut open: BTreeSet<SocketId> = self.connections.viewers.keys().copied().collect();
+        open.iter().for_each(|connection| self.connections.reactor.shut_down_write(*connection));
+        while !open.is_empty() && self.connections.reactor.clock() < until {
+            self.connections.reactor.wait(Some(until), &mut events).context("event loop")?;
+            for event in events.drain(..) {
+                match event {
+                    ReactorEvent::Closed(connection, _) => drop(open.remove(&connection)),
+                    ReactorEvent::Readable(connection) => {
+                        let count = self.connections.reactor.input(connection).len();
+                        self.connections.reactor.consume(connection, count);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Handles events on joins that need no decision; one may bring another.
     fn handle_join_events(&mut self) {
         while !self.connections.join_events.is_empty() {
--- a/crates/controller/tests/it/subscriptions.rs
+++ b/crates/controller/tests/it/subscriptions.rs
@@ -210,3 +210,23 @@
     controller.signal(Signal::TERM);
     assert!(controller.exits_successfully());
 }
+
+/// Guards against set-ups that a process leaves without an answer as it ends: one with a join outstanding, and
+/// one that arrives together with the signal.
+#[test]
+fn set_ups_that_wait_are_answered_when_the_process_stops() {
+    let (_list, mut controller, streamers) = with_streamers(1, "");
+    let mut joining = RtspPeer::to(controller.at);
+    joining.set_up(1, 8, 9, "");
+    let (_join, _request) = streamers[0].join();
+    controller.signal(Signal::STOP);
+    let mut unread = RtspPeer::to(controller.at);
+    unread.set_up(1, 7, 10, "");
+    controller.signal(Signal::TERM);
+    controller.signal(Signal::CONT);
+    assert_eq!(status(&joining.receive()), 500, "its join may have run");
+    let refused = unread.receive();
+    assert_eq!((status(&refused), header(&refused, "Retry-After").is_empty()), (503, false));
+    drop((joining, unread));
+    assert!(controller.exits_successfully());
+}
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use badgerledge_core::decide::Controller;
+use badgerledge_core::interface::DecisionSink;
 use serde_json::{Map, Value};
 
 use crate::decision_executor::{DecisionExecutor, PendingOutcome, Transport};
@@ -12,6 +13,11 @@
 /// The decision module and the subscriptions of one controller.
 pub struct Exchange {
     module: Controller,
+    state: ExchangeState,
+}
+
+/// What the decisions are carried out on.
+struct ExchangeState {
     subscriptions: SubscriptionTable,
     admission: Admission,
     pending_outcomes: Vec<PendingOutcome>,
@@ -20,36 +26,51 @@
     hold_cool_down: Option<Duration>,
 }
 
+impl ExchangeState {
+    /// Carries out decisions at `now` on this transport.
+    fn executor<'a, C>(&'a mut self, now: Duration, transport: &'a mut C) -> DecisionExecutor<'a, C> {
+        DecisionExecutor {
+            subscriptions: &mut self.subscriptions,
+            admission: &mut self.admission,
+            transport,
+            now,
+            pending_outcomes: &mut self.pending_outcomes,
+            unsafe_room_types: &mut self.unsafe_room_types,
+            hold_cool_down: self.hold_cool_down,
+        }
+    }
+}
+
 impl Exchange {
     /// `settings` is the plain map of settings that the decision module reads; `max_subscriptions` limits the
     /// subscriptions held.
     pub fn new(now: Duration, seed: u64, settings: Map<String, Value>, max_subscriptions: usize) -> Self {
         let unsafe_room_types = unsafe_room_types(&settings);
-        Self {
-            module: Controller::new(now, seed, settings),
+        let state = ExchangeState {
             subscriptions: SubscriptionTable::default(),
             admission: Admission::new(max_subscriptions, seed.rotate_left(32)),
             pending_outcomes: Vec::new(),
             unsafe_room_types,
             hold_cool_down: None,
-        }
+        };
+        Self { module: Controller::new(now, seed, settings), state }
     }
 
     /// Holds new joins back, or resumes them; `cool_down` is when throttled viewers may retry. Must be called
     /// before anything that may send a join. Playing subscriptions continue.
     pub fn hold_joins(&mut self, cool_down: Option<Duration>) {
-        self.hold_cool_down = cool_down;
+        self.state.hold_cool_down = cool_down;
     }
 
     /// The records of all subscriptions.
     pub fn subscriptions(&self) -> &SubscriptionTable {
-        &self.subscriptions
+        &self.state.subscriptions
     }
 
     /// When the next round is due without any events.
     pub fn next_due(&self) -> Option<Duration> {
-        if self.pending_outcomes.is_empty() {
-            self.subscriptions.next_due()
+        if self.state.pending_outcomes.is_empty() {
+            self.state.subscriptions.next_due()
         } else {
             Some(Duration::ZERO)
         }
@@ -59,19 +80,23 @@
     pub fn handle_join_events<C: Transport>(
         &mut self, now: Duration, transport: &mut C, feed: impl FnOnce(&mut JoinEvents<'_, '_, C>),
     ) {
-        let Self { subscriptions, admission, pending_outcomes, unsafe_room_types, hold_cool_down, .. } = self;
-        let hold_cool_down = *hold_cool_down;
-        feed(&mut JoinEvents {
-            executor: &mut DecisionExecutor {
-                subscriptions,
-                admission,
-                transport,
-                now,
-                pending_outcomes,
-                unsafe_room_types,
-                hold_cool_down,
-            },
-        });
+        feed(&mut JoinEvents { executor: &mut self.state.executor(now, transport) });
+    }
+
+    /// Answers every set-up that waits, since the process is about to exit: one without a join is throttled
+    /// with this cool-down, one whose join may have run is terminated. Later ones are throttled.
+    pub fn answer_waiting<C: Transport>(&mut self, now: Duration, transport: &mut C, cool_down: Duration) {
+        self.hold_joins(Some(cool_down));
+        let subscriptions = self.state.subscriptions.all();
+        let waiting = subscriptions.filter(|(_, subscription)| subscription.playing_connection.is_none());
+        let waiting: Vec<_> = waiting.map(|(job, subscription)| (job, subscription.join_count)).collect();
+        let mut executor = self.state.executor(now, transport);
+        for (job, join_count) in waiting {
+            match join_count {
+                0 => executor.throttle(job, cool_down),
+                _ => executor.respond_error(job),
+            }
+        }
     }
 
     /// Runs one round at `now`: the events that `feed` reports, then what is overdue, then the due work of
@@ -79,18 +104,7 @@
     pub fn round<C: Transport>(
         &mut self, now: Duration, transport: &mut C, feed: impl FnOnce(&mut EventHandler<'_, '_, C>),
     ) {
-        let Self { module, subscriptions, admission, pending_outcomes, unsafe_room_types, hold_cool_down } =
-            self;
-        let hold_cool_down = *hold_cool_down;
-        let mut executor = DecisionExecutor {
-            subscriptions,
-            admission,
-            transport,
-            now,
-            pending_outcomes,
-            unsafe_room_types,
-            hold_cool_down,
-        };
+        let mut executor = self.state.executor(now, transport);
         let events = |module: &mut Controller, executor: &mut DecisionExecutor<'_, C>| {
             let mut handler = EventHandler { module, executor };
             handler.deliver_outcomes();
@@ -99,7 +113,7 @@
             handler.end_overdue();
             handler.deliver_outcomes();
         };
-        module.round(now, events, &mut executor);
+        self.module.round(now, events, &mut executor);
     }
 }
 
