Soak: three checks of the rig put right by traces

The limit is longer by the time for which the rig stopped the process, as for answers.

A test in races covers what does hold: a stopped process reads what came meanwhile before the next attempt that fell due.

--- a/crates/controller/tests/it/races.rs
+++ b/crates/controller/tests/it/races.rs
@@ -62,6 +62,26 @@
     controller.viewer().establish(10);
 }
 
+/// A process that got no CPU for a while reads what came meanwhile before it makes a further attempt, also if
+/// the time for that attempt has come.
+#[test]
+fn no_attempt_begins_for_a_viewer_that_leaves_while_the_process_is_stopped() {
+    let streamer = Streamer::new(1);
+    let controller = Controller::start(name_service(list(1, &[])), &[&streamer]);
+    streamer.mode.store(SILENT, Ordering::SeqCst);
+    for wire_id in 10..13 {
+        let mut viewer = controller.viewer();
+        viewer.set_up_with(wire_id, "4000", "v=0");
+        // The first join has timed out, and the next one is due in a moment.
+        streamer.wait_for("end", wire_id);
+        controller.signal(Signal::STOP);
+        drop(viewer);
+        std::thread::sleep(LEFT_FOR * 2);
+        controller.signal(Signal::CONT);
+        assert_eq!(offers(&streamer.take_received(millis(500))), 0, "an attempt for a viewer that had left");
+    }
+}
+
 /// A listener whose queue is full: the kernel drops new connections, which retry after a second.
 fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -41,6 +41,8 @@
     pending: BTreeSet<u64>,
     /// A request that crossed the close of another connection, to be sent on this one.
     sends_again: Option<u64>,
+    /// The next set-up is scheduled.
+    scheduled: bool,
 }
 
 /// A message about a request; what is recorded when its last byte is written.
@@ -68,6 +70,7 @@
             pieces: VecDeque::new(),
             pending: BTreeSet::new(),
             sends_again: None,
+            scheduled: false,
         }
     }
 }
@@ -112,7 +115,7 @@
             .is_some_and(|life| life.terminated_at.is_none_or(|at| self.now < at + CONNECTS_AFTER_SIGNAL));
         let must_connect = client.sends_again.is_some();
         if !(process.ready && chosen || must_connect) {
-            return self.after(RECONNECT_INTERVAL, Action::Connect(id));
+            return self.client_could_not_connect(id);
         }
         let address = SocketAddr::V4(process.listen);
         match self.reactor.connect(address, CONNECT_TIMEOUT, BOUNDS) {
@@ -146,17 +149,24 @@
         if let Some(request) = client.sends_again.take() {
             self.send_set_up(id, request);
         }
-        if crowd.is_none_or(|crowd| crowd.sends) {
+        let scheduled = self.clients.get(&id).is_some_and(|client| client.scheduled);
+        if crowd.is_none_or(|crowd| crowd.sends) && !scheduled {
             self.send_next_set_up(id);
         }
     }
 
     /// Sends the next set-up of a client, and schedules the one after it.
     pub fn send_next_set_up(&mut self, id: ClientId) {
-        let Some(client) = self.clients.get(&id).filter(|client| client.open) else { return };
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.scheduled = false;
+        if !client.open {
+            return;
+        }
         let (crowd, process) = (client.crowd.is_some(), client.process);
+        client.scheduled = !crowd;
         let Some(life) = self.processes[process].life else { return };
-        if client.pending.len() < MAX_PENDING {
+        let pending = self.clients.get(&id).map_or(0, |client| client.pending.len());
+        if pending < MAX_PENDING {
             self.next_request += 1;
             let request = self.next_request;
             let room_type = (self.rng.unit_interval() * ROOM_TYPES.len() as f64) as usize;
@@ -341,10 +351,15 @@
     /// The client closes its connection; what is pending on it is given up.
     pub fn close_client(&mut self, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let Some(connection) = client.connection.take() else { return };
+        let crowd = client.crowd.is_some();
+        let Some(connection) = client.connection.take() else {
+            if crowd {
+                self.clients.remove(&id);
+            }
+            return;
+        };
         client.open = false;
         client.pieces.clear();
-        let crowd = client.crowd.is_some();
         let now = self.now;
         for request in std::mem::take(&mut client.pending) {
             if let Some(entry) = self.record.requests.get_mut(&request) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -252,12 +252,13 @@
         let end_ms = self.end_of_faults().as_millis() as u64;
         let draw_time = |draw: &mut Draw| draw.millis(FIRST_FAULT_AT.as_millis() as u64, end_ms);
         if draw.chance(0.4) {
-            for _ in 0..draw.count(1, 3) {
+            let crowds = draw.count(1, 3);
+            for _ in 0..crowds {
                 let at = draw_time(draw);
                 // The front's own connections take a third of the descriptors at most; others that connect by
                 // the hundred say nothing.
                 let sends = draw.chance(0.7);
-                let most = self.max_sockets / 3 - self.clients_per_process - 1;
+                let most = (self.max_sockets / 3 - self.clients_per_process - 1) / crowds;
                 let connections = if sends { draw.count(most / 2, most) } else { draw.count(30, 150) };
                 let crowd = Crowd {
                     at,
--- a/crates/soak/src/streamers.rs
+++ b/crates/soak/src/streamers.rs
@@ -405,8 +405,9 @@
             .map(|(request, _)| *request)
             .collect();
         for request in cut {
-            self.sessions.remove(&request);
-            if let Some(entry) = self.record.requests.get_mut(&request) {
+            // One whose answer its client never got is no session to it.
+            let accepted = self.sessions.remove(&request).is_some_and(|session| session.accepted);
+            if let Some(entry) = self.record.requests.get_mut(&request).filter(|_| accepted) {
                 entry.session_ended_at.get_or_insert(now);
             }
         }
--- a/crates/soak/src/witness.rs
+++ b/crates/soak/src/witness.rs
@@ -45,7 +45,7 @@
             two_joins_out(request),
             set_up_twice(request),
             wrong_refusal(request),
-            attempt_for_a_client_that_left(request),
+            attempt_for_a_client_that_left(record, request),
             drained(request),
             not_released(record, request, ended_at),
         ];
@@ -176,10 +176,15 @@
     wrong.then(|| violation("wrong refusal", *at, format!("cause {cause} after a join that may have run")))
 }
 
-/// A join that arrived long after its client had left.
-fn attempt_for_a_client_that_left(request: &Request) -> Option<Violation> {
+/// A join that arrived long after its client had left. A process that is stopped between its decision and the
+/// write of it cannot know.
+fn attempt_for_a_client_that_left(record: &Record, request: &Request) -> Option<Violation> {
     let left_at = request.left_at?;
-    let late = |join: &&Join| join.arrived_at > left_at + ATTEMPT_AFTER_LEAVING + SLACK;
+    let life = &record.lives[request.life];
+    let late = |join: &&Join| {
+        let stopped = stopped_between(life, left_at, join.arrived_at);
+        join.arrived_at > left_at + ATTEMPT_AFTER_LEAVING + SLACK + stopped
+    };
     request.joins.iter().find(late).map(|join| {
         let after = join.arrived_at - left_at;
         violation("attempt after leaving", join.arrived_at, format!("{after:?} after its client had left"))
--- a/crates/soak/src/witness_tests.rs
+++ b/crates/soak/src/witness_tests.rs
@@ -165,6 +165,9 @@
         ..request()
     };
     check("attempt after leaving", left(10_156), left(10_155));
+    let stopped = |until| Life { stopped: vec![(ms(10_000), ms(until))], ..life() };
+    assert_eq!(broken(left(10_200), stopped(10_049)), ["attempt after leaving"]);
+    assert_eq!(broken(left(10_200), stopped(10_050)), [""; 0]);
 }
 
 #[test]
