--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -120,6 +120,9 @@
     Drain,
     /// The streamer's process ends, and another starts at its address under a new id at once.
     Replace,
+    /// The streamer's machine vanishes: connections stay open and silent. Later it is removed from the list,
+    /// and comes back under a new id.
+    Vanish,
 }
 
 /// A new configuration with SIGHUP: the name service moves.
@@ -284,7 +287,7 @@
         if draw.chance(0.5) && self.streamers > 3 {
             for streamer in 0..draw.count(1, self.streamers / 3) {
                 let at = draw_time(draw);
-                let kind = draw.of(&[ChangeKind::Drain, ChangeKind::Replace]);
+                let kind = draw.of(&[ChangeKind::Drain, ChangeKind::Replace, ChangeKind::Vanish]);
                 self.list_changes.push(ListChange { at, streamer, kind });
             }
         }
--- a/crates/soak/src/rig.rs
+++ b/crates/soak/src/rig.rs
@@ -317,7 +317,7 @@
             Action::Leave(request) => self.leave(request),
             Action::CloseClient(client) => self.close_client(client),
             Action::StreamerSend(connection, line) => self.send_line(connection, line),
-            Action::StreamerFinish(connection, rest) => drop(self.reactor.send(connection, &[&rest])),
+            Action::StreamerFinish(connection, rest) => self.finish_line(connection, &rest),
             Action::AnswerOffer(connection, request) => self.answer_offer(connection, request),
             Action::EndSession(request) => self.end_session(request),
             Action::CloseStreamer(connection, reset) => self.close_streamer_connection(connection, reset),
--- a/crates/soak/src/streamers.rs
+++ b/crates/soak/src/streamers.rs
@@ -31,6 +31,8 @@
     pub address: SocketAddrV4,
     /// Answers nothing until this time.
     pub hangs_until: Duration,
+    /// Its machine is gone: nothing is read or sent.
+    vanished: bool,
     pub connections: Vec<SocketId>,
     /// Ends of sessions that wait for a connection of the process with this index.
     pub queued_ends: BTreeMap<usize, Vec<u64>>,
@@ -59,6 +61,7 @@
                 cell: index as u32 % self.plan.cells,
                 address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, address.port()),
                 hangs_until: Duration::ZERO,
+                vanished: false,
                 connections: Vec::new(),
                 queued_ends: BTreeMap::new(),
             };
@@ -82,6 +85,10 @@
     }
 
     pub fn read_streamer_connection(&mut self, connection: SocketId) {
+        if self.is_vanished(connection) {
+            let count = self.reactor.input(connection).len();
+            return self.reactor.consume(connection, count);
+        }
         loop {
             let input = self.reactor.input(connection);
             let Some(end) = input.iter().position(|byte| *byte == b'\n') else { return };
@@ -104,6 +111,11 @@
         }
     }
 
+    fn is_vanished(&self, connection: SocketId) -> bool {
+        let state = self.streamer_connections.get(&connection);
+        state.is_some_and(|state| self.streamers[state.streamer].vanished)
+    }
+
     fn offer_arrives(&mut self, connection: SocketId, request: u64) {
         let now = self.now;
         self.record.coverage.joins += 1;
@@ -140,6 +152,9 @@
     /// Answers an offer, unless it was withdrawn meanwhile.
     pub fn answer_offer(&mut self, connection: SocketId, request: u64) {
         let answers = self.plan.answers;
+        if self.is_vanished(connection) {
+            return;
+        }
         let Some(state) = self.streamer_connections.get(&connection) else { return };
         if !state.outstanding.contains(&request) {
             return;
@@ -214,8 +229,18 @@
         self.after(pause, Action::StreamerFinish(connection, answer[middle..].to_vec()));
     }
 
+    /// Writes the rest of a line that was sent in pieces.
+    pub fn finish_line(&mut self, connection: SocketId, rest: &[u8]) {
+        if !self.is_vanished(connection) {
+            self.reactor.send(connection, &[rest]);
+        }
+    }
+
     /// Writes a line on a connection, after the rest of one that is being written in pieces.
     pub fn send_line(&mut self, connection: SocketId, line: Vec<u8>) {
+        if self.is_vanished(connection) {
+            return;
+        }
         let busy_until =
             self.streamer_connections.get(&connection).map_or(Duration::ZERO, |state| state.busy_until);
         if self.now < busy_until {
@@ -271,6 +296,9 @@
     /// soon as there is one.
     pub fn end_session(&mut self, request: u64) {
         let Some(session) = self.sessions.get(&request).copied() else { return };
+        if self.streamers[session.streamer.0].vanished {
+            return;
+        }
         let index = session.streamer.0;
         if self.streamers[index].id != session.streamer.1 {
             return;
@@ -359,22 +387,33 @@
                 self.after(DRAIN_TIME, Action::Remove(index));
             }
             ChangeKind::Replace => {
-                self.cut_sessions(index);
+                self.end_sessions(index);
+                self.reset_connections(index);
                 self.unlist(index);
                 self.list_successor(index);
             }
+            ChangeKind::Vanish => {
+                self.end_sessions(index);
+                self.streamers[index].vanished = true;
+                self.after(DRAIN_TIME, Action::Remove(index));
+            }
         }
     }
 
-    /// A drained streamer ends and is removed from the list.
+    /// A drained or vanished streamer ends and is removed from the list.
     pub fn remove_streamer(&mut self, index: usize) {
-        self.cut_sessions(index);
+        if !self.streamers[index].vanished {
+            self.end_sessions(index);
+            self.reset_connections(index);
+        }
         self.unlist(index);
         self.after(ABSENCE, Action::Return(index));
     }
 
     /// Another streamer starts at the address of a removed one.
     pub fn return_streamer(&mut self, index: usize) {
+        self.reset_connections(index);
+        self.streamers[index].vanished = false;
         self.list_successor(index);
     }
 
@@ -390,14 +429,24 @@
         self.list.serial += 1;
     }
 
-    /// The process of a streamer ends: its connections are reset and its sessions cut.
-    fn cut_sessions(&mut self, index: usize) {
-        let now = self.now;
+    /// Resets the connections of a streamer whose process or machine has ended.
+    fn reset_connections(&mut self, index: usize) {
         for connection in self.streamers[index].connections.clone() {
             self.owners.remove(&connection);
             self.streamer_connection_ended(connection);
             self.reactor.reset(connection);
         }
+    }
+
+    /// The process or machine of a streamer ends: its joins are given up, and its sessions cut.
+    fn end_sessions(&mut self, index: usize) {
+        let now = self.now;
+        for connection in self.streamers[index].connections.clone() {
+            let state = self.streamer_connections.get(&connection);
+            for request in state.map_or_else(Vec::new, |state| state.outstanding.clone()) {
+                self.end_join(connection, request, JoinEnd::ConnectionEnded);
+            }
+        }
         let cut: Vec<u64> = self
             .sessions
             .iter()
