Platform: an answer that crosses the end of its join causes no second end

Found by reading, forced by a test: since the next join waits 50 ms, the answer to a join that had just timed out found its session between two joins and was ended once more, by the id that the next join at that streamer carries; that end and the next offer have no order on the way.

Change: the wait counts as a join at that streamer. The end that withdrew the join cuts the session that the streamer answered for.

duplicates::an_answer_that_crosses_its_end_... failed before (end, offer) and passes; platform 36 passed.

--- a/crates/controller/tests/it/duplicates.rs
+++ b/crates/controller/tests/it/duplicates.rs
@@ -101,3 +101,22 @@
     }
     streamer.mode.store(ACCEPTING, Ordering::SeqCst);
 }
+
+/// Guards against an end for the next join of a request: the answer to a join that timed out arrived just before
+/// the next one was sent to that streamer, and was ended by its id once more. The end that was sent when the join
+/// timed out cuts it already.
+#[test]
+fn an_answer_that_crosses_its_end_does_not_end_the_next_join() {
+    let streamer = Streamer::new(1);
+    let controller = Controller::start(name_service(list(1, &[])), &[&streamer]);
+    streamer.mode.store(SILENT, Ordering::SeqCst);
+    let mut viewer = controller.viewer();
+    viewer.set_up_with(WIRE_ID, "4000", "v=0");
+    streamer.wait_for("end", WIRE_ID);
+    streamer.send_on(0, &accept());
+    let received = streamer.take_received(QUIET);
+    let operations: Vec<_> = received.iter().filter_map(|message| message["op"].as_str()).collect();
+    assert_eq!(operations, ["offer"], "the next join, and no end");
+    streamer.send(&accept());
+    assert_eq!(viewer.receive().0, 9);
+}
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -141,7 +141,8 @@
             }
             // An answer that arrives after its join was withdrawn must not leave a session playing, so the
             // session is ended. A duplicate answer is ignored, and so is one that coincides with a further
-            // join to the same streamer: ending that id would end the new join.
+            // join to the same streamer, or with the wait before it: ending that id would end the new join.
+            // The end of the withdrawn join cuts the session anyway.
             None if !sessions.is_joining_or_playing_at(self.streamer, wire_id) => {
                 tracing::debug!(
                     target: "badgerledge_platform::hearing",
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -124,12 +124,13 @@
         session.is_some_and(|session| session.phase == Phase::Stands(streamer))
     }
 
-    /// Whether that session plays at that streamer or has a join outstanding there.
+    /// Whether that session plays at that streamer, has a join outstanding there, or has just withdrawn one.
     pub fn is_joining_or_playing_at(&self, streamer: StreamerId, wire_id: u64) -> bool {
         let session = self.store.by_wire_id.get(&wire_id).and_then(|job| self.store.get(*job));
-        session.is_some_and(
-            |session| matches!(session.phase, Phase::Stands(at) | Phase::Out(at) if at == streamer),
-        )
+        session.is_some_and(|session| match session.phase {
+            Phase::Stands(at) | Phase::Out(at) | Phase::Withdrawn(at, _) => at == streamer,
+            Phase::Waiting | Phase::Leaves(_) => false,
+        })
     }
 
     /// The streamer's connection that a session was answered on, if it was.
