--- a/crates/platform/src/connection_pool_tests.rs
+++ b/crates/platform/src/connection_pool_tests.rs
@@ -58,6 +58,15 @@
         remote
     }
 
+    /// Sends bytes that the streamer does not read, until some of them cannot be written.
+    fn block_output(&mut self, connection: SocketId) {
+        let long = vec![b' '; 16 * 1024];
+        while self.reactor.unwritten_bytes(connection) == 0 {
+            self.reactor.send(connection, &[&long]);
+            self.reactor.flush_connection(connection);
+        }
+    }
+
     fn join(&mut self, job: u32) {
         let offer = format!("join {job}\n").into_bytes();
         self.pool.join(first_join(job), job.into(), streamer(), offer, self.now, &mut self.reactor);
@@ -383,11 +392,7 @@
     let mut harness = Harness::new(1);
     let remote = harness.join_established(1);
     let connection = harness.pool_connection();
-    let long = vec![b' '; 16 * 1024];
-    while harness.reactor.unwritten_bytes(connection) == 0 {
-        harness.reactor.send(connection, &[&long]);
-        harness.reactor.flush_connection(connection);
-    }
+    harness.block_output(connection);
     harness.join(2);
     assert_eq!(harness.take_events(), [PoolEvent::JoinEnded(first_join(2), Ending::ConnectFailed)]);
     drop(remote);
@@ -401,11 +406,8 @@
         let mut harness = Harness::new(4);
         let remote = harness.join_established(1);
         let connection = harness.pool_connection();
+        harness.block_output(connection);
         let long = vec![b' '; 16 * 1024];
-        while harness.reactor.unwritten_bytes(connection) == 0 {
-            harness.reactor.send(connection, &[&long]);
-            harness.reactor.flush_connection(connection);
-        }
         while output_is_full && harness.reactor.send(connection, &[&long]) {}
         while output_is_full && harness.reactor.send(connection, &[b" "]) {}
         harness.pool.withdraw_join(first_join(1), 1, streamer(), harness.now, &mut harness.reactor);
