--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -188,6 +188,7 @@
             self.connections.reactor.flush();
         }
         self.answer_waiting()?;
+        self.close_viewers()?;
         let connections = &mut self.connections;
         if let Some(gossiping) = &mut connections.gossiping {
             gossiping.leave(&connections.reactor, connections.now);
@@ -197,12 +198,9 @@
         Ok(())
     }
 
-    /// Answers the set-ups that wait as the process stops, and those that have arrived and are unread; then
-    /// shuts the viewers' connections down and reads them until their peers close, so that no answer is lost
-    /// to a reset.
+    /// Answers the set-ups that wait as the process stops, and those that have arrived and are unread.
     fn answer_waiting(&mut self) -> Result<()> {
         let mut events = Vec::new();
-        let until = self.connections.reactor.clock() + CLOSE_TIMEOUT;
         self.connections.reactor.close(self.listener);
         let now = self.connections.reactor.clock();
         self.connections.reactor.wait(Some(now), &mut events).context("event loop")?;
@@ -213,6 +211,14 @@
         self.handle_join_events();
         self.exchange.answer_waiting(self.connections.now, &mut self.connections, STOP_COOL_DOWN);
         self.connections.reactor.flush();
+        Ok(())
+    }
+
+    /// Shuts the viewers' connections down and reads them until their peers close, so that no answer is lost
+    /// to a reset.
+    fn close_viewers(&mut self) -> Result<()> {
+        let mut events = Vec::new();
+        let until = self.connections.reactor.clock() + CLOSE_TIMEOUT;
         let mut open: BTreeSet<SocketId> = self.connections.viewers.keys().copied().collect();
         open.iter().for_each(|connection| self.connections.reactor.shut_down_write(*connection));
         while !open.is_empty() && self.connections.reactor.clock() < until {
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -20,6 +20,8 @@
 use crate::state::{remove_departed, NetworkLink, NetworkLinks, Streamer, Subscription};
 
 mod allocation;
+#[cfg(test)]
+mod allocation_tests;
 mod sums;
 
 use allocation::{take_best_steps, Step};
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -84,9 +84,8 @@
     }
 
     /// Answers every set-up that waits, since the process is about to exit: one without a join is throttled
-    /// with this cool-down, one whose join may have run is terminated. Later ones are throttled.
+    /// with this cool-down, one whose join may have run is terminated.
     pub fn answer_waiting<C: Transport>(&mut self, now: Duration, transport: &mut C, cool_down: Duration) {
-        self.hold_joins(Some(cool_down));
         let subscriptions = self.state.subscriptions.all();
         let waiting = subscriptions.filter(|(_, subscription)| subscription.playing_connection.is_none());
         let waiting: Vec<_> = waiting.map(|(job, subscription)| (job, subscription.join_count)).collect();
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -9,7 +9,6 @@
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, THROTTLED};
 use crate::session_store::{trace_session, OfferFields, SessionStore, Timer};
-use crate::session_table::WITHDRAWAL_READ_WITHIN;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step};
 
@@ -109,17 +108,7 @@
     }
 
     fn cancel(&mut self, job: JobId, number: u16) {
-        let Some(session) = self.store.get_mut(job).filter(|session| session.joins == number + 1) else {
-            return;
-        };
-        if let Phase::Out(streamer) = session.phase {
-            session.phase = Phase::Withdrawn(streamer, Ending::Cancelled);
-            let wire_id = session.wire_id;
-            self.store.counts.withdrawn_joins += 1;
-            self.transport.withdraw_join(JoinId { job, number }, wire_id, streamer);
-            let read_at = self.now + WITHDRAWAL_READ_WITHIN;
-            self.store.timers.insert((read_at, Timer::WithdrawalRead(job, number)));
-        }
+        self.store.withdraw(self.now, JoinId { job, number }, Ending::Cancelled, self.transport);
     }
 
     fn set_timer(&mut self, from_now: Duration, token: u64) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,7 +20,11 @@
 mod session_store;
 mod session_table;
 mod shutdown_schedule;
+#[cfg(test)]
+mod shutdown_schedule_tests;
 mod signal_times;
+#[cfg(test)]
+mod signal_times_tests;
 mod streamer_pool;
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/serve/discovery.rs
+++ b/crates/platform/src/serve/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: queries the name service for the list of streamers and passes its answers to the streamer pool
-//! and the decision module. SIGHUP rereads the configuration for the address of the name service and the longest client timeout.
+//! and the decision module. SIGHUP rereads the configuration for the address of the name service and the
+//! longest client timeout.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/platform/src/serve/shutdown.rs
+++ b/crates/platform/src/serve/shutdown.rs
@@ -85,8 +85,8 @@
 
     /// Takes the steps of a shutdown that are due. Returns whether the process may exit.
     pub(super) fn advance_shutdown(&mut self) -> bool {
-        let now = self.connections.reactor.clock();
         let Some(Shutdown { schedule, stage, .. }) = self.shutdown else { return false };
+        let now = self.connections.reactor.clock();
         match stage {
             Stage::Serving if now >= schedule.answer_by() => self.begin_closing(now),
             Stage::Serving if now >= schedule.may_close_at() && !self.holds_anything() => {
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -16,6 +16,11 @@
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step, UnansweredCounts, UnansweredSetUp};
 
+/// How long after a join was withdrawn, or its connection broke, the next one of its session may be placed. The
+/// two travel on different connections, and a busy streamer may read one some milliseconds before the other;
+/// a tenth of the time that is left if that is less.
+const WITHDRAWAL_READ_WITHIN: Duration = Duration::from_millis(50);
+
 /// The fields that are sent to streamers until one has answered.
 pub struct OfferFields {
     /// Index in [`PlatformSettings::room_types`].
@@ -217,6 +222,26 @@
         }));
     }
 
+    /// Withdraws a join, unless it has ended.
+    pub fn withdraw(&mut self, now: Duration, join: JoinId, ending: Ending, transport: &mut impl Transport) {
+        let Some((session, streamer)) = self.joining(join) else { return };
+        transport.withdraw_join(join, session.wire_id, streamer);
+        self.counts.withdrawn_joins += 1;
+        self.lose_join(now, join, ending);
+    }
+
+    /// Ends a join whose streamer may not know of it yet: no other is placed until it has read that.
+    pub fn lose_join(&mut self, now: Duration, join: JoinId, ending: Ending) {
+        let Some((session, streamer)) = self.joining(join) else { return };
+        trace_session(session.wire_id, "join lost", (streamer, join.number, ending));
+        let time_left = session.answer_by.saturating_sub(now);
+        let read_at = now + WITHDRAWAL_READ_WITHIN.min(time_left / 10);
+        if let Some(session) = self.get_mut(join.job) {
+            session.phase = Phase::Withdrawn(streamer, ending);
+        }
+        self.timers.insert((read_at, Timer::WithdrawalRead(join.job, join.number)));
+    }
+
     /// Withdraws the outstanding join of a removed session, if there is one, and reports it to the decision
     /// module; or reports a join that was withdrawn before.
     pub fn withdraw_join(
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -30,10 +30,6 @@
 /// delayed event loop; a tenth of the timeout if that is less. A join that would have been answered within
 /// this margin is lost.
 const ANSWER_MARGIN: Duration = Duration::from_millis(120);
-/// How long after a join was withdrawn, or its connection broke, the next one of its session may be placed. The
-/// two travel on different connections, and a busy streamer may read one some milliseconds before the other;
-/// a tenth of the time that is left if that is less.
-pub const WITHDRAWAL_READ_WITHIN: Duration = Duration::from_millis(50);
 /// How much sooner than the viewer gives up the session table answers by itself; a twentieth of the timeout
 /// if that is less.
 const ANSWER_DEADLINE_MARGIN: Duration = Duration::from_millis(50);
@@ -352,19 +348,13 @@
             // It was never sent.
             return self.join_ended(now, join, ending, None);
         }
-        let Some((session, streamer)) = self.store.joining(join) else { return };
-        trace_session(session.wire_id, "join lost", (streamer, join.number, ending));
-        let time_left = session.answer_by.saturating_sub(now);
-        let read_at = now + WITHDRAWAL_READ_WITHIN.min(time_left / 10);
-        if let Some(session) = self.store.get_mut(join.job) {
-            session.phase = Phase::Withdrawn(streamer, ending);
-        }
-        self.store.timers.insert((read_at, Timer::WithdrawalRead(join.job, join.number)));
+        self.store.lose_join(now, join, ending);
     }
 
     /// Reports a lost join to the decision module, once its streamer has read that.
     fn withdrawal_read(&mut self, now: Duration, join: JoinId) {
-        let Some(session) = self.store.get_mut(join.job) else { return };
+        let session = self.store.get_mut(join.job).filter(|session| session.joins == join.number + 1);
+        let Some(session) = session else { return };
         let Phase::Withdrawn(streamer, ending) = session.phase else { return };
         session.phase = Phase::Waiting;
         let outcome = (streamer, join.number, session.join_sent_at);
@@ -511,7 +501,7 @@
                     self.store.inputs.push(Box::new(move |m| m.timer_fired(token)))
                 }
                 Timer::JoinTimeout(job, number) => {
-                    self.join_timed_out(now, JoinId { job, number }, transport)
+                    self.store.withdraw(now, JoinId { job, number }, Ending::Timeout, transport)
                 }
                 Timer::WithdrawalRead(job, number) => self.withdrawal_read(now, JoinId { job, number }),
                 Timer::AnswerDeadline(job) => self.answer_overdue(now, job, transport),
@@ -520,13 +510,6 @@
         }
     }
 
-    fn join_timed_out(&mut self, now: Duration, join: JoinId, transport: &mut impl Transport) {
-        let Some((session, streamer)) = self.store.joining(join) else { return };
-        transport.withdraw_join(join, session.wire_id, streamer);
-        self.store.counts.withdrawn_joins += 1;
-        self.join_lost(now, join, Ending::Timeout);
-    }
-
     /// Answers a viewer that is about to give up without an answer from the decision module.
     fn answer_overdue(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
         let Some(session) = self.store.get(job) else { return };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,8 @@
 mod list_service;
 mod media;
 mod ports;
+#[cfg(test)]
+mod ports_tests;
 mod streamers;
 mod tally;
 mod viewers;
--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -57,7 +57,7 @@
 }
 
 /// The ports that sockets of this machine are bound to, as the kernel lists them.
-fn ports_in_use() -> io::Result<BTreeSet<u16>> {
+pub(crate) fn ports_in_use() -> io::Result<BTreeSet<u16>> {
     let mut ports = BTreeSet::new();
     for table in ["/proc/net/tcp", "/proc/net/udp"] {
         let text = std::fs::read_to_string(table)?;
@@ -71,39 +71,3 @@
     let (_, port) = line.split_whitespace().nth(1)?.split_once(':')?;
     u16::from_str_radix(port, 16).ok()
 }
-
-#[cfg(test)]
-mod tests {
-    use std::net::TcpListener;
-
-    use super::*;
-
-    /// Guards against a port that a process started by another thread still holds: each named port can be
-    /// bound at once, while processes are started all the time.
-    #[test]
-    fn named_ports_are_distinct_and_can_be_bound_while_processes_start() {
-        let named = Mutex::new(BTreeSet::new());
-        std::thread::scope(|scope| {
-            for _ in 0..4 {
-                scope.spawn(|| {
-                    for _ in 0..50 {
-                        let at = free_port().unwrap();
-                        drop(TcpListener::bind(at).unwrap());
-                        assert!(named.lock().unwrap().insert(at.port()), "{at} was named before");
-                    }
-                });
-                scope.spawn(|| {
-                    for _ in 0..50 {
-                        std::process::Command::new("true").status().unwrap();
-                    }
-                });
-            }
-        });
-    }
-
-    #[test]
-    fn a_bound_port_is_in_use() {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        assert!(ports_in_use().unwrap().contains(&listener.local_addr().unwrap().port()));
-    }
-}
