--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -1,8 +1,10 @@
 //! Plays one case of the review: `stand_ins CASE FOLDER`, with `TROUBLE=0` without its disruption. Exits with 1
 //! if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod drain_while_discovery_is_down;
 mod hand_over_after_a_restart;
 mod release_without_an_answered_set_up;
+mod second_hand_over;
 mod set_ups_after_a_stall;
 mod settings;
 mod world;
@@ -44,6 +46,8 @@
     let verdict = match case.as_str() {
         "release" => release_without_an_answered_set_up::play(&run),
         "hand_over" => hand_over_after_a_restart::play(&run),
+        "outage" => drain_while_discovery_is_down::play(&run),
+        "second" => second_hand_over::play(&run),
         "stall" => set_ups_after_a_stall::play(&run),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
