--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -7,6 +7,7 @@
 mod second_hand_over;
 mod set_ups_after_a_stall;
 mod settings;
+mod wide_fleet;
 mod world;
 
 use std::path::{Path, PathBuf};
@@ -48,6 +49,7 @@
         "hand_over" => hand_over_after_a_restart::play(&run),
         "outage" => drain_while_discovery_is_down::play(&run),
         "second" => second_hand_over::play(&run),
+        "wide" => wide_fleet::play(&run),
         "stall" => set_ups_after_a_stall::play(&run),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
--- a/review/stand_ins/world.rs
+++ b/review/stand_ins/world.rs
@@ -1,12 +1,13 @@
 //! The parties round a controller on the platform, as the protocol page describes them: streamers, the name
 //! service, viewers, and the platform that starts and signals the process. All addresses are loopback ones.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fs::File;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -238,12 +239,10 @@
 pub struct Offer {
     pub at: Duration,
     pub session: u64,
-    pub accepted: bool,
 }
 
 struct StreamerState {
     mode: Mode,
-    next_connection: u64,
     connections: BTreeMap<u64, TcpStream>,
     /// Sessions that stand, by id, with the connection of their set-up.
     sessions: BTreeMap<u64, u64>,
@@ -252,10 +251,25 @@
     offers: Vec<Offer>,
 }
 
+/// The longest time for which a streamer looked at nothing, in milliseconds: how late the stand-ins were.
+pub static LONGEST_GAP_MS: AtomicU64 = AtomicU64::new(0);
+
+/// How often a streamer looks for what has arrived, in microseconds; less often where there are hundreds.
+pub static LOOKS_EVERY_US: AtomicU64 = AtomicU64::new(200);
+
+/// What arrives at a streamer.
+enum Arrival {
+    Opened(u64, TcpStream),
+    Line(u64, String),
+    Ended(u64),
+}
+
 #[derive(Clone)]
 pub struct Streamer {
     pub id: u32,
     pub address: SocketAddrV4,
+    /// How much later than others it handles what arrives: connections, messages, ends of connections.
+    lag: Duration,
     record: Record,
     state: Arc<Mutex<StreamerState>>,
 }
@@ -270,33 +284,24 @@
 impl Streamer {
     /// Starts a streamer that sends notes on what stands there once every `told_every`.
     pub fn start(record: &Record, id: u32, told_every: Duration) -> Self {
+        Self::start_slow(record, id, told_every, Duration::ZERO)
+    }
+
+    /// The same, slow by `lag` in all that it handles.
+    pub fn start_slow(record: &Record, id: u32, told_every: Duration, lag: Duration) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, listener.local_addr().unwrap().port());
         let state = StreamerState {
             mode: Mode::Accepts,
-            next_connection: 0,
             connections: BTreeMap::new(),
             sessions: BTreeMap::new(),
             waiting: Vec::new(),
             offers: Vec::new(),
         };
-        let streamer = Self { id, address, record: record.clone(), state: Arc::new(Mutex::new(state)) };
-        let accepting = streamer.clone();
-        spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                if accepting.state.lock().unwrap().mode == Mode::Dead {
-                    // The listener is closed: connections are refused.
-                    return;
-                }
-                let _ = stream.set_nodelay(true);
-                accepting.accept(stream);
-            }
-        });
-        let noting = streamer.clone();
-        spawn(move || loop {
-            sleep(told_every);
-            noting.send_notes();
-        });
+        let streamer = Self { id, address, lag, record: record.clone(), state: Arc::new(Mutex::new(state)) };
+        listener.set_nonblocking(true).expect("a listener");
+        let serving = streamer.clone();
+        spawn(move || serving.serve(&listener, told_every));
         streamer
     }
 
@@ -314,9 +319,6 @@
                 let _ = stream.shutdown(std::net::Shutdown::Both);
             }
             state.sessions.clear();
-            drop(state);
-            // Wakes the listener's thread.
-            let _ = TcpStream::connect(self.address);
         }
     }
 
@@ -333,10 +335,6 @@
         self.state.lock().unwrap().sessions.contains_key(&session)
     }
 
-    pub fn sessions(&self) -> Vec<u64> {
-        self.state.lock().unwrap().sessions.keys().copied().collect()
-    }
-
     /// The session comes to its end: its release goes on the connection of its set-up, else on any open one,
     /// and also on the next one that is opened.
     pub fn end_session(&self, session: u64) -> bool {
@@ -396,30 +394,72 @@
         self.record.note(format!("{}: notes on {session:016x}", self.name()));
     }
 
-    fn accept(&self, stream: TcpStream) {
-        let mut state = self.state.lock().unwrap();
-        if state.mode == Mode::Dead {
-            return;
+    /// Serves all connections, until the process dies.
+    fn serve(&self, listener: &TcpListener, told_every: Duration) {
+        let mut streams: BTreeMap<u64, (TcpStream, Vec<u8>)> = BTreeMap::new();
+        let mut arrivals: VecDeque<(Instant, Arrival)> = VecDeque::new();
+        let mut last_connection = 0;
+        let (mut notes_at, mut looked_at) = (Instant::now() + told_every, Instant::now());
+        while self.state.lock().unwrap().mode != Mode::Dead {
+            let now = Instant::now();
+            LONGEST_GAP_MS.fetch_max((now - looked_at).as_millis() as u64, Ordering::Relaxed);
+            looked_at = now;
+            if now >= notes_at {
+                notes_at += told_every;
+                self.send_notes();
+            }
+            let due_at = now + self.lag;
+            while let Ok((stream, _)) = listener.accept() {
+                let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+                let Ok(output) = stream.try_clone() else { continue };
+                last_connection += 1;
+                arrivals.push_back((due_at, Arrival::Opened(last_connection, output)));
+                streams.insert(last_connection, (stream, Vec::new()));
+            }
+            streams.retain(|connection, (stream, input)| {
+                let mut bytes = [0; 4096];
+                let open = loop {
+                    match stream.read(&mut bytes) {
+                        Ok(0) => break false,
+                        Ok(count) => input.extend(&bytes[..count]),
+                        Err(error) => break error.kind() == std::io::ErrorKind::WouldBlock,
+                    }
+                };
+                while let Some(end) = input.iter().position(|byte| *byte == b'\n') {
+                    let line = String::from_utf8_lossy(&input[..end]).into_owned();
+                    input.drain(..=end);
+                    arrivals.push_back((due_at, Arrival::Line(*connection, line)));
+                }
+                if !open {
+                    arrivals.push_back((due_at, Arrival::Ended(*connection)));
+                }
+                open
+            });
+            while arrivals.front().is_some_and(|(due_at, _)| *due_at <= Instant::now()) {
+                match arrivals.pop_front() {
+                    Some((_, Arrival::Opened(connection, output))) => self.opened(connection, output),
+                    Some((_, Arrival::Line(connection, line))) => self.hear(connection, &line),
+                    Some((_, Arrival::Ended(connection))) => self.ended(connection),
+                    None => {}
+                }
+            }
+            sleep(Duration::from_micros(LOOKS_EVERY_US.load(Ordering::Relaxed)));
         }
-        state.next_connection += 1;
-        let connection = state.next_connection;
-        state.connections.insert(connection, stream.try_clone().expect("a descriptor"));
+    }
+
+    fn opened(&self, connection: u64, output: TcpStream) {
+        let mut state = self.state.lock().unwrap();
+        state.connections.insert(connection, output);
         self.record.note(format!("{}: connection {connection} opened", self.name()));
         for (session, cause) in std::mem::take(&mut state.waiting) {
             self.write_release(&mut state, connection, session, cause);
         }
-        drop(state);
-        let streamer = self.clone();
-        spawn(move || {
-            for line in BufReader::new(stream).lines().map_while(Result::ok) {
-                streamer.hear(connection, &line);
-            }
-            let mut state = streamer.state.lock().unwrap();
-            if let Some(stream) = state.connections.remove(&connection) {
-                streamer.record.note(format!("{}: connection {connection} closed", streamer.name()));
-                let _ = stream.shutdown(std::net::Shutdown::Both);
-            }
-        });
+    }
+
+    fn ended(&self, connection: u64) {
+        if self.state.lock().unwrap().connections.remove(&connection).is_some() {
+            self.record.note(format!("{}: connection {connection} closed", self.name()));
+        }
     }
 
     fn hear(&self, connection: u64, line: &str) {
@@ -432,7 +472,7 @@
         match op {
             "offer" => {
                 let accepted = state.mode == Mode::Accepts;
-                state.offers.push(Offer { at: self.record.now(), session, accepted });
+                state.offers.push(Offer { at: self.record.now(), session });
                 self.record.note(format!(
                     "{}: offer of {session:016x} on connection {connection}: {}",
                     self.name(),
@@ -665,12 +705,6 @@
         self.stream.write_all(&frame_bytes(1, *session, &parameters)).is_ok()
     }
 
-    /// Gives a set-up up, or ends a session.
-    pub fn release(&mut self, session: u64) -> bool {
-        self.viewers.record.note(format!("viewers: release of {session:016x} on {}", self.name));
-        self.stream.write_all(&frame_bytes(12, session, &[(75, &[NORMAL])])).is_ok()
-    }
-
     pub fn close(self) {
         self.viewers.record.note(format!("viewers: connection {} is closed", self.name));
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
@@ -692,6 +726,8 @@
     pub folder: PathBuf,
     /// The settings as JSON.
     pub settings: String,
+    /// The limit on descriptors.
+    pub sockets: u32,
 }
 
 impl Place {
@@ -699,7 +735,7 @@
         let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port").local_addr().unwrap().port();
         let folder = folder.join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        Self { name, listen: SocketAddrV4::new(Ipv4Addr::LOCALHOST, free), folder, settings }
+        Self { name, listen: SocketAddrV4::new(Ipv4Addr::LOCALHOST, free), folder, settings, sockets: 256 }
     }
 }
 
@@ -716,11 +752,12 @@
         let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
         let configuration = format!(
             "{{\"name\":\"{}\",\"listen\":\"{}\",\"seed\":\"{:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":64,\"sockets\":256}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":64,\"sockets\":{}}},\
              \"names\":\"{}\",\"known\":{},\"settings\":{}}}",
             place.name,
             place.listen,
             nanos.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            place.sockets,
             names.address,
             names.known(),
             place.settings
