Platform: what is said of a session before its hand-over counts

Cause: connections are read in no particular order. As soon as a restarted process is ready, the first set-ups make it connect to streamers, which send the releases that no connection took before. Shown by a trace line added for it ("unknown, ended by its streamer", then "handed over", of the same id); ruled out by it: a connection closed before it was read, a second copy of a join's end, a release without a way to viewers.

Same cause on related paths, each with a test that failed before: - a viewer ends a session on one connection before another, with its hand-over, is read: it played on to nobody; - the front hands over a session that has ended here, since its release had not reached it: it was held for good.

Change: `ended_sessions.rs` remembers, for a minute and up to 100 sessions for each megabyte, how sessions ended here or were said to have ended, by session and streamer. A hand-over of one is answered with its release, and its streamer told to end it if it may not know. Ends that only refuse joins and ends by another streamer are none. A release replaces one of the same session that is queued, so that its viewer hears it once.

--- /dev/null
+++ b/crates/controller/tests/it/handovers.rs
@@ -0,0 +1,97 @@
+//! Subscriptions that are handed over to a controller process, and what its streamers and viewers say about
+//! them before. Connections are read in no particular order, so anything may arrive before its hand-over.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use crate::harness::TIMEOUT;
+use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer};
+
+/// Long enough for a message to be handled, also beside load.
+const HANDLED: Duration = Duration::from_millis(200);
+const RELEASE: u8 = 12;
+const NORMAL: u8 = 16;
+const MOVED: u8 = 31;
+const FAILED: u8 = 41;
+
+/// A controller that is connected to a streamer, at which the subscription 10 plays.
+fn connected() -> (Streamer, Controller, Viewer) {
+    let streamer = Streamer::new(1);
+    let controller = Controller::start(name_service(list(1, &[])), &[&streamer]);
+    let mut viewer = controller.viewer();
+    viewer.establish(10);
+    streamer.wait_for("offer", 10);
+    (streamer, controller, viewer)
+}
+
+/// Stops a controller, which must hold this many subscriptions then.
+fn stop_holding(mut controller: Controller, held: usize) {
+    controller.signal(Signal::TERM);
+    controller.wait_log(&["shutting down", &format!("held={held}")]);
+    controller.exits_within(TIMEOUT);
+}
+
+/// Guards against a viewer that is never told: a streamer sends the release of a subscription on the first
+/// connection that a restarted controller opens, which may be before the front hands that subscription over.
+/// The release was dropped, and the subscription then held as one that plays.
+#[test]
+fn a_release_that_arrives_before_its_handover_is_passed_on() {
+    let (streamer, controller, _viewer) = connected();
+    for (wire_id, cause, told) in [(20, NORMAL, NORMAL), (21, FAILED, FAILED), (22, MOVED, FAILED)] {
+        streamer.release(wire_id, cause);
+        std::thread::sleep(HANDLED);
+        let mut front = controller.viewer();
+        front.hand_over(wire_id, &streamer);
+        assert_eq!(front.receive(), (RELEASE, wire_id, vec![told]), "cause {cause}");
+    }
+    stop_holding(controller, 1);
+}
+
+/// Guards against a subscription that plays to nobody: its viewer left on one connection before another, with
+/// its hand-over, was read.
+#[test]
+fn a_subscription_whose_viewer_left_before_its_handover_is_ended() {
+    let (streamer, controller, _viewer) = connected();
+    let mut leaving = controller.viewer();
+    leaving.cancel(20);
+    std::thread::sleep(HANDLED);
+    let mut front = controller.viewer();
+    front.hand_over(20, &streamer);
+    streamer.wait_for("end", 20);
+    assert_eq!(front.receive(), (RELEASE, 20, vec![NORMAL]));
+    stop_holding(controller, 1);
+}
+
+/// Guards against a subscription that is held for good: it had ended here, and the front, which had not heard
+/// of that yet, handed it over once more.
+#[test]
+fn a_handover_of_a_subscription_that_has_ended_is_answered_with_its_release() {
+    let (streamer, controller, viewer) = connected();
+    drop(viewer);
+    std::thread::sleep(HANDLED);
+    streamer.release(10, NORMAL);
+    std::thread::sleep(HANDLED);
+    for _ in 0..2 {
+        let mut front = controller.viewer();
+        front.hand_over(10, &streamer);
+        assert_eq!(front.receive(), (RELEASE, 10, vec![NORMAL]));
+        assert!(front.receives_nothing_for(HANDLED), "it is told once");
+    }
+    stop_holding(controller, 0);
+}
+
+/// A hand-over that names another streamer than the one where the subscription plays changes nothing.
+#[test]
+fn a_contradicting_handover_does_not_affect_a_subscription() {
+    let (streamer, controller, mut viewer) = connected();
+    let mut other = Streamer::new(2);
+    for id in [streamer.id + 7, 2] {
+        other.id = id;
+        controller.viewer().hand_over(10, &other);
+    }
+    std::thread::sleep(HANDLED);
+    streamer.release(10, NORMAL);
+    assert_eq!(viewer.receive(), (RELEASE, 10, vec![NORMAL]));
+    stop_holding(controller, 0);
+}
--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod duplicates;
 mod gossip;
+mod handovers;
 mod harness;
 mod other_client;
 mod platform;
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -85,6 +85,11 @@
         connections.last_mut().unwrap().write_all(format!("{message}\n").as_bytes()).unwrap();
     }
 
+    /// Sends the release of a subscription on its newest connection.
+    pub fn release(&self, wire_id: u64, cause: u8) {
+        self.send(&json!({"op": "end", "call": format!("{wire_id:016x}"), "with": {}, "why": cause}));
+    }
+
     /// Sends a message on one of its connections, by the order in which they arrived.
     pub fn send_on(&self, connection: usize, message: &Value) {
         self.connections.lock().unwrap()[connection].write_all(format!("{message}\n").as_bytes()).unwrap();
@@ -374,6 +379,13 @@
         self.0.write_all(&set_up(wire_id, waits_ms, description)).unwrap();
     }
 
+    /// Hands over a subscription that plays at this streamer.
+    pub fn hand_over(&mut self, wire_id: u64, streamer: &Streamer) {
+        let figures = format!("home:0;copies:1;top:1;viewer:00000000b4d65521;at:s-{:08x}", streamer.id);
+        let title = "7f3a9c21e0b4d655";
+        self.send(1, wire_id, &[(33, "tour"), (36, "4294967"), (45, title), (48, &figures), (78, "v=0")]);
+    }
+
     /// Cancels a set-up, or ends its subscription.
     pub fn cancel(&mut self, wire_id: u64) {
         self.send(12, wire_id, &[(75, "\x10")]);
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -30,7 +30,7 @@
         if !self.transport.answer(connection, &viewers::release(wire_id, cause, cool_down)) {
             self.store.count_unanswered(self.now, job, ClosedBy::Network, Some(Step::NotTaken));
         }
-        let Some(session) = self.store.remove(job) else { return };
+        let Some(session) = self.store.remove(self.now, job, cause) else { return };
         trace_session(wire_id, "answered", (cause, cool_down));
         match cause {
             THROTTLED => self.store.counts.throttled += 1,
--- /dev/null
+++ b/crates/platform/src/ended_sessions.rs
@@ -0,0 +1,70 @@
+//! Sessions that are over. The front may hand them over nevertheless: after a restart its hand-overs arrive after what streamers and viewers say about the same sessions,
+//! and a release that it has not received yet may cross a hand-over of that session.
+
+use std::time::Duration;
+
+use badgerledge_core::interface::StreamerId;
+
+use crate::expiring_map::ExpiringMap;
+use crate::release_causes::{join_refusals, FAILED, NORMAL};
+
+/// How long an ended session is remembered: longer than a hand-over can take after a start or after the loss
+/// of the front's connections.
+const MEMORY: Duration = Duration::from_secs(60);
+/// How a session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedSession {
+    /// The cause of the release that its viewer is owed if the session is handed over.
+    pub release_cause: u8,
+    /// Whether its streamer may not know of the end.
+    pub plays_on: bool,
+}
+
+/// Remembers how sessions ended. Session ids are never reused.
+pub struct EndedSessions {
+    /// By session and streamer, or by session alone if no streamer plays it.
+    ended: ExpiringMap<(u64, Option<StreamerId>), EndedSession>,
+    /// Sessions that were unknown as their viewers ended them; apart from the others, so that a flood of such
+    /// messages does not displace what streamers said.
+    left_by_viewers: ExpiringMap<u64, EndedSession>,
+}
+
+impl EndedSessions {
+    /// Creates an empty memory, with a limit on the sessions of each kind.
+    pub fn new(max_sessions: usize) -> Self {
+        Self {
+            ended: ExpiringMap::new(MEMORY, max_sessions),
+            left_by_viewers: ExpiringMap::new(MEMORY, max_sessions),
+        }
+    }
+
+    /// Records a session that ended here, at the streamer that played it, if there was one.
+    pub fn record(&mut self, now: Duration, wire_id: u64, streamer: Option<StreamerId>, release_cause: u8) {
+        let ended = EndedSession { release_cause, plays_on: true };
+        self.ended.get_or_insert(now, (wire_id, streamer), ended);
+    }
+
+    /// Records an unknown session that its streamer released. Causes that only refuse joins are ignored.
+    pub fn record_release(&mut self, now: Duration, wire_id: u64, streamer: StreamerId, cause: u64) {
+        let refuses_join = matches!(cause, join_refusals::FULL | join_refusals::ERROR | join_refusals::MOOT);
+        if refuses_join || self.find(now, wire_id, streamer).is_some() {
+            return;
+        }
+        let release_cause = if cause == u64::from(NORMAL) { NORMAL } else { FAILED };
+        let ended = EndedSession { release_cause, plays_on: false };
+        self.ended.get_or_insert(now, (wire_id, Some(streamer)), ended);
+    }
+
+    /// Records an unknown session that its viewer ended.
+    pub fn record_left(&mut self, now: Duration, wire_id: u64) {
+        let ended = EndedSession { release_cause: NORMAL, plays_on: true };
+        self.left_by_viewers.get_or_insert(now, wire_id, ended);
+    }
+
+    /// How a session at that streamer ended, if it did.
+    pub fn find(&mut self, now: Duration, wire_id: u64, streamer: StreamerId) -> Option<EndedSession> {
+        let at_streamer = self.ended.get(now, &(wire_id, Some(streamer))).copied();
+        let anywhere = at_streamer.or_else(|| self.ended.get(now, &(wire_id, None)).copied());
+        anywhere.or_else(|| self.left_by_viewers.get(now, &wire_id).copied())
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,10 @@
 mod connection_pool_tests;
 mod connections;
 mod dispatcher;
+mod ended_sessions;
+#[cfg(test)]
+mod ended_sessions_tests;
+mod expiring_map;
 mod inbound;
 mod join_id;
 mod phase;
--- a/crates/platform/src/phase.rs
+++ b/crates/platform/src/phase.rs
@@ -19,6 +19,14 @@
 }
 
 impl Phase {
+    /// The streamer that plays the session, also while it is being moved away.
+    pub fn playing_at(self) -> Option<StreamerId> {
+        match self {
+            Self::Stands(streamer) | Self::Leaves(streamer) => Some(streamer),
+            Self::Waiting | Self::Out(_) | Self::Withdrawn(..) => None,
+        }
+    }
+
     /// Whether the viewer still waits for an answer to its set-up.
     pub fn is_pending(self) -> bool {
         matches!(self, Self::Waiting | Self::Out(_) | Self::Withdrawn(..))
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -9,6 +9,7 @@
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::streamers;
 
+use crate::ended_sessions::EndedSessions;
 use crate::join_id::JoinId;
 use crate::phase::Phase;
 use crate::request::PlatformSettings;
@@ -78,6 +79,8 @@
     /// Sessions that play or are being moved away, by streamer.
     pub by_streamer: BTreeMap<StreamerId, BTreeSet<JobId>>,
     pub timers: BTreeSet<(Duration, Timer)>,
+    /// How earlier sessions ended.
+    pub ended: EndedSessions,
     pub inputs: Vec<ModuleInput>,
     /// The id of the next session.
     pub next_job: JobId,
@@ -200,12 +203,16 @@
         self.timers.remove(&answer_deadline);
     }
 
-    /// Removes a session with its indexes and its answer deadline, and returns it.
-    pub fn remove(&mut self, job: JobId) -> Option<Session> {
+    /// Removes a session with its indexes and its answer deadline, and returns it. If a streamer may know it,
+    /// its end is remembered with the cause of the release that its viewer is owed.
+    pub fn remove(&mut self, now: Duration, job: JobId, release_cause: u8) -> Option<Session> {
         self.remove_from_index(job);
         let session = self.sessions.remove(&job)?;
         self.by_wire_id.remove(&session.wire_id);
         self.timers.remove(&(session.answer_by, Timer::AnswerDeadline(job)));
+        if session.joins > 0 {
+            self.ended.record(now, session.wire_id, session.phase.playing_at(), release_cause);
+        }
         Some(session)
     }
 
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -17,6 +17,7 @@
 use badgerledge_signalling::{streamers, Fault};
 
 use crate::dispatcher::Dispatcher;
+use crate::ended_sessions::EndedSessions;
 use crate::join_id::JoinId;
 use crate::phase::Phase;
 use crate::release_causes::{FAILED, INVALID_REQUEST, MOVED, NORMAL, THROTTLED};
@@ -40,6 +41,8 @@
 /// three some.
 const PENDING_PER_CONNECTION_DIVISOR: usize = 4;
 const PLAYING_PER_MB: usize = 200;
+/// Ended sessions of each kind that are remembered, for each megabyte of memory.
+const ENDED_PER_MB: usize = 100;
 /// The cool-down sent when the session table is full, or the process shuts down.
 const REFUSAL_COOL_DOWN: Duration = Duration::from_millis(500);
 
@@ -70,6 +73,7 @@
             pending_by_connection: BTreeMap::new(),
             by_streamer: BTreeMap::new(),
             timers: BTreeSet::new(),
+            ended: EndedSessions::new(memory_mb * ENDED_PER_MB),
             inputs: Vec::new(),
             next_job: 1,
             pending_count: 0,
@@ -212,8 +216,8 @@
         transport.answer(connection, &viewers::release(wire_id, THROTTLED, cool_down));
     }
 
-    /// Accepts a session that already plays. It gets no answer; one at a streamer that is not listed is
-    /// released.
+    /// Accepts a session that already plays. It gets no answer; one that has ended, or is at a streamer that
+    /// is not listed, is released.
     fn accept_handover(
         &mut self, now: Duration, connection: SocketId, wire_id: u64, request: &request::Request,
         streamer: Option<StreamerId>, transport: &mut impl Transport,
@@ -221,8 +225,12 @@
         if self.store.by_wire_id.contains_key(&wire_id) {
             return;
         }
+        if self.release_if_ended(now, connection, wire_id, streamer, transport) {
+            return transport.mark_serving(connection);
+        }
         let listed = streamer.filter(|streamer| self.health_by_streamer.contains_key(streamer));
         let Some(streamer) = listed.filter(|_| self.len() < self.max_playing) else {
+            self.store.ended.record(now, wire_id, streamer, FAILED);
             return transport.release(connection, wire_id, viewers::release(wire_id, FAILED, Duration::ZERO));
         };
         transport.mark_serving(connection);
@@ -245,6 +253,23 @@
         self.store.inputs.push(Box::new(move |module| module.resumed(job, subscription, streamer)));
     }
 
+    /// Releases a handed-over session if it has ended at its streamer already: what a streamer or a viewer says
+    /// of a session may arrive before its hand-over. Returns whether it has.
+    fn release_if_ended(
+        &mut self, now: Duration, connection: SocketId, wire_id: u64, streamer: Option<StreamerId>,
+        transport: &mut impl Transport,
+    ) -> bool {
+        let Some(streamer) = streamer else { return false };
+        let Some(ended) = self.store.ended.find(now, wire_id, streamer) else { return false };
+        trace_session(wire_id, "handed over after its end", (streamer, ended));
+        if ended.plays_on {
+            transport.send(streamer, streamers::end(wire_id, NORMAL));
+        }
+        let release = viewers::release(wire_id, ended.release_cause, Duration::ZERO);
+        transport.release(connection, wire_id, release);
+        true
+    }
+
     /// Rejects an invalid set-up with a final answer. If its id is that of a pending set-up on the same
     /// connection, one answer ends both, since the viewer could not distinguish two.
     pub fn reject(
@@ -271,7 +296,9 @@
     pub fn ended_by_viewer(
         &mut self, now: Duration, connection: SocketId, wire_id: u64, transport: &mut impl Transport,
     ) {
-        let Some(job) = self.store.by_wire_id.get(&wire_id).copied() else { return };
+        let Some(job) = self.store.by_wire_id.get(&wire_id).copied() else {
+            return self.store.ended.record_left(now, wire_id);
+        };
         let Some(session) = self.store.get(job) else { return };
         trace_session(wire_id, "ended by its viewer", session.phase);
         match session.phase {
@@ -301,7 +328,7 @@
 
     /// Drops a session that has no answer and needs none any more.
     fn expire(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
-        let Some(session) = self.store.remove(job) else { return };
+        let Some(session) = self.store.remove(now, job, FAILED) else { return };
         trace_session(session.wire_id, "expired", session.phase);
         self.store.inputs.push(Box::new(move |module| module.expired(job)));
         self.store.withdraw_join(now, job, &session, transport);
@@ -378,7 +405,10 @@
         &mut self, now: Duration, streamer: StreamerId, wire_id: u64, cause: u64, load: Option<&str>,
         transport: &mut impl Transport,
     ) {
-        let Some(job) = self.store.by_wire_id.get(&wire_id).copied() else { return };
+        let Some(job) = self.store.by_wire_id.get(&wire_id).copied() else {
+            trace_session(wire_id, "unknown, ended by its streamer", (streamer, cause));
+            return self.store.ended.record_release(now, wire_id, streamer, cause);
+        };
         let Some(session) = self.store.get(job) else { return };
         let connection = session.connection;
         trace_session(wire_id, "ended by its streamer", (session.phase, cause));
@@ -403,8 +433,9 @@
     }
 
     fn finish(&mut self, now: Duration, job: JobId, ending: Ending, usage: Vec<f64>) {
-        let Some(session) = self.store.remove(job) else { return };
-        if let Phase::Stands(streamer) | Phase::Leaves(streamer) = session.phase {
+        let release_cause = if ending == Ending::Served { NORMAL } else { FAILED };
+        let Some(session) = self.store.remove(now, job, release_cause) else { return };
+        if let Some(streamer) = session.phase.playing_at() {
             let join = (streamer, session.joins.saturating_sub(1), session.join_sent_at);
             self.store.report_outcome(now, job, join, ending, true, usage);
         }
@@ -505,7 +536,7 @@
                 }
                 Timer::WithdrawalRead(job, number) => self.withdrawal_read(now, JoinId { job, number }),
                 Timer::AnswerDeadline(job) => self.answer_overdue(now, job, transport),
-                Timer::MoveTimeout(job) => self.end_moved(job, transport),
+                Timer::MoveTimeout(job) => self.end_moved(now, job, transport),
             }
         }
     }
@@ -535,13 +566,13 @@
     }
 
     /// Ends a session at the streamer that it was moved away from.
-    fn end_moved(&mut self, job: JobId, transport: &mut impl Transport) {
+    fn end_moved(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
         let Some(session) = self.store.get(job) else { return };
         let Phase::Leaves(streamer) = session.phase else { return };
         let (wire_id, connection) = (session.wire_id, session.connection);
         transport.send(streamer, streamers::end(wire_id, NORMAL));
         transport.release(connection, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
-        self.store.remove(job);
+        self.store.remove(now, job, NORMAL);
     }
 
     /// Runs one round of the decision module: applies all inputs, then carries out its decisions.
--- a/crates/platform/src/session_table/closing.rs
+++ b/crates/platform/src/session_table/closing.rs
@@ -27,7 +27,7 @@
             self.answer_at_shutdown(now, job, transport);
         }
         for job in self.store.jobs_being_moved() {
-            self.end_moved(job, transport);
+            self.end_moved(now, job, transport);
         }
     }
 
--- a/crates/platform/src/viewer_pool.rs
+++ b/crates/platform/src/viewer_pool.rs
@@ -251,10 +251,11 @@
     }
 
     /// Sends a release on its own connection or on another that served viewers, or queues it until there is
-    /// one.
+    /// one. It replaces what is queued for that session.
     pub fn release(
         &mut self, connection: SocketId, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
     ) {
+        self.queued.retain(|release| release.wire_id != wire_id);
         self.send_or_queue(Release { since: now, connection, wire_id, message }, now, reactor);
     }
 
