Platform: a session that reports before its hand-over is not ended

What callers saw: after a planned restart viewers lost what they watched and were never told.

Cause: a progress report on an id that the session table does not hold was taken as proof that the session has no viewer. That holds only for a session that was known here and has ended.

What was never known is ended only once it has been reported for ten seconds, counted from the first health check that passed: no hand-over comes before that. A late hand-over of what was ended so is answered with its release. A stray answer on a connection is judged alike.

Cost: a session whose viewer left while no process ran plays on for up to ten seconds more.

--- a/crates/controller/tests/it/handovers.rs
+++ b/crates/controller/tests/it/handovers.rs
@@ -48,6 +48,31 @@
     stop_holding(controller, 1);
 }
 
+/// Guards against ending what plays: in the time between the first set-ups and the hand-overs after a restart,
+/// streamers report the progress of what plays. The controller ended all of it as unknown, then held it as
+/// playing, and no viewer was told.
+#[test]
+fn subscriptions_that_report_progress_before_their_handover_are_not_ended() {
+    const PLAYING: std::ops::Range<u64> = 20..92;
+    let (streamer, controller, _viewer) = connected();
+    for _ in 0..8 {
+        PLAYING.for_each(|wire_id| streamer.report_progress(wire_id));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let mut front = controller.viewer();
+    PLAYING.for_each(|wire_id| front.hand_over(wire_id, &streamer));
+    std::thread::sleep(HANDLED);
+    PLAYING.for_each(|wire_id| streamer.report_progress(wire_id));
+    let received = streamer.take_received(HANDLED);
+    let ended = received.iter().filter(|message| message["op"] == "end").count();
+    assert_eq!(ended, 0, "subscriptions that play were ended");
+    for wire_id in PLAYING {
+        streamer.release(wire_id, NORMAL);
+        assert_eq!(front.receive(), (RELEASE, wire_id, vec![NORMAL]));
+    }
+    stop_holding(controller, 1);
+}
+
 /// Guards against a subscription that plays to nobody: its viewer left on one connection before another, with
 /// its hand-over, was read.
 #[test]
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -90,6 +90,12 @@
         self.send(&json!({"op": "end", "call": format!("{wire_id:016x}"), "with": {}, "why": cause}));
     }
 
+    /// Sends a progress report on a subscription on its newest connection.
+    pub fn report_progress(&self, wire_id: u64) {
+        let fields = json!({"note": "kept_up", "value": "1.0"});
+        self.send(&json!({"op": "info", "call": format!("{wire_id:016x}"), "with": fields}));
+    }
+
     /// Sends a message on one of its connections, by the order in which they arrived.
     pub fn send_on(&self, connection: usize, message: &Value) {
         self.connections.lock().unwrap()[connection].write_all(format!("{message}\n").as_bytes()).unwrap();
--- a/crates/platform/src/ended_sessions.rs
+++ b/crates/platform/src/ended_sessions.rs
@@ -1,4 +1,5 @@
-//! Sessions that are over. The front may hand them over nevertheless: after a restart its hand-overs arrive after what streamers and viewers say about the same sessions,
+//! Sessions that are over, and sessions that streamers report and nobody here holds. The front may hand over
+//! either: after a restart its hand-overs arrive after what streamers and viewers say about the same sessions,
 //! and a release that it has not received yet may cross a hand-over of that session.
 
 use std::time::Duration;
@@ -11,6 +12,11 @@
 /// How long an ended session is remembered: longer than a hand-over can take after a start or after the loss
 /// of the front's connections.
 const MEMORY: Duration = Duration::from_secs(60);
+/// How long a session that streamers report may be unknown before it is ended. The front hands sessions over
+/// as soon as it finds the process ready, which it notices within some seconds, and once more if it loses the
+/// connection.
+const UNKNOWN_SESSION_GRACE: Duration = Duration::from_secs(10);
+
 /// How a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedSession {
@@ -27,6 +33,10 @@
     /// Sessions that were unknown as their viewers ended them; apart from the others, so that a flood of such
     /// messages does not displace what streamers said.
     left_by_viewers: ExpiringMap<u64, EndedSession>,
+    /// When each unknown session was first reported by a streamer.
+    unknown: ExpiringMap<(u64, StreamerId), Duration>,
+    /// When the process first passed a health check: no session is handed over before.
+    first_ready_at: Option<Duration>,
 }
 
 impl EndedSessions {
@@ -35,9 +45,16 @@
         Self {
             ended: ExpiringMap::new(MEMORY, max_sessions),
             left_by_viewers: ExpiringMap::new(MEMORY, max_sessions),
+            unknown: ExpiringMap::new(MEMORY, max_sessions),
+            first_ready_at: None,
         }
     }
 
+    /// Records that a health check has passed.
+    pub fn record_ready(&mut self, now: Duration) {
+        self.first_ready_at.get_or_insert(now);
+    }
+
     /// Records a session that ended here, at the streamer that played it, if there was one.
     pub fn record(&mut self, now: Duration, wire_id: u64, streamer: Option<StreamerId>, release_cause: u8) {
         let ended = EndedSession { release_cause, plays_on: true };
@@ -67,4 +84,19 @@
         let anywhere = at_streamer.or_else(|| self.ended.get(now, &(wire_id, None)).copied());
         anywhere.or_else(|| self.left_by_viewers.get(now, &wire_id).copied())
     }
+
+    /// Whether a session that nobody here holds, and that a streamer says is playing, must be ended: it is
+    /// over, or it has been unknown for longer than a hand-over can take.
+    pub fn must_be_ended(&mut self, now: Duration, wire_id: u64, streamer: StreamerId) -> bool {
+        if self.find(now, wire_id, streamer).is_some() {
+            return true;
+        }
+        let Some(first_ready_at) = self.first_ready_at else { return false };
+        let reported_at = *self.unknown.get_or_insert(now, (wire_id, streamer), now);
+        if now < reported_at.max(first_ready_at) + UNKNOWN_SESSION_GRACE {
+            return false;
+        }
+        self.record(now, wire_id, Some(streamer), FAILED);
+        true
+    }
 }
--- a/crates/platform/src/ended_sessions_tests.rs
+++ b/crates/platform/src/ended_sessions_tests.rs
@@ -1,4 +1,4 @@
-//! The memory of ended sessions, with the time passed in.
+//! The memory of ended and unknown sessions, with the time passed in.
 
 use std::time::Duration;
 
@@ -61,3 +61,39 @@
     assert_eq!(sessions.find(secs(1), 1000, streamer()), None, "the oldest are forgotten");
     assert_eq!(sessions.find(secs(1), 2999, streamer()).map(|ended| ended.plays_on), Some(true));
 }
+
+/// Guards against ending what a restarted process will be handed: an unknown session is left playing until no
+/// hand-over can come any more, counted from the first health check that passed.
+#[test]
+fn an_unknown_session_is_ended_once_no_handover_can_come() {
+    let mut sessions = EndedSessions::new(LIMIT);
+    assert!(!sessions.must_be_ended(secs(1), 1, streamer()), "not ready yet");
+    assert!(!sessions.must_be_ended(secs(40), 1, streamer()), "not ready yet");
+    sessions.record_ready(secs(41));
+    sessions.record_ready(secs(100));
+    assert!(!sessions.must_be_ended(secs(41), 1, streamer()));
+    assert!(!sessions.must_be_ended(secs(50), 1, streamer()));
+    assert!(sessions.must_be_ended(secs(51), 1, streamer()));
+    // Its hand-over, should it come after all, is answered with its release.
+    let ended = sessions.find(secs(52), 1, streamer());
+    assert_eq!(ended, Some(EndedSession { release_cause: FAILED, plays_on: true }));
+    // One that is first reported later has its own time.
+    assert!(!sessions.must_be_ended(secs(60), 2, streamer()));
+    assert!(!sessions.must_be_ended(secs(69), 2, streamer()));
+    assert!(sessions.must_be_ended(secs(70), 2, streamer()));
+}
+
+/// A session that has ended here is ended at once where it still plays; if a streamer had answered it, that is
+/// the only one.
+#[test]
+fn a_session_that_is_over_is_ended_at_once_where_it_plays_on() {
+    let mut sessions = EndedSessions::new(LIMIT);
+    sessions.record(secs(1), 1, Some(streamer()), NORMAL);
+    sessions.record(secs(1), 2, None, FAILED);
+    assert!(sessions.must_be_ended(secs(2), 1, streamer()));
+    assert!(!sessions.must_be_ended(secs(2), 1, streamer_id(2)));
+    assert!(
+        sessions.must_be_ended(secs(2), 2, streamer()) && sessions.must_be_ended(secs(2), 2, streamer_id(2))
+    );
+    assert_eq!(sessions.find(secs(61), 1, streamer()), None, "forgotten after a minute");
+}
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -83,7 +83,10 @@
     fn tested(&mut self, wire_id: u64) {
         // The answer does not mark the connection as one that serves viewers: health checkers ignore messages
         // about sessions, so releases must not be sent to them.
-        let connections = &mut self.service.1;
+        let (sessions, connections) = &mut self.service;
+        if self.ready {
+            sessions.record_ready(self.now);
+        }
         connections.answer(self.connection, &viewers::tested(wire_id, self.ready));
     }
 
@@ -143,7 +146,7 @@
             // session is ended. A duplicate answer is ignored, and so is one that coincides with a further
             // join to the same streamer, or with the wait before it: ending that id would end the new join.
             // The end of the withdrawn join cuts the session anyway.
-            None if !sessions.is_joining_or_playing_at(self.streamer, wire_id) => {
+            None if sessions.is_stray_answer(self.now, self.streamer, wire_id) => {
                 tracing::debug!(
                     target: "badgerledge_platform::hearing",
                     wire_id = format!("{wire_id:016x}"),
@@ -179,20 +182,19 @@
 
     fn progress_report(&mut self, wire_id: u64, kind: &str, value: f64) {
         let (sessions, connections) = &mut self.service;
-        match sessions.progress_report(self.streamer, wire_id, kind, value) {
-            Ok(true) => {}
-            // The session was considered lost or was abandoned, but still plays at the streamer without a
-            // viewer.
-            Ok(false) => {
-                tracing::debug!(
-                    target: "badgerledge_platform::hearing",
-                    wire_id = format!("{wire_id:016x}"),
-                    note = kind,
-                    "ending an unknown session that reports progress"
-                );
-                connections.reactor.send(self.connection, &[&streamers::end(wire_id, FAILED)]);
-            }
-            Err(fault) => self.fault = Some(fault),
+        if let Err(fault) = sessions.progress_report(self.streamer, wire_id, kind, value) {
+            self.fault = Some(fault);
+            return;
+        }
+        // It was considered lost, abandoned or never handed over, but still plays without a viewer.
+        if sessions.is_orphan(self.now, self.streamer, wire_id) {
+            tracing::debug!(
+                target: "badgerledge_platform::hearing",
+                wire_id = format!("{wire_id:016x}"),
+                note = kind,
+                "ending a session without a viewer that reports progress"
+            );
+            connections.reactor.send(self.connection, &[&streamers::end(wire_id, FAILED)]);
         }
     }
 }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -41,7 +41,7 @@
 /// three some.
 const PENDING_PER_CONNECTION_DIVISOR: usize = 4;
 const PLAYING_PER_MB: usize = 200;
-/// Ended sessions of each kind that are remembered, for each megabyte of memory.
+/// Ended and unknown sessions of each kind that are remembered, for each megabyte of memory.
 const ENDED_PER_MB: usize = 100;
 /// The cool-down sent when the session table is full, or the process shuts down.
 const REFUSAL_COOL_DOWN: Duration = Duration::from_millis(500);
@@ -125,7 +125,7 @@
     }
 
     /// Whether that session plays at that streamer, has a join outstanding there, or has just withdrawn one.
-    pub fn is_joining_or_playing_at(&self, streamer: StreamerId, wire_id: u64) -> bool {
+    fn is_joining_or_playing_at(&self, streamer: StreamerId, wire_id: u64) -> bool {
         let session = self.store.by_wire_id.get(&wire_id).and_then(|job| self.store.get(*job));
         session.is_some_and(|session| match session.phase {
             Phase::Stands(at) | Phase::Out(at) | Phase::Withdrawn(at, _) => at == streamer,
@@ -460,11 +460,31 @@
         }
     }
 
-    /// Handles a progress report on a playing session; returns whether the session is known. A report from
-    /// another streamer than the session's is ignored.
+    /// Records that a health check has passed: from now on the front hands over what plays.
+    pub fn record_ready(&mut self, now: Duration) {
+        self.store.ended.record_ready(now);
+    }
+
+    /// Whether a session that a streamer says is playing belongs to no viewer and must be ended. One that is not
+    /// known here is left playing at first, since its hand-over may be on its way.
+    pub fn is_orphan(&mut self, now: Duration, streamer: StreamerId, wire_id: u64) -> bool {
+        let known = self.store.by_wire_id.contains_key(&wire_id);
+        !known && self.store.ended.must_be_ended(now, wire_id, streamer)
+    }
+
+    /// Whether a session that a streamer answered without an outstanding join must be ended there.
+    pub fn is_stray_answer(&mut self, now: Duration, streamer: StreamerId, wire_id: u64) -> bool {
+        match self.store.by_wire_id.contains_key(&wire_id) {
+            true => !self.is_joining_or_playing_at(streamer, wire_id),
+            false => self.is_orphan(now, streamer, wire_id),
+        }
+    }
+
+    /// Handles a progress report on a playing session. One on a session that is not known here, or from another
+    /// streamer than the session's, is ignored.
     pub fn progress_report(
         &mut self, streamer: StreamerId, wire_id: u64, kind: &str, value: f64,
-    ) -> Result<bool, Fault> {
+    ) -> Result<(), Fault> {
         let kinds = ["kept_up", "tier", "wire", "trunk"];
         let kind = kinds.iter().position(|known| *known == kind).ok_or(Fault::Field("note"))? as u8 + 1;
         let job = self.store.by_wire_id.get(&wire_id).copied();
@@ -472,7 +492,7 @@
         if let Some(job) = job.filter(plays) {
             self.store.inputs.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
         }
-        Ok(self.store.by_wire_id.contains_key(&wire_id))
+        Ok(())
     }
 
     /// Passes the result of a probe to the decision module.
