--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,8 +6,6 @@
 mod configuration;
 #[cfg(test)]
 mod configuration_tests;
-#[cfg(test)]
-mod connection_pool_tests;
 mod connections;
 mod dispatcher;
 mod ended_sessions;
@@ -31,9 +29,13 @@
 mod signal_times_tests;
 mod streamer_pool;
 #[cfg(test)]
+mod streamer_pool_tests;
+#[cfg(test)]
 mod tests;
 mod transport;
 mod unanswered;
 mod viewer_pool;
+#[cfg(test)]
+mod viewer_pool_tests;
 
 pub use serve::run;
