Platform: releases also go on connections where set-ups wait or were refused

What callers saw: a session's own connection had ended, and on the viewers' connections that came after it set-ups were only refused.

Cause: a release went only on connections with an accepted set-up or a hand-over, and what waited was looked at only when such a one came. Shown by the trace: "ended by its streamer", then "release sent or queued sent=None", and nothing after it. Same cause on related paths: connections whose set-ups still wait, and a connection whose output was full for a moment, after which nothing sent what had waited.

Change: releases have a module of their own (viewer_pool/releases.rs). Connections that served viewers are still taken first. On others a release stays queued as well, and goes on the next one every 100 ms until it is acknowledged, since one of a bad client is heard by nobody. What waits is looked at when a connection brings its first set-up, and ten times a second.

--- a/crates/controller/tests/it/handovers.rs
+++ b/crates/controller/tests/it/handovers.rs
@@ -1,12 +1,13 @@
 //! Subscriptions that are handed over to a controller process, and what its streamers and viewers say about
 //! them before. Connections are read in no particular order, so anything may arrive before its hand-over.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rustix::process::Signal;
 
 use crate::harness::TIMEOUT;
-use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer};
+use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer, SILENT};
 
 /// Long enough for a message to be handled, also beside load.
 const HANDLED: Duration = Duration::from_millis(200);
@@ -120,3 +121,30 @@
     assert_eq!(viewer.receive(), (RELEASE, 10, vec![NORMAL]));
     stop_holding(controller, 0);
 }
+
+/// Guards against a viewer that is told too late or never: its connection has ended, and on the others set-ups
+/// only wait or were refused. The release waited for a viewer who is served.
+#[test]
+fn a_release_goes_on_a_connection_on_which_set_ups_wait_or_were_refused() {
+    let (streamer, controller, mut viewer) = connected();
+    viewer.establish(11);
+    streamer.wait_for("offer", 11);
+    drop(viewer);
+    let mut test_connection = controller.viewer();
+    test_connection.send(52, 1, &[(75, "\0")]);
+    assert_eq!(test_connection.receive().0, 53);
+    streamer.mode.store(SILENT, Ordering::SeqCst);
+    streamer.release(10, NORMAL);
+    std::thread::sleep(HANDLED);
+    let mut waiting = controller.viewer();
+    waiting.set_up_with(30, "1000", "v=0");
+    assert_eq!(waiting.receive(), (RELEASE, 10, vec![NORMAL]), "while a set-up waits");
+    waiting.send(16, 10, &[]);
+    let refusal = waiting.receive();
+    assert_eq!((refusal.0, refusal.1), (RELEASE, 30), "the set-up is refused");
+    streamer.release(11, NORMAL);
+    assert_eq!(waiting.receive(), (RELEASE, 11, vec![NORMAL]), "after a set-up was refused");
+    assert!(test_connection.receives_nothing_for(HANDLED), "a health checker is sent no release");
+    waiting.send(16, 11, &[]);
+    stop_holding(controller, 0);
+}
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -38,6 +38,10 @@
         self.viewer_pool.release(connection, wire_id, message, self.now, &mut self.reactor);
     }
 
+    fn mark_viewers(&mut self, connection: SocketId) {
+        self.viewer_pool.mark_viewers(connection, self.now, &mut self.reactor);
+    }
+
     fn mark_serving(&mut self, connection: SocketId) {
         self.viewer_pool.mark_serving(connection, self.now, &mut self.reactor);
     }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -412,6 +412,8 @@
                 self.drop_viewer(connection, ClosedBy::Us);
             }
         }
+        // A connection that took no more output may take some now.
+        self.connections.viewer_pool.send_queued(now, &mut self.connections.reactor);
         let playing_streamers: Vec<StreamerId> = self.sessions.playing_streamers().collect();
         self.connections.streamer_pool.sweep(now, &playing_streamers, &mut self.connections.reactor);
     }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -160,6 +160,7 @@
             let streamer = badgerledge_names::parse_streamer_id(name).map(streamer_id);
             return self.accept_handover(now, connection, wire_id, &request, streamer, transport);
         }
+        transport.mark_viewers(connection);
         if self.store.by_wire_id.contains_key(&wire_id) {
             return self.reject(now, connection, wire_id, transport);
         }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -70,6 +70,7 @@
     fn release(&mut self, connection: SocketId, _wire_id: u64, message: Vec<u8>) {
         self.viewer_frames.push((connection, message));
     }
+    fn mark_viewers(&mut self, _connection: SocketId) {}
     fn mark_serving(&mut self, _connection: SocketId) {}
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
         let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -9,10 +9,12 @@
 pub trait Transport {
     /// Sends a message on a viewer's connection. Returns false if the connection accepts no more output.
     fn answer(&mut self, connection: SocketId, message: &[u8]) -> bool;
-    /// Sends the release of a session on its viewer's connection. Uses another connection that has served
-    /// viewers if that one is closed, and queues the release while there is none.
+    /// Sends the release of a session on its viewer's connection. Uses another connection of viewers if that
+    /// one is closed, and queues the release while there is none.
     fn release(&mut self, connection: SocketId, wire_id: u64, message: Vec<u8>);
-    /// Marks a connection as one that serves viewers, as opposed to one of a health checker.
+    /// Marks a connection as one on which viewers send set-ups, as opposed to one of a health checker.
+    fn mark_viewers(&mut self, connection: SocketId);
+    /// Marks a connection as one that has served viewers: a session on it was accepted or handed over.
     fn mark_serving(&mut self, connection: SocketId);
     /// Starts a join, on a connection of its own where one is available.
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
--- a/crates/platform/src/viewer_pool.rs
+++ b/crates/platform/src/viewer_pool.rs
@@ -1,13 +1,16 @@
 //! Pool of the viewers' connections. A connection is closed if it sends no complete frame in time, and only
-//! one without a pending set-up may be evicted for another. Releases of earlier sessions are sent on
+//! one without a pending set-up may be evicted for another. Releases of earlier sessions are best sent on
 //! connections that have served viewers, so the most recently used of those are reserved however many others
 //! arrive.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod releases;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use badgerledge_reactor::{Bounds, Reactor, SocketId};
 use badgerledge_signalling::MAX_MESSAGE_BYTES;
+use releases::{ReleaseRank, Releases};
 
 /// Room for a whole frame, and for the answers to a burst of them.
 pub const BOUNDS: Bounds = Bounds { input: MAX_MESSAGE_BYTES + 2, output: 4 * MAX_MESSAGE_BYTES };
@@ -20,16 +23,6 @@
 /// One connection in this many is reserved for those that served viewers and were used last. Releases can be
 /// sent on any of them; if a crowd evicted all of them, none could be sent until another viewer is served.
 const RESERVED_DIVISOR: usize = 4;
-/// Maximum of releases that wait for a viewers' connection: more come only from a front end that is gone for
-/// good.
-const MAX_QUEUED_RELEASES: usize = 4096;
-/// How long a release waits for the front end to reconnect: after this no viewer waits for it.
-const QUEUED_RELEASE_LIFETIME: Duration = Duration::from_secs(8);
-
-/// How long a release may stay unacknowledged and is resent if its connection closes. Viewers acknowledge
-/// within a few milliseconds, and must receive a release within a second; an older one was received, or its
-/// viewer never acknowledges.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// State of a viewers' connection.
 struct ViewerConnection {
@@ -41,7 +34,9 @@
     was_sent_output: bool,
     /// The last set-up that was answered on it, and when.
     last_answer: Option<(u64, Duration)>,
-    /// Whether a set-up on it was answered or handed over: it belongs to viewers and not to a health checker.
+    /// Whether a valid set-up arrived on it: it belongs to viewers and not to a health checker.
+    carries_set_ups: bool,
+    /// Whether a set-up on it was accepted or handed over.
     serves_viewers: bool,
     /// Since when an incomplete frame waits for its rest.
     incomplete_since: Option<Duration>,
@@ -50,6 +45,17 @@
 }
 
 impl ViewerConnection {
+    /// How well releases of other connections' sessions may be sent on it; none if not at all.
+    fn release_rank(&self) -> Option<ReleaseRank> {
+        if self.serves_viewers {
+            return Some(ReleaseRank::Served);
+        }
+        if !self.carries_set_ups {
+            return None;
+        }
+        Some(if self.was_sent_output { ReleaseRank::Refused } else { ReleaseRank::Waiting })
+    }
+
     fn eviction_rank(&self, now: Duration, reserved: bool) -> EvictionRank {
         if reserved {
             return EvictionRank::Reserved;
@@ -67,21 +73,10 @@
     }
 }
 
-/// A release, when it was queued or sent, and the connection that it belongs to or was sent on.
-struct Release {
-    since: Duration,
-    connection: SocketId,
-    wire_id: u64,
-    message: Vec<u8>,
-}
-
-/// The viewers' connections, and the releases that are queued or unacknowledged.
+/// The viewers' connections, and the releases that wait for one or for their acknowledgement.
 pub struct ViewerPool {
     connections: BTreeMap<SocketId, ViewerConnection>,
-    /// Sent but not acknowledged by their viewers; oldest first.
-    unacknowledged: VecDeque<Release>,
-    /// Waiting for a connection.
-    queued: Vec<Release>,
+    releases: Releases,
     max_connections: usize,
 }
 
@@ -103,12 +98,7 @@
 impl ViewerPool {
     /// Creates an empty pool with a limit on its connections.
     pub fn new(max_connections: usize) -> Self {
-        Self {
-            connections: BTreeMap::new(),
-            unacknowledged: VecDeque::new(),
-            queued: Vec::new(),
-            max_connections,
-        }
+        Self { connections: BTreeMap::new(), releases: Releases::default(), max_connections }
     }
 
     /// All connections.
@@ -137,16 +127,6 @@
         self.connections.get(&connection).is_some_and(|viewer| viewer.shut_down)
     }
 
-    /// Whether a release waits for a connection or for its acknowledgement, or bytes are not yet written.
-    pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
-        let queued = self.queued.iter().any(|release| now < release.since + QUEUED_RELEASE_LIFETIME);
-        let unacknowledged =
-            self.unacknowledged.iter().any(|release| now < release.since + ACKNOWLEDGE_TIMEOUT);
-        queued
-            || unacknowledged
-            || self.connections().any(|connection| reactor.unwritten_bytes(connection) > 0)
-    }
-
     /// Whether a connection belongs to this pool.
     pub fn contains(&self, connection: SocketId) -> bool {
         self.connections.contains_key(&connection)
@@ -189,6 +169,7 @@
             last_received_at: now,
             was_sent_output: false,
             last_answer: None,
+            carries_set_ups: false,
             serves_viewers: false,
             incomplete_since: None,
             shut_down: false,
@@ -200,12 +181,7 @@
     /// another.
     pub fn remove(&mut self, connection: SocketId, now: Duration, reactor: &mut Reactor) {
         self.connections.remove(&connection);
-        let (lost, others) =
-            self.unacknowledged.drain(..).partition(|release| release.connection == connection);
-        self.unacknowledged = others;
-        for release in VecDeque::into_iter(lost).filter(|release| now < release.since + ACKNOWLEDGE_TIMEOUT) {
-            self.release(connection, release.wire_id, release.message, now, reactor);
-        }
+        self.resend_unacknowledged(connection, now, reactor);
     }
 
     /// Records that bytes arrived; `incomplete` if part of a frame is left of them.
@@ -239,65 +215,6 @@
         reactor.send(connection, &[message])
     }
 
-    /// Marks a connection as serving viewers, and sends the queued releases.
-    pub fn mark_serving(&mut self, connection: SocketId, now: Duration, reactor: &mut Reactor) {
-        let Some(viewer) = self.connections.get_mut(&connection) else { return };
-        viewer.serves_viewers = true;
-        for release in std::mem::take(&mut self.queued) {
-            if now < release.since + QUEUED_RELEASE_LIFETIME {
-                self.send_or_queue(release, now, reactor);
-            }
-        }
-    }
-
-    /// Sends a release on its own connection or on another that served viewers, or queues it until there is
-    /// one. It replaces what is queued for that session.
-    pub fn release(
-        &mut self, connection: SocketId, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
-    ) {
-        self.queued.retain(|release| release.wire_id != wire_id);
-        self.send_or_queue(Release { since: now, connection, wire_id, message }, now, reactor);
-    }
-
-    /// Like [`release`](Self::release), for a release that may have been queued before: if it must wait
-    /// again, its waiting time is not extended.
-    fn send_or_queue(&mut self, release: Release, now: Duration, reactor: &mut Reactor) {
-        let Release { since, connection, wire_id, message } = release;
-        let own_connection = self.answer(connection, &message, reactor).then_some(connection);
-        let sent_on = own_connection.or_else(|| {
-            let others = self.connections.iter().filter(|(_, viewer)| viewer.serves_viewers);
-            let mut others: Vec<_> =
-                others.map(|(connection, viewer)| (viewer.last_received_at, *connection)).collect();
-            others.sort_unstable();
-            let mut others = others.into_iter().rev().map(|(_, connection)| connection);
-            others.find(|connection| self.answer(*connection, &message, reactor))
-        });
-        tracing::trace!(
-            target: "badgerledge_platform::front",
-            wire_id = format_args!("{wire_id:016x}"),
-            own = connection,
-            sent = ?sent_on,
-            "release sent or queued"
-        );
-        while self.unacknowledged.front().is_some_and(|release| release.since + ACKNOWLEDGE_TIMEOUT <= now) {
-            self.unacknowledged.pop_front();
-        }
-        match sent_on {
-            Some(connection) if self.unacknowledged.len() < MAX_QUEUED_RELEASES => {
-                self.unacknowledged.push_back(Release { since: now, connection, wire_id, message });
-            }
-            None if self.queued.len() < MAX_QUEUED_RELEASES => {
-                self.queued.push(Release { since, connection, wire_id, message })
-            }
-            _ => {}
-        }
-    }
-
-    /// Handles a viewer's acknowledgement of a release.
-    pub fn acknowledge_release(&mut self, wire_id: u64) {
-        self.unacknowledged.retain(|release| release.wire_id != wire_id);
-    }
-
     /// The connections that have timed out.
     pub fn expired(&self, now: Duration, has_pending: impl Fn(SocketId) -> bool) -> Vec<SocketId> {
         self.connections
--- a/crates/platform/src/viewer_pool_tests.rs
+++ b/crates/platform/src/viewer_pool_tests.rs
@@ -144,3 +144,71 @@
     let count = remote[1].read(&mut received).unwrap();
     assert_eq!(&received[..count], b"waits");
 }
+
+/// What has arrived at the viewers' end of a connection.
+fn received(remote: &mut TcpStream) -> String {
+    remote.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    let mut bytes = [0; 64 * 1024];
+    let count = remote.read(&mut bytes).unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
+
+/// Guards against a release that waits although viewers are connected: it waited for a connection on which a
+/// set-up was accepted. One that only carries set-ups may belong to a client that ignores others' releases,
+/// so the release goes on each of them in turn until it is acknowledged; never on a health checker's.
+#[test]
+fn a_release_is_tried_on_connections_that_only_carry_set_ups() {
+    let (mut reactor, connections, mut remote) = viewers(4);
+    let (mut viewer_pool, now) = (ViewerPool::new(8), secs(1000));
+    let [checker, refused, waiting, late] = connections[..] else { unreachable!("four connections") };
+    connections.iter().for_each(|connection| viewer_pool.insert(*connection, now));
+    viewer_pool.answer(checker, b"tested", &mut reactor);
+    viewer_pool.mark_viewers(waiting, now, &mut reactor);
+    viewer_pool.mark_viewers(refused, now, &mut reactor);
+    viewer_pool.answer(refused, b"refusal ", &mut reactor);
+    for (wire_id, message) in [(1, "first "), (2, "second ")] {
+        viewer_pool.release(77, wire_id, message.into(), now, &mut reactor);
+    }
+    viewer_pool.send_queued(now + Duration::from_millis(99), &mut reactor);
+    reactor.flush();
+    assert_eq!(received(&mut remote[1]), "refusal first second ");
+    assert_eq!(received(&mut remote[2]), "", "one at a time");
+    viewer_pool.acknowledge_release(1);
+    viewer_pool.send_queued(now + Duration::from_millis(100), &mut reactor);
+    reactor.flush();
+    assert_eq!(received(&mut remote[2]), "second ");
+    // Nobody acknowledges the second: it goes on the next connection as soon as that serves a viewer.
+    viewer_pool.mark_serving(late, now + Duration::from_millis(110), &mut reactor);
+    viewer_pool.send_queued(now + secs(1), &mut reactor);
+    reactor.flush();
+    assert_eq!(received(&mut remote[3]), "second ");
+    assert_eq!([0, 1, 2].map(|index| received(&mut remote[index])), ["tested", "", ""]);
+    assert!(!viewer_pool.has_pending_output(now + secs(3), &reactor));
+}
+
+/// Guards against a release that waits for a viewer to be served, although the connection that took no output
+/// for a moment takes some again.
+#[test]
+fn a_queued_release_is_sent_once_a_connection_takes_output_again() {
+    let (mut reactor, connections, mut remote) = viewers(1);
+    let (mut viewer_pool, now) = (ViewerPool::new(8), secs(1000));
+    viewer_pool.insert(connections[0], now);
+    viewer_pool.mark_serving(connections[0], now, &mut reactor);
+    // No room is left, not even for a release.
+    for size in [1024, 1] {
+        while viewer_pool.answer(connections[0], &vec![b'a'; size], &mut reactor) {
+            reactor.flush();
+        }
+    }
+    viewer_pool.release(connections[0], 1, b"release".to_vec(), now, &mut reactor);
+    let (mut output, mut events) = (String::new(), Vec::new());
+    let end = reactor.clock() + TIMEOUT;
+    while !output.ends_with("release") && reactor.clock() < end {
+        output = received(&mut remote[0]);
+        reactor.wait(Some(reactor.clock() + Duration::from_millis(1)), &mut events).unwrap();
+        viewer_pool.send_queued(now + secs(1), &mut reactor);
+        reactor.flush();
+    }
+    let end = output.get(output.len().saturating_sub(20)..);
+    assert!(output.ends_with("release"), "the release arrives: {} bytes, {end:?}", output.len());
+}
