Platform: a repeated hand-over gives a session's end its way out

What callers saw: the front's connection ended, it connected again and handed over what the controller already held.

Cause: accept_handover returned for an id that is held before it marked the connection as one of viewers, and kept the closed connection as the session's. Shown by the trace: "release sent or queued own=84 sent=None" after hand-overs of six held sessions on a new connection.

Change: every hand-over marks its connection as serving viewers. A repeated one at the streamer where the session plays makes its connection the session's; one that names another streamer, or a session that waits for its answer, is logged and changes nothing.

--- a/crates/controller/tests/it/handovers.rs
+++ b/crates/controller/tests/it/handovers.rs
@@ -107,6 +107,22 @@
     stop_holding(controller, 0);
 }
 
+/// Guards against a release without a way: the front hands over once more what the controller already holds,
+/// on a new connection. The controller did not take that connection for one of viewers, and closed it.
+#[test]
+fn a_second_handover_carries_the_release_on_its_connection() {
+    let (streamer, controller, viewer) = connected();
+    drop(viewer);
+    std::thread::sleep(HANDLED);
+    let mut front = controller.viewer();
+    front.hand_over(10, &streamer);
+    // Longer than a connection on which nothing is owed stays open.
+    assert!(front.receives_nothing_for(Duration::from_millis(2500)));
+    streamer.release(10, NORMAL);
+    assert_eq!(front.receive(), (RELEASE, 10, vec![NORMAL]));
+    stop_holding(controller, 0);
+}
+
 /// A hand-over that names another streamer than the one where the subscription plays changes nothing.
 #[test]
 fn a_contradicting_handover_does_not_affect_a_subscription() {
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -158,7 +158,8 @@
         };
         if let Some(name) = &request.playing_at {
             let streamer = badgerledge_names::parse_streamer_id(name).map(streamer_id);
-            return self.accept_handover(now, connection, wire_id, &request, streamer, transport);
+            self.accept_handover(now, connection, wire_id, &request, streamer, transport);
+            return transport.mark_serving(connection);
         }
         transport.mark_viewers(connection);
         if self.store.by_wire_id.contains_key(&wire_id) {
@@ -223,18 +224,17 @@
         &mut self, now: Duration, connection: SocketId, wire_id: u64, request: &request::Request,
         streamer: Option<StreamerId>, transport: &mut impl Transport,
     ) {
-        if self.store.by_wire_id.contains_key(&wire_id) {
-            return;
+        if let Some(job) = self.store.by_wire_id.get(&wire_id).copied() {
+            return self.accept_repeated_handover(job, connection, streamer);
         }
         if self.release_if_ended(now, connection, wire_id, streamer, transport) {
-            return transport.mark_serving(connection);
+            return;
         }
         let listed = streamer.filter(|streamer| self.health_by_streamer.contains_key(streamer));
         let Some(streamer) = listed.filter(|_| self.len() < self.max_playing) else {
             self.store.ended.record(now, wire_id, streamer, FAILED);
             return transport.release(connection, wire_id, viewers::release(wire_id, FAILED, Duration::ZERO));
         };
-        transport.mark_serving(connection);
         trace_session(wire_id, "handed over", streamer);
         let subscription = request.subscription;
         let phase = Phase::Stands(streamer);
@@ -254,6 +254,24 @@
         self.store.inputs.push(Box::new(move |module| module.resumed(job, subscription, streamer)));
     }
 
+    /// Handles the hand-over of a session that is held already: the front has connected again, so what ends the
+    /// session is sent on the new connection. One that contradicts what is known changes nothing.
+    fn accept_repeated_handover(&mut self, job: JobId, connection: SocketId, streamer: Option<StreamerId>) {
+        let Some(session) = self.store.get_mut(job) else { return };
+        let wire_id = session.wire_id;
+        if streamer.is_some() && session.phase.playing_at() == streamer {
+            trace_session(wire_id, "handed over again", (session.connection, connection));
+            session.connection = connection;
+            return;
+        }
+        tracing::debug!(
+            wire_id = format_args!("{wire_id:016x}"),
+            phase = ?session.phase,
+            ?streamer,
+            "ignoring a hand-over that contradicts the session's state"
+        );
+    }
+
     /// Releases a handed-over session if it has ended at its streamer already: what a streamer or a viewer says
     /// of a session may arrive before its hand-over. Returns whether it has.
     fn release_if_ended(
