Platform: an unread release is sent again although the process stood still

What callers saw: a viewers' connection ended with a release unread while the controller got no processor time for two seconds; the session's end was never told.

Cause: a release that was not acknowledged was sent again only if its connection was seen to close within a second of it, by the process's own clock, which goes on while it stands still.

Change: that window is three seconds. An exiting process still waits one second at most for an acknowledgement. Viewers that never acknowledge may receive a release twice, as before.

Measured: a_release_unread_on_a_connection_that_ends_while_the_process_is_ stopped_is_sent_again failed before and passes.

--- a/crates/controller/tests/it/handovers.rs
+++ b/crates/controller/tests/it/handovers.rs
@@ -164,3 +164,22 @@
     waiting.send(16, 11, &[]);
     stop_holding(controller, 0);
 }
+
+/// Guards against a release that reaches nobody: its connection ends unread, and the process gets no processor
+/// time in which to notice that, for up to two seconds.
+#[test]
+fn a_release_unread_on_a_connection_that_ends_while_the_process_is_stopped_is_sent_again() {
+    let (streamer, controller, viewer) = connected();
+    streamer.release(10, NORMAL);
+    std::thread::sleep(HANDLED);
+    controller.signal(Signal::STOP);
+    drop(viewer);
+    let mut front = controller.viewer();
+    front.set_up(30);
+    std::thread::sleep(Duration::from_millis(1900));
+    controller.signal(Signal::CONT);
+    let received = [front.receive(), front.receive()];
+    assert!(received.contains(&(RELEASE, 10, vec![NORMAL])), "{received:?}");
+    front.cancel(30);
+    stop_holding(controller, 0);
+}
--- a/crates/platform/src/viewer_pool/releases.rs
+++ b/crates/platform/src/viewer_pool/releases.rs
@@ -13,10 +13,12 @@
 const MAX_RELEASES: usize = 4096;
 /// How long a release waits for the front end to reconnect: after this no viewer waits for it.
 const QUEUED_RELEASE_LIFETIME: Duration = Duration::from_secs(8);
-/// How long a release may stay unacknowledged and is resent if its connection closes. Viewers acknowledge
-/// within a few milliseconds, and must receive a release within a second; an older one was received, or its
-/// viewer never acknowledges.
+/// How long an exiting process waits for an acknowledgement. Viewers acknowledge within a few milliseconds, and
+/// must receive a release within a second; an older one was received, or its viewer never acknowledges.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after it was sent an unacknowledged release is resent if its connection closes: a process that gets
+/// no processor time notices that up to two seconds later.
+const RESEND_WINDOW: Duration = Duration::from_secs(3);
 /// How long a release that was sent on a connection which has not served viewers stays unacknowledged before
 /// it is sent on another one as well.
 const UNPROVEN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -69,7 +71,7 @@
     }
 
     fn await_acknowledgement(&mut self, release: Release, now: Duration) {
-        while self.unacknowledged.front().is_some_and(|oldest| oldest.since + ACKNOWLEDGE_TIMEOUT <= now) {
+        while self.unacknowledged.front().is_some_and(|oldest| oldest.since + RESEND_WINDOW <= now) {
             self.unacknowledged.pop_front();
         }
         if self.unacknowledged.len() < MAX_RELEASES {
@@ -179,7 +181,7 @@
         let (lost, others) =
             self.releases.unacknowledged.drain(..).partition(|release| release.connection == connection);
         self.releases.unacknowledged = others;
-        for release in VecDeque::into_iter(lost).filter(|release| now < release.since + ACKNOWLEDGE_TIMEOUT) {
+        for release in VecDeque::into_iter(lost).filter(|release| now < release.since + RESEND_WINDOW) {
             self.release(connection, release.wire_id, release.message, now, reactor);
         }
     }
