Platform: hand-overs in a module of their own; phases named as in the field

Moved from session_table.rs without a change in behaviour. Phase::Out, Stands and Leaves, which the trace log names, are Joining, Playing and Moving.

--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -60,7 +60,7 @@
                 Vec::new(),
             );
         }
-        (session.joins, session.join_sent_at, session.phase) = (number + 1, now, Phase::Out(streamer));
+        (session.joins, session.join_sent_at, session.phase) = (number + 1, now, Phase::Joining(streamer));
         let until = try_until.min(session.answer_by);
         let (wire_id, rung) = (session.wire_id, session.rung);
         let offer = self.store.get(job).and_then(|session| session.offer.as_deref());
@@ -87,15 +87,15 @@
     fn set_rung(&mut self, job: JobId, rung: u8) {
         let Some(session) = self.store.get_mut(job) else { return };
         session.rung = Some(rung);
-        if let Phase::Stands(streamer) = session.phase {
+        if let Phase::Playing(streamer) = session.phase {
             self.transport.send(streamer, streamers::step(session.wire_id, rung));
         }
     }
 
     fn move_subscription(&mut self, job: JobId) {
         let Some(session) = self.store.get_mut(job) else { return };
-        if let Phase::Stands(streamer) = session.phase {
-            session.phase = Phase::Leaves(streamer);
+        if let Phase::Playing(streamer) = session.phase {
+            session.phase = Phase::Moving(streamer);
             trace_session(session.wire_id, "moved", streamer);
             let (connection, wire_id, message) =
                 (session.connection, session.wire_id, viewers::moved(session.wire_id));
--- a/crates/platform/src/phase.rs
+++ b/crates/platform/src/phase.rs
@@ -8,27 +8,27 @@
     /// Waiting for the decision module to place it.
     Waiting,
     /// A join at this streamer is outstanding.
-    Out(StreamerId),
+    Joining(StreamerId),
     /// A join at this streamer was withdrawn or its connection broke. The streamer may not have read that yet,
     /// so no other join is sent for a while.
     Withdrawn(StreamerId, Ending),
     /// Playing at this streamer.
-    Stands(StreamerId),
+    Playing(StreamerId),
     /// Moved away from this streamer, which has not yet ended it.
-    Leaves(StreamerId),
+    Moving(StreamerId),
 }
 
 impl Phase {
     /// The streamer that plays the session, also while it is being moved away.
     pub fn playing_at(self) -> Option<StreamerId> {
         match self {
-            Self::Stands(streamer) | Self::Leaves(streamer) => Some(streamer),
-            Self::Waiting | Self::Out(_) | Self::Withdrawn(..) => None,
+            Self::Playing(streamer) | Self::Moving(streamer) => Some(streamer),
+            Self::Waiting | Self::Joining(_) | Self::Withdrawn(..) => None,
         }
     }
 
     /// Whether the viewer still waits for an answer to its set-up.
     pub fn is_pending(self) -> bool {
-        matches!(self, Self::Waiting | Self::Out(_) | Self::Withdrawn(..))
+        matches!(self, Self::Waiting | Self::Joining(_) | Self::Withdrawn(..))
     }
 }
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -109,7 +109,7 @@
     pub fn joining(&self, join: JoinId) -> Option<(&Session, StreamerId)> {
         let session = self.get(join.job).filter(|session| session.joins == join.number + 1)?;
         match session.phase {
-            Phase::Out(streamer) => Some((session, streamer)),
+            Phase::Joining(streamer) => Some((session, streamer)),
             _ => None,
         }
     }
@@ -126,7 +126,7 @@
         self.next_job = self.next_job.wrapping_add(1);
         self.by_wire_id.insert(session.wire_id, job);
         match session.phase {
-            Phase::Stands(streamer) => drop(self.by_streamer.entry(streamer).or_default().insert(job)),
+            Phase::Playing(streamer) => drop(self.by_streamer.entry(streamer).or_default().insert(job)),
             _ => {
                 self.pending_by_connection.entry(session.connection).or_default().insert(job);
                 self.pending_count += 1;
@@ -140,7 +140,7 @@
     pub fn remove_from_index(&mut self, job: JobId) {
         let Some(session) = self.sessions.get(&job) else { return };
         match session.phase {
-            Phase::Waiting | Phase::Out(_) | Phase::Withdrawn(..) => {
+            Phase::Waiting | Phase::Joining(_) | Phase::Withdrawn(..) => {
                 self.pending_count -= 1;
                 if let Some(pending) = self.pending_by_connection.get_mut(&session.connection) {
                     pending.remove(&job);
@@ -149,7 +149,7 @@
                     }
                 }
             }
-            Phase::Stands(streamer) | Phase::Leaves(streamer) => {
+            Phase::Playing(streamer) | Phase::Moving(streamer) => {
                 if let Some(playing) = self.by_streamer.get_mut(&streamer) {
                     playing.remove(&job);
                     if playing.is_empty() {
@@ -169,7 +169,7 @@
     pub fn jobs_being_moved(&self) -> Vec<JobId> {
         let sessions = self.sessions.iter();
         sessions
-            .filter(|(_, session)| matches!(session.phase, Phase::Leaves(_)))
+            .filter(|(_, session)| matches!(session.phase, Phase::Moving(_)))
             .map(|(job, _)| *job)
             .collect()
     }
@@ -196,7 +196,7 @@
     pub fn set_playing(&mut self, job: JobId, streamer: StreamerId, connection: SocketId) {
         self.remove_from_index(job);
         let Some(session) = self.sessions.get_mut(&job) else { return };
-        (session.phase, session.offer) = (Phase::Stands(streamer), None);
+        (session.phase, session.offer) = (Phase::Playing(streamer), None);
         session.streamer_connection = Some(connection);
         let answer_deadline = (session.answer_by, Timer::AnswerDeadline(job));
         self.by_streamer.entry(streamer).or_default().insert(job);
@@ -256,11 +256,11 @@
     ) {
         let number = session.joins.saturating_sub(1);
         let (streamer, ending) = match session.phase {
-            Phase::Out(streamer) => (streamer, Ending::Cancelled),
+            Phase::Joining(streamer) => (streamer, Ending::Cancelled),
             Phase::Withdrawn(streamer, ending) => (streamer, ending),
             _ => return,
         };
-        if matches!(session.phase, Phase::Out(_)) {
+        if matches!(session.phase, Phase::Joining(_)) {
             self.counts.withdrawn_joins += 1;
             transport.withdraw_join(JoinId { job, number }, session.wire_id, streamer);
         }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -5,6 +5,7 @@
 //! that was sent, `over` once the session is over, and joins limited to the client timeout.
 
 mod closing;
+mod handovers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,6 +16,7 @@
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::viewers::{self, Parameters};
 use badgerledge_signalling::{streamers, Fault};
+use handovers::Handover;
 
 use crate::dispatcher::Dispatcher;
 use crate::ended_sessions::EndedSessions;
@@ -121,16 +123,7 @@
     #[cfg(test)]
     pub fn is_playing_at(&self, streamer: StreamerId, wire_id: u64) -> bool {
         let session = self.store.by_wire_id.get(&wire_id).and_then(|job| self.store.get(*job));
-        session.is_some_and(|session| session.phase == Phase::Stands(streamer))
-    }
-
-    /// Whether that session plays at that streamer, has a join outstanding there, or has just withdrawn one.
-    fn is_joining_or_playing_at(&self, streamer: StreamerId, wire_id: u64) -> bool {
-        let session = self.store.by_wire_id.get(&wire_id).and_then(|job| self.store.get(*job));
-        session.is_some_and(|session| match session.phase {
-            Phase::Stands(at) | Phase::Out(at) | Phase::Withdrawn(at, _) => at == streamer,
-            Phase::Waiting | Phase::Leaves(_) => false,
-        })
+        session.is_some_and(|session| session.phase == Phase::Playing(streamer))
     }
 
     /// The streamer's connection that a session was answered on, if it was.
@@ -158,7 +151,9 @@
         };
         if let Some(name) = &request.playing_at {
             let streamer = badgerledge_names::parse_streamer_id(name).map(streamer_id);
-            self.accept_handover(now, connection, wire_id, &request, streamer, transport);
+            let subscription = request.subscription;
+            let handover = Handover { wire_id, connection, streamer, subscription };
+            self.accept_handover(now, &handover, transport);
             return transport.mark_serving(connection);
         }
         transport.mark_viewers(connection);
@@ -218,77 +213,6 @@
         transport.answer(connection, &viewers::release(wire_id, THROTTLED, cool_down));
     }
 
-    /// Accepts a session that already plays. It gets no answer; one that has ended, or is at a streamer that
-    /// is not listed, is released.
-    fn accept_handover(
-        &mut self, now: Duration, connection: SocketId, wire_id: u64, request: &request::Request,
-        streamer: Option<StreamerId>, transport: &mut impl Transport,
-    ) {
-        if let Some(job) = self.store.by_wire_id.get(&wire_id).copied() {
-            return self.accept_repeated_handover(job, connection, streamer);
-        }
-        if self.release_if_ended(now, connection, wire_id, streamer, transport) {
-            return;
-        }
-        let listed = streamer.filter(|streamer| self.health_by_streamer.contains_key(streamer));
-        let Some(streamer) = listed.filter(|_| self.len() < self.max_playing) else {
-            self.store.ended.record(now, wire_id, streamer, FAILED);
-            return transport.release(connection, wire_id, viewers::release(wire_id, FAILED, Duration::ZERO));
-        };
-        trace_session(wire_id, "handed over", streamer);
-        let subscription = request.subscription;
-        let phase = Phase::Stands(streamer);
-        let session = Session {
-            wire_id,
-            connection,
-            received_at: now,
-            answer_by: now,
-            offer: None,
-            rung: None,
-            joins: 1,
-            join_sent_at: now,
-            phase,
-            streamer_connection: None,
-        };
-        let job = self.store.insert(session);
-        self.store.inputs.push(Box::new(move |module| module.resumed(job, subscription, streamer)));
-    }
-
-    /// Handles the hand-over of a session that is held already: the front has connected again, so what ends the
-    /// session is sent on the new connection. One that contradicts what is known changes nothing.
-    fn accept_repeated_handover(&mut self, job: JobId, connection: SocketId, streamer: Option<StreamerId>) {
-        let Some(session) = self.store.get_mut(job) else { return };
-        let wire_id = session.wire_id;
-        if streamer.is_some() && session.phase.playing_at() == streamer {
-            trace_session(wire_id, "handed over again", (session.connection, connection));
-            session.connection = connection;
-            return;
-        }
-        tracing::debug!(
-            wire_id = format_args!("{wire_id:016x}"),
-            phase = ?session.phase,
-            ?streamer,
-            "ignoring a hand-over that contradicts the session's state"
-        );
-    }
-
-    /// Releases a handed-over session if it has ended at its streamer already: what a streamer or a viewer says
-    /// of a session may arrive before its hand-over. Returns whether it has.
-    fn release_if_ended(
-        &mut self, now: Duration, connection: SocketId, wire_id: u64, streamer: Option<StreamerId>,
-        transport: &mut impl Transport,
-    ) -> bool {
-        let Some(streamer) = streamer else { return false };
-        let Some(ended) = self.store.ended.find(now, wire_id, streamer) else { return false };
-        trace_session(wire_id, "handed over after its end", (streamer, ended));
-        if ended.plays_on {
-            transport.send(streamer, streamers::end(wire_id, NORMAL));
-        }
-        let release = viewers::release(wire_id, ended.release_cause, Duration::ZERO);
-        transport.release(connection, wire_id, release);
-        true
-    }
-
     /// Rejects an invalid set-up with a final answer. If its id is that of a pending set-up on the same
     /// connection, one answer ends both, since the viewer could not distinguish two.
     pub fn reject(
@@ -325,12 +249,14 @@
                 self.store.counts.abandoned += 1;
                 self.expire(now, job, transport)
             }
-            Phase::Waiting | Phase::Out(_) | Phase::Withdrawn(..) => self.answer_failed(now, job, transport),
-            Phase::Stands(streamer) => {
+            Phase::Waiting | Phase::Joining(_) | Phase::Withdrawn(..) => {
+                self.answer_failed(now, job, transport)
+            }
+            Phase::Playing(streamer) => {
                 transport.send(streamer, streamers::end(wire_id, NORMAL));
                 self.finish(now, job, Ending::Cancelled, Vec::new());
             }
-            Phase::Leaves(_) => {}
+            Phase::Moving(_) => {}
         }
     }
 
@@ -434,7 +360,7 @@
         let usage = self.store.parse_usage(load);
         match session.phase {
             // A move and an end may cross: only the end that the move causes needs no release to the viewer.
-            Phase::Stands(at) | Phase::Leaves(at) if at == streamer => {
+            Phase::Playing(at) | Phase::Moving(at) if at == streamer => {
                 let ending = match u8::try_from(cause) {
                     Ok(NORMAL) => Ending::Served,
                     Ok(MOVED) => Ending::Cancelled,
@@ -479,26 +405,6 @@
         }
     }
 
-    /// Records that a health check has passed: from now on the front hands over what plays.
-    pub fn record_ready(&mut self, now: Duration) {
-        self.store.ended.record_ready(now);
-    }
-
-    /// Whether a session that a streamer says is playing belongs to no viewer and must be ended. One that is not
-    /// known here is left playing at first, since its hand-over may be on its way.
-    pub fn is_orphan(&mut self, now: Duration, streamer: StreamerId, wire_id: u64) -> bool {
-        let known = self.store.by_wire_id.contains_key(&wire_id);
-        !known && self.store.ended.must_be_ended(now, wire_id, streamer)
-    }
-
-    /// Whether a session that a streamer answered without an outstanding join must be ended there.
-    pub fn is_stray_answer(&mut self, now: Duration, streamer: StreamerId, wire_id: u64) -> bool {
-        match self.store.by_wire_id.contains_key(&wire_id) {
-            true => !self.is_joining_or_playing_at(streamer, wire_id),
-            false => self.is_orphan(now, streamer, wire_id),
-        }
-    }
-
     /// Handles a progress report on a playing session. One on a session that is not known here, or from another
     /// streamer than the session's, is ignored.
     pub fn progress_report(
@@ -507,7 +413,7 @@
         let kinds = ["kept_up", "tier", "wire", "trunk"];
         let kind = kinds.iter().position(|known| *known == kind).ok_or(Fault::Field("note"))? as u8 + 1;
         let job = self.store.by_wire_id.get(&wire_id).copied();
-        let plays = |job: &JobId| self.store.get(*job).is_some_and(|c| c.phase == Phase::Stands(streamer));
+        let plays = |job: &JobId| self.store.get(*job).is_some_and(|c| c.phase == Phase::Playing(streamer));
         if let Some(job) = job.filter(plays) {
             self.store.inputs.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
         }
@@ -607,7 +513,7 @@
     /// Ends a session at the streamer that it was moved away from.
     fn end_moved(&mut self, now: Duration, job: JobId, transport: &mut impl Transport) {
         let Some(session) = self.store.get(job) else { return };
-        let Phase::Leaves(streamer) = session.phase else { return };
+        let Phase::Moving(streamer) = session.phase else { return };
         let (wire_id, connection) = (session.wire_id, session.connection);
         transport.send(streamer, streamers::end(wire_id, NORMAL));
         transport.release(connection, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
--- a/crates/platform/src/unanswered.rs
+++ b/crates/platform/src/unanswered.rs
@@ -59,7 +59,7 @@
     /// The step of a session without an answer, given its phase and the number of its joins so far.
     pub fn of(phase: Phase, joins: u16) -> (Self, Option<StreamerId>) {
         match phase {
-            Phase::Out(streamer) => (Self::JoinOut, Some(streamer)),
+            Phase::Joining(streamer) => (Self::JoinOut, Some(streamer)),
             _ if joins == 0 => (Self::Unplaced, None),
             _ => (Self::Between, None),
         }
