--- a/review/stand_ins_2/bad_clients.rs
+++ b/review/stand_ins_2/bad_clients.rs
@@ -18,7 +18,8 @@
     memory_mb: 64,
     obligations: "{\"askWithinUs\":10000000,\"coldFrom\":0.4,\"coldUs\":12000000,\"drainGraceUs\":500000,\
                   \"graceToAnswerUs\":40000,\"tipAfterUs\":1500000,\"tipMultiple\":2.0}",
-    profiles: "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
+    profiles:
+        "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
                \"name\":\"tour\",\"stream\":true,\"windowUs\":5000000,\"worth\":1.0}]",
     seats: 0,
     notes: true,
@@ -56,7 +57,8 @@
     sleep(Duration::from_secs(2));
     let mut clients = Vec::new();
     if trouble {
-        lock(&shared).log(&format!("{CLIENTS_WITH_UNKNOWN_IDS} bad clients connect, with ids that no streamer knows"));
+        lock(&shared)
+            .log(&format!("{CLIENTS_WITH_UNKNOWN_IDS} bad clients connect, with ids that no streamer knows"));
         for index in 0..CLIENTS_WITH_UNKNOWN_IDS {
             let (world, stop) = (shared.clone(), over.clone());
             clients.push(thread::spawn(move || send_unknown_ids(&world, &stop, index)));
--- a/review/stand_ins_2/further_joins.rs
+++ b/review/stand_ins_2/further_joins.rs
@@ -72,12 +72,17 @@
     let mut seen = std::collections::BTreeSet::new();
     let further: Vec<f64> =
         world.joins.iter().filter(|join| !seen.insert(join.session)).map(|join| join.at).collect();
-    let taken: Vec<f64> =
-        world.requests.values().filter(|request| !request.handed_over).map(|request| request.sent_at).collect();
+    let taken: Vec<f64> = world
+        .requests
+        .values()
+        .filter(|request| !request.handed_over)
+        .map(|request| request.sent_at)
+        .collect();
     let (mut broken, mut most, mut worst) = (Vec::new(), 0, f64::MIN);
     for at in &further {
         let joins = further.iter().filter(|other| **other > at - WINDOW + SLACK && *other <= at).count();
-        let requests = taken.iter().filter(|sent_at| **sent_at > at - WINDOW - SLACK && *sent_at <= at).count();
+        let requests =
+            taken.iter().filter(|sent_at| **sent_at > at - WINDOW - SLACK && *sent_at <= at).count();
         let over = joins as f64 - (FREE + SHARE * requests as f64);
         most = most.max(joins);
         worst = worst.max(over);
--- a/review/stand_ins_2/lost_release.rs
+++ b/review/stand_ins_2/lost_release.rs
@@ -15,7 +15,8 @@
     memory_mb: 128,
     obligations: "{\"askWithinUs\":10000000,\"coldFrom\":0.4,\"coldUs\":12000000,\"drainGraceUs\":500000,\
                   \"graceToAnswerUs\":40000,\"tipAfterUs\":1500000,\"tipMultiple\":2.0}",
-    profiles: "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
+    profiles:
+        "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
                \"name\":\"tour\",\"stream\":true,\"windowUs\":5000000,\"worth\":1.0}]",
     seats: 0,
     notes: true,
@@ -61,7 +62,8 @@
         for _ in 0..count {
             let mut world = lock(&shared);
             let (session, title) = (world.new_session(), world.new_session());
-            let set_up = SetUp { session, class: "tour", left_ms: 4000, title, home: 0, copies: 3, top: 4, at: None };
+            let set_up =
+                SetUp { session, class: "tour", left_ms: 4000, title, home: 0, copies: 3, top: 4, at: None };
             world.set_up(front, &set_up);
         }
     };
@@ -90,11 +92,14 @@
         if waited > RELEASE_LATEST {
             broken.push(format!(
                 "session {session:016x} ended at {ended_at:.3} s, and its viewer {}",
-                heard_at.map_or(format!("had heard nothing {waited:.1} s later"), |at| format!("heard so at {at:.3} s"))
+                heard_at.map_or(format!("had heard nothing {waited:.1} s later"), |at| format!(
+                    "heard so at {at:.3} s"
+                ))
             ));
         }
     }
-    let checked = format!("{} sessions that streamers ended, longest wait for a release {latest:.3} s", victims.len());
+    let checked =
+        format!("{} sessions that streamers ended, longest wait for a release {latest:.3} s", victims.len());
     drop(world);
     if victims.is_empty() {
         return Err("no session was set up on a connection that was used again".to_owned());
--- a/review/stand_ins_2/platform.rs
+++ b/review/stand_ins_2/platform.rs
@@ -151,7 +151,8 @@
     }
 
     pub fn new_session(&mut self) -> u64 {
-        self.next_session = self.next_session.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.next_session =
+            self.next_session.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         self.next_session ^ (self.next_session >> 29)
     }
 
@@ -171,10 +172,15 @@
         let state = &self.streamers[streamer];
         let Some((session, standing)) = state.sessions.iter().next() else { return };
         let (session, own) = (*session, standing.connection);
-        let connection = if state.connections.contains_key(&own) { Some(own) } else { state.connections.keys().next().copied() };
+        let connection = if state.connections.contains_key(&own) {
+            Some(own)
+        } else {
+            state.connections.keys().next().copied()
+        };
         let Some(connection) = connection else { return };
         for note in ["wire", "trunk"] {
-            let text = wire::line("info", session, &format!(",\"with\":{{\"note\":\"{note}\",\"value\":\"0.30\"}}"));
+            let text =
+                wire::line("info", session, &format!(",\"with\":{{\"note\":\"{note}\",\"value\":\"0.30\"}}"));
             self.write_line(streamer, connection, &text);
         }
     }
@@ -195,7 +201,9 @@
         self.on_offer = hook;
         match reply {
             Reply::Accept(delay) => {
-                self.log(&format!("offer {session:016x} at {name} on connection {connection}: will be accepted"));
+                self.log(&format!(
+                    "offer {session:016x} at {name} on connection {connection}: will be accepted"
+                ));
                 self.after(delay.as_secs_f64(), move |world| world.accept(streamer, connection, session));
             }
             Reply::Full => {
@@ -205,7 +213,9 @@
                 self.write_line(streamer, connection, &text);
             }
             Reply::StopShort => {
-                self.log(&format!("offer {session:016x} at {name} on connection {connection}: its answer stops short"));
+                self.log(&format!(
+                    "offer {session:016x} at {name} on connection {connection}: its answer stops short"
+                ));
                 let text = accept_line(session);
                 self.write_line(streamer, connection, &text[..text.len() / 2]);
             }
@@ -223,12 +233,19 @@
         if !self.forget_offer(streamer, connection, session) {
             return;
         }
-        self.log(&format!("{} accepts {session:016x} on connection {connection}", self.streamers[streamer].name));
+        self.log(&format!(
+            "{} accepts {session:016x} on connection {connection}",
+            self.streamers[streamer].name
+        ));
         self.streamers[streamer].sessions.insert(session, Standing { connection });
         self.write_line(streamer, connection, &accept_line(session));
         if self.tell_notes {
             for note in ["wire", "trunk"] {
-                let text = wire::line("info", session, &format!(",\"with\":{{\"note\":\"{note}\",\"value\":\"0.30\"}}"));
+                let text = wire::line(
+                    "info",
+                    session,
+                    &format!(",\"with\":{{\"note\":\"{note}\",\"value\":\"0.30\"}}"),
+                );
                 self.write_line(streamer, connection, &text);
             }
         }
@@ -268,7 +285,8 @@
                 self.log(&format!("the controller ends {session:016x} at {name} (offer given up {given_up}, session cut {cut})"));
             }
             "test" => {
-                let text = wire::line("tested", session, ",\"why\":1,\"with\":{\"load\":\"x0:0.30;x1:0.30\"}");
+                let text =
+                    wire::line("tested", session, ",\"why\":1,\"with\":{\"load\":\"x0:0.30;x1:0.30\"}");
                 self.write_line(streamer, connection, &text);
             }
             _ => {}
@@ -279,8 +297,18 @@
     pub fn set_up(&mut self, connection: usize, set_up: &SetUp) -> bool {
         let session = set_up.session;
         let handed_over = set_up.at.is_some();
-        self.requests.insert(session, Request { connection, handed_over, class: set_up.class, title: set_up.title, ..Request::default() });
-        let written = self.front.get_mut(&connection).is_some_and(|stream| stream.write_all(&set_up.frame()).is_ok());
+        self.requests.insert(
+            session,
+            Request {
+                connection,
+                handed_over,
+                class: set_up.class,
+                title: set_up.title,
+                ..Request::default()
+            },
+        );
+        let written =
+            self.front.get_mut(&connection).is_some_and(|stream| stream.write_all(&set_up.frame()).is_ok());
         let now = self.now();
         if !written {
             self.requests.remove(&session);
@@ -496,7 +524,10 @@
         fs::create_dir_all(&temporary).map_err(fault)?;
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &run_command()?]);
-        command.env("GW_NAME", format!("n{number}")).env("GW_LISTEN", listen.to_string()).env("GW_CONFIG", &path);
+        command
+            .env("GW_NAME", format!("n{number}"))
+            .env("GW_LISTEN", listen.to_string())
+            .env("GW_CONFIG", &path);
         command.env("TMPDIR", temporary).stdin(Stdio::null());
         command.stdout(log.try_clone().map_err(fault)?).stderr(log);
         // Safety: only one system call is made between fork and exec.
@@ -649,7 +680,10 @@
         world.streamers[index].said_at = world.now();
         let name = world.streamers[index].name.clone();
         let releases = std::mem::take(&mut world.streamers[index].repeated_releases);
-        world.log(&format!("{name}: connection {connection} opened, {} releases repeated on it", releases.len()));
+        world.log(&format!(
+            "{name}: connection {connection} opened, {} releases repeated on it",
+            releases.len()
+        ));
         for text in releases {
             world.write_line(index, connection, &text);
         }
@@ -744,7 +778,9 @@
 
 /// Whether a controller passes a test.
 fn passes_test(listen: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect_timeout(&listen, Duration::from_millis(500)) else { return false };
+    let Ok(mut stream) = TcpStream::connect_timeout(&listen, Duration::from_millis(500)) else {
+        return false;
+    };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
     let (mut input, mut buffer) = (Vec::new(), [0; 256]);
     if stream.write_all(&wire::frame(wire::TEST, 1, &[(75, &[0])])).is_err() {
--- a/review/stand_ins_2/quiet_streamer.rs
+++ b/review/stand_ins_2/quiet_streamer.rs
@@ -81,7 +81,10 @@
     let mut broken = Vec::new();
     let mut lines = Vec::new();
     for (title, seen) in &seen {
-        lines.push(format!("title {title:016x}: {} at most, over {SEATS} for {:.1} s", seen.most, seen.longest_over));
+        lines.push(format!(
+            "title {title:016x}: {} at most, over {SEATS} for {:.1} s",
+            seen.most, seen.longest_over
+        ));
         if seen.longest_over > TOLERATED {
             broken.push(format!(
                 "title {title:016x}: its {SEATS} seats were exceeded for {:.1} s, with {} sessions at the most",
@@ -90,8 +93,12 @@
         }
     }
     let told = world.streamers.iter().flat_map(|streamer| streamer.sessions.keys());
-    let told = told.filter(|id| world.requests.get(id).is_some_and(|request| request.released_at.is_some())).count();
-    let checked = format!("{told} sessions stand at streamers whose viewers were told that they are over; {}", lines.join("; "));
+    let told =
+        told.filter(|id| world.requests.get(id).is_some_and(|request| request.released_at.is_some())).count();
+    let checked = format!(
+        "{told} sessions stand at streamers whose viewers were told that they are over; {}",
+        lines.join("; ")
+    );
     drop(world);
     if late.len() < CHOICE.streamers {
         return Err("a streamer was never quiet for 1.35 s".to_owned());
@@ -106,7 +113,8 @@
 fn ask(shared: &Shared, front: usize, title: u64) {
     let mut world = lock(shared);
     let session = world.new_session();
-    let set_up = SetUp { session, class: "replay", left_ms: 5000, title, home: 0, copies: 4, top: 4, at: None };
+    let set_up =
+        SetUp { session, class: "replay", left_ms: 5000, title, home: 0, copies: 4, top: 4, at: None };
     world.set_up(front, &set_up);
 }
 
@@ -132,7 +140,8 @@
     for streamer in &world.streamers {
         let offers = streamer.outstanding.iter().map(|(_, session)| session);
         for session in streamer.sessions.keys().chain(offers) {
-            let Some(request) = world.requests.get(session).filter(|request| request.class == "replay") else {
+            let Some(request) = world.requests.get(session).filter(|request| request.class == "replay")
+            else {
                 continue;
             };
             *counts.entry(request.title).or_default() += 1;
--- a/review/stand_ins_2/standstill.rs
+++ b/review/stand_ins_2/standstill.rs
@@ -8,7 +8,8 @@
 use crate::wire::SetUp;
 use crate::{conclude, Verdict};
 
-pub const OBLIGATIONS: &str = "{\"askWithinUs\":10000000,\"budgetFree\":3,\"coldFrom\":0.4,\"coldUs\":12000000,\
+pub const OBLIGATIONS: &str =
+    "{\"askWithinUs\":10000000,\"budgetFree\":3,\"coldFrom\":0.4,\"coldUs\":12000000,\
      \"countedOverUs\":10000000,\"drainGraceUs\":250000,\"extraRatio\":0.1,\"graceToAnswerUs\":40000,\
      \"tipAfterUs\":3000000,\"tipMultiple\":3.0}";
 pub const PROFILES: &str = "[{\"aimUs\":800000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\
@@ -73,7 +74,8 @@
             let happened_at = world.now();
             let name = world.streamers[streamer].name.clone();
             world.log(&format!("event {}: {name} drains", world.serial));
-            let drain = Drain { streamer, happened_at, answered_at: None, stopped_at: None, continued_at: None };
+            let drain =
+                Drain { streamer, happened_at, answered_at: None, stopped_at: None, continued_at: None };
             drains.lock().unwrap().drains.push(drain);
         });
         if trouble {
@@ -115,7 +117,8 @@
     let mut judged = 0;
     for drain in &state.lock().unwrap().drains {
         let stood = drain.stopped_at.zip(drain.continued_at).map(|(from, to)| to - from);
-        let told_at = drain.answered_at.map_or(f64::MAX, |at| at).min(drain.happened_at + TOLD_WITHIN + SLACK);
+        let told_at =
+            drain.answered_at.map_or(f64::MAX, |at| at).min(drain.happened_at + TOLD_WITHIN + SLACK);
         let until = told_at + DRAIN_GRACE + SLACK;
         let name = &world.streamers[drain.streamer].name;
         lines.push(format!(
--- a/review/stand_ins_2/unknown_ids.rs
+++ b/review/stand_ins_2/unknown_ids.rs
@@ -16,7 +16,8 @@
     memory_mb: 192,
     obligations: "{\"askWithinUs\":10000000,\"coldFrom\":0.4,\"coldUs\":12000000,\"drainGraceUs\":500000,\
                   \"graceToAnswerUs\":40000,\"tipAfterUs\":1500000,\"tipMultiple\":2.0}",
-    profiles: "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
+    profiles:
+        "[{\"aimUs\":1500000,\"deadlineUs\":4000000,\"effect\":\"free\",\"group\":\"all\",\"lateWorth\":0.0,\
                \"name\":\"tour\",\"stream\":true,\"windowUs\":5000000,\"worth\":1.0}]",
     seats: 0,
     notes: true,
@@ -42,7 +43,8 @@
     for step in 0..80 {
         let mut world = lock(&shared);
         let (session, title) = (world.new_session(), world.new_session());
-        let set_up = SetUp { session, class: "tour", left_ms: LEFT_MS, title, home: 0, copies: 4, top: 4, at: None };
+        let set_up =
+            SetUp { session, class: "tour", left_ms: LEFT_MS, title, home: 0, copies: 4, top: 4, at: None };
         if world.set_up(fronts[step % fronts.len()], &set_up) {
             asked.push(session);
         }
@@ -68,7 +70,9 @@
             broken.push(format!(
                 "set-up {session:016x} of a usual viewer, sent at {:.3} s, {}",
                 request.sent_at,
-                answered_at.map_or(format!("has no answer {waited:.1} s later"), |at| format!("was answered at {at:.3} s, {waited:.1} s later"))
+                answered_at.map_or(format!("has no answer {waited:.1} s later"), |at| format!(
+                    "was answered at {at:.3} s, {waited:.1} s later"
+                ))
             ));
         }
     }
@@ -86,7 +90,9 @@
 fn send_unknown_ids(shared: &Shared, number: usize) {
     let (listen, names) = {
         let mut world = lock(shared);
-        world.log(&format!("bad client {number} sends {REQUESTS_AT_ONCE} set-ups at once, for ids that no streamer knows"));
+        world.log(&format!(
+            "bad client {number} sends {REQUESTS_AT_ONCE} set-ups at once, for ids that no streamer knows"
+        ));
         (world.listen, world.streamers.iter().map(|streamer| streamer.name.clone()).collect::<Vec<_>>())
     };
     let Ok(mut stream) = TcpStream::connect_timeout(&listen, Duration::from_secs(2)) else { return };
@@ -96,7 +102,8 @@
     for request in 0..REQUESTS_AT_ONCE {
         let id = 0x1000_0000_0000_0000 + ((number as u64) << 32) + request as u64;
         let at = Some(names[request % names.len()].clone());
-        let set_up = SetUp { session: id, class: "tour", left_ms: 4000, title: id, home: 0, copies: 4, top: 4, at };
+        let set_up =
+            SetUp { session: id, class: "tour", left_ms: 4000, title: id, home: 0, copies: 4, top: 4, at };
         bytes.extend(set_up.frame());
     }
     if stream.write_all(&bytes).is_err() {
--- a/review/stand_ins_2/wire.rs
+++ b/review/stand_ins_2/wire.rs
@@ -37,8 +37,10 @@
 
 impl SetUp {
     pub fn frame(&self) -> Vec<u8> {
-        let mut figures =
-            format!("home:{};copies:{};top:{};viewer:{:016x}", self.home, self.copies, self.top, self.session);
+        let mut figures = format!(
+            "home:{};copies:{};top:{};viewer:{:016x}",
+            self.home, self.copies, self.top, self.session
+        );
         if let Some(streamer) = &self.at {
             figures.push_str(&format!(";at:{streamer}"));
         }
@@ -180,7 +182,11 @@
     for listed in list {
         let SocketAddr::V4(address) = listed.address else { return None };
         out.extend(record(&host(listed), 1, &address.ip().octets()));
-        let texts = ["kind=two-core".to_owned(), format!("cell={}", listed.cell), format!("started={}", listed.started_ms)];
+        let texts = [
+            "kind=two-core".to_owned(),
+            format!("cell={}", listed.cell),
+            format!("started={}", listed.started_ms),
+        ];
         let text: Vec<u8> =
             texts.iter().flat_map(|text| [&[text.len() as u8], text.as_bytes()].concat()).collect();
         out.extend(record(&host(listed), 16, &text));
