--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -15,6 +15,7 @@
     DecisionSink, Ending, Health, JobId, Listing, Start, StreamerId, SubscriptionRequest,
 };
 use crate::load_reports::{self, LinkName, LoadReport};
+use crate::placements::Placements;
 use crate::random::{start_hash, Rng};
 use crate::settings::Settings;
 use crate::state::{remove_departed, NetworkLink, NetworkLinks, Streamer, Subscription};
@@ -65,6 +66,8 @@
     streamers: BTreeMap<StreamerId, Streamer>,
     network_links: NetworkLinks,
     subscriptions: BTreeMap<JobId, Subscription>,
+    /// The subscriptions at each streamer, and how many hold a place for each title and room type.
+    placements: Placements,
     /// Subscriptions that wait to be placed, by the time of the next attempt.
     placements_due: BTreeSet<(Duration, JobId)>,
     /// When the timer for the earliest placement fires, if one is set.
@@ -158,13 +161,22 @@
         self.recent_requests = (self.now, self.recent_request_rate() * REQUEST_RATE_DECAY_S + 1.0);
         let hint = request.duration_hint.map_or((0.0, 0.0), |hint| (hint.as_secs_f64(), 1.0));
         self.hint_sums = (self.hint_sums.0 + hint.0, self.hint_sums.1 + hint.1);
+        self.remove_subscription(job);
         self.subscriptions.insert(job, Subscription { request, accepted_at: self.now, ..Default::default() });
         self.placements_due.insert((self.now, job));
     }
 
+    /// Notes a subscription that is said to play already, while no streamer has confirmed it. It holds a seat;
+    /// it adds no demand and is not decided on, so that false ones cost nothing.
+    pub fn claimed(&mut self, job: JobId, request: SubscriptionRequest) {
+        self.started_with_handover = true;
+        self.placements.claim(job, request.title, request.room_type);
+    }
+
     /// Takes over a subscription that already plays on `streamer`.
     pub fn resumed(&mut self, job: JobId, request: SubscriptionRequest, streamer: StreamerId) {
         self.started_with_handover = true;
+        self.remove_subscription(job);
         // It may step once the first progress reports have arrived: after one report interval and their
         // delay.
         let last_step_at = (self.now + self.settings.report_interval + self.settings.report_delay())
@@ -220,6 +232,9 @@
         self.apply_load_report(streamer, usage);
         let played = self.subscriptions.get(&job).is_some_and(|s| s.playing);
         self.record_ending(streamer, ending, played);
+        if over {
+            self.placements.drop_claim(job);
+        }
         let Some(subscription) = self.subscriptions.get_mut(&job) else { return };
         if over {
             let lifetime_s = (self.now - subscription.accepted_at).as_secs_f64();
@@ -590,12 +605,9 @@
     /// The design's load: remaining work over capacity, where the uplink limits like the link.
     fn load(&self, id: StreamerId) -> f64 {
         let (link, uplink_utilization) = (NetworkLink::Link(id), self.utilization(self.uplink(id)));
-        let duration_hint = self
-            .subscriptions
-            .values()
-            .filter(|s| s.streamer == Some(id) && s.request.duration_hint.is_some());
-        let remaining_work = duration_hint
-            .map(|s| self.settings.rate(&s.request, s.rung) * (self.hint_factor(s) - 1.0))
+        let with_hint = self.subscriptions_at(id).filter(|(_, s)| s.request.duration_hint.is_some());
+        let remaining_work = with_hint
+            .map(|(_, s)| self.settings.rate(&s.request, s.rung) * (self.hint_factor(s) - 1.0))
             .sum::<f64>();
         let link_utilization = self.utilization(link) + remaining_work / self.capacity(link);
         // A part of the smaller value keeps the streamers behind one full uplink distinguishable.
@@ -777,10 +789,7 @@
     /// Rule 5: whether a seat is free for the title and room type, outstanding joins included.
     fn seat_free(&self, request: &SubscriptionRequest) -> bool {
         let seats = self.settings.list_number("/familyInfo/licenceCap", request.room_type, 0.0) as usize;
-        let same =
-            |s: &&Subscription| s.request.title == request.title && s.request.room_type == request.room_type;
-        seats == 0
-            || self.subscriptions.values().filter(same).filter(|s| s.streamer.is_some()).count() < seats
+        seats == 0 || self.placements.seats_taken(request.title, request.room_type) < seats
     }
 
     /// Rule 6: whether one more repeated join fits the budget.
@@ -1090,15 +1099,14 @@
         let mut link_headroom: BTreeMap<StreamerId, f64> = BTreeMap::new();
         let mut uplink_headroom = self.allowed_demand(uplink, joining.is_some());
         let (mut floors, mut placed, mut links) = (Vec::new(), Vec::new(), Vec::new());
-        for (job, subscription) in &self.subscriptions {
-            let Some(id) = subscription.streamer.filter(|id| self.uplink(*id) == uplink) else { continue };
+        for (job, id, subscription) in self.subscriptions_behind(uplink) {
             let headroom = link_headroom
                 .entry(id)
                 .or_insert_with(|| self.allowed_demand(NetworkLink::Link(id), joining == Some(id)));
             let floor = self.settings.floor(&subscription.request);
             *headroom -= self.settings.rate(&subscription.request, floor);
             uplink_headroom -= self.settings.rate(&subscription.request, floor);
-            floors.push((*job, floor));
+            floors.push((job, floor));
             placed.push(subscription);
             links.push(id);
         }
@@ -1156,13 +1164,13 @@
                 .iter()
                 .map(|target| (*target, &self.streamers[target], self.load(*target)))
                 .collect();
+            let sources: BTreeMap<_, _> =
+                self.placements.streamers().map(|source| (source, self.source_load(source))).collect();
             for (job, subscription) in
                 self.subscriptions.iter().filter(|(_, s)| s.playing && !s.request.moved)
             {
                 let Some(source) = subscription.streamer else { continue };
-                // A streamer that delivers short is at least correspondingly loaded.
-                let delivered = self.delivered_fraction(source);
-                let source_load = self.load(source).max(if delivered < 0.98 { 1.0 / delivered } else { 0.0 });
+                let Some((source_load, delivered)) = sources.get(&source).copied() else { continue };
                 for (target, target_state, target_load) in targets
                     .iter()
                     .filter(|(target, _, target_load)| *target != source && source_load - target_load > 0.1)
@@ -1183,6 +1191,14 @@
         }
     }
 
+    /// The load of a streamer from which subscriptions may move, and the fraction that it delivers. One that
+    /// delivers short is at least correspondingly loaded.
+    fn source_load(&self, source: StreamerId) -> (f64, f64) {
+        let delivered = self.delivered_fraction(source);
+        let load_by_delivery = if delivered < 0.98 { 1.0 / delivered } else { 0.0 };
+        (self.load(source).max(load_by_delivery), delivered)
+    }
+
     /// Mean lifetime of subscriptions in seconds; starts as if four had lasted 30 s.
     fn mean_lifetime_s(&self) -> f64 {
         (120.0 + self.lifetime_sums.0) / (4.0 + self.lifetime_sums.1)
--- a/crates/core/src/decide/sums.rs
+++ b/crates/core/src/decide/sums.rs
@@ -100,14 +100,21 @@
 
     /// The mean size, in kB/s, of one rung step of this controller's subscriptions on a link.
     pub(super) fn mean_step_rate(&self, network_link: NetworkLink, upwards: bool) -> f64 {
-        let uses_link = |id| network_link == NetworkLink::Link(id) || network_link == self.uplink(id);
         let next_rung =
             |s: &Subscription| if upwards { self.top(s).min(s.rung + 1) } else { s.rung.max(1) - 1 };
         let step_rate = |s: &Subscription| {
             self.settings.rate(&s.request, next_rung(s)) - self.settings.rate(&s.request, s.rung)
         };
-        let playing_there =
-            self.subscriptions.values().filter(|s| s.playing && s.streamer.is_some_and(uses_link));
+        let there: Vec<&Subscription> = match network_link {
+            NetworkLink::Link(id) => {
+                self.subscriptions_at(id).map(|(_, subscription)| subscription).collect()
+            }
+            NetworkLink::Uplink(_) => {
+                let behind = self.subscriptions_behind(network_link).into_iter();
+                behind.map(|(_, _, subscription)| subscription).collect()
+            }
+        };
+        let playing_there = there.into_iter().filter(|subscription| subscription.playing);
         mean(playing_there.map(|s| step_rate(s).abs())).unwrap_or(0.0)
     }
 
@@ -122,24 +129,46 @@
                 self.network_links.add_own_demand(network_link, added_demand, self.now)
             });
         }
+        let (previous, request) = (subscription.streamer, subscription.request);
+        self.placements.assign(job, &request, previous, streamer);
         self.subscriptions
             .entry(job)
             .and_modify(|subscription| (subscription.streamer, subscription.rung) = (streamer, rung));
     }
 
+    /// The subscriptions at a streamer, by their number.
+    pub(super) fn subscriptions_at(&self, id: StreamerId) -> impl Iterator<Item = (JobId, &Subscription)> {
+        self.placements.at(id).filter_map(|job| Some((job, self.subscriptions.get(&job)?)))
+    }
+
+    /// The subscriptions behind an uplink with their streamers, by their number.
+    pub(super) fn subscriptions_behind(
+        &self, uplink: NetworkLink,
+    ) -> Vec<(JobId, StreamerId, &Subscription)> {
+        let ids = self.placements.streamers().filter(|id| self.uplink(*id) == uplink);
+        let mut behind: Vec<_> = ids
+            .flat_map(|id| self.subscriptions_at(id).map(move |(job, subscription)| (job, id, subscription)))
+            .collect();
+        behind.sort_unstable_by_key(|(job, ..)| *job);
+        behind
+    }
+
     /// Recomputes the own demand of all links: streamers may be listed only after their subscriptions are
     /// known.
     pub(super) fn recompute_own_demand(&mut self) {
         self.network_links.states.values_mut().for_each(|link_state| link_state.own_demand = 0.0);
-        let placed =
-            self.subscriptions.iter_mut().filter_map(|(job, s)| Some((*job, s.streamer.take()?, s.rung)));
-        for (job, streamer, rung) in placed.collect::<Vec<_>>() {
-            self.assign(job, Some(streamer), rung);
+        for subscription in self.subscriptions.values() {
+            let Some(id) = subscription.streamer else { continue };
+            let demand = self.settings.rate(&subscription.request, subscription.rung);
+            for network_link in [NetworkLink::Link(id), self.uplink(id)] {
+                self.network_links.add_own_demand(network_link, demand, self.now);
+            }
         }
     }
 
     /// Removes a subscription and its demand.
     pub(super) fn remove_subscription(&mut self, job: JobId) -> Option<Subscription> {
+        self.placements.drop_claim(job);
         self.assign(job, None, 0);
         self.subscriptions.remove(&job)
     }
--- a/crates/core/src/fleet_tests.rs
+++ b/crates/core/src/fleet_tests.rs
@@ -54,8 +54,8 @@
 
 /// The decisions of a controller in one round.
 #[derive(Default)]
-struct Decisions {
-    joins: Vec<(JobId, StreamerId)>,
+pub struct Decisions {
+    pub joins: Vec<(JobId, StreamerId)>,
     ended: Vec<JobId>,
     timers: Vec<(Duration, u64)>,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod decide;
 pub mod interface;
 pub mod load_reports;
+pub mod placements;
 pub mod random;
 pub mod settings;
 pub mod state;
@@ -11,4 +12,6 @@
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
+mod large_table_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -27,7 +27,7 @@
     Start { at, number: at.as_micros() as u64 }
 }
 
-fn streamer(cell: u32) -> StreamerId {
+pub fn streamer(cell: u32) -> StreamerId {
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, cell as u16)
 }
 
