--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod changes;
 mod duplicates;
+mod false_handovers;
 mod gossip;
 mod handovers;
 mod harness;
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -92,7 +92,18 @@
 
     /// Sends a progress report on a subscription on its newest connection.
     pub fn report_progress(&self, wire_id: u64) {
-        let fields = json!({"note": "kept_up", "value": "1.0"});
+        self.report(wire_id, "kept_up", 1.0);
+    }
+
+    /// Sends how much of its link is asked for, with a subscription that plays, if it is connected.
+    pub fn report_link(&self, wire_id: u64, utilization: f64) {
+        if !self.connections.lock().unwrap().is_empty() {
+            self.report(wire_id, "wire", utilization);
+        }
+    }
+
+    fn report(&self, wire_id: u64, note: &str, value: f64) {
+        let fields = json!({"note": note, "value": value.to_string()});
         self.send(&json!({"op": "info", "call": format!("{wire_id:016x}"), "with": fields}));
     }
 
@@ -366,6 +377,13 @@
     frame(1, wire_id, &[(33, "tour"), (36, waits_ms), (45, title), (48, figures), (78, description)])
 }
 
+/// A frame that hands over a subscription which plays at the streamer with this id.
+pub fn hand_over(wire_id: u64, streamer_id: u32) -> Vec<u8> {
+    let figures = format!("home:0;copies:1;top:1;viewer:00000000b4d65521;at:s-{streamer_id:08x}");
+    let title = "7f3a9c21e0b4d655";
+    frame(1, wire_id, &[(33, "tour"), (36, "4294967"), (45, title), (48, &figures), (78, "v=0")])
+}
+
 /// A connection of a front that carries viewers.
 pub struct Viewer(pub TcpStream);
 
@@ -387,9 +405,12 @@
 
     /// Hands over a subscription that plays at this streamer.
     pub fn hand_over(&mut self, wire_id: u64, streamer: &Streamer) {
-        let figures = format!("home:0;copies:1;top:1;viewer:00000000b4d65521;at:s-{:08x}", streamer.id);
-        let title = "7f3a9c21e0b4d655";
-        self.send(1, wire_id, &[(33, "tour"), (36, "4294967"), (45, title), (48, &figures), (78, "v=0")]);
+        self.send_hand_over(wire_id, streamer.id);
+    }
+
+    /// Hands over a subscription that plays at the streamer with this id.
+    pub fn send_hand_over(&mut self, wire_id: u64, streamer_id: u32) {
+        self.0.write_all(&hand_over(wire_id, streamer_id)).unwrap();
     }
 
     /// Cancels a set-up, or ends its subscription.
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -42,6 +42,14 @@
         self.viewer_pool.mark_viewers(connection, self.now, &mut self.reactor);
     }
 
+    fn mark_claiming(&mut self, connection: SocketId) {
+        self.viewer_pool.mark_claiming(connection, self.now, &mut self.reactor);
+    }
+
+    fn is_serving(&self, connection: SocketId) -> bool {
+        self.viewer_pool.is_serving(connection)
+    }
+
     fn mark_serving(&mut self, connection: SocketId) {
         self.viewer_pool.mark_serving(connection, self.now, &mut self.reactor);
     }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -154,7 +154,7 @@
             let subscription = request.subscription;
             let handover = Handover { wire_id, connection, streamer, subscription };
             self.accept_handover(now, &handover, transport);
-            return transport.mark_serving(connection);
+            return transport.mark_claiming(connection);
         }
         transport.mark_viewers(connection);
         if self.store.by_wire_id.contains_key(&wire_id) {
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -71,7 +71,11 @@
         self.viewer_frames.push((connection, message));
     }
     fn mark_viewers(&mut self, _connection: SocketId) {}
+    fn mark_claiming(&mut self, _connection: SocketId) {}
     fn mark_serving(&mut self, _connection: SocketId) {}
+    fn is_serving(&self, _connection: SocketId) -> bool {
+        false
+    }
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
         let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
         assert_eq!(offer["call"], json!(format!("{wire_id:016x}")));
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -14,8 +14,13 @@
     fn release(&mut self, connection: SocketId, wire_id: u64, message: Vec<u8>);
     /// Marks a connection as one on which viewers send set-ups, as opposed to one of a health checker.
     fn mark_viewers(&mut self, connection: SocketId);
-    /// Marks a connection as one that has served viewers: a session on it was accepted or handed over.
+    /// Marks a connection as one that sessions were handed over on, which may be false.
+    fn mark_claiming(&mut self, connection: SocketId);
+    /// Marks a connection as one that has served viewers: a set-up on it was accepted, or a streamer has
+    /// confirmed a session that was handed over on it.
     fn mark_serving(&mut self, connection: SocketId);
+    /// Whether a connection is open and has served viewers.
+    fn is_serving(&self, connection: SocketId) -> bool;
     /// Starts a join, on a connection of its own where one is available.
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
     /// Withdraws an outstanding join.
--- a/crates/platform/src/viewer_pool.rs
+++ b/crates/platform/src/viewer_pool.rs
@@ -36,7 +36,9 @@
     last_answer: Option<(u64, Duration)>,
     /// Whether a valid set-up arrived on it: it belongs to viewers and not to a health checker.
     carries_set_ups: bool,
-    /// Whether a set-up on it was accepted or handed over.
+    /// Whether sessions were handed over on it, which may be false.
+    claims_sessions: bool,
+    /// Whether a set-up on it was accepted, or a streamer has confirmed a session that was handed over on it.
     serves_viewers: bool,
     /// Since when an incomplete frame waits for its rest.
     incomplete_since: Option<Duration>,
@@ -50,6 +52,9 @@
         if self.serves_viewers {
             return Some(ReleaseRank::Served);
         }
+        if self.claims_sessions {
+            return Some(ReleaseRank::Claimed);
+        }
         if !self.carries_set_ups {
             return None;
         }
@@ -63,6 +68,9 @@
         if self.serves_viewers {
             return EvictionRank::Served;
         }
+        if self.claims_sessions {
+            return EvictionRank::Claimed;
+        }
         if self.was_sent_output {
             return EvictionRank::Refused;
         }
@@ -87,6 +95,8 @@
     Silent,
     /// It got an answer, but no viewer was ever served on it.
     Refused,
+    /// Sessions were handed over on it, and nothing has confirmed them.
+    Claimed,
     /// It served viewers, and enough others did so later.
     Served,
     /// A first set-up may be on its way: a request on a connection that is closed is lost to its viewer.
@@ -132,6 +142,12 @@
         self.connections.contains_key(&connection)
     }
 
+    /// Whether a connection is open and has served viewers.
+    pub fn is_serving(&self, connection: SocketId) -> bool {
+        let viewer = self.connections.get(&connection);
+        viewer.is_some_and(|viewer| viewer.serves_viewers && !viewer.shut_down)
+    }
+
     /// Whether another connection must be evicted before one more is accepted.
     pub fn is_full(&self) -> bool {
         self.connections.len() >= self.max_connections
@@ -170,6 +186,7 @@
             was_sent_output: false,
             last_answer: None,
             carries_set_ups: false,
+            claims_sessions: false,
             serves_viewers: false,
             incomplete_since: None,
             shut_down: false,
@@ -232,6 +249,7 @@
         self.connections.get(&connection).is_some_and(|viewer| {
             let idle = !viewer.was_sent_output
                 && !viewer.serves_viewers
+                && !viewer.claims_sessions
                 && now >= viewer.last_set_up_at + IDLE_TIMEOUT;
             let incomplete = viewer.incomplete_since.is_some_and(|since| now >= since + IDLE_TIMEOUT);
             (idle || incomplete) && !has_pending(connection)
--- a/crates/platform/src/viewer_pool/releases.rs
+++ b/crates/platform/src/viewer_pool/releases.rs
@@ -20,8 +20,11 @@
 /// no processor time notices that up to two seconds later.
 const RESEND_WINDOW: Duration = Duration::from_secs(3);
 /// How long a release that was sent on a connection which has not served viewers stays unacknowledged before
-/// it is sent on another one as well.
+/// it is sent on others as well.
 const UNPROVEN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// One in this many of the connections that are left is tried in each interval, so that all have been before the
+/// second is over in which viewers must be told.
+const UNPROVEN_BATCH_DIVISOR: usize = 8;
 
 /// How well a connection is suited for releases of other connections' sessions, from worst to best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +33,8 @@
     Waiting,
     /// Set-ups on it were refused.
     Refused,
+    /// Sessions were handed over on it, which may be false.
+    Claimed,
     /// It has served viewers.
     Served,
 }
@@ -92,8 +97,17 @@
     /// Marks a connection as serving viewers, and sends the queued releases.
     pub fn mark_serving(&mut self, connection: SocketId, now: Duration, reactor: &mut Reactor) {
         let Some(viewer) = self.connections.get_mut(&connection) else { return };
-        viewer.serves_viewers = true;
-        self.send_queued(now, reactor);
+        if !std::mem::replace(&mut viewer.serves_viewers, true) {
+            self.send_queued(now, reactor);
+        }
+    }
+
+    /// Marks a connection as one that sessions were handed over on, and sends the queued releases.
+    pub fn mark_claiming(&mut self, connection: SocketId, now: Duration, reactor: &mut Reactor) {
+        let Some(viewer) = self.connections.get_mut(&connection) else { return };
+        if !std::mem::replace(&mut viewer.claims_sessions, true) {
+            self.send_queued(now, reactor);
+        }
     }
 
     /// Sends a release on its own connection or on another one of viewers, or queues it until there is one. It
@@ -160,16 +174,18 @@
         self.releases.await_acknowledgement(release, now);
     }
 
-    /// Sends a release on the best connection that it was not tried on yet.
+    /// Sends a release on the best connections that it was not tried on yet.
     fn send_unproven(
         &mut self, release: &mut Release, ranked: &RankedConnections, now: Duration, reactor: &mut Reactor,
     ) {
-        let mut untried = ranked.iter().filter(|(_, connection)| !release.tried.contains(connection));
-        let sent_on = untried.find(|(_, connection)| self.answer(*connection, &release.message, reactor));
-        let sent_on = sent_on.map(|(_, connection)| *connection);
-        trace_release(release, sent_on);
-        if let Some(connection) = sent_on {
-            release.tried.push(connection);
+        let untried = ranked.iter().map(|(_, connection)| *connection);
+        let untried: Vec<_> = untried.filter(|connection| !release.tried.contains(connection)).collect();
+        let batch = untried.len().div_ceil(UNPROVEN_BATCH_DIVISOR);
+        let accepts = |connection: &SocketId| self.answer(*connection, &release.message, reactor);
+        let sent_on: Vec<_> = untried.into_iter().filter(accepts).take(batch).collect();
+        trace_release(release, sent_on.last().copied());
+        if !sent_on.is_empty() {
+            release.tried.extend(sent_on);
             release.tried_at = now;
         }
     }
