--- a/crates/controller/tests/it/false_handovers.rs
+++ b/crates/controller/tests/it/false_handovers.rs
@@ -1,10 +1,13 @@
 //! Clients that claim subscriptions which no streamer knows, beside viewers.
 
+use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::thread::sleep;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer};
+use crate::platform_harness::{hand_over, list, name_service, Controller, Streamer, Viewer};
 
 const RELEASE: u8 = 12;
 const ANSWER: u8 = 9;
@@ -15,6 +18,85 @@
 /// Ids of subscriptions that nobody knows start here.
 const UNKNOWN: u64 = 1 << 60;
 
+/// A client that claims subscriptions under ever new ids at full speed, and reads what it is sent.
+struct FalseClient {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<u64>,
+}
+
+impl FalseClient {
+    fn start(controller: &Controller, streamer: &Streamer, number: u64) -> Self {
+        let mut stream = TcpStream::connect(controller.at).unwrap();
+        let mut reader = stream.try_clone().unwrap();
+        spawn(move || while matches!(reader.read(&mut [0; 4096]), Ok(count) if count > 0) {});
+        let stop = Arc::new(AtomicBool::new(false));
+        let (stopped, streamer_id) = (stop.clone(), streamer.id);
+        let thread = spawn(move || {
+            let mut claimed = 0;
+            while !stopped.load(Ordering::SeqCst) {
+                let ids = (claimed..claimed + 64).map(|id| UNKNOWN + (number << 32) + id);
+                let frames: Vec<u8> = ids.flat_map(|id| hand_over(id, streamer_id)).collect();
+                if stream.write_all(&frames).is_err() {
+                    break;
+                }
+                claimed += 64;
+            }
+            claimed
+        });
+        Self { stop, thread }
+    }
+
+    /// Stops the client, and returns how many subscriptions it has claimed.
+    fn stop(self) -> u64 {
+        self.stop.store(true, Ordering::SeqCst);
+        self.thread.join().unwrap()
+    }
+}
+
+/// Guards against clients whose claims fill the streamers' links: the set-ups of viewers were refused, or
+/// answered long after their time. The claims come in the time in which a front hands over, and at any speed.
+#[test]
+fn claims_of_unknown_subscriptions_do_not_affect_set_ups() {
+    let streamer = Streamer::new(1);
+    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let clients: Vec<_> = (0..4).map(|number| FalseClient::start(&controller, &streamer, number)).collect();
+    let mut front = controller.viewer();
+    for wire_id in 1..=20 {
+        let sent_at = Instant::now();
+        // The load that the streamer reports is that of what really plays.
+        streamer.report_link(wire_id - 1, 0.1);
+        front.set_up(wire_id);
+        let (kind, id, _) = front.receive();
+        assert_eq!((kind, id), (ANSWER, wire_id), "set-up {wire_id}");
+        assert!(sent_at.elapsed() < Duration::from_secs(2), "{:?}", sent_at.elapsed());
+        sleep(Duration::from_millis(100));
+    }
+    let claimed: u64 = clients.into_iter().map(FalseClient::stop).sum();
+    assert!(claimed > 10_000, "{claimed}");
+}
+
+/// Guards against a restart after which a flood of false claims takes the place of what the front hands over:
+/// its viewers were told that their subscriptions are over, or were not told when they were.
+#[test]
+fn true_handovers_are_kept_beside_a_flood_of_false_ones() {
+    let streamer = Streamer::new(1);
+    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let clients: Vec<_> = (0..4).map(|number| FalseClient::start(&controller, &streamer, number)).collect();
+    sleep(Duration::from_secs(1));
+    let mut fronts: Vec<Viewer> = (0..8).map(|_| controller.viewer()).collect();
+    for wire_id in 1..=200 {
+        fronts[wire_id as usize % 8].hand_over(wire_id, &streamer);
+    }
+    sleep(Duration::from_secs(1));
+    for wire_id in 1..=200 {
+        streamer.release(wire_id, NORMAL);
+        let released_at = Instant::now();
+        assert_eq!(fronts[wire_id as usize % 8].receive(), (RELEASE, wire_id, vec![NORMAL]));
+        assert!(released_at.elapsed() < RELEASE_TIMEOUT);
+    }
+    clients.into_iter().for_each(|client| drop(client.stop()));
+}
+
 /// Guards against releases of viewers' subscriptions that go to clients with false claims and to nobody else: the
 /// connection that served the viewer has ended, and the front has another one that serves viewers.
 #[test]
--- a/crates/platform/src/ended_sessions.rs
+++ b/crates/platform/src/ended_sessions.rs
@@ -12,10 +12,10 @@
 /// How long an ended session is remembered: longer than a hand-over can take after a start or after the loss
 /// of the front's connections.
 const MEMORY: Duration = Duration::from_secs(60);
-/// How long a session that streamers report may be unknown before it is ended. The front hands sessions over
-/// as soon as it finds the process ready, which it notices within some seconds, and once more if it loses the
-/// connection.
-const UNKNOWN_SESSION_GRACE: Duration = Duration::from_secs(10);
+/// How long after the first health check that passed the front may hand over sessions, and how long one that
+/// streamers report may be unknown before it is ended. The front hands over as soon as it finds the process
+/// ready, which it notices within some seconds.
+const HANDOVER_WINDOW: Duration = Duration::from_secs(10);
 
 /// How a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,15 +85,26 @@
         anywhere.or_else(|| self.left_by_viewers.get(now, &wire_id).copied())
     }
 
+    /// Whether the front may still hand over sessions that were never heard of here: it does so once a health
+    /// check has passed.
+    pub fn expects_handovers(&self, now: Duration) -> bool {
+        self.first_ready_at.is_none_or(|first_ready_at| now < first_ready_at + HANDOVER_WINDOW)
+    }
+
+    /// Whether a streamer has lately said that a session plays which nobody here holds.
+    pub fn was_reported(&mut self, now: Duration, wire_id: u64, streamer: StreamerId) -> bool {
+        self.unknown.get(now, &(wire_id, streamer)).is_some()
+    }
+
     /// Whether a session that nobody here holds, and that a streamer says is playing, must be ended: it is
     /// over, or it has been unknown for longer than a hand-over can take.
     pub fn must_be_ended(&mut self, now: Duration, wire_id: u64, streamer: StreamerId) -> bool {
         if self.find(now, wire_id, streamer).is_some() {
             return true;
         }
-        let Some(first_ready_at) = self.first_ready_at else { return false };
         let reported_at = *self.unknown.get_or_insert(now, (wire_id, streamer), now);
-        if now < reported_at.max(first_ready_at) + UNKNOWN_SESSION_GRACE {
+        let Some(first_ready_at) = self.first_ready_at else { return false };
+        if now < reported_at.max(first_ready_at) + HANDOVER_WINDOW {
             return false;
         }
         self.record(now, wire_id, Some(streamer), FAILED);
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -182,7 +182,7 @@
 
     fn progress_report(&mut self, wire_id: u64, kind: &str, value: f64) {
         let (sessions, connections) = &mut self.service;
-        if let Err(fault) = sessions.progress_report(self.streamer, wire_id, kind, value) {
+        if let Err(fault) = sessions.progress_report(self.streamer, wire_id, kind, value, *connections) {
             self.fault = Some(fault);
             return;
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! I/O; [`run`] joins it to the sockets of the event loop. All placement decisions are made by the decision
 //! module in `core`. The design is described in `docs/platform.md`.
 
+mod claims;
 mod configuration;
 #[cfg(test)]
 mod configuration_tests;
@@ -12,6 +13,8 @@
 #[cfg(test)]
 mod ended_sessions_tests;
 mod expiring_map;
+#[cfg(test)]
+mod handover_tests;
 mod inbound;
 mod join_id;
 mod phase;
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use badgerledge_core::decide::Controller;
-use badgerledge_core::interface::{Ending, JobId, StreamerId};
+use badgerledge_core::interface::{Ending, JobId, StreamerId, SubscriptionRequest};
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::streamers;
 
+use crate::claims::Claims;
 use crate::ended_sessions::EndedSessions;
 use crate::join_id::JoinId;
 use crate::phase::Phase;
@@ -49,6 +50,9 @@
     pub phase: Phase,
     /// The streamer's connection that it was answered on; none if it was handed over.
     pub streamer_connection: Option<SocketId>,
+    /// What was handed over, until it is confirmed that the session plays: the decision module does not decide
+    /// on it before.
+    pub claim: Option<Box<SubscriptionRequest>>,
 }
 
 /// Timers of sessions and of the decision module.
@@ -76,6 +80,8 @@
     pub by_wire_id: BTreeMap<u64, JobId>,
     /// Sessions without an answer, by the viewer's connection.
     pub pending_by_connection: BTreeMap<SocketId, BTreeSet<JobId>>,
+    /// Unconfirmed sessions, by the viewer's connection that they were handed over on.
+    pub claims: Claims,
     /// Sessions that play or are being moved away, by streamer.
     pub by_streamer: BTreeMap<StreamerId, BTreeSet<JobId>>,
     pub timers: BTreeSet<(Duration, Timer)>,
@@ -125,6 +131,9 @@
         let job = self.next_job;
         self.next_job = self.next_job.wrapping_add(1);
         self.by_wire_id.insert(session.wire_id, job);
+        if session.claim.is_some() {
+            self.claims.insert(session.connection, job);
+        }
         match session.phase {
             Phase::Playing(streamer) => drop(self.by_streamer.entry(streamer).or_default().insert(job)),
             _ => {
@@ -160,6 +169,34 @@
         }
     }
 
+    /// Moves an unconfirmed session, or any other one, to another viewer's connection.
+    pub fn move_to_connection(&mut self, job: JobId, connection: SocketId) {
+        let Some(session) = self.sessions.get_mut(&job) else { return };
+        let previous = std::mem::replace(&mut session.connection, connection);
+        if session.claim.is_some() {
+            self.claims.remove(previous, job);
+            self.claims.insert(connection, job);
+        }
+    }
+
+    /// Confirms that a handed-over session plays: the decision module takes it over.
+    pub fn confirm(&mut self, job: JobId) {
+        let Some(session) = self.sessions.get_mut(&job) else { return };
+        let Some(subscription) = session.claim.take() else { return };
+        let Some(streamer) = session.phase.playing_at() else { return };
+        let (wire_id, connection) = (session.wire_id, session.connection);
+        self.claims.remove(connection, job);
+        trace_session(wire_id, "hand-over confirmed", streamer);
+        self.inputs.push(Box::new(move |module| module.resumed(job, *subscription, streamer)));
+    }
+
+    /// Confirms all sessions that were handed over on a connection which has proved to be the front's.
+    pub fn trust_claims_on(&mut self, connection: SocketId) {
+        for job in self.claims.trust(connection) {
+            self.confirm(job);
+        }
+    }
+
     /// The sessions that wait for their answer.
     pub fn pending_jobs(&self) -> Vec<JobId> {
         self.pending_by_connection.values().flatten().copied().collect()
@@ -210,7 +247,10 @@
         let session = self.sessions.remove(&job)?;
         self.by_wire_id.remove(&session.wire_id);
         self.timers.remove(&(session.answer_by, Timer::AnswerDeadline(job)));
-        if session.joins > 0 {
+        if session.claim.is_some() {
+            // A false one must not displace what is remembered of others.
+            self.claims.remove(session.connection, job);
+        } else if session.joins > 0 {
             self.ended.record(now, session.wire_id, session.phase.playing_at(), release_cause);
         }
         Some(session)
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -18,6 +18,7 @@
 use badgerledge_signalling::{streamers, Fault};
 use handovers::Handover;
 
+use crate::claims::Claims;
 use crate::dispatcher::Dispatcher;
 use crate::ended_sessions::EndedSessions;
 use crate::join_id::JoinId;
@@ -36,13 +37,13 @@
 /// How much sooner than the viewer gives up the session table answers by itself; a twentieth of the timeout
 /// if that is less.
 const ANSWER_DEADLINE_MARGIN: Duration = Duration::from_millis(50);
-/// Pending set-ups over all connections, and playing sessions, for each megabyte of memory: with the longest
+/// Pending set-ups over all connections, and unconfirmed sessions, for each megabyte of memory: with the longest
 /// descriptions they use a quarter and a tenth of it.
 const PENDING_PER_MB: usize = 16;
 /// One connection may hold this part of the pending set-ups: four flooding connections leave none for others,
 /// three some.
 const PENDING_PER_CONNECTION_DIVISOR: usize = 4;
-const PLAYING_PER_MB: usize = 200;
+const CLAIMS_PER_MB: usize = 200;
 /// Ended and unknown sessions of each kind that are remembered, for each megabyte of memory.
 const ENDED_PER_MB: usize = 100;
 /// The cool-down sent when the session table is full, or the process shuts down.
@@ -59,7 +60,7 @@
     module: Controller,
     pub store: SessionStore,
     max_pending: usize,
-    max_playing: usize,
+    max_claims: usize,
     /// The health of each listed streamer.
     health_by_streamer: BTreeMap<StreamerId, Health>,
     list_inputs: Vec<ModuleInput>,
@@ -73,6 +74,7 @@
             sessions: BTreeMap::new(),
             by_wire_id: BTreeMap::new(),
             pending_by_connection: BTreeMap::new(),
+            claims: Claims::default(),
             by_streamer: BTreeMap::new(),
             timers: BTreeSet::new(),
             ended: EndedSessions::new(memory_mb * ENDED_PER_MB),
@@ -83,12 +85,12 @@
             counts: RequestCounts::default(),
             answers_limited_to: None,
         };
-        let (max_pending, max_playing) = (memory_mb * PENDING_PER_MB, memory_mb * PLAYING_PER_MB);
+        let (max_pending, max_claims) = (memory_mb * PENDING_PER_MB, memory_mb * CLAIMS_PER_MB);
         Self {
             module,
             store,
             max_pending,
-            max_playing,
+            max_claims,
             health_by_streamer: BTreeMap::new(),
             list_inputs: Vec::new(),
         }
@@ -153,8 +155,7 @@
             let streamer = badgerledge_names::parse_streamer_id(name).map(streamer_id);
             let subscription = request.subscription;
             let handover = Handover { wire_id, connection, streamer, subscription };
-            self.accept_handover(now, &handover, transport);
-            return transport.mark_claiming(connection);
+            return self.accept_handover(now, &handover, transport);
         }
         transport.mark_viewers(connection);
         if self.store.by_wire_id.contains_key(&wire_id) {
@@ -199,6 +200,7 @@
             join_sent_at: now,
             phase: Phase::Waiting,
             streamer_connection: None,
+            claim: None,
         };
         let job = self.store.insert(session);
         trace_session(wire_id, "set-up", (connection, subscription.path_key));
@@ -254,6 +256,9 @@
             }
             Phase::Playing(streamer) => {
                 transport.send(streamer, streamers::end(wire_id, NORMAL));
+                if session.claim.is_some() {
+                    self.store.ended.record_left(now, wire_id);
+                }
                 self.finish(now, job, Ending::Cancelled, Vec::new());
             }
             Phase::Moving(_) => {}
@@ -269,6 +274,7 @@
             self.store.counts.abandoned += 1;
             self.expire(now, job, transport);
         }
+        self.store.claims.connection_closed(connection);
     }
 
     /// Drops a session that has no answer and needs none any more.
@@ -354,6 +360,7 @@
             trace_session(wire_id, "unknown, ended by its streamer", (streamer, cause));
             return self.store.ended.record_release(now, wire_id, streamer, cause);
         };
+        self.confirm_by_streamer(job, streamer, transport);
         let Some(session) = self.store.get(job) else { return };
         let connection = session.connection;
         trace_session(wire_id, "ended by its streamer", (session.phase, cause));
@@ -380,6 +387,9 @@
     fn finish(&mut self, now: Duration, job: JobId, ending: Ending, usage: Vec<f64>) {
         let release_cause = if ending == Ending::Served { NORMAL } else { FAILED };
         let Some(session) = self.store.remove(now, job, release_cause) else { return };
+        if session.claim.is_some() {
+            return self.store.inputs.push(Box::new(move |module| module.expired(job)));
+        }
         if let Some(streamer) = session.phase.playing_at() {
             let join = (streamer, session.joins.saturating_sub(1), session.join_sent_at);
             self.store.report_outcome(now, job, join, ending, true, usage);
@@ -391,7 +401,11 @@
     pub fn streamer_lost(
         &mut self, now: Duration, streamer: StreamerId, before: Duration, transport: &mut impl Transport,
     ) {
-        for job in self.store.by_streamer.get(&streamer).cloned().unwrap_or_default() {
+        let at_streamer = self.store.by_streamer.get(&streamer).cloned().unwrap_or_default();
+        // Unconfirmed ones last: releases of false ones must not take the room of others'.
+        let is_claim = |job: &JobId| self.store.get(*job).is_some_and(|session| session.claim.is_some());
+        let (claims, confirmed): (Vec<_>, Vec<_>) = at_streamer.into_iter().partition(is_claim);
+        for job in confirmed.into_iter().chain(claims) {
             let Some(session) = self.store.get(job).filter(|session| session.join_sent_at < before) else {
                 continue;
             };
@@ -408,13 +422,14 @@
     /// Handles a progress report on a playing session. One on a session that is not known here, or from another
     /// streamer than the session's, is ignored.
     pub fn progress_report(
-        &mut self, streamer: StreamerId, wire_id: u64, kind: &str, value: f64,
+        &mut self, streamer: StreamerId, wire_id: u64, kind: &str, value: f64, transport: &mut impl Transport,
     ) -> Result<(), Fault> {
         let kinds = ["kept_up", "tier", "wire", "trunk"];
         let kind = kinds.iter().position(|known| *known == kind).ok_or(Fault::Field("note"))? as u8 + 1;
         let job = self.store.by_wire_id.get(&wire_id).copied();
         let plays = |job: &JobId| self.store.get(*job).is_some_and(|c| c.phase == Phase::Playing(streamer));
         if let Some(job) = job.filter(plays) {
+            self.confirm_by_streamer(job, streamer, transport);
             self.store.inputs.push(Box::new(move |module| module.progress(job, streamer, kind, value)));
         }
         Ok(())
--- a/crates/platform/src/session_table/handovers.rs
+++ b/crates/platform/src/session_table/handovers.rs
@@ -24,22 +24,25 @@
 }
 
 impl SessionTable {
-    /// Accepts a session that already plays. It gets no answer; one that has ended, or is at a streamer that
-    /// is not listed, is released.
+    /// Accepts a session that already plays. It gets no answer; one that has ended, is at a streamer that is not
+    /// listed, or comes when no hand-over is due is released. Whatever is handed over may be false: until its
+    /// streamer speaks of it, or of another one that was handed over on the same connection, it is only held.
     pub(super) fn accept_handover(
         &mut self, now: Duration, handover: &Handover, transport: &mut impl Transport,
     ) {
         let Handover { wire_id, connection, streamer, subscription } = *handover;
         if let Some(job) = self.store.by_wire_id.get(&wire_id).copied() {
-            return self.accept_repeated_handover(job, handover);
+            return self.accept_repeated_handover(job, handover, transport);
         }
         if self.release_if_ended(now, handover, transport) {
             return;
         }
         let listed = streamer.filter(|streamer| self.health_by_streamer.contains_key(streamer));
-        let Some(streamer) = listed.filter(|_| self.len() < self.max_playing) else {
-            self.store.ended.record(now, wire_id, streamer, FAILED);
-            return transport.release(connection, wire_id, viewers::release(wire_id, FAILED, Duration::ZERO));
+        let expected = listed.filter(|_| self.store.ended.expects_handovers(now));
+        let Some(streamer) = expected.filter(|_| self.make_room_for_claim(now, connection, transport)) else {
+            trace_session(wire_id, "hand-over refused", (connection, streamer));
+            transport.answer(connection, &viewers::release(wire_id, FAILED, Duration::ZERO));
+            return;
         };
         trace_session(wire_id, "handed over", streamer);
         let session = Session {
@@ -53,20 +56,66 @@
             join_sent_at: now,
             phase: Phase::Playing(streamer),
             streamer_connection: None,
+            claim: Some(Box::new(subscription)),
         };
         let job = self.store.insert(session);
-        self.store.inputs.push(Box::new(move |module| module.resumed(job, subscription, streamer)));
+        if self.store.ended.was_reported(now, wire_id, streamer) {
+            return self.confirm_by_streamer(job, streamer, transport);
+        }
+        if self.store.claims.is_trusted(connection) {
+            return self.store.confirm(job);
+        }
+        transport.mark_claiming(connection);
+        self.store.inputs.push(Box::new(move |module| module.claimed(job, subscription)));
+    }
+
+    /// Makes room for one more unconfirmed session of a connection, and returns whether there is any.
+    fn make_room_for_claim(
+        &mut self, now: Duration, connection: SocketId, transport: &mut impl Transport,
+    ) -> bool {
+        if self.store.claims.len() < self.max_claims {
+            return true;
+        }
+        let Some(job) = self.store.claims.displaced_by(connection) else { return false };
+        let Some(session) = self.store.remove(now, job, FAILED) else { return false };
+        let Session { wire_id, connection, .. } = session;
+        trace_session(wire_id, "unconfirmed hand-over displaced", connection);
+        transport.answer(connection, &viewers::release(wire_id, FAILED, Duration::ZERO));
+        self.store.inputs.push(Box::new(move |module| module.expired(job)));
+        true
+    }
+
+    /// Records that a streamer has spoken of a session: it plays there, and the connection that it was handed
+    /// over on is the front's.
+    pub(super) fn confirm_by_streamer(
+        &mut self, job: JobId, streamer: StreamerId, transport: &mut impl Transport,
+    ) {
+        let Some(session) = self.store.get(job) else { return };
+        if session.claim.is_none() || session.phase.playing_at() != Some(streamer) {
+            return;
+        }
+        let connection = session.connection;
+        self.store.confirm(job);
+        transport.mark_serving(connection);
+        if transport.is_serving(connection) {
+            self.store.trust_claims_on(connection);
+        }
     }
 
     /// Handles the hand-over of a session that is held already: the front has connected again, so what ends the
     /// session is sent on the new connection. One that contradicts what is known changes nothing.
-    fn accept_repeated_handover(&mut self, job: JobId, handover: &Handover) {
+    fn accept_repeated_handover(&mut self, job: JobId, handover: &Handover, transport: &mut impl Transport) {
         let Handover { wire_id, connection, streamer, .. } = *handover;
-        let Some(session) = self.store.get_mut(job) else { return };
+        let Some(session) = self.store.get(job) else { return };
         if streamer.is_some() && session.phase.playing_at() == streamer {
             trace_session(wire_id, "handed over again", (session.connection, connection));
-            session.connection = connection;
-            return;
+            let is_confirmed = session.claim.is_none();
+            self.store.move_to_connection(job, connection);
+            // Only the front knows the id of a session that plays.
+            return match is_confirmed {
+                true => transport.mark_serving(connection),
+                false => transport.mark_claiming(connection),
+            };
         }
         tracing::debug!(
             wire_id = format_args!("{wire_id:016x}"),
@@ -89,6 +138,7 @@
         }
         let release = viewers::release(wire_id, ended.release_cause, Duration::ZERO);
         transport.release(connection, wire_id, release);
+        transport.mark_claiming(connection);
         true
     }
 
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -9,6 +9,7 @@
 use badgerledge_core::interface::{DecisionSink, Ending, Health, Listing, Start, StreamerId};
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::viewers::{self, Parameters};
+use badgerledge_signalling::Fault;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use serde_json::{json, Value};
 
@@ -48,14 +49,15 @@
 
 /// Test double that records what viewers and streamers are sent.
 #[derive(Default)]
-struct RecordingTransport {
+pub struct RecordingTransport {
     /// Frames sent on each viewers' connection.
-    viewer_frames: Vec<(SocketId, Vec<u8>)>,
+    pub viewer_frames: Vec<(SocketId, Vec<u8>)>,
     /// Outstanding joins at streamers.
-    outstanding: BTreeMap<u64, (JoinId, StreamerId)>,
+    pub outstanding: BTreeMap<u64, (JoinId, StreamerId)>,
     /// Messages to streamers on their playing sessions.
-    streamer_messages: Vec<(StreamerId, String)>,
+    pub streamer_messages: Vec<(StreamerId, String)>,
     full_connections: BTreeSet<SocketId>,
+    pub serving: BTreeSet<SocketId>,
     probes: Vec<StreamerId>,
 }
 
@@ -72,9 +74,11 @@
     }
     fn mark_viewers(&mut self, _connection: SocketId) {}
     fn mark_claiming(&mut self, _connection: SocketId) {}
-    fn mark_serving(&mut self, _connection: SocketId) {}
-    fn is_serving(&self, _connection: SocketId) -> bool {
-        false
+    fn mark_serving(&mut self, connection: SocketId) {
+        self.serving.insert(connection);
+    }
+    fn is_serving(&self, connection: SocketId) -> bool {
+        self.serving.contains(&connection)
     }
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>) {
         let offer: Value = serde_json::from_slice(&offer).expect("a whole line");
@@ -100,7 +104,7 @@
 
 impl RecordingTransport {
     /// Types and causes of the frames sent for a session.
-    fn frames_of(&self, wire_id: u64) -> Vec<(u8, u8)> {
+    pub fn frames_of(&self, wire_id: u64) -> Vec<(u8, u8)> {
         let type_and_cause = |(_, frame): &(SocketId, Vec<u8>)| {
             let own = frame[3..11] == wire_id.to_be_bytes();
             own.then(|| (frame[2], if frame[2] == 12 { frame[14] } else { 0 }))
@@ -109,16 +113,23 @@
     }
 }
 
-struct Harness {
-    sessions: SessionTable,
-    transport: RecordingTransport,
-    now: Duration,
+pub struct Harness {
+    pub sessions: SessionTable,
+    pub transport: RecordingTransport,
+    pub now: Duration,
     next_round: Duration,
 }
 
 impl Harness {
-    fn new() -> Self {
-        let Value::Object(settings) = settings() else { unreachable!("an object") };
+    pub fn new() -> Self {
+        Self::with_seats(0)
+    }
+
+    /// A table of which one title may hold so many sessions in a room type; 0 if there is no limit.
+    pub fn with_seats(seats: u64) -> Self {
+        let mut settings = settings();
+        settings["familyInfo"]["licenceCap"] = json!([seats, seats]);
+        let Value::Object(settings) = settings else { unreachable!("an object") };
         let platform_settings = PlatformSettings::new(&settings);
         let sessions = SessionTable::new(Controller::new(START, 7, settings), platform_settings, 32);
         let mut harness =
@@ -130,7 +141,7 @@
     }
 
     /// Advances the time, round by round.
-    fn advance(&mut self, millis: u64) {
+    pub fn advance(&mut self, millis: u64) {
         for _ in 0..millis.div_ceil(10) {
             self.now += ms(10);
             self.sessions.run_timers(self.now, &mut self.transport);
@@ -141,7 +152,7 @@
         }
     }
 
-    fn set_up(&mut self, connection: SocketId, wire_id: u64, change: &[(&str, &str)]) {
+    pub fn set_up(&mut self, connection: SocketId, wire_id: u64, change: &[(&str, &str)]) {
         let mut fields = BTreeMap::from([
             ("class", "tour"),
             ("left", "2000"),
@@ -166,12 +177,17 @@
         viewers::decode(&frame, &mut handler).expect("a frame");
     }
 
-    fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
+    pub fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
         let (join, streamer) = self.transport.outstanding.remove(&wire_id)?;
         self.sessions.join_answered(self.now, join, STREAMER_CONNECTION, "a500\r\nc=IN", &mut self.transport);
         Some(streamer)
     }
 
+    /// A streamer reports the progress of a session.
+    pub fn report(&mut self, streamer: StreamerId, wire_id: u64, kind: &str) -> Result<(), Fault> {
+        self.sessions.progress_report(streamer, wire_id, kind, 0.5, &mut self.transport)
+    }
+
     /// A join ends as its connection fails.
     fn join_is_lost(&mut self, wire_id: u64, ending: Ending) {
         if let Some((join, _)) = self.transport.outstanding.remove(&wire_id) {
@@ -390,12 +406,9 @@
     assert_eq!(harness.transport.frames_of(5), [(9, 0)]);
     // A progress report or a release from another streamer is ignored.
     let other = streamer_id(99);
-    harness.sessions.progress_report(other, 5, "wire", 0.5).unwrap();
+    harness.report(other, 5, "wire").unwrap();
     harness.sessions.ended_by_streamer(harness.now, other, 5, 16, None, &mut harness.transport);
-    assert!(
-        harness.sessions.is_playing_at(streamer, 5)
-            && harness.sessions.progress_report(streamer, 5, "wine", 0.5).is_err()
-    );
+    assert!(harness.sessions.is_playing_at(streamer, 5) && harness.report(streamer, 5, "wine").is_err());
     harness.sessions.ended_by_streamer(harness.now, streamer, 5, 16, None, &mut harness.transport);
     harness.sessions.ended_by_streamer(harness.now, streamer, 5, 16, None, &mut harness.transport);
     assert_eq!(harness.transport.frames_of(5), [(9, 0), (12, 16)]);
