--- a/crates/controller/tests/it/false_handovers.rs
+++ b/crates/controller/tests/it/false_handovers.rs
@@ -94,7 +94,9 @@
         assert_eq!(fronts[wire_id as usize % 8].receive(), (RELEASE, wire_id, vec![NORMAL]));
         assert!(released_at.elapsed() < RELEASE_TIMEOUT);
     }
-    clients.into_iter().for_each(|client| drop(client.stop()));
+    for client in clients {
+        client.stop();
+    }
 }
 
 /// Guards against releases of viewers' subscriptions that go to clients with false claims and to nobody else: the
--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod handovers;
 mod harness;
+mod lost_connections;
 mod other_client;
 mod platform;
 mod platform_harness;
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -112,6 +112,27 @@
         self.connections.lock().unwrap()[connection].write_all(format!("{message}\n").as_bytes()).unwrap();
     }
 
+    /// Writes bytes on one of its connections.
+    pub fn send_raw_on(&self, connection: usize, bytes: &[u8]) {
+        self.connections.lock().unwrap()[connection].write_all(bytes).unwrap();
+    }
+
+    /// The number of connections accepted so far.
+    pub fn connection_count(&self) -> usize {
+        self.connections.lock().unwrap().len()
+    }
+
+    /// Closes one of its connections, with a reset or in order.
+    pub fn close(&self, connection: usize, reset: bool) {
+        let stream = &self.connections.lock().unwrap()[connection];
+        if reset {
+            // Its reader holds the socket, too, so that dropping it would close nothing.
+            rustix::net::connect_unspec(stream).unwrap();
+        } else {
+            stream.shutdown(std::net::Shutdown::Both).unwrap();
+        }
+    }
+
     /// All messages received and not taken yet, once nothing has arrived for that long.
     pub fn take_received(&self, quiet: Duration) -> Vec<Value> {
         std::iter::from_fn(|| self.received.recv_timeout(quiet).ok()).collect()
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -13,7 +13,7 @@
 use badgerledge_core::interface::{Ending, Listing, StreamerId};
 use badgerledge_core::random::Rng;
 use badgerledge_names::StreamerList;
-use badgerledge_reactor::{raise_descriptors, Reactor, ReactorEvent, SocketId};
+use badgerledge_reactor::{raise_descriptors, CloseReason, Reactor, ReactorEvent, SocketId};
 use badgerledge_signalling::{streamers, viewers};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
@@ -221,13 +221,16 @@
                 tracing::trace!(line = connection, why = ?reason, "viewer connection closed");
                 self.drop_viewer(connection, reason.into());
             }
-            ReactorEvent::Closed(connection, _) => {
+            ReactorEvent::Closed(connection, reason) => {
                 // The last input may have arrived together with the end.
                 self.read_streamer(connection);
+                let in_order = matches!(reason, CloseReason::ByPeer | CloseReason::Finished)
+                    && self.connections.reactor.input(connection).is_empty();
                 let streamer = self.connections.streamer_pool.streamer(connection);
                 let has_sessions = streamer.is_some_and(|streamer| self.sessions.playing_at(streamer) > 0);
                 self.connections.streamer_pool.connection_closed(
                     connection,
+                    in_order,
                     now,
                     has_sessions,
                     &mut self.connections.reactor,
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -90,6 +90,9 @@
     listed: bool,
     connection_ids: Vec<SocketId>,
     last_received_at: Duration,
+    /// When a connection was last lost with what the streamer may have written on it, until one that was started
+    /// later is established: the streamer repeats its releases on that.
+    input_lost_at: Option<Duration>,
     /// Failed connection attempts in a row.
     failed_attempts: u32,
     /// Messages that wait for a connection, and since when; oldest first.
@@ -146,6 +149,7 @@
                     listed: true,
                     connection_ids,
                     last_received_at: now,
+                    input_lost_at: None,
                     failed_attempts: 0,
                     queued_messages,
                 },
@@ -181,7 +185,7 @@
     fn declare_lost(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         self.close_all(streamer, now, reactor);
         self.streamers.entry(streamer).and_modify(|state| {
-            (state.failed_attempts, state.last_received_at) = (0, now);
+            (state.failed_attempts, state.last_received_at, state.input_lost_at) = (0, now, None);
             state.queued_messages.clear();
         });
         self.events.push(PoolEvent::StreamerLost(streamer));
@@ -190,7 +194,7 @@
     fn close_all(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let ids = self.streamers.get(&streamer).map_or_else(Vec::new, |state| state.connection_ids.clone());
         for connection_id in ids {
-            self.close(connection_id, Ending::Reset, now, reactor);
+            self.close_read(connection_id, Ending::Reset, now, reactor);
         }
     }
 
@@ -409,7 +413,10 @@
         self.record_received(connection_id, now);
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         (connection.established, connection.last_sent_at) = (true, now);
-        let streamer = connection.streamer;
+        let (streamer, started_at) = (connection.streamer, connection.started_at);
+        if let Some(state) = self.streamers.get_mut(&streamer) {
+            state.input_lost_at.take_if(|lost_at| started_at >= *lost_at);
+        }
         self.send_queued(streamer, now, reactor);
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         for (probe_id, _) in &connection.outstanding_probes {
@@ -433,9 +440,10 @@
         }
     }
 
-    /// Handles a connection that closed by itself.
+    /// Handles a connection that closed by itself: in order, if its streamer ended it behind a whole message.
     pub fn connection_closed(
-        &mut self, connection_id: SocketId, now: Duration, has_sessions: bool, reactor: &mut Reactor,
+        &mut self, connection_id: SocketId, in_order: bool, now: Duration, has_sessions: bool,
+        reactor: &mut Reactor,
     ) {
         let Some(connection) = self.connections.get(&connection_id) else { return };
         let (streamer, established, timed_out) = (
@@ -443,12 +451,11 @@
             connection.established,
             now >= connection.started_at + self.connect_timeout,
         );
-        self.close(
-            connection_id,
-            if established { Ending::Reset } else { Ending::ConnectFailed },
-            now,
-            reactor,
-        );
+        let ending = if established { Ending::Reset } else { Ending::ConnectFailed };
+        match in_order || !established {
+            true => self.close_read(connection_id, ending, now, reactor),
+            false => self.close(connection_id, ending, now, reactor),
+        }
         if !established {
             self.connect_failed(streamer, timed_out, has_sessions, now, reactor);
         }
@@ -489,8 +496,17 @@
             .max()
     }
 
-    /// Closes a connection; its outstanding joins and probes end with this ending.
+    /// Closes a connection on which its streamer may have written more than was read.
     pub fn close(&mut self, connection_id: SocketId, ending: Ending, now: Duration, reactor: &mut Reactor) {
+        let streamer = self.streamer(connection_id);
+        if let Some(state) = streamer.and_then(|streamer| self.streamers.get_mut(&streamer)) {
+            state.input_lost_at = Some(now);
+        }
+        self.close_read(connection_id, ending, now, reactor);
+    }
+
+    /// Closes a connection of which everything was read; its outstanding joins and probes end with this ending.
+    fn close_read(&mut self, connection_id: SocketId, ending: Ending, now: Duration, reactor: &mut Reactor) {
         let Some(mut connection) = self.remove(connection_id) else { return };
         reactor.close(connection_id);
         // Recent messages may not have been read, unless both sides have closed the connection in order.
--- a/crates/platform/src/streamer_pool/sweep.rs
+++ b/crates/platform/src/streamer_pool/sweep.rs
@@ -13,6 +13,9 @@
 const LATE_ANSWER_WINDOW: Duration = Duration::from_secs(1);
 /// How long a streamer may take to close a connection that was shut down towards it.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after a loss a connection is opened to hear what was lost: a streamer that loses each connection is
+/// not connected to without a pause.
+const REFETCH_DELAY: Duration = Duration::from_millis(100);
 /// The idle timeout while three quarters of the descriptors are in use: most joins end much sooner.
 const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -23,7 +26,7 @@
         self.expire_probes(now);
         let open_counts = self.shut_down_unused(now, playing_streamers, reactor);
         self.close_shut_down(now, reactor);
-        self.connect_to_silent(now, playing_streamers, &open_counts, reactor);
+        self.connect_where_needed(now, playing_streamers, &open_counts, reactor);
         self.send_all_queued(now, reactor);
         let unused = |state: &StreamerState| {
             !state.listed && state.connection_ids.is_empty() && state.queued_messages.is_empty()
@@ -104,19 +107,15 @@
         }
     }
 
-    /// Starts a connection to each streamer with playing sessions that is silent or has no connection.
-    fn connect_to_silent(
+    /// Starts a connection to each streamer with playing sessions that is silent, has no connection, or may have
+    /// written a release on one that was lost.
+    fn connect_where_needed(
         &mut self, now: Duration, playing_streamers: &[StreamerId],
         open_counts: &BTreeMap<StreamerId, usize>, reactor: &mut Reactor,
     ) {
         for streamer in playing_streamers {
-            let Some(state) = self.streamers.get(streamer) else { continue };
-            let silent = now >= state.last_received_at + self.max_silence;
-            let connecting = state.connection_ids.iter().any(|connection_id| {
-                self.connections.get(connection_id).is_some_and(|connection| !connection.established)
-            });
-            let unconnected = open_counts.get(streamer).is_none_or(|open| *open == 0);
-            if connecting || !silent && !unconnected {
+            let open_count = open_counts.get(streamer).copied().unwrap_or(0);
+            if !self.needs_connection(*streamer, open_count, now) {
                 continue;
             }
             if let Err(ConnectError::Refused) = self.connect(*streamer, now, reactor) {
@@ -125,6 +124,23 @@
         }
     }
 
+    /// Whether a connection must be started to a streamer with playing sessions.
+    fn needs_connection(&self, streamer: StreamerId, open_count: usize, now: Duration) -> bool {
+        let Some(state) = self.streamers.get(&streamer) else { return false };
+        let connections = state.connection_ids.iter().filter_map(|id| self.connections.get(id));
+        let last_started_at = connections
+            .filter(|connection| !connection.established)
+            .map(|connection| connection.started_at)
+            .max();
+        if let Some(lost_at) = state.input_lost_at {
+            // Only one that is opened after the loss brings what the streamer repeats.
+            let is_due = now >= lost_at + REFETCH_DELAY;
+            return is_due && last_started_at.is_none_or(|started_at| started_at < lost_at);
+        }
+        let silent = now >= state.last_received_at + self.max_silence;
+        last_started_at.is_none() && (silent || open_count == 0)
+    }
+
     fn send_all_queued(&mut self, now: Duration, reactor: &mut Reactor) {
         let waiting = self.streamers.iter().filter(|(_, state)| !state.queued_messages.is_empty());
         for streamer in waiting.map(|(streamer, _)| *streamer).collect::<Vec<_>>() {
--- a/crates/platform/src/streamer_pool_tests.rs
+++ b/crates/platform/src/streamer_pool_tests.rs
@@ -92,7 +92,7 @@
             ReactorEvent::Closed(connection, _) => Some(*connection),
             _ => None,
         });
-        self.pool.connection_closed(connection, self.now, has_sessions, &mut self.reactor);
+        self.pool.connection_closed(connection, true, self.now, has_sessions, &mut self.reactor);
     }
 
     fn take_events(&mut self) -> Vec<PoolEvent> {
