--- a/crates/controller/tests/it/lost_connections.rs
+++ b/crates/controller/tests/it/lost_connections.rs
@@ -70,3 +70,30 @@
         expect_release_on_next_connection(&streamer, &mut viewer, lost_at);
     }
 }
+
+/// Guards against a subscription that plays for nobody: the streamer's answer was lost with its connection, and the
+/// viewer is served elsewhere or refused.
+#[test]
+fn a_join_whose_answer_may_be_lost_is_ended_on_another_connection() {
+    let (streamer, _controller, mut viewer) = two_connections();
+    viewer.set_up_with(30, "4000", "v=0");
+    streamer.wait_for("offer", 30);
+    streamer.close(1, true);
+    // The next join follows after 50 ms, and is given up 0.75 s later.
+    let received = streamer.take_received(Duration::from_millis(300));
+    let of_session = received.iter().filter(|message| message["call"] == format!("{:016x}", 30));
+    let kinds: Vec<_> = of_session.map(|message| message["op"].as_str().unwrap()).collect();
+    assert_eq!(kinds, ["end", "offer"]);
+}
+
+/// Guards against the same, as the end of a join that was given up is lost with its connection.
+#[test]
+fn the_end_of_a_join_that_is_lost_with_its_connection_is_sent_again() {
+    let (streamer, _controller, mut viewer) = two_connections();
+    viewer.set_up_with(30, "4000", "v=0");
+    streamer.wait_for("offer", 30);
+    viewer.cancel(30);
+    streamer.wait_for("end", 30);
+    streamer.close(1, true);
+    streamer.wait_for("end", 30);
+}
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -27,6 +27,13 @@
     pub peer_socket: Option<SocketId>,
 }
 
+impl Connections {
+    /// Ends a session on a streamer's connection.
+    pub fn end_on(&mut self, connection: SocketId, wire_id: u64, cause: u8) {
+        self.streamer_pool.send_end_on(connection, wire_id, cause, self.now, &mut self.reactor);
+    }
+}
+
 impl Transport for Connections {
     fn answer(&mut self, connection: SocketId, message: &[u8]) -> bool {
         let accepted = self.viewer_pool.answer(connection, message, &mut self.reactor);
@@ -62,8 +69,8 @@
         self.streamer_pool.withdraw_join(join, wire_id, streamer, self.now, &mut self.reactor);
     }
 
-    fn send(&mut self, streamer: StreamerId, message: Vec<u8>) {
-        self.streamer_pool.send(streamer, message, self.now, &mut self.reactor);
+    fn send(&mut self, streamer: StreamerId, wire_id: u64, message: Vec<u8>) {
+        self.streamer_pool.send(streamer, wire_id, message, self.now, &mut self.reactor);
     }
 
     fn probe(&mut self, streamer: StreamerId) {
--- a/crates/platform/src/dispatcher.rs
+++ b/crates/platform/src/dispatcher.rs
@@ -88,7 +88,7 @@
         let Some(session) = self.store.get_mut(job) else { return };
         session.rung = Some(rung);
         if let Phase::Playing(streamer) = session.phase {
-            self.transport.send(streamer, streamers::step(session.wire_id, rung));
+            self.transport.send(streamer, session.wire_id, streamers::step(session.wire_id, rung));
         }
     }
 
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -152,7 +152,7 @@
                     wire_id = format!("{wire_id:016x}"),
                     "ending a session answered too late"
                 );
-                connections.reactor.send(self.connection, &[&streamers::end(wire_id, FAILED)]);
+                connections.end_on(self.connection, wire_id, FAILED);
             }
             None => {}
         }
@@ -194,7 +194,7 @@
                 note = kind,
                 "ending a session without a viewer that reports progress"
             );
-            connections.reactor.send(self.connection, &[&streamers::end(wire_id, FAILED)]);
+            connections.end_on(self.connection, wire_id, FAILED);
         }
     }
 }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -255,7 +255,7 @@
                 self.answer_failed(now, job, transport)
             }
             Phase::Playing(streamer) => {
-                transport.send(streamer, streamers::end(wire_id, NORMAL));
+                transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
                 if session.claim.is_some() {
                     self.store.ended.record_left(now, wire_id);
                 }
@@ -297,7 +297,7 @@
         if !message.is_some_and(|message| transport.answer(connection, &message)) {
             // The viewer cannot be answered, so the session must not play.
             self.store.count_unanswered(now, job, ClosedBy::Network, Some(Step::NotTaken));
-            transport.send(streamer, streamers::end(wire_id, NORMAL));
+            transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
             if let Some(session) = self.store.get_mut(job) {
                 session.phase = Phase::Waiting;
             }
@@ -530,7 +530,7 @@
         let Some(session) = self.store.get(job) else { return };
         let Phase::Moving(streamer) = session.phase else { return };
         let (wire_id, connection) = (session.wire_id, session.connection);
-        transport.send(streamer, streamers::end(wire_id, NORMAL));
+        transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
         transport.release(connection, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
         self.store.remove(now, job, NORMAL);
     }
--- a/crates/platform/src/session_table/handovers.rs
+++ b/crates/platform/src/session_table/handovers.rs
@@ -134,7 +134,7 @@
         let Some(ended) = self.store.ended.find(now, wire_id, streamer) else { return false };
         trace_session(wire_id, "handed over after its end", (streamer, ended));
         if ended.plays_on {
-            transport.send(streamer, streamers::end(wire_id, NORMAL));
+            transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
         }
         let release = viewers::release(wire_id, ended.release_cause, Duration::ZERO);
         transport.release(connection, wire_id, release);
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -4,6 +4,7 @@
 //! for progress reports and releases.
 
 mod joins;
+mod messages;
 mod sweep;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -14,6 +15,7 @@
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Bounds, Reactor, SocketId};
 use badgerledge_signalling::{streamers, MAX_MESSAGE_BYTES};
+use messages::SessionMessage;
 
 use crate::join_id::JoinId;
 
@@ -27,14 +29,6 @@
 /// progress reports.
 const SILENCE_MARGIN: Duration = Duration::from_millis(1500);
 const MAX_SILENCE: Duration = Duration::from_secs(6);
-/// A message is sent again if its connection closes within this time: more than a round trip and the time
-/// that a streamer takes to read it.
-const RESEND_WINDOW: Duration = Duration::from_secs(1);
-/// How long a message waits for a connection: a session that still plays this long after its end is lost
-/// anyway.
-const QUEUED_MESSAGE_LIFETIME: Duration = Duration::from_secs(8);
-/// Maximum of bytes that wait for one streamer: about two hundred releases.
-const MAX_QUEUED_BYTES: usize = MAX_MESSAGE_BYTES;
 /// Failed connection attempts in a row after which a streamer counts as lost, if it is silent or closed all
 /// connections.
 const MAX_FAILED_ATTEMPTS: u32 = 2;
@@ -80,8 +74,8 @@
     shut_down_at: Option<Duration>,
     /// Outstanding probes, with when they were sent.
     outstanding_probes: Vec<(u64, Duration)>,
-    /// Other messages that were recently sent on it.
-    recently_sent: VecDeque<(Duration, Vec<u8>)>,
+    /// Messages on sessions that were recently sent on it.
+    recently_sent: VecDeque<SessionMessage>,
 }
 
 /// What the pool knows of a streamer.
@@ -95,8 +89,8 @@
     input_lost_at: Option<Duration>,
     /// Failed connection attempts in a row.
     failed_attempts: u32,
-    /// Messages that wait for a connection, and since when; oldest first.
-    queued_messages: VecDeque<(Duration, Vec<u8>)>,
+    /// Messages that wait for a connection; oldest first.
+    queued_messages: VecDeque<SessionMessage>,
 }
 
 /// The connections to all streamers.
@@ -228,15 +222,6 @@
         }
     }
 
-    /// Whether bytes are not yet written, or messages wait for a connection.
-    pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
-        let has_queued = |state: &StreamerState| {
-            state.queued_messages.iter().any(|(queued_at, _)| now < *queued_at + QUEUED_MESSAGE_LIFETIME)
-        };
-        self.streamers.values().any(has_queued)
-            || self.connections.keys().any(|connection_id| reactor.unwritten_bytes(*connection_id) > 0)
-    }
-
     /// Whether a connection belongs to this pool.
     pub fn contains(&self, connection_id: SocketId) -> bool {
         self.connections.contains_key(&connection_id)
@@ -319,51 +304,6 @@
         connection.is_some_and(|connection| connection.established && connection.shut_down_at.is_none())
     }
 
-    /// Sends a message on the connection that received input last, or as soon as there is a connection.
-    pub fn send(&mut self, streamer: StreamerId, message: Vec<u8>, now: Duration, reactor: &mut Reactor) {
-        let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        state.queued_messages.retain(|(queued_at, _)| now < *queued_at + QUEUED_MESSAGE_LIFETIME);
-        if state.queued_messages.iter().map(|(_, message)| message.len()).sum::<usize>() < MAX_QUEUED_BYTES {
-            state.queued_messages.push_back((now, message));
-        }
-        self.send_queued(streamer, now, reactor);
-    }
-
-    /// Sends the queued messages in order if a connection is established, and otherwise starts one.
-    fn send_queued(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
-        let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        state.queued_messages.retain(|(queued_at, _)| now < *queued_at + QUEUED_MESSAGE_LIFETIME);
-        if state.queued_messages.is_empty() {
-            return;
-        }
-        let open = |connection_id: &SocketId| {
-            self.connections.get(connection_id).filter(|connection| connection.shut_down_at.is_none())
-        };
-        let ranked = |connection_id: &SocketId| {
-            open(connection_id)
-                .map(|connection| (connection.established, connection.last_received_at, *connection_id))
-        };
-        let best = state.connection_ids.iter().filter_map(ranked).max();
-        let Some((true, _, connection_id)) = best else {
-            if best.is_none() {
-                // If none can be started now, the next sweep tries again.
-                let _ = self.connect(streamer, now, reactor);
-            }
-            return;
-        };
-        let Some(connection) = self.connections.get_mut(&connection_id) else { return };
-        connection.recently_sent.retain(|(sent_at, _)| now < *sent_at + RESEND_WINDOW);
-        while let Some((_, message)) = state.queued_messages.front() {
-            if !reactor.send(connection_id, &[message]) {
-                return;
-            }
-            connection.last_sent_at = now;
-            connection
-                .recently_sent
-                .extend(state.queued_messages.pop_front().map(|(_, message)| (now, message)));
-        }
-    }
-
     /// Sends a probe, or queues it until its connection is established.
     pub fn probe(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let Some(connection_id) = self.connection_for(streamer, None, now, reactor) else {
@@ -423,8 +363,10 @@
             reactor.send(connection_id, &[&streamers::test(*probe_id)]);
         }
         for (join, wire_id, offer) in std::mem::take(&mut connection.queued_joins) {
+            let Some(connection) = self.connections.get_mut(&connection_id) else { return };
             if accepts_joins && reactor.send(connection_id, &[&offer]) {
                 connection.outstanding_joins.push((join, wire_id));
+                self.drop_messages_on(streamer, wire_id);
             } else {
                 self.events.push(PoolEvent::JoinEnded(join, Ending::Moot));
             }
@@ -467,6 +409,9 @@
         reactor: &mut Reactor,
     ) {
         let last_received_on_open = self.last_received_on_open(streamer);
+        if !timed_out && last_received_on_open.is_none() {
+            self.drop_ends_of_lost_joins(streamer);
+        }
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
         // Refused with no other connection open: the process has ended. If other connections are open but
         // silent, its machine may have vanished, which leaves them open; this takes one more failed attempt,
@@ -509,14 +454,7 @@
     fn close_read(&mut self, connection_id: SocketId, ending: Ending, now: Duration, reactor: &mut Reactor) {
         let Some(mut connection) = self.remove(connection_id) else { return };
         reactor.close(connection_id);
-        // Recent messages may not have been read, unless both sides have closed the connection in order.
-        let unread = connection
-            .recently_sent
-            .drain(..)
-            .filter(|(sent_at, _)| connection.shut_down_at.is_none() && now < *sent_at + RESEND_WINDOW);
-        if let Some(state) = self.streamers.get_mut(&connection.streamer) {
-            unread.rev().for_each(|message| state.queued_messages.push_front(message));
-        }
+        self.requeue_unread(&mut connection, now);
         tracing::trace!(
             target: "badgerledge_platform::pool",
             streamer = %connection.streamer,
--- a/crates/platform/src/streamer_pool/joins.rs
+++ b/crates/platform/src/streamer_pool/joins.rs
@@ -5,7 +5,6 @@
 
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Reactor, SocketId};
-use badgerledge_signalling::streamers;
 
 use super::{PoolEvent, StreamerConnection, StreamerPool};
 use crate::join_id::JoinId;
@@ -73,6 +72,7 @@
         connection.last_sent_at = now;
         if reactor.send(connection_id, &[&offer]) {
             connection.outstanding_joins.push((join, wire_id));
+            self.drop_messages_on(streamer, wire_id);
         } else {
             self.events.push(PoolEvent::JoinEnded(join, Ending::Moot));
         }
@@ -93,8 +93,8 @@
                 continue;
             }
             connection.record_ended_join(wire_id, now);
-            (connection.abandoned_at, connection.last_sent_at) = (Some(now), now);
-            let sent = reactor.send(connection_id, &[&streamers::end(wire_id, NORMAL)]);
+            connection.abandoned_at = Some(now);
+            let sent = self.send_end_on(connection_id, wire_id, NORMAL, now, reactor);
             if !sent || !flush_completely(connection_id, reactor) {
                 tracing::debug!(
                     target: "badgerledge_platform::pool",
--- a/crates/platform/src/streamer_pool_tests.rs
+++ b/crates/platform/src/streamer_pool_tests.rs
@@ -318,7 +318,7 @@
     let remote = harness.join_established(1);
     let connection = harness.pool_connection();
     harness.pool.join_answered(connection, 1);
-    harness.pool.send(streamer(), b"end 1\n".to_vec(), harness.now, &mut harness.reactor);
+    harness.pool.send(streamer(), 1, b"end 1\n".to_vec(), harness.now, &mut harness.reactor);
     harness.reactor.flush();
     assert_eq!(read_line(&remote), "end 1");
     harness.now += Duration::from_millis(900);
@@ -332,7 +332,7 @@
     if harness.pool.connection_count() > 0 {
         harness.close_connection(false);
     }
-    harness.pool.send(streamer(), b"end 2\n".to_vec(), harness.now, &mut harness.reactor);
+    harness.pool.send(streamer(), 2, b"end 2\n".to_vec(), harness.now, &mut harness.reactor);
     if harness.pool.connection_count() > 0 {
         harness.close_connection(false);
     }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -92,7 +92,7 @@
             "a withdrawn join was outstanding"
         );
     }
-    fn send(&mut self, streamer: StreamerId, message: Vec<u8>) {
+    fn send(&mut self, streamer: StreamerId, _wire_id: u64, message: Vec<u8>) {
         self.streamer_messages.push((streamer, String::from_utf8(message).expect("text")));
     }
     fn probe(&mut self, streamer: StreamerId) {
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -25,8 +25,8 @@
     fn join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId, offer: Vec<u8>);
     /// Withdraws an outstanding join.
     fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId);
-    /// Sends a message to a streamer on any of its connections.
-    fn send(&mut self, streamer: StreamerId, message: Vec<u8>);
+    /// Sends a message on a session to a streamer, on any of its connections.
+    fn send(&mut self, streamer: StreamerId, wire_id: u64, message: Vec<u8>);
     /// Sends a probe to a streamer.
     fn probe(&mut self, streamer: StreamerId);
     /// Closes the idle connections to a streamer.
