--- a/crates/controller/tests/it/lost_connections.rs
+++ b/crates/controller/tests/it/lost_connections.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 
-use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer, SILENT};
+use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer, EXITED, SILENT};
 
 const RELEASE: u8 = 12;
 const NORMAL: u8 = 16;
@@ -97,3 +97,21 @@
     streamer.close(1, true);
     streamer.wait_for("end", 30);
 }
+
+/// Guards against viewers who are told that their subscriptions are over while these play on: a streamer that
+/// reports nothing by itself took no new connections for a while, and was not asked on the ones that were open.
+#[test]
+fn a_quiet_streamer_that_takes_no_new_connections_is_not_given_up() {
+    let streamer = Streamer::new(1);
+    let names = name_service(list(1, &[&streamer]));
+    let controller = Controller::start_with(names, &[&streamer], |configuration| {
+        configuration["settings"]["familyInfo"]["toldEveryUs"] = json!(0);
+    });
+    let mut viewer = controller.viewer();
+    viewer.establish(10);
+    streamer.wait_for("offer", 10);
+    streamer.mode.store(EXITED, Ordering::SeqCst);
+    assert!(viewer.receives_nothing_for(Duration::from_secs(8)));
+    streamer.release(10, NORMAL);
+    assert_eq!(viewer.receive(), (RELEASE, 10, vec![NORMAL]));
+}
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -171,6 +171,10 @@
                 let desc = format!("by {}\r\n{}", message["call"], message["desc"]);
                 json!({"op": "accept", "call": message["call"], "with": {}, "desc": desc}).to_string()
             }
+            (_, Some("test")) => {
+                let load = json!({"load": "x0:0.3"});
+                json!({"op": "tested", "call": message["call"], "why": 1, "with": load}).to_string()
+            }
             (TRUNCATING, Some("offer")) => "{\"op\":\"accept\",\"call\":\"9b1f03aa".to_owned(),
             _ => String::new(),
         };
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -73,6 +73,10 @@
         self.streamer_pool.send(streamer, wire_id, message, self.now, &mut self.reactor);
     }
 
+    fn end_at_lost_streamer(&mut self, streamer: StreamerId, wire_id: u64) {
+        self.streamer_pool.send_final_end(streamer, wire_id, self.now, &mut self.reactor);
+    }
+
     fn probe(&mut self, streamer: StreamerId) {
         self.streamer_pool.probe(streamer, self.now, &mut self.reactor);
     }
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -383,10 +383,15 @@
                     }
                     PoolEvent::Readable(connection) => self.read_streamer(connection),
                     PoolEvent::EndNotWritten(connection) => self.close_streamer_connection(connection),
-                    PoolEvent::StreamerLost(streamer) => {
+                    PoolEvent::StreamerLost(streamer, reason) => {
                         let sessions = self.sessions.playing_at(streamer);
-                        tracing::debug!(%streamer, held = sessions, "streamer lost with its sessions");
-                        self.sessions.streamer_lost(now, streamer, Duration::MAX, &mut self.connections);
+                        tracing::debug!(
+                            %streamer,
+                            ?reason,
+                            held = sessions,
+                            "streamer lost with its sessions"
+                        );
+                        self.sessions.streamer_lost(now, streamer, reason, &mut self.connections);
                     }
                 }
             }
--- a/crates/platform/src/serve/discovery.rs
+++ b/crates/platform/src/serve/discovery.rs
@@ -103,7 +103,7 @@
         for entry in entries.iter().filter(|entry| entry.health != Health::Gone) {
             connections.streamer_pool.streamer_listed(entry.id, entry.address, now, &mut connections.reactor);
             if !entry.started.at.is_zero() {
-                self.sessions.streamer_lost(now, entry.id, entry.started.at, connections);
+                self.sessions.streamer_restarted(now, entry.id, entry.started.at, connections);
             }
         }
         tracing::debug!(last = self.streamers.last_event(), changed = entries.len(), "list");
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -27,6 +27,7 @@
 use crate::request::{self, PlatformSettings};
 use crate::request_counts::RequestCounts;
 use crate::session_store::{trace_session, ModuleInput, OfferFields, Session, SessionStore, Timer};
+use crate::streamer_pool::LossReason;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step, UnansweredCounts};
 
@@ -396,9 +397,30 @@
         }
     }
 
-    /// Ends the sessions that were sent to a streamer before the given time: it is gone, or was restarted
-    /// then.
+    /// Ends the sessions that were sent to a streamer before it was restarted.
+    pub fn streamer_restarted(
+        &mut self, now: Duration, streamer: StreamerId, at: Duration, transport: &mut impl Transport,
+    ) {
+        self.end_sessions_at(now, streamer, at, transport);
+    }
+
+    /// Ends the sessions at a streamer that is lost. One that may play on is told, too.
     pub fn streamer_lost(
+        &mut self, now: Duration, streamer: StreamerId, reason: LossReason, transport: &mut impl Transport,
+    ) {
+        if reason == LossReason::Unreachable {
+            for job in self.store.by_streamer.get(&streamer).into_iter().flatten() {
+                let session = self.store.get(*job).filter(|session| session.claim.is_none());
+                if let Some(session) = session {
+                    transport.end_at_lost_streamer(streamer, session.wire_id);
+                }
+            }
+        }
+        self.end_sessions_at(now, streamer, Duration::MAX, transport);
+    }
+
+    /// Ends the sessions that were sent to a streamer before the given time.
+    fn end_sessions_at(
         &mut self, now: Duration, streamer: StreamerId, before: Duration, transport: &mut impl Transport,
     ) {
         let at_streamer = self.store.by_streamer.get(&streamer).cloned().unwrap_or_default();
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -4,6 +4,7 @@
 //! for progress reports and releases.
 
 mod joins;
+mod liveness;
 mod messages;
 mod sweep;
 
@@ -15,6 +16,8 @@
 use badgerledge_core::interface::{Ending, StreamerId};
 use badgerledge_reactor::{Bounds, Reactor, SocketId};
 use badgerledge_signalling::{streamers, MAX_MESSAGE_BYTES};
+pub use liveness::LossReason;
+use liveness::Unreachable;
 use messages::SessionMessage;
 
 use crate::join_id::JoinId;
@@ -24,22 +27,13 @@
 /// Fraction of the idle time in the settings after which a connection takes no join and is closed: a streamer
 /// that closes it at that very time would reset the join.
 const IDLE_FRACTION: f64 = 0.7;
-/// How much longer than the interval of progress reports a streamer may be silent before it is checked. Two
-/// checks must fit in the eight seconds in which viewers have to learn of an end; must exceed the delay of
-/// progress reports.
-const SILENCE_MARGIN: Duration = Duration::from_millis(1500);
-const MAX_SILENCE: Duration = Duration::from_secs(6);
-/// Failed connection attempts in a row after which a streamer counts as lost, if it is silent or closed all
-/// connections.
-const MAX_FAILED_ATTEMPTS: u32 = 2;
-
 /// What became of joins, probes and streamers as connections closed or failed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PoolEvent {
     JoinEnded(JoinId, Ending),
     ProbeFinished(StreamerId, Ending, Duration),
-    /// None of the sessions at this streamer can be playing any more.
-    StreamerLost(StreamerId),
+    /// The sessions at this streamer are over, for this reason.
+    StreamerLost(StreamerId, LossReason),
     /// Input was read on a connection outside of the event loop's wait.
     Readable(SocketId),
     /// The end of a withdrawn join could not be written on a connection: it must be closed once its input is
@@ -87,8 +81,8 @@
     /// When a connection was last lost with what the streamer may have written on it, until one that was started
     /// later is established: the streamer repeats its releases on that.
     input_lost_at: Option<Duration>,
-    /// Failed connection attempts in a row.
-    failed_attempts: u32,
+    /// The connection attempts that have failed since then, if it is not reached at present.
+    unreachable: Option<Unreachable>,
     /// Messages that wait for a connection; oldest first.
     queued_messages: VecDeque<SessionMessage>,
 }
@@ -122,7 +116,7 @@
             connect_timeout,
             idle_timeout: keepalive.mul_f64(IDLE_FRACTION),
             max_joins_per_connection,
-            max_silence: (progress_interval + SILENCE_MARGIN).min(MAX_SILENCE),
+            max_silence: liveness::max_silence(progress_interval, connect_timeout),
             last_probe_id: seed,
         }
     }
@@ -144,7 +138,7 @@
                     connection_ids,
                     last_received_at: now,
                     input_lost_at: None,
-                    failed_attempts: 0,
+                    unreachable: None,
                     queued_messages,
                 },
             );
@@ -155,7 +149,7 @@
             .iter()
             .filter(|(id, state)| **id != streamer && state.address == address && !state.listed);
         for id in removed.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.declare_lost(id, now, reactor);
+            self.declare_lost(id, LossReason::Replaced, now, reactor);
         }
         self.streamers.entry(streamer).and_modify(|state| state.listed = true);
     }
@@ -172,19 +166,10 @@
             .iter()
             .any(|(id, other)| *id != streamer && other.address == address && other.listed)
         {
-            self.declare_lost(streamer, now, reactor);
+            self.declare_lost(streamer, LossReason::Replaced, now, reactor);
         }
     }
 
-    fn declare_lost(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
-        self.close_all(streamer, now, reactor);
-        self.streamers.entry(streamer).and_modify(|state| {
-            (state.failed_attempts, state.last_received_at, state.input_lost_at) = (0, now, None);
-            state.queued_messages.clear();
-        });
-        self.events.push(PoolEvent::StreamerLost(streamer));
-    }
-
     fn close_all(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let ids = self.streamers.get(&streamer).map_or_else(Vec::new, |state| state.connection_ids.clone());
         for connection_id in ids {
@@ -378,7 +363,7 @@
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         connection.last_received_at = now;
         if let Some(state) = self.streamers.get_mut(&connection.streamer) {
-            (state.last_received_at, state.failed_attempts) = (now, 0);
+            (state.last_received_at, state.unreachable) = (now, None);
         }
     }
 
@@ -403,44 +388,6 @@
         }
     }
 
-    /// Handles a failed connection attempt: refused, or timed out if `timed_out`.
-    fn connect_failed(
-        &mut self, streamer: StreamerId, timed_out: bool, has_sessions: bool, now: Duration,
-        reactor: &mut Reactor,
-    ) {
-        let last_received_on_open = self.last_received_on_open(streamer);
-        if !timed_out && last_received_on_open.is_none() {
-            self.drop_ends_of_lost_joins(streamer);
-        }
-        let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        // Refused with no other connection open: the process has ended. If other connections are open but
-        // silent, its machine may have vanished, which leaves them open; this takes one more failed attempt,
-        // and so does a streamer that does not answer at all.
-        state.failed_attempts += 1;
-        let max_attempts = if state.listed { MAX_FAILED_ATTEMPTS } else { 1 };
-        let lost = match (timed_out, last_received_on_open) {
-            (false, None) => true,
-            (false, Some(received_at)) => {
-                state.failed_attempts >= max_attempts && now >= received_at + self.max_silence
-            }
-            (true, _) => {
-                state.failed_attempts >= max_attempts && now >= state.last_received_at + self.max_silence
-            }
-        };
-        if has_sessions && lost {
-            self.declare_lost(streamer, now, reactor);
-        }
-    }
-
-    /// When input was last received on the connections that are open to a streamer.
-    fn last_received_on_open(&self, streamer: StreamerId) -> Option<Duration> {
-        let ids = self.streamers.get(&streamer)?.connection_ids.iter();
-        let open = ids.filter_map(|connection_id| self.connections.get(connection_id));
-        open.filter(|connection| connection.established && connection.shut_down_at.is_none())
-            .map(|connection| connection.last_received_at)
-            .max()
-    }
-
     /// Closes a connection on which its streamer may have written more than was read.
     pub fn close(&mut self, connection_id: SocketId, ending: Ending, now: Duration, reactor: &mut Reactor) {
         let streamer = self.streamer(connection_id);
--- a/crates/platform/src/streamer_pool/messages.rs
+++ b/crates/platform/src/streamer_pool/messages.rs
@@ -8,7 +8,7 @@
 use badgerledge_signalling::{streamers, MAX_MESSAGE_BYTES};
 
 use super::{ConnectError, StreamerConnection, StreamerPool, StreamerState};
-use crate::release_causes::NORMAL;
+use crate::release_causes::{FAILED, NORMAL};
 
 /// A message is sent again if its connection closes within this time: more than a round trip and the time
 /// that a streamer takes to read it.
@@ -16,6 +16,9 @@
 /// How long a message waits for a connection: a session that still plays this long after its end is lost
 /// anyway.
 const QUEUED_MESSAGE_LIFETIME: Duration = Duration::from_secs(8);
+/// How long the end of a session at a streamer that was given up waits for it to come back: as long as ended
+/// sessions are remembered.
+const FINAL_END_LIFETIME: Duration = Duration::from_secs(60);
 /// Maximum of bytes that wait for one streamer: about eight hundred ends.
 const MAX_QUEUED_BYTES: usize = 4 * MAX_MESSAGE_BYTES;
 
@@ -25,13 +28,36 @@
     at: Duration,
     wire_id: u64,
     bytes: Vec<u8>,
-    /// It ends a join whose answer may have been lost, which is needless if the streamer's process has ended.
-    ends_lost_join: bool,
+    kind: MessageKind,
+}
+
+/// Kinds of messages that are kept for different times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MessageKind {
+    Ordinary,
+    /// Ends a join whose answer may have been lost: needless if the streamer's process has ended.
+    EndOfLostJoin,
+    /// Ends a session at a streamer that was given up.
+    FinalEnd,
 }
 
 impl SessionMessage {
     fn new(at: Duration, wire_id: u64, bytes: Vec<u8>) -> Self {
-        Self { at, wire_id, bytes, ends_lost_join: false }
+        Self { at, wire_id, bytes, kind: MessageKind::Ordinary }
+    }
+
+    /// Whether it is still worth sending.
+    fn is_current(&self, now: Duration) -> bool {
+        let lifetime = match self.kind {
+            MessageKind::FinalEnd => FINAL_END_LIFETIME,
+            MessageKind::Ordinary | MessageKind::EndOfLostJoin => QUEUED_MESSAGE_LIFETIME,
+        };
+        now < self.at + lifetime
+    }
+
+    /// Whether a connection is opened for it.
+    fn needs_connection(&self, now: Duration) -> bool {
+        now < self.at + QUEUED_MESSAGE_LIFETIME
     }
 }
 
@@ -46,6 +72,16 @@
         self.send_queued(streamer, now, reactor);
     }
 
+    /// Ends a session at a streamer that was given up, as soon as it is reached again.
+    pub fn send_final_end(
+        &mut self, streamer: StreamerId, wire_id: u64, now: Duration, reactor: &mut Reactor,
+    ) {
+        let Some(state) = self.streamers.get_mut(&streamer) else { return };
+        let end = SessionMessage::new(now, wire_id, streamers::end(wire_id, FAILED));
+        state.queue_message(SessionMessage { kind: MessageKind::FinalEnd, ..end }, now);
+        self.send_queued(streamer, now, reactor);
+    }
+
     /// Sends the end of a session on this connection.
     pub fn send_end_on(
         &mut self, connection_id: SocketId, wire_id: u64, cause: u8, now: Duration, reactor: &mut Reactor,
@@ -62,7 +98,7 @@
     /// Sends the queued messages in order if a connection is established, and otherwise starts one.
     pub(super) fn send_queued(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        state.queued_messages.retain(|message| now < message.at + QUEUED_MESSAGE_LIFETIME);
+        state.queued_messages.retain(|message| message.is_current(now));
         if state.queued_messages.is_empty() {
             return;
         }
@@ -75,7 +111,7 @@
         };
         let best = state.connection_ids.iter().filter_map(ranked).max();
         let Some((true, _, connection_id)) = best else {
-            if best.is_some() {
+            if best.is_some() || !state.queued_messages.iter().any(|message| message.needs_connection(now)) {
                 return;
             }
             // If none can be started now, the next sweep tries again.
@@ -108,7 +144,7 @@
         unread.rev().for_each(|message| state.queued_messages.push_front(message));
         for (_, wire_id) in &connection.outstanding_joins {
             let end = SessionMessage::new(now, *wire_id, streamers::end(*wire_id, NORMAL));
-            state.queue_message(SessionMessage { ends_lost_join: true, ..end }, now);
+            state.queue_message(SessionMessage { kind: MessageKind::EndOfLostJoin, ..end }, now);
         }
     }
 
@@ -127,15 +163,14 @@
     /// Drops the ends of joins at a streamer that no process listens for any more.
     pub(super) fn drop_ends_of_lost_joins(&mut self, streamer: StreamerId) {
         if let Some(state) = self.streamers.get_mut(&streamer) {
-            state.queued_messages.retain(|message| !message.ends_lost_join);
+            state.queued_messages.retain(|message| message.kind != MessageKind::EndOfLostJoin);
         }
     }
 
     /// Whether bytes are not yet written, or messages wait for a connection.
     pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
-        let has_queued = |state: &StreamerState| {
-            state.queued_messages.iter().any(|message| now < message.at + QUEUED_MESSAGE_LIFETIME)
-        };
+        let has_queued =
+            |state: &StreamerState| state.queued_messages.iter().any(|message| message.needs_connection(now));
         self.streamers.values().any(has_queued)
             || self.connections.keys().any(|connection_id| reactor.unwritten_bytes(*connection_id) > 0)
     }
@@ -144,7 +179,7 @@
 impl StreamerState {
     /// Queues a message, if there is room.
     fn queue_message(&mut self, message: SessionMessage, now: Duration) {
-        self.queued_messages.retain(|message| now < message.at + QUEUED_MESSAGE_LIFETIME);
+        self.queued_messages.retain(|message| message.is_current(now));
         let queued_bytes: usize = self.queued_messages.iter().map(|message| message.bytes.len()).sum();
         if queued_bytes < MAX_QUEUED_BYTES {
             self.queued_messages.push_back(message);
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -17,6 +17,7 @@
 use crate::join_id::JoinId;
 use crate::request::PlatformSettings;
 use crate::session_table::{streamer_id, ListEntry, SessionTable};
+use crate::streamer_pool::LossReason;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step as ReachedStep, UnansweredCounts, UnansweredSetUp};
 
@@ -59,6 +60,8 @@
     full_connections: BTreeSet<SocketId>,
     pub serving: BTreeSet<SocketId>,
     probes: Vec<StreamerId>,
+    /// What lost streamers are told if they come back.
+    pub ended_at_lost: Vec<(StreamerId, u64)>,
 }
 
 impl Transport for RecordingTransport {
@@ -95,6 +98,9 @@
     fn send(&mut self, streamer: StreamerId, _wire_id: u64, message: Vec<u8>) {
         self.streamer_messages.push((streamer, String::from_utf8(message).expect("text")));
     }
+    fn end_at_lost_streamer(&mut self, streamer: StreamerId, wire_id: u64) {
+        self.ended_at_lost.push((streamer, wire_id));
+    }
     fn probe(&mut self, streamer: StreamerId) {
         self.probes.push(streamer);
     }
@@ -342,7 +348,12 @@
             }
             Step::StreamerLost(number) => {
                 let streamer = streamer_id(number);
-                harness.sessions.streamer_lost(harness.now, streamer, Duration::MAX, &mut harness.transport);
+                harness.sessions.streamer_lost(
+                    harness.now,
+                    streamer,
+                    LossReason::ProcessEnded,
+                    &mut harness.transport,
+                );
                 for viewer in model.values_mut().filter(|viewer| viewer.plays_at == Some(streamer)) {
                     (viewer.plays_at, viewer.was_released) = (None, true);
                 }
@@ -380,7 +391,7 @@
         harness.sessions.streamer_lost(
             harness.now,
             streamer_id(number),
-            Duration::MAX,
+            LossReason::ProcessEnded,
             &mut harness.transport,
         );
     }
@@ -654,9 +665,14 @@
     assert_eq!((harness.transport.frames_of(5), harness.transport.frames_of(6)), (vec![], vec![(12, 41)]));
     assert!(harness.sessions.is_playing_at(streamer_id(2), 5) && harness.sessions.len() == 1);
     // A start reported after the session began ends it; an earlier one is the process that it plays on.
-    harness.sessions.streamer_lost(harness.now, streamer_id(2), START, &mut harness.transport);
+    harness.sessions.streamer_restarted(harness.now, streamer_id(2), START, &mut harness.transport);
     assert!(harness.sessions.is_playing_at(streamer_id(2), 5));
-    harness.sessions.streamer_lost(harness.now, streamer_id(2), harness.now + ms(1), &mut harness.transport);
+    harness.sessions.streamer_restarted(
+        harness.now,
+        streamer_id(2),
+        harness.now + ms(1),
+        &mut harness.transport,
+    );
     assert_eq!(harness.transport.frames_of(5), [(12, 41)]);
 }
 
@@ -778,3 +794,27 @@
     let logged = (0..3000).filter(|n| unanswered.record(START + ms(*n), &set_up)).count();
     assert_eq!((logged, count_of(&unanswered, ClosedBy::Viewer, ReachedStep::Unplaced)), (3, 3000));
 }
+
+/// Guards against sessions that play on for nobody: their streamer was given up without being told. One whose
+/// process has ended, or whose address another has, is told nothing, and neither are unconfirmed sessions.
+#[test]
+fn a_streamer_that_is_given_up_is_told_to_end_its_sessions() {
+    for (reason, told) in [
+        (LossReason::Unreachable, vec![5]),
+        (LossReason::ProcessEnded, vec![]),
+        (LossReason::Replaced, vec![]),
+    ] {
+        let mut harness = Harness::new();
+        harness.set_up(1, 5, &[]);
+        harness.advance(10);
+        let streamer = harness.answer(5).expect("a join");
+        let at =
+            format!("home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-{:08x}", u32::from(*streamer.ip()));
+        harness.set_up(1, 6, &[("extras", at.leak()), ("left", "4294967")]);
+        harness.sessions.streamer_lost(harness.now, streamer, reason, &mut harness.transport);
+        let ended: Vec<u64> = harness.transport.ended_at_lost.iter().map(|(_, wire_id)| *wire_id).collect();
+        assert_eq!(ended, told, "{reason:?}");
+        assert_eq!(harness.transport.frames_of(5), [(9, 0), (12, 41)]);
+        assert_eq!(harness.transport.frames_of(6), [(12, 41)]);
+    }
+}
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -27,6 +27,8 @@
     fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId);
     /// Sends a message on a session to a streamer, on any of its connections.
     fn send(&mut self, streamer: StreamerId, wire_id: u64, message: Vec<u8>);
+    /// Ends a session at a streamer that was given up, as soon as it is reached again.
+    fn end_at_lost_streamer(&mut self, streamer: StreamerId, wire_id: u64);
     /// Sends a probe to a streamer.
     fn probe(&mut self, streamer: StreamerId);
     /// Closes the idle connections to a streamer.
