--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod platform_harness;
 mod races;
+mod replaced_streamers;
 mod revisions;
 mod shutdown;
 mod subscriptions;
--- a/crates/core/src/decide/sums.rs
+++ b/crates/core/src/decide/sums.rs
@@ -38,6 +38,15 @@
         self.subscriptions.entry(job).and_modify(|subscription| subscription.rung_cap = cap);
     }
 
+    /// Records that a subscription is at another streamer than the one that it was sent to: that one was replaced
+    /// at its address before.
+    pub fn streamer_changed(&mut self, job: JobId, streamer: StreamerId) {
+        let placed = self.subscriptions.get(&job).filter(|subscription| subscription.streamer.is_some());
+        if let Some(rung) = placed.map(|subscription| subscription.rung) {
+            self.assign(job, Some(streamer), rung);
+        }
+    }
+
     /// Records that a timer set through the writer has fired.
     pub fn timer_fired(&mut self, token: u64) {
         if token == DUE_TIMER {
--- a/crates/platform/src/phase.rs
+++ b/crates/platform/src/phase.rs
@@ -27,6 +27,25 @@
         }
     }
 
+    /// The streamer that a join was sent to, or that plays the session.
+    pub fn streamer(self) -> Option<StreamerId> {
+        match self {
+            Self::Joining(streamer) | Self::Withdrawn(streamer, _) => Some(streamer),
+            Self::Waiting | Self::Playing(_) | Self::Moving(_) => self.playing_at(),
+        }
+    }
+
+    /// The same phase at another streamer.
+    pub fn at(self, streamer: StreamerId) -> Self {
+        match self {
+            Self::Waiting => Self::Waiting,
+            Self::Joining(_) => Self::Joining(streamer),
+            Self::Withdrawn(_, ending) => Self::Withdrawn(streamer, ending),
+            Self::Playing(_) => Self::Playing(streamer),
+            Self::Moving(_) => Self::Moving(streamer),
+        }
+    }
+
     /// Whether the viewer still waits for an answer to its set-up.
     pub fn is_pending(self) -> bool {
         matches!(self, Self::Waiting | Self::Joining(_) | Self::Withdrawn(..))
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -383,6 +383,10 @@
                     }
                     PoolEvent::Readable(connection) => self.read_streamer(connection),
                     PoolEvent::EndNotWritten(connection) => self.close_streamer_connection(connection),
+                    PoolEvent::StreamerReplaced { streamer, by, since } => {
+                        tracing::debug!(%streamer, %by, "another streamer has the address of a removed one");
+                        self.sessions.streamer_replaced(now, streamer, by, since, &mut self.connections);
+                    }
                     PoolEvent::StreamerLost(streamer, reason) => {
                         let sessions = self.sessions.playing_at(streamer);
                         tracing::debug!(
--- a/crates/platform/src/serve/discovery.rs
+++ b/crates/platform/src/serve/discovery.rs
@@ -101,7 +101,13 @@
             connections.streamer_pool.streamer_removed(entry.id, now, &mut connections.reactor);
         }
         for entry in entries.iter().filter(|entry| entry.health != Health::Gone) {
-            connections.streamer_pool.streamer_listed(entry.id, entry.address, now, &mut connections.reactor);
+            connections.streamer_pool.streamer_listed(
+                entry.id,
+                entry.address,
+                entry.started.at,
+                now,
+                &mut connections.reactor,
+            );
             if !entry.started.at.is_zero() {
                 self.sessions.streamer_restarted(now, entry.id, entry.started.at, connections);
             }
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -55,6 +55,13 @@
     pub claim: Option<Box<SubscriptionRequest>>,
 }
 
+impl Session {
+    /// Whether it was handed over by the front, and not set up here.
+    pub fn was_handed_over(&self) -> bool {
+        self.phase.playing_at().is_some() && self.streamer_connection.is_none()
+    }
+}
+
 /// Timers of sessions and of the decision module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
@@ -169,6 +176,33 @@
         }
     }
 
+    /// The sessions with a join or playing at a streamer that were sent there at this time or later. What was
+    /// handed over was sent there long before.
+    pub fn jobs_sent_to(&self, streamer: StreamerId, since: Duration) -> Vec<JobId> {
+        let at_streamer = self.by_streamer.get(&streamer).into_iter().flatten().copied();
+        let sent_since = |job: &JobId| {
+            self.get(*job).is_some_and(|session| {
+                session.phase.streamer() == Some(streamer)
+                    && session.join_sent_at >= since
+                    && !session.was_handed_over()
+            })
+        };
+        at_streamer.chain(self.pending_jobs()).filter(sent_since).collect()
+    }
+
+    /// Records that a session is at another streamer than it was thought to be.
+    pub fn change_streamer(&mut self, job: JobId, streamer: StreamerId) {
+        let Some(session) = self.sessions.get(&job) else { return };
+        let plays = session.phase.playing_at().is_some();
+        if plays {
+            self.remove_from_index(job);
+            self.by_streamer.entry(streamer).or_default().insert(job);
+        }
+        if let Some(session) = self.sessions.get_mut(&job) {
+            session.phase = session.phase.at(streamer);
+        }
+    }
+
     /// Moves an unconfirmed session, or any other one, to another viewer's connection.
     pub fn move_to_connection(&mut self, job: JobId, connection: SocketId) {
         let Some(session) = self.sessions.get_mut(&job) else { return };
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -419,6 +419,21 @@
         self.end_sessions_at(now, streamer, Duration::MAX, transport);
     }
 
+    /// Ends the sessions at a streamer whose address another one has. Those that were sent there since the given
+    /// time are the other one's.
+    pub fn streamer_replaced(
+        &mut self, now: Duration, streamer: StreamerId, by: StreamerId, since: Duration,
+        transport: &mut impl Transport,
+    ) {
+        for job in self.store.jobs_sent_to(streamer, since) {
+            let Some(session) = self.store.get(job) else { continue };
+            trace_session(session.wire_id, "is at the streamer's successor", (streamer, by));
+            self.store.change_streamer(job, by);
+            self.store.inputs.push(Box::new(move |module| module.streamer_changed(job, by)));
+        }
+        self.end_sessions_at(now, streamer, Duration::MAX, transport);
+    }
+
     /// Ends the sessions that were sent to a streamer before the given time.
     fn end_sessions_at(
         &mut self, now: Duration, streamer: StreamerId, before: Duration, transport: &mut impl Transport,
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -4,6 +4,7 @@
 //! for progress reports and releases.
 
 mod joins;
+mod listing;
 mod liveness;
 mod messages;
 mod sweep;
@@ -34,6 +35,13 @@
     ProbeFinished(StreamerId, Ending, Duration),
     /// The sessions at this streamer are over, for this reason.
     StreamerLost(StreamerId, LossReason),
+    /// Another streamer has the address of this one, which is over. What was sent to that address from this time on
+    /// went to the other one.
+    StreamerReplaced {
+        streamer: StreamerId,
+        by: StreamerId,
+        since: Duration,
+    },
     /// Input was read on a connection outside of the event loop's wait.
     Readable(SocketId),
     /// The end of a withdrawn join could not be written on a connection: it must be closed once its input is
@@ -76,11 +84,15 @@
 struct StreamerState {
     address: SocketAddrV4,
     listed: bool,
+    /// When the list says that it was started; zero if long ago.
+    started_at: Duration,
     connection_ids: Vec<SocketId>,
     last_received_at: Duration,
     /// When a connection was last lost with what the streamer may have written on it, until one that was started
     /// later is established: the streamer repeats its releases on that.
     input_lost_at: Option<Duration>,
+    /// When its last connection was lost: its process may have ended then.
+    disconnected_at: Option<Duration>,
     /// The connection attempts that have failed since then, if it is not reached at present.
     unreachable: Option<Unreachable>,
     /// Messages that wait for a connection; oldest first.
@@ -121,55 +133,6 @@
         }
     }
 
-    /// Adds a listed streamer at this address. Connections to a previous address are closed.
-    pub fn streamer_listed(
-        &mut self, streamer: StreamerId, address: SocketAddrV4, now: Duration, reactor: &mut Reactor,
-    ) {
-        let unchanged = self.streamers.get(&streamer).is_some_and(|state| state.address == address);
-        if !unchanged {
-            self.close_all(streamer, now, reactor);
-            let connection_ids = Vec::new();
-            let queued_messages = VecDeque::new();
-            self.streamers.insert(
-                streamer,
-                StreamerState {
-                    address,
-                    listed: true,
-                    connection_ids,
-                    last_received_at: now,
-                    input_lost_at: None,
-                    unreachable: None,
-                    queued_messages,
-                },
-            );
-        }
-        // A removed streamer at the same address cannot be reached any more.
-        let removed = self
-            .streamers
-            .iter()
-            .filter(|(id, state)| **id != streamer && state.address == address && !state.listed);
-        for id in removed.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.declare_lost(id, LossReason::Replaced, now, reactor);
-        }
-        self.streamers.entry(streamer).and_modify(|state| state.listed = true);
-    }
-
-    /// Marks a streamer as removed from the list.
-    pub fn streamer_removed(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
-        let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        state.listed = false;
-        // Check at once whether it still runs.
-        state.last_received_at = state.last_received_at.min(now.saturating_sub(self.max_silence));
-        let address = state.address;
-        if self
-            .streamers
-            .iter()
-            .any(|(id, other)| *id != streamer && other.address == address && other.listed)
-        {
-            self.declare_lost(streamer, LossReason::Replaced, now, reactor);
-        }
-    }
-
     fn close_all(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let ids = self.streamers.get(&streamer).map_or_else(Vec::new, |state| state.connection_ids.clone());
         for connection_id in ids {
@@ -373,9 +336,10 @@
         reactor: &mut Reactor,
     ) {
         let Some(connection) = self.connections.get(&connection_id) else { return };
-        let (streamer, established, timed_out) = (
+        let (streamer, established, retired, timed_out) = (
             connection.streamer,
             connection.established,
+            connection.shut_down_at.is_some(),
             now >= connection.started_at + self.connect_timeout,
         );
         let ending = if established { Ending::Reset } else { Ending::ConnectFailed };
@@ -383,6 +347,9 @@
             true => self.close_read(connection_id, ending, now, reactor),
             false => self.close(connection_id, ending, now, reactor),
         }
+        if established && !retired {
+            self.record_disconnected(streamer, now);
+        }
         if !established {
             self.connect_failed(streamer, timed_out, has_sessions, now, reactor);
         }
@@ -395,6 +362,14 @@
             state.input_lost_at = Some(now);
         }
         self.close_read(connection_id, ending, now, reactor);
+        streamer.into_iter().for_each(|streamer| self.record_disconnected(streamer, now));
+    }
+
+    /// Records that a streamer has closed the last connection to it, or that this was lost.
+    fn record_disconnected(&mut self, streamer: StreamerId, now: Duration) {
+        if self.open_connections(streamer).is_empty() {
+            self.streamers.entry(streamer).and_modify(|state| state.disconnected_at = Some(now));
+        }
     }
 
     /// Closes a connection of which everything was read; its outstanding joins and probes end with this ending.
--- a/crates/platform/src/streamer_pool/liveness.rs
+++ b/crates/platform/src/streamer_pool/liveness.rs
@@ -27,8 +27,6 @@
 pub enum LossReason {
     /// No process listens at its address, and no connection is open.
     ProcessEnded,
-    /// Another streamer is listed at its address.
-    Replaced,
     /// It answers nothing. It may be cut off, and play on.
     Unreachable,
 }
@@ -102,7 +100,7 @@
     }
 
     /// The established connections to a streamer that are not being closed.
-    fn open_connections(&self, streamer: StreamerId) -> Vec<SocketId> {
+    pub(super) fn open_connections(&self, streamer: StreamerId) -> Vec<SocketId> {
         let ids = self.streamers.get(&streamer).map_or(&[][..], |state| &state.connection_ids);
         ids.iter().copied().filter(|connection_id| self.is_open(*connection_id)).collect()
     }
--- a/crates/platform/src/streamer_pool/messages.rs
+++ b/crates/platform/src/streamer_pool/messages.rs
@@ -55,6 +55,11 @@
         now < self.at + lifetime
     }
 
+    /// Whether it was queued at this time or later.
+    pub(super) fn is_since(&self, time: Duration) -> bool {
+        self.at >= time
+    }
+
     /// Whether a connection is opened for it.
     fn needs_connection(&self, now: Duration) -> bool {
         now < self.at + QUEUED_MESSAGE_LIFETIME
--- a/crates/platform/src/streamer_pool_tests.rs
+++ b/crates/platform/src/streamer_pool_tests.rs
@@ -37,7 +37,7 @@
             StreamerPool::new(max_connections, Duration::from_millis(250), secs(30), 32, secs(3), 7);
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let now = reactor.now();
-        pool.streamer_listed(streamer(), address_of(&listener), now, &mut reactor);
+        pool.streamer_listed(streamer(), address_of(&listener), Duration::ZERO, now, &mut reactor);
         Self { reactor, pool, listener, now }
     }
 
@@ -305,12 +305,12 @@
     let (now, address) = (harness.now, address_of(&harness.listener));
     harness.pool.streamer_removed(streamer(), now, &mut harness.reactor);
     assert_eq!(harness.take_events(), []);
-    harness.pool.streamer_listed(streamer_id(2), address, now, &mut harness.reactor);
+    harness.pool.streamer_listed(streamer_id(2), address, Duration::ZERO, now, &mut harness.reactor);
     assert_eq!(
         harness.take_events(),
         [
             PoolEvent::JoinEnded(first_join(1), Ending::Reset),
-            PoolEvent::StreamerLost(streamer(), LossReason::Replaced)
+            PoolEvent::StreamerReplaced { streamer: streamer(), by: streamer_id(2), since: Duration::MAX }
         ]
     );
 }
@@ -333,7 +333,13 @@
     std::thread::sleep(Duration::from_millis(50));
     let other = streamer_id(2);
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    harness.pool.streamer_listed(other, address_of(&listener), harness.now, &mut harness.reactor);
+    harness.pool.streamer_listed(
+        other,
+        address_of(&listener),
+        Duration::ZERO,
+        harness.now,
+        &mut harness.reactor,
+    );
     harness.pool.join(first_join(2), 2, other, b"join 2\n".to_vec(), harness.now, &mut harness.reactor);
     let events = harness.take_events();
     assert_eq!(
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -796,14 +796,10 @@
 }
 
 /// Guards against sessions that play on for nobody: their streamer was given up without being told. One whose
-/// process has ended, or whose address another has, is told nothing, and neither are unconfirmed sessions.
+/// process has ended is told nothing, and neither is one of unconfirmed sessions.
 #[test]
 fn a_streamer_that_is_given_up_is_told_to_end_its_sessions() {
-    for (reason, told) in [
-        (LossReason::Unreachable, vec![5]),
-        (LossReason::ProcessEnded, vec![]),
-        (LossReason::Replaced, vec![]),
-    ] {
+    for (reason, told) in [(LossReason::Unreachable, vec![5]), (LossReason::ProcessEnded, vec![])] {
         let mut harness = Harness::new();
         harness.set_up(1, 5, &[]);
         harness.advance(10);
