--- a/crates/controller/tests/it/main.rs
+++ b/crates/controller/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_input;
 mod changes;
+mod departed_clients;
 mod duplicates;
 mod false_handovers;
 mod gossip;
--- a/crates/controller/tests/it/races.rs
+++ b/crates/controller/tests/it/races.rs
@@ -320,10 +320,12 @@
         controller.write_config(&config.to_string());
         controller.signal(Signal::HUP);
         let until = Instant::now() + TIMEOUT;
+        // Each set-up has a new id.
+        let mut new_ids = (start + 1) << 32..;
         while second_streamer.offers.lock().unwrap().len() <= start as usize {
             let mut viewer = Viewer(TcpStream::connect(controller.at).unwrap());
             viewer.0.set_read_timeout(Some(millis(3000))).unwrap();
-            viewer.try_establish(1000 * start + 500);
+            viewer.try_establish(new_ids.next().unwrap());
             assert!(Instant::now() < until, "the new list is in use");
         }
         stop.store(true, Ordering::SeqCst);
--- a/crates/platform/src/ended_sessions.rs
+++ b/crates/platform/src/ended_sessions.rs
@@ -2,6 +2,7 @@
 //! either: after a restart its hand-overs arrive after what streamers and viewers say about the same sessions,
 //! and a release that it has not received yet may cross a hand-over of that session.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use badgerledge_core::interface::StreamerId;
@@ -78,6 +79,13 @@
         self.left_by_viewers.get_or_insert(now, wire_id, ended);
     }
 
+    /// Whether a streamer may have run a session with this id that has ended.
+    pub fn has_run(&mut self, now: Duration, wire_id: u64) -> bool {
+        // The end of the range is not reached: streamers are numbered, and have no port.
+        let last = StreamerId::new(Ipv4Addr::BROADCAST, u16::MAX);
+        self.ended.contains_any(now, (wire_id, None)..=(wire_id, Some(last)))
+    }
+
     /// How a session at that streamer ended, if it did.
     pub fn find(&mut self, now: Duration, wire_id: u64, streamer: StreamerId) -> Option<EndedSession> {
         let at_streamer = self.ended.get(now, &(wire_id, Some(streamer))).copied();
--- a/crates/platform/src/expiring_map.rs
+++ b/crates/platform/src/expiring_map.rs
@@ -2,6 +2,7 @@
 //! if the map is full.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::RangeBounds;
 use std::time::Duration;
 
 /// A bounded map whose entries expire.
@@ -37,6 +38,12 @@
         self.entries.get(key)
     }
 
+    /// Whether there is an entry within a range of keys.
+    pub fn contains_any(&mut self, now: Duration, keys: impl RangeBounds<K>) -> bool {
+        self.drop_expired(now);
+        self.entries.range(keys).next().is_some()
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         while self.order.front().is_some_and(|(added_at, _)| *added_at + self.lifetime <= now) {
             self.drop_oldest();
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -159,7 +159,8 @@
             return self.accept_handover(now, &handover, transport);
         }
         transport.mark_viewers(connection);
-        if self.store.by_wire_id.contains_key(&wire_id) {
+        // Each set-up has a new id. One that has run must not run again, whoever sends it.
+        if self.store.by_wire_id.contains_key(&wire_id) || self.store.ended.has_run(now, wire_id) {
             return self.reject(now, connection, wire_id, transport);
         }
         self.store.counts.taken += 1;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -814,3 +814,31 @@
         assert_eq!(harness.transport.frames_of(6), [(12, 41)]);
     }
 }
+
+/// Guards against a session that runs twice: its client left, and came again with the same id, while a streamer may
+/// still have run the first join. An id that no join was sent for may come again.
+#[test]
+fn an_id_that_has_run_is_rejected() {
+    let mut harness = Harness::new();
+    harness.set_up(1, 5, &[]);
+    harness.sessions.viewer_disconnected(harness.now, 1, ClosedBy::Viewer, &mut harness.transport);
+    harness.set_up(2, 5, &[]);
+    harness.advance(10);
+    assert!(harness.transport.outstanding.contains_key(&5), "the first was never sent");
+    harness.sessions.viewer_disconnected(harness.now, 2, ClosedBy::Viewer, &mut harness.transport);
+    harness.set_up(3, 5, &[]);
+    harness.advance(100);
+    assert_eq!((harness.transport.frames_of(5), harness.transport.outstanding.len()), (vec![(12, 96)], 0));
+    harness.set_up(3, 6, &[]);
+    harness.advance(10);
+    harness.answer(6).expect("a join");
+    harness.sessions.ended_by_viewer(harness.now, 3, 6, &mut harness.transport);
+    harness.set_up(3, 6, &[]);
+    harness.advance(100);
+    assert_eq!(harness.transport.frames_of(6), [(9, 0), (12, 96)]);
+    // Forgotten after a minute, when no streamer can have anything to say of it.
+    harness.advance(61_000);
+    harness.set_up(3, 6, &[]);
+    harness.advance(10);
+    assert!(harness.transport.outstanding.contains_key(&6));
+}
