--- a/crates/controller/tests/it/departed_clients.rs
+++ b/crates/controller/tests/it/departed_clients.rs
@@ -1,10 +1,15 @@
 //! Clients that leave with requests unread.
 
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::platform_harness::{list, name_service, Controller, Streamer, SILENT};
+use rustix::process::Signal;
 
+use crate::platform_harness::{list, name_service, set_up, Controller, Streamer, Viewer, SILENT};
+
+const ANSWER: u8 = 9;
 const RELEASE: u8 = 12;
 const REJECTED: u8 = 96;
 /// Long enough for all that is read to be placed.
@@ -16,6 +21,58 @@
     (streamer, controller)
 }
 
+/// Sends set-ups until the connection takes no more, and returns how many bytes that were.
+fn fill(stream: &mut TcpStream) -> usize {
+    stream.set_nonblocking(true).unwrap();
+    let frames: Vec<u8> = (100..4_000).flat_map(|wire_id| set_up(wire_id, "4000", "v=0")).collect();
+    let mut sent = 0;
+    while sent < frames.len() {
+        match stream.write(&frames[sent..]) {
+            Ok(count) => sent += count,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    sent
+}
+
+/// Guards against requests that are sent on although their client has closed its connection: more than is read at
+/// once lay unread, and the end behind it.
+#[test]
+fn set_ups_of_a_client_that_closed_with_much_unread_are_not_sent_on() {
+    let (streamer, controller) = start();
+    let Viewer(mut stream) = controller.viewer();
+    // The process finds all of it at once.
+    controller.signal(Signal::STOP);
+    let sent = fill(&mut stream);
+    assert!(sent > 64 * 1024, "{sent}");
+    drop(stream);
+    std::thread::sleep(Duration::from_millis(100));
+    controller.signal(Signal::CONT);
+    assert!(streamer.take_received(PLACED).is_empty());
+    controller.viewer().establish(1);
+}
+
+/// Set-ups are served if their client stays, whatever their length: also where a read takes exactly what there is
+/// room for, and nothing follows.
+#[test]
+fn set_ups_of_a_client_that_sends_much_at_once_are_served() {
+    /// Two frames with descriptions of this length fill the input buffer of a connection.
+    const HALF_BUFFER: usize = 8_193 - 95;
+    let (_streamer, controller) = start();
+    for description_bytes in [3, HALF_BUFFER - 1, HALF_BUFFER, HALF_BUFFER + 1] {
+        let mut viewer = controller.viewer();
+        let description = "v".repeat(description_bytes);
+        controller.signal(Signal::STOP);
+        for wire_id in 0..4 {
+            viewer.set_up_with(10 * description_bytes as u64 + wire_id, "4000", &description);
+        }
+        controller.signal(Signal::CONT);
+        let kinds = [(); 4].map(|()| viewer.receive().0);
+        assert_eq!(kinds, [ANSWER; 4], "{description_bytes}");
+    }
+}
+
 /// Guards against an id that runs twice: its client left while its join was out, and came again with the same id.
 #[test]
 fn an_id_that_comes_again_after_its_client_left_is_not_run_again() {
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -396,7 +396,7 @@
 }
 
 /// A set-up frame.
-fn set_up(wire_id: u64, waits_ms: &str, description: &str) -> Vec<u8> {
+pub fn set_up(wire_id: u64, waits_ms: &str, description: &str) -> Vec<u8> {
     let figures = "home:0;copies:1;top:1;viewer:00000000b4d65521";
     let title = "7f3a9c21e0b4d655";
     frame(1, wire_id, &[(33, "tour"), (36, waits_ms), (45, title), (48, figures), (78, description)])
--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -161,6 +161,7 @@
             self.connections.now = self.connections.reactor.now();
             self.signal_times.record_wait(woke_before, waits_since, until, self.connections.now);
             events.drain(..).for_each(|event| self.handle_event(event));
+            self.read_unread_viewers();
             if !self.is_closing() {
                 self.poll();
             }
@@ -279,12 +280,24 @@
         let incomplete = !input.is_empty();
         self.connections.reactor.restore_input(connection, input);
         self.connections.viewer_pool.record_input(connection, now, incomplete);
+        if !self.connections.reactor.may_have_more_input(connection) {
+            self.sessions.input_read(connection);
+        }
         if let Some(fault) = fault {
             tracing::debug!(%fault, "closing a viewer connection with malformed input");
             self.drop_viewer(connection, ClosedBy::Unreadable);
         }
     }
 
+    /// Reads on where set-ups wait until all that has arrived with them is read: there may be nothing more, and then
+    /// no event reports it.
+    fn read_unread_viewers(&mut self) {
+        for connection in self.sessions.unread_connections() {
+            self.connections.reactor.read_available(connection);
+            self.read_viewer(connection);
+        }
+    }
+
     /// Accepts a viewer's connection. At the limit, the least valuable connection without a pending set-up is
     /// evicted; if there is none, the new connection is closed.
     fn accept_viewer(&mut self, connection: SocketId) {
--- a/crates/platform/src/session_store.rs
+++ b/crates/platform/src/session_store.rs
@@ -89,6 +89,9 @@
     pub pending_by_connection: BTreeMap<SocketId, BTreeSet<JobId>>,
     /// Unconfirmed sessions, by the viewer's connection that they were handed over on.
     pub claims: Claims,
+    /// Set-ups that the decision module has not received, since more may have arrived on their connections: a
+    /// cancellation, or the end.
+    pub unread: BTreeMap<SocketId, Vec<(JobId, SubscriptionRequest)>>,
     /// Sessions that play or are being moved away, by streamer.
     pub by_streamer: BTreeMap<StreamerId, BTreeSet<JobId>>,
     pub timers: BTreeSet<(Duration, Timer)>,
@@ -152,6 +155,16 @@
         job
     }
 
+    /// Passes a connection's set-ups to the decision module that are still pending, once all that has arrived on it
+    /// was read.
+    pub fn place_set_ups_of(&mut self, connection: SocketId) {
+        for (job, subscription) in self.unread.remove(&connection).unwrap_or_default() {
+            if self.sessions.contains_key(&job) {
+                self.inputs.push(Box::new(move |module| module.request(job, subscription)));
+            }
+        }
+    }
+
     /// Removes a session from the index that its phase puts it in.
     pub fn remove_from_index(&mut self, job: JobId) {
         let Some(session) = self.sessions.get(&job) else { return };
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -76,6 +76,7 @@
             by_wire_id: BTreeMap::new(),
             pending_by_connection: BTreeMap::new(),
             claims: Claims::default(),
+            unread: BTreeMap::new(),
             by_streamer: BTreeMap::new(),
             timers: BTreeSet::new(),
             ended: EndedSessions::new(memory_mb * ENDED_PER_MB),
@@ -207,7 +208,18 @@
         let job = self.store.insert(session);
         trace_session(wire_id, "set-up", (connection, subscription.path_key));
         self.store.timers.insert((answer_by, Timer::AnswerDeadline(job)));
-        self.store.inputs.push(Box::new(move |module| module.request(job, subscription)));
+        self.store.unread.entry(connection).or_default().push((job, subscription));
+    }
+
+    /// Handles the end of a viewer's input for now: all that has arrived on its connection was read, and the
+    /// set-ups in it that were not taken back can be placed.
+    pub fn input_read(&mut self, connection: SocketId) {
+        self.store.place_set_ups_of(connection);
+    }
+
+    /// The viewers' connections with set-ups that wait for that.
+    pub fn unread_connections(&self) -> Vec<SocketId> {
+        self.store.unread.keys().copied().collect()
     }
 
     /// Refuses a set-up of which nothing was sent to any streamer: trying again later is harmless.
@@ -277,6 +289,7 @@
             self.expire(now, job, transport);
         }
         self.store.claims.connection_closed(connection);
+        self.store.unread.remove(&connection);
     }
 
     /// Drops a session that has no answer and needs none any more.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -123,6 +123,8 @@
     pub sessions: SessionTable,
     pub transport: RecordingTransport,
     pub now: Duration,
+    /// Viewers' connections on which more has arrived than was read.
+    unread: BTreeSet<SocketId>,
     next_round: Duration,
 }
 
@@ -138,8 +140,13 @@
         let Value::Object(settings) = settings else { unreachable!("an object") };
         let platform_settings = PlatformSettings::new(&settings);
         let sessions = SessionTable::new(Controller::new(START, 7, settings), platform_settings, 32);
-        let mut harness =
-            Self { sessions, transport: RecordingTransport::default(), now: START, next_round: START };
+        let mut harness = Self {
+            sessions,
+            transport: RecordingTransport::default(),
+            now: START,
+            unread: BTreeSet::new(),
+            next_round: START,
+        };
         let entries = (0..STREAMERS).map(|n| entry(n, Health::Ready)).collect();
         harness.sessions.apply_list(Listing::Cached, entries);
         harness.advance(10);
@@ -181,6 +188,9 @@
         frame.extend(parameters);
         let mut handler = Handler { harness: self, connection };
         viewers::decode(&frame, &mut handler).expect("a frame");
+        if !self.unread.contains(&connection) {
+            self.sessions.input_read(connection);
+        }
     }
 
     pub fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
@@ -842,3 +852,27 @@
     harness.advance(10);
     assert!(harness.transport.outstanding.contains_key(&6));
 }
+
+/// Guards against joins for a client that has left already: its set-ups were sent on while its end, or what it took
+/// back, was behind them and not read yet. Whoever does not leave is served once all is read.
+#[test]
+fn set_ups_are_placed_once_all_that_arrived_with_them_is_read() {
+    let mut harness = Harness::new();
+    harness.unread.extend([1, 2]);
+    for wire_id in [5, 6] {
+        harness.set_up(1, wire_id, &[]);
+    }
+    harness.set_up(2, 7, &[]);
+    harness.advance(100);
+    assert!(harness.transport.outstanding.is_empty());
+    harness.sessions.ended_by_viewer(harness.now, 1, 5, &mut harness.transport);
+    harness.sessions.viewer_disconnected(harness.now, 2, ClosedBy::Viewer, &mut harness.transport);
+    harness.sessions.input_read(1);
+    harness.sessions.input_read(2);
+    harness.advance(20);
+    assert_eq!(harness.transport.outstanding.keys().copied().collect::<Vec<_>>(), [6]);
+    // A client that never stops sending has its answer in time all the same.
+    harness.set_up(1, 8, &[]);
+    harness.advance(2_000);
+    assert_eq!(harness.transport.frames_of(8), [(12, 41)]);
+}
--- a/crates/reactor/src/reactor/sockets.rs
+++ b/crates/reactor/src/reactor/sockets.rs
@@ -35,6 +35,8 @@
     pub(super) interest: (bool, bool),
     /// Whether it is in the list of connections to flush.
     pub(super) dirty: bool,
+    /// The last read ended at a limit and not because the kernel had no more.
+    pub(super) may_have_more_input: bool,
     /// Why it has ended.
     pub(super) ended: Option<CloseReason>,
 }
@@ -51,6 +53,7 @@
             output_was_full: false,
             interest: (!connecting, connecting),
             dirty: false,
+            may_have_more_input: false,
             ended: None,
         }
     }
--- a/crates/reactor/src/reactor/transfer.rs
+++ b/crates/reactor/src/reactor/transfer.rs
@@ -17,6 +17,11 @@
         self.connection(id).map_or(&[], |connection| connection.input.as_slice())
     }
 
+    /// Whether the kernel may hold more input of a connection than was read: requests in it, or its end.
+    pub fn may_have_more_input(&self, id: SocketId) -> bool {
+        self.connection(id).is_some_and(|connection| connection.may_have_more_input)
+    }
+
     /// Removes bytes from the front of a connection's input.
     pub fn consume(&mut self, id: SocketId, count: usize) {
         let Some(connection) = self.connection_mut(id) else { return };
@@ -124,6 +129,9 @@
     /// right behind a request is reported in the same wait and not in the next.
     pub(super) fn read_input(&mut self, id: SocketId, events: &mut Vec<ReactorEvent>) {
         let mut total = 0;
+        if let Some(connection) = self.connection_mut(id) {
+            connection.may_have_more_input = true;
+        }
         while total < MAX_READ_PER_WAIT {
             let Some(Source::Stream { socket, connection }) = self.sources.get_mut(&id) else { return };
             let limit =
@@ -140,7 +148,10 @@
                     total += count;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    connection.may_have_more_input = false;
+                    break;
+                }
                 Err(_) => self.mark_ended(id, CloseReason::Broken),
             }
         }
