--- a/crates/platform/src/serve.rs
+++ b/crates/platform/src/serve.rs
@@ -439,6 +439,7 @@
         }
         // A connection that took no more output may take some now.
         self.connections.viewer_pool.send_queued(now, &mut self.connections.reactor);
+        self.connections.viewer_pool.retry_unheard(now, &mut self.connections.reactor);
         let playing_streamers: Vec<StreamerId> = self.sessions.playing_streamers().collect();
         self.connections.streamer_pool.sweep(now, &playing_streamers, &mut self.connections.reactor);
     }
--- a/crates/platform/src/viewer_pool/releases.rs
+++ b/crates/platform/src/viewer_pool/releases.rs
@@ -1,7 +1,7 @@
 //! Releases of sessions: on which connection each is sent, and when it is sent again. A session belongs to no
 //! connection, so its release may be sent on any connection of viewers if its own is closed.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use badgerledge_reactor::{Reactor, SocketId};
@@ -22,6 +22,9 @@
 /// How long a release that was sent on a connection which has not served viewers stays unacknowledged before
 /// it is sent on others as well.
 const UNPROVEN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a release that was sent on another's connection which has served viewers stays unacknowledged before
+/// the next one is tried.
+const SERVED_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// One in this many of the connections that are left is tried in each interval, so that all have been before the
 /// second is over in which viewers must be told.
 const UNPROVEN_BATCH_DIVISOR: usize = 8;
@@ -50,24 +53,25 @@
     connection: SocketId,
     wire_id: u64,
     message: Vec<u8>,
-    /// The connections that it was sent on without having served viewers, and when it was last.
+    /// The connections of others that it was sent on, and when it was last.
     tried: Vec<SocketId>,
     tried_at: Duration,
 }
 
-/// The releases that wait.
+/// The releases that wait, by session.
 #[derive(Default)]
 pub struct Releases {
-    /// Sent but not acknowledged by their viewers; oldest first.
-    unacknowledged: VecDeque<Release>,
+    /// Sent but not acknowledged by their viewers.
+    unacknowledged: BTreeMap<u64, Release>,
     /// Not sent on a connection that has served viewers yet.
-    queued: Vec<Release>,
+    queued: BTreeMap<u64, Release>,
 }
 
 impl Releases {
     fn queue(&mut self, release: Release) {
         if self.queued.len() < MAX_RELEASES {
-            return self.queued.push(release);
+            self.queued.insert(release.wire_id, release);
+            return;
         }
         tracing::warn!(
             wire_id = format_args!("{:016x}", release.wire_id),
@@ -75,14 +79,16 @@
         );
     }
 
-    fn await_acknowledgement(&mut self, release: Release, now: Duration) {
-        while self.unacknowledged.front().is_some_and(|oldest| oldest.since + RESEND_WINDOW <= now) {
-            self.unacknowledged.pop_front();
-        }
+    fn await_acknowledgement(&mut self, release: Release) {
         if self.unacknowledged.len() < MAX_RELEASES {
-            self.unacknowledged.push_back(release);
+            self.unacknowledged.insert(release.wire_id, release);
         }
     }
+
+    /// Drops releases that were heard, or whose viewers never acknowledge.
+    fn drop_old(&mut self, now: Duration) {
+        self.unacknowledged.retain(|_, release| now < release.since + RESEND_WINDOW);
+    }
 }
 
 impl ViewerPool {
@@ -115,7 +121,7 @@
     pub fn release(
         &mut self, connection: SocketId, wire_id: u64, message: Vec<u8>, now: Duration, reactor: &mut Reactor,
     ) {
-        self.releases.queued.retain(|release| release.wire_id != wire_id);
+        self.releases.queued.remove(&wire_id);
         let (tried, tried_at) = (Vec::new(), Duration::ZERO);
         let release = Release { since: now, connection, wire_id, message, tried, tried_at };
         self.send_or_queue(release, &mut None, now, reactor);
@@ -124,7 +130,7 @@
     /// Sends queued releases, if there are connections for them now.
     pub fn send_queued(&mut self, now: Duration, reactor: &mut Reactor) {
         let mut ranked = None;
-        for release in std::mem::take(&mut self.releases.queued) {
+        for release in std::mem::take(&mut self.releases.queued).into_values() {
             if now < release.since + QUEUED_RELEASE_LIFETIME {
                 self.send_or_queue(release, &mut ranked, now, reactor);
             }
@@ -159,6 +165,8 @@
         let sent_on = served.find(|(_, connection)| self.answer(*connection, &release.message, reactor));
         if let Some((_, connection)) = sent_on {
             release.connection = *connection;
+            release.tried.push(*connection);
+            release.tried_at = now;
             return self.await_acknowledgement(release, now);
         }
         if release.tried.is_empty() || release.tried_at + UNPROVEN_RETRY_INTERVAL <= now {
@@ -171,7 +179,35 @@
     fn await_acknowledgement(&mut self, mut release: Release, now: Duration) {
         trace_release(&release, Some(release.connection));
         release.since = now;
-        self.releases.await_acknowledgement(release, now);
+        self.releases.await_acknowledgement(release);
+    }
+
+    /// Sends a release that was not heard on another's connection on the next one that has served viewers.
+    pub fn retry_unheard(&mut self, now: Duration, reactor: &mut Reactor) {
+        self.releases.drop_old(now);
+        let unheard =
+            self.releases.unacknowledged.values().filter(|release| {
+                !release.tried.is_empty() && now >= release.tried_at + SERVED_RETRY_INTERVAL
+            });
+        let unheard: Vec<u64> = unheard.map(|release| release.wire_id).collect();
+        if unheard.is_empty() {
+            return;
+        }
+        let ranked = self.by_release_rank();
+        let served = ranked.iter().filter(|(rank, _)| *rank == ReleaseRank::Served);
+        let served: Vec<SocketId> = served.map(|(_, connection)| *connection).collect();
+        for wire_id in unheard {
+            let Some(mut release) = self.releases.unacknowledged.remove(&wire_id) else { continue };
+            let mut untried = served.iter().filter(|connection| !release.tried.contains(connection));
+            if let Some(connection) =
+                untried.find(|connection| self.answer(**connection, &release.message, reactor))
+            {
+                (release.connection, release.tried_at) = (*connection, now);
+                release.tried.push(*connection);
+                trace_release(&release, Some(*connection));
+            }
+            self.releases.unacknowledged.insert(wire_id, release);
+        }
     }
 
     /// Sends a release on the best connections that it was not tried on yet.
@@ -194,26 +230,28 @@
     pub(super) fn resend_unacknowledged(
         &mut self, connection: SocketId, now: Duration, reactor: &mut Reactor,
     ) {
-        let (lost, others) =
-            self.releases.unacknowledged.drain(..).partition(|release| release.connection == connection);
-        self.releases.unacknowledged = others;
-        for release in VecDeque::into_iter(lost).filter(|release| now < release.since + RESEND_WINDOW) {
+        let sent_on_it =
+            self.releases.unacknowledged.values().filter(|release| release.connection == connection);
+        let lost: Vec<u64> = sent_on_it.map(|release| release.wire_id).collect();
+        let lost: Vec<Release> =
+            lost.iter().filter_map(|wire_id| self.releases.unacknowledged.remove(wire_id)).collect();
+        for release in lost.into_iter().filter(|release| now < release.since + RESEND_WINDOW) {
             self.release(connection, release.wire_id, release.message, now, reactor);
         }
     }
 
     /// Handles a viewer's acknowledgement of a release.
     pub fn acknowledge_release(&mut self, wire_id: u64) {
-        self.releases.unacknowledged.retain(|release| release.wire_id != wire_id);
-        self.releases.queued.retain(|release| release.wire_id != wire_id);
+        self.releases.unacknowledged.remove(&wire_id);
+        self.releases.queued.remove(&wire_id);
     }
 
     /// Whether a release waits for a connection or for its acknowledgement, or bytes are not yet written.
     pub fn has_pending_output(&self, now: Duration, reactor: &Reactor) -> bool {
         let waits = |release: &Release, lifetime: Duration| now < release.since + lifetime;
         let Releases { queued, unacknowledged } = &self.releases;
-        queued.iter().any(|release| waits(release, QUEUED_RELEASE_LIFETIME))
-            || unacknowledged.iter().any(|release| waits(release, ACKNOWLEDGE_TIMEOUT))
+        queued.values().any(|release| waits(release, QUEUED_RELEASE_LIFETIME))
+            || unacknowledged.values().any(|release| waits(release, ACKNOWLEDGE_TIMEOUT))
             || self.connections().any(|connection| reactor.unwritten_bytes(connection) > 0)
     }
 }
--- a/crates/platform/src/viewer_pool_tests.rs
+++ b/crates/platform/src/viewer_pool_tests.rs
@@ -212,3 +212,29 @@
     let end = output.get(output.len().saturating_sub(20)..);
     assert!(output.ends_with("release"), "the release arrives: {} bytes, {end:?}", output.len());
 }
+
+/// Guards against a release that is said on one connection to a client that ignores it, and to nobody else: until
+/// it is acknowledged it goes on the next connection that served viewers as well.
+#[test]
+fn a_release_that_is_not_heard_on_anothers_connection_is_sent_on_the_next() {
+    let (mut reactor, connections, mut remote) = viewers(3);
+    let (mut viewer_pool, now) = (ViewerPool::new(8), secs(1000));
+    let interval = Duration::from_millis(300);
+    for connection in &connections {
+        viewer_pool.insert(*connection, now);
+        viewer_pool.mark_serving(*connection, now, &mut reactor);
+    }
+    viewer_pool.release(77, 1, b"release".to_vec(), now, &mut reactor);
+    viewer_pool.release(connections[0], 2, b"own".to_vec(), now, &mut reactor);
+    viewer_pool.retry_unheard(now + interval / 2, &mut reactor);
+    reactor.flush();
+    assert_eq!([0, 1, 2].map(|index| received(&mut remote[index])), ["own", "", "release"]);
+    viewer_pool.retry_unheard(now + interval, &mut reactor);
+    viewer_pool.retry_unheard(now + interval * 3 / 2, &mut reactor);
+    reactor.flush();
+    assert_eq!([0, 1, 2].map(|index| received(&mut remote[index])), ["", "release", ""]);
+    viewer_pool.acknowledge_release(1);
+    viewer_pool.retry_unheard(now + interval * 2, &mut reactor);
+    reactor.flush();
+    assert_eq!([0, 1, 2].map(|index| received(&mut remote[index])), ["", "", ""]);
+}
