Platform: losses of streamers in a module of their own; one list of refusal causes

The causes that only refuse joins stood in two places. A streamer that is not reached is asked once there are sessions, also if its first failed attempt came before.

--- a/crates/platform/src/ended_sessions.rs
+++ b/crates/platform/src/ended_sessions.rs
@@ -64,8 +64,7 @@
 
     /// Records an unknown session that its streamer released. Causes that only refuse joins are ignored.
     pub fn record_release(&mut self, now: Duration, wire_id: u64, streamer: StreamerId, cause: u64) {
-        let refuses_join = matches!(cause, join_refusals::FULL | join_refusals::ERROR | join_refusals::MOOT);
-        if refuses_join || self.find(now, wire_id, streamer).is_some() {
+        if join_refusals::contains(cause) || self.find(now, wire_id, streamer).is_some() {
             return;
         }
         let release_cause = if cause == u64::from(NORMAL) { NORMAL } else { FAILED };
--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -11,7 +11,7 @@
 use badgerledge_signalling::{streamers, viewers, Fault};
 
 use crate::connections::Connections;
-use crate::release_causes::join_refusals::{ERROR, FULL, MOOT};
+use crate::release_causes::join_refusals::{self, ERROR, FULL, MOOT};
 use crate::release_causes::FAILED;
 use crate::request::PlatformSettings;
 use crate::session_table::{streamer_id, ListEntry, SessionTable};
@@ -130,7 +130,7 @@
         let answered_on = sessions.streamer_connection(wire_id);
         let released_elsewhere = answered_on.is_some_and(|own| own != self.connection && pool.is_open(own));
         pool.has_ended_join(self.connection, wire_id, self.now)
-            && (released_elsewhere || matches!(cause, FULL | ERROR | MOOT))
+            && (released_elsewhere || join_refusals::contains(cause))
     }
 }
 
--- a/crates/platform/src/release_causes.rs
+++ b/crates/platform/src/release_causes.rs
@@ -19,4 +19,9 @@
     pub const ERROR: u64 = 47;
     /// The join never left.
     pub const MOOT: u64 = 102;
+
+    /// Whether this cause only refuses joins.
+    pub fn contains(cause: u64) -> bool {
+        matches!(cause, FULL | ERROR | MOOT)
+    }
 }
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -6,6 +6,7 @@
 
 mod closing;
 mod handovers;
+mod losses;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -27,7 +28,6 @@
 use crate::request::{self, PlatformSettings};
 use crate::request_counts::RequestCounts;
 use crate::session_store::{trace_session, ModuleInput, OfferFields, Session, SessionStore, Timer};
-use crate::streamer_pool::LossReason;
 use crate::transport::Transport;
 use crate::unanswered::{ClosedBy, Step, UnansweredCounts};
 
@@ -411,65 +411,6 @@
         }
     }
 
-    /// Ends the sessions that were sent to a streamer before it was restarted.
-    pub fn streamer_restarted(
-        &mut self, now: Duration, streamer: StreamerId, at: Duration, transport: &mut impl Transport,
-    ) {
-        self.end_sessions_at(now, streamer, at, transport);
-    }
-
-    /// Ends the sessions at a streamer that is lost. One that may play on is told, too.
-    pub fn streamer_lost(
-        &mut self, now: Duration, streamer: StreamerId, reason: LossReason, transport: &mut impl Transport,
-    ) {
-        if reason == LossReason::Unreachable {
-            for job in self.store.by_streamer.get(&streamer).into_iter().flatten() {
-                let session = self.store.get(*job).filter(|session| session.claim.is_none());
-                if let Some(session) = session {
-                    transport.end_at_lost_streamer(streamer, session.wire_id);
-                }
-            }
-        }
-        self.end_sessions_at(now, streamer, Duration::MAX, transport);
-    }
-
-    /// Ends the sessions at a streamer whose address another one has. Those that were sent there since the given
-    /// time are the other one's.
-    pub fn streamer_replaced(
-        &mut self, now: Duration, streamer: StreamerId, by: StreamerId, since: Duration,
-        transport: &mut impl Transport,
-    ) {
-        for job in self.store.jobs_sent_to(streamer, since) {
-            let Some(session) = self.store.get(job) else { continue };
-            trace_session(session.wire_id, "is at the streamer's successor", (streamer, by));
-            self.store.change_streamer(job, by);
-            self.store.inputs.push(Box::new(move |module| module.streamer_changed(job, by)));
-        }
-        self.end_sessions_at(now, streamer, Duration::MAX, transport);
-    }
-
-    /// Ends the sessions that were sent to a streamer before the given time.
-    fn end_sessions_at(
-        &mut self, now: Duration, streamer: StreamerId, before: Duration, transport: &mut impl Transport,
-    ) {
-        let at_streamer = self.store.by_streamer.get(&streamer).cloned().unwrap_or_default();
-        // Unconfirmed ones last: releases of false ones must not take the room of others'.
-        let is_claim = |job: &JobId| self.store.get(*job).is_some_and(|session| session.claim.is_some());
-        let (claims, confirmed): (Vec<_>, Vec<_>) = at_streamer.into_iter().partition(is_claim);
-        for job in confirmed.into_iter().chain(claims) {
-            let Some(session) = self.store.get(job).filter(|session| session.join_sent_at < before) else {
-                continue;
-            };
-            trace_session(session.wire_id, "lost with its streamer", streamer);
-            transport.release(
-                session.connection,
-                session.wire_id,
-                viewers::release(session.wire_id, FAILED, Duration::ZERO),
-            );
-            self.finish(now, job, Ending::Reset, Vec::new());
-        }
-    }
-
     /// Handles a progress report on a playing session. One on a session that is not known here, or from another
     /// streamer than the session's, is ignored.
     pub fn progress_report(
--- a/crates/platform/src/streamer_pool/liveness.rs
+++ b/crates/platform/src/streamer_pool/liveness.rs
@@ -37,6 +37,8 @@
     /// When the first of the attempts was started.
     since: Duration,
     failed_attempts: u32,
+    /// Whether it was asked on its open connections.
+    was_asked: bool,
 }
 
 /// How long a streamer with playing sessions may be silent before it is connected to.
@@ -66,20 +68,22 @@
         let attempt_took = if timed_out { self.connect_timeout } else { Duration::ZERO };
         let unreachable_timeout = unreachable_timeout(self.connect_timeout);
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        let first = Unreachable { since: now.saturating_sub(attempt_took), failed_attempts: 0 };
+        let first =
+            Unreachable { since: now.saturating_sub(attempt_took), failed_attempts: 0, was_asked: false };
         let unreachable = state.unreachable.get_or_insert(first);
         unreachable.failed_attempts += 1;
-        let Unreachable { since, failed_attempts } = *unreachable;
+        let Unreachable { since, failed_attempts, .. } = *unreachable;
         if !has_sessions {
             return;
         }
+        let was_asked = std::mem::replace(&mut unreachable.was_asked, true);
         let silent = now >= state.last_received_at + self.max_silence;
         let given_time = failed_attempts >= MIN_FAILED_ATTEMPTS && now >= since + unreachable_timeout;
         if process_ended {
             self.declare_lost(streamer, LossReason::ProcessEnded, now, reactor);
         } else if silent && given_time {
             self.declare_lost(streamer, LossReason::Unreachable, now, reactor);
-        } else if failed_attempts == 1 {
+        } else if !was_asked {
             // One that runs but takes up no connection answers on these.
             for connection_id in open_connections {
                 self.test_connection(connection_id, now, reactor);
--- a/crates/platform/src/streamer_pool_tests.rs
+++ b/crates/platform/src/streamer_pool_tests.rs
@@ -45,6 +45,14 @@
     fn join_established(&mut self, job: u32) -> TcpStream {
         self.join(job);
         let (remote, _) = self.listener.accept().unwrap();
+        self.wait_opened();
+        self.reactor.flush();
+        assert_eq!(read_line(&remote), format!("join {job}"));
+        remote
+    }
+
+    /// Waits until a connection is established and reports it to the pool.
+    fn wait_opened(&mut self) {
         self.until(|harness, it| match it {
             ReactorEvent::Opened(connection) => {
                 harness.pool.connection_established(*connection, true, harness.now, &mut harness.reactor);
@@ -52,9 +60,6 @@
             }
             _ => None,
         });
-        self.reactor.flush();
-        assert_eq!(read_line(&remote), format!("join {job}"));
-        remote
     }
 
     /// Sends bytes that the streamer does not read, until some of them cannot be written.
@@ -204,13 +209,7 @@
     let port = harness.listener.local_addr().unwrap();
     harness.listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     drop(again);
-    harness.until(|harness, it| match it {
-        ReactorEvent::Opened(connection) => {
-            harness.pool.connection_established(*connection, true, harness.now, &mut harness.reactor);
-            Some(())
-        }
-        _ => None,
-    });
+    harness.wait_opened();
     harness.close_connection(true);
     harness.pool.sweep(harness.now, &[streamer()], &mut harness.reactor);
     if harness.take_events().is_empty() {
@@ -417,13 +416,7 @@
     harness.pool.sweep(harness.now, &[], &mut harness.reactor);
     assert_eq!(harness.pool.connection_count(), 1, "a connection is started for the queued message");
     let (remote, _) = harness.listener.accept().unwrap();
-    harness.until(|harness, it| match it {
-        ReactorEvent::Opened(connection) => {
-            harness.pool.connection_established(*connection, true, harness.now, &mut harness.reactor);
-            Some(())
-        }
-        _ => None,
-    });
+    harness.wait_opened();
     harness.reactor.flush();
     let mut remote = BufReader::new(remote);
     for expected in ["end 1\n", "end 2\n"] {
@@ -456,13 +449,7 @@
     assert_eq!(harness.pool.connection_count(), 0, "no connection is opened for it any more");
     harness.join(1);
     let (remote, _) = harness.listener.accept().unwrap();
-    harness.until(|harness, it| match it {
-        ReactorEvent::Opened(connection) => {
-            harness.pool.connection_established(*connection, true, harness.now, &mut harness.reactor);
-            Some(())
-        }
-        _ => None,
-    });
+    harness.wait_opened();
     harness.reactor.flush();
     assert!(read_line(&remote).contains("000000000000000a"), "the end comes before the join");
 }
