Platform: unconfirmed sessions at a streamer that is given up are ended there, too

Their viewers are told that they are over; where streamers report nothing, nothing confirms what was handed over, and it would play on. Ends of confirmed sessions go first: those of false ones must not take their room.

--- a/crates/platform/src/session_table/losses.rs
+++ b/crates/platform/src/session_table/losses.rs
@@ -24,9 +24,8 @@
         &mut self, now: Duration, streamer: StreamerId, reason: LossReason, transport: &mut impl Transport,
     ) {
         if reason == LossReason::Unreachable {
-            for job in self.store.by_streamer.get(&streamer).into_iter().flatten() {
-                let session = self.store.get(*job).filter(|session| session.claim.is_none());
-                if let Some(session) = session {
+            for job in self.jobs_at(streamer) {
+                if let Some(session) = self.store.get(job) {
                     transport.end_at_lost_streamer(streamer, session.wire_id);
                 }
             }
@@ -53,11 +52,7 @@
     fn end_sessions_at(
         &mut self, now: Duration, streamer: StreamerId, before: Duration, transport: &mut impl Transport,
     ) {
-        let at_streamer = self.store.by_streamer.get(&streamer).cloned().unwrap_or_default();
-        // Unconfirmed ones last: releases of false ones must not take the room of others'.
-        let is_claim = |job: &JobId| self.store.get(*job).is_some_and(|session| session.claim.is_some());
-        let (claims, confirmed): (Vec<_>, Vec<_>) = at_streamer.into_iter().partition(is_claim);
-        for job in confirmed.into_iter().chain(claims) {
+        for job in self.jobs_at(streamer) {
             let Some(session) = self.store.get(job).filter(|session| session.join_sent_at < before) else {
                 continue;
             };
@@ -70,4 +65,12 @@
             self.finish(now, job, Ending::Reset, Vec::new());
         }
     }
+
+    /// The sessions at a streamer, unconfirmed ones last: messages on false ones must not take the room of others'.
+    fn jobs_at(&self, streamer: StreamerId) -> Vec<JobId> {
+        let at_streamer = self.store.by_streamer.get(&streamer).into_iter().flatten().copied();
+        let is_claim = |job: &JobId| self.store.get(*job).is_some_and(|session| session.claim.is_some());
+        let (claims, confirmed): (Vec<_>, Vec<_>) = at_streamer.partition(is_claim);
+        confirmed.into_iter().chain(claims).collect()
+    }
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -806,10 +806,10 @@
 }
 
 /// Guards against sessions that play on for nobody: their streamer was given up without being told. One whose
-/// process has ended is told nothing, and neither is one of unconfirmed sessions.
+/// process has ended is told nothing. What was handed over counts, too, if nothing has confirmed it.
 #[test]
 fn a_streamer_that_is_given_up_is_told_to_end_its_sessions() {
-    for (reason, told) in [(LossReason::Unreachable, vec![5]), (LossReason::ProcessEnded, vec![])] {
+    for (reason, told) in [(LossReason::Unreachable, vec![5, 6]), (LossReason::ProcessEnded, vec![])] {
         let mut harness = Harness::new();
         harness.set_up(1, 5, &[]);
         harness.advance(10);
