Controller: no join is begun in the turn in which a signal stops `run`

Seen: set_ups_that_wait_are_answered_when_the_process_stops failed once in a whole run of its file (500 in place of 503).

In the program, the turn that read the signal went on and ran a round. In the test's rig, a signal to continue undoes one to stop that has not taken effect: on a busy machine the process was still runnable ("R") and never stopped, so that it met the two in another order.

Change: the loop leaves as soon as the signal is dispatched; what is read then is answered by answer_waiting, which holds joins first. A test that stops a process waits until it has stopped.

New test, forces the order and failed before: a_set_up_that_is_read_together_with_the_signal_is_refused. No expectation was changed.

--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -164,13 +164,17 @@
     pub fn run(mut self) -> Result<()> {
         let mut events = Vec::new();
         self.connections.reactor.set_timer(CLOCK_ORIGIN + PERIODIC_WORK_INTERVAL, PERIODIC_WORK);
-        while !self.stopping {
+        loop {
             let until = self.next_wake();
             self.connections.reactor.wait(until, &mut events).context("event loop")?;
             self.connections.now = self.connections.reactor.now();
             let now = self.connections.now;
             self.configuration.iter_mut().for_each(|source| source.set_now(now));
             events.drain(..).for_each(|event| self.dispatch(event));
+            if self.stopping {
+                // No join is begun any more.
+                break;
+            }
             self.list.poll(&mut self.connections.reactor, now);
             let connections = &mut self.connections;
             let output =
--- a/crates/controller/tests/it/harness.rs
+++ b/crates/controller/tests/it/harness.rs
@@ -15,6 +15,7 @@
 use badgerledge_settings::IniFile;
 use badgerledge_standins::{free_port, ListService, Streamers, Told};
 use badgerledge_witness::RuleChecker;
+use rustix::process::{kill_process, Pid, Signal};
 use tempfile::TempDir;
 
 /// Time limit of every wait; nothing on loopback takes this long.
@@ -219,9 +220,8 @@
         self.wait_ready();
     }
 
-    pub fn signal(&mut self, signal: rustix::process::Signal) {
-        let pid = rustix::process::Pid::from_raw(self.child.id() as i32).unwrap();
-        rustix::process::kill_process(pid, signal).unwrap();
+    pub fn signal(&mut self, signal: Signal) {
+        signal_process(&self.child, signal);
     }
 
     /// Waits for the process to exit, and returns whether it succeeded.
@@ -377,6 +377,18 @@
     }
 }
 
+/// Sends a signal to a process. One that is stopped has stopped on return: until then it may run on, and a signal to
+/// continue would undo the one to stop.
+pub fn signal_process(child: &Child, signal: Signal) {
+    kill_process(Pid::from_child(child), signal).unwrap();
+    let stat = format!("/proc/{}/stat", child.id());
+    let end = Instant::now() + TIMEOUT;
+    while signal == Signal::STOP && !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+        assert!(Instant::now() < end, "not stopped in time");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// The status code of a response; 0 if it has none.
 pub fn status(answer: &str) -> u16 {
     answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -10,13 +10,13 @@
 use std::time::{Duration, Instant};
 
 use badgerledge_standins::free_port;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use simple_dns::rdata::{RData, A, SOA, SRV, TXT};
 use simple_dns::{Name, Packet, ResourceRecord, CLASS};
 use tempfile::TempDir;
 
-use crate::harness::TIMEOUT;
+use crate::harness::{signal_process, TIMEOUT};
 
 /// The streamer accepts offers.
 pub const ACCEPTING: u8 = 0;
@@ -327,7 +327,7 @@
     }
 
     pub fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
+        signal_process(&self.child, signal);
     }
 
     /// Waits for a line of the log that contains all of these texts.
--- a/crates/controller/tests/it/subscriptions.rs
+++ b/crates/controller/tests/it/subscriptions.rs
@@ -230,3 +230,21 @@
     drop((joining, unread));
     assert!(controller.exits_successfully());
 }
+
+/// Guards against a join that is begun as the process stops: a set-up was read in the same turn of the loop as the
+/// signal, its join was never sent, and its viewer was told that it may have run.
+#[test]
+fn a_set_up_that_is_read_together_with_the_signal_is_refused() {
+    let (_list, mut controller, _streamers) = with_streamers(1, "");
+    let mut viewer = RtspPeer::to(controller.at);
+    viewer.send("OPTIONS * RTSP/1.0\nCSeq: 1\n\n");
+    assert_eq!(status(&viewer.receive()), 200, "its connection is accepted");
+    controller.signal(Signal::STOP);
+    viewer.set_up(2, 7, 10, "");
+    controller.signal(Signal::TERM);
+    controller.signal(Signal::CONT);
+    let refused = viewer.receive();
+    assert_eq!((status(&refused), header(&refused, "Retry-After").is_empty()), (503, false));
+    drop(viewer);
+    assert!(controller.exits_successfully());
+}
