--- a/crates/controller/tests/it/departed_clients.rs
+++ b/crates/controller/tests/it/departed_clients.rs
@@ -7,20 +7,12 @@
 
 use rustix::process::Signal;
 
-use crate::platform_harness::{list, name_service, set_up, Controller, Streamer, Viewer, SILENT};
+use crate::platform_harness::{set_up, Controller, Viewer, ANSWER, RELEASE, SILENT};
 
-const ANSWER: u8 = 9;
-const RELEASE: u8 = 12;
 const REJECTED: u8 = 96;
 /// Long enough for all that is read to be placed.
 const PLACED: Duration = Duration::from_millis(500);
 
-fn start() -> (Streamer, Controller) {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
-    (streamer, controller)
-}
-
 /// Sends set-ups until the connection takes no more, and returns how many bytes that were.
 fn fill(stream: &mut TcpStream) -> usize {
     stream.set_nonblocking(true).unwrap();
@@ -40,7 +32,7 @@
 /// once lay unread, and the end behind it.
 #[test]
 fn set_ups_of_a_client_that_closed_with_much_unread_are_not_sent_on() {
-    let (streamer, controller) = start();
+    let (streamer, controller) = Controller::with_one_streamer();
     let Viewer(mut stream) = controller.viewer();
     // The process finds all of it at once.
     controller.signal(Signal::STOP);
@@ -59,7 +51,7 @@
 fn set_ups_of_a_client_that_sends_much_at_once_are_served() {
     /// Two frames with descriptions of this length fill the input buffer of a connection.
     const HALF_BUFFER: usize = 8_193 - 95;
-    let (_streamer, controller) = start();
+    let (_streamer, controller) = Controller::with_one_streamer();
     for description_bytes in [3, HALF_BUFFER - 1, HALF_BUFFER, HALF_BUFFER + 1] {
         let mut viewer = controller.viewer();
         let description = "v".repeat(description_bytes);
@@ -76,7 +68,7 @@
 /// Guards against an id that runs twice: its client left while its join was out, and came again with the same id.
 #[test]
 fn an_id_that_comes_again_after_its_client_left_is_not_run_again() {
-    let (streamer, controller) = start();
+    let (streamer, controller) = Controller::with_one_streamer();
     streamer.mode.store(SILENT, Ordering::SeqCst);
     let mut first = controller.viewer();
     first.set_up(1);
--- a/crates/controller/tests/it/false_handovers.rs
+++ b/crates/controller/tests/it/false_handovers.rs
@@ -7,14 +7,10 @@
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::platform_harness::{hand_over, list, name_service, Controller, Streamer, Viewer};
+use crate::platform_harness::{
+    hand_over, Controller, Streamer, Viewer, ANSWER, FAILED, NORMAL, RELEASE, RELEASE_TIMEOUT,
+};
 
-const RELEASE: u8 = 12;
-const ANSWER: u8 = 9;
-const NORMAL: u8 = 16;
-const FAILED: u8 = 41;
-/// A viewer must be told of the end of its subscription within this time of the release by the streamer.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1050);
 /// Ids of subscriptions that nobody knows start here.
 const UNKNOWN: u64 = 1 << 60;
 
@@ -57,8 +53,7 @@
 /// answered long after their time. The claims come in the time in which a front hands over, and at any speed.
 #[test]
 fn claims_of_unknown_subscriptions_do_not_affect_set_ups() {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let (streamer, controller) = Controller::with_one_streamer();
     let clients: Vec<_> = (0..4).map(|number| FalseClient::start(&controller, &streamer, number)).collect();
     let mut front = controller.viewer();
     for wire_id in 1..=20 {
@@ -79,8 +74,7 @@
 /// its viewers were told that their subscriptions are over, or were not told when they were.
 #[test]
 fn true_handovers_are_kept_beside_a_flood_of_false_ones() {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let (streamer, controller) = Controller::with_one_streamer();
     let clients: Vec<_> = (0..4).map(|number| FalseClient::start(&controller, &streamer, number)).collect();
     sleep(Duration::from_secs(1));
     let mut fronts: Vec<Viewer> = (0..8).map(|_| controller.viewer()).collect();
@@ -103,8 +97,7 @@
 /// connection that served the viewer has ended, and the front has another one that serves viewers.
 #[test]
 fn releases_do_not_go_to_clients_with_false_claims() {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let (streamer, controller) = Controller::with_one_streamer();
     let mut first = controller.viewer();
     first.establish(1);
     let mut front = controller.viewer();
@@ -131,8 +124,7 @@
 /// place of those that serve viewers.
 #[test]
 fn connections_that_serve_viewers_are_kept_in_a_crowd_beside_false_claims() {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let (streamer, controller) = Controller::with_one_streamer();
     let mut fronts: Vec<Viewer> = (0..5).map(|_| controller.viewer()).collect();
     for (number, front) in fronts.iter_mut().enumerate() {
         front.establish(1 + number as u64);
--- a/crates/controller/tests/it/handovers.rs
+++ b/crates/controller/tests/it/handovers.rs
@@ -7,14 +7,13 @@
 use rustix::process::Signal;
 
 use crate::harness::TIMEOUT;
-use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer, SILENT};
+use crate::platform_harness::{
+    list, name_service, Controller, Streamer, Viewer, FAILED, NORMAL, RELEASE, SILENT,
+};
 
 /// Long enough for a message to be handled, also beside load.
 const HANDLED: Duration = Duration::from_millis(200);
-const RELEASE: u8 = 12;
-const NORMAL: u8 = 16;
 const MOVED: u8 = 31;
-const FAILED: u8 = 41;
 
 /// A controller that is connected to a streamer, at which the subscription 10 plays.
 fn connected() -> (Streamer, Controller, Viewer) {
--- a/crates/controller/tests/it/lost_connections.rs
+++ b/crates/controller/tests/it/lost_connections.rs
@@ -5,18 +5,14 @@
 
 use serde_json::json;
 
-use crate::platform_harness::{list, name_service, Controller, Streamer, Viewer, EXITED, SILENT};
-
-const RELEASE: u8 = 12;
-const NORMAL: u8 = 16;
-/// A viewer must be told of the end of its subscription within this time of the release by the streamer.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1050);
+use crate::platform_harness::{
+    list, name_service, Controller, Streamer, Viewer, EXITED, NORMAL, RELEASE, RELEASE_TIMEOUT, SILENT,
+};
 
 /// A controller with two connections to a streamer, on which nothing waits: the subscriptions 10 and 20 were set
 /// up on the first, 21 on the second.
 fn two_connections() -> (Streamer, Controller, Viewer) {
-    let streamer = Streamer::new(1);
-    let controller = Controller::start(name_service(list(1, &[&streamer])), &[&streamer]);
+    let (streamer, controller) = Controller::with_one_streamer();
     let mut viewer = controller.viewer();
     viewer.establish(10);
     streamer.wait_for("offer", 10);
--- a/crates/controller/tests/it/platform_harness.rs
+++ b/crates/controller/tests/it/platform_harness.rs
@@ -18,6 +18,15 @@
 
 use crate::harness::{signal_process, TIMEOUT};
 
+/// Kinds of frames that viewers receive.
+pub const ANSWER: u8 = 9;
+pub const RELEASE: u8 = 12;
+/// Causes of releases.
+pub const NORMAL: u8 = 16;
+pub const FAILED: u8 = 41;
+/// A viewer must be told of the end of its subscription within this time of the release by the streamer.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(1050);
+
 /// The streamer accepts offers.
 pub const ACCEPTING: u8 = 0;
 /// The streamer answers with truncated messages.
@@ -253,6 +262,13 @@
 }
 
 impl Controller {
+    /// Starts a streamer and a controller whose list names it, and waits until the controller passes a test.
+    pub fn with_one_streamer() -> (Streamer, Self) {
+        let streamer = Streamer::new(1);
+        let controller = Self::start(name_service(list(1, &[&streamer])), &[&streamer]);
+        (streamer, controller)
+    }
+
     /// Starts a controller, and waits until it passes a test.
     pub fn start(names: SocketAddrV4, known: &[&Streamer]) -> Self {
         Self::start_with(names, known, |_| {})
--- a/crates/controller/tests/it/replaced_streamers.rs
+++ b/crates/controller/tests/it/replaced_streamers.rs
@@ -1,6 +1,6 @@
 //! A streamer that starts at the address of one that has gone, before the list tells so.
 
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -8,12 +8,10 @@
 use serde_json::json;
 
 use crate::harness::TIMEOUT;
-use crate::platform_harness::{list, name_service, Controller, List, Streamer, Viewer, EXITED, SILENT};
+use crate::platform_harness::{
+    list, name_service, Controller, List, Streamer, Viewer, ANSWER, EXITED, FAILED, NORMAL, RELEASE, SILENT,
+};
 
-const ANSWER: u8 = 9;
-const RELEASE: u8 = 12;
-const NORMAL: u8 = 16;
-const FAILED: u8 = 41;
 /// Long enough for a query to the name service and for what follows its answer.
 const LIST_KNOWN: Duration = Duration::from_millis(600);
 
@@ -30,7 +28,7 @@
         gone.mode.store(EXITED, Ordering::SeqCst);
         (0..gone.connection_count()).for_each(|connection| gone.close(connection, true));
         // The listener ends with the next connection.
-        let _ = std::net::TcpStream::connect(gone.at);
+        let _ = TcpStream::connect(gone.at);
         let end = Instant::now() + TIMEOUT;
         let listener = loop {
             match TcpListener::bind(gone.at) {
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -232,9 +232,6 @@
         self.apply_load_report(streamer, usage);
         let played = self.subscriptions.get(&job).is_some_and(|s| s.playing);
         self.record_ending(streamer, ending, played);
-        if over {
-            self.placements.drop_claim(job);
-        }
         let Some(subscription) = self.subscriptions.get_mut(&job) else { return };
         if over {
             let lifetime_s = (self.now - subscription.accepted_at).as_secs_f64();
@@ -1099,7 +1096,7 @@
         let mut link_headroom: BTreeMap<StreamerId, f64> = BTreeMap::new();
         let mut uplink_headroom = self.allowed_demand(uplink, joining.is_some());
         let (mut floors, mut placed, mut links) = (Vec::new(), Vec::new(), Vec::new());
-        for (job, id, subscription) in self.subscriptions_behind(uplink) {
+        for (job, id, subscription) in self.subscriptions_on(uplink) {
             let headroom = link_headroom
                 .entry(id)
                 .or_insert_with(|| self.allowed_demand(NetworkLink::Link(id), joining == Some(id)));
--- a/crates/core/src/decide/sums.rs
+++ b/crates/core/src/decide/sums.rs
@@ -114,16 +114,8 @@
         let step_rate = |s: &Subscription| {
             self.settings.rate(&s.request, next_rung(s)) - self.settings.rate(&s.request, s.rung)
         };
-        let there: Vec<&Subscription> = match network_link {
-            NetworkLink::Link(id) => {
-                self.subscriptions_at(id).map(|(_, subscription)| subscription).collect()
-            }
-            NetworkLink::Uplink(_) => {
-                let behind = self.subscriptions_behind(network_link).into_iter();
-                behind.map(|(_, _, subscription)| subscription).collect()
-            }
-        };
-        let playing_there = there.into_iter().filter(|subscription| subscription.playing);
+        let there = self.subscriptions_on(network_link).into_iter().map(|(.., subscription)| subscription);
+        let playing_there = there.filter(|subscription| subscription.playing);
         mean(playing_there.map(|s| step_rate(s).abs())).unwrap_or(0.0)
     }
 
@@ -150,16 +142,20 @@
         self.placements.at(id).filter_map(|job| Some((job, self.subscriptions.get(&job)?)))
     }
 
-    /// The subscriptions behind an uplink with their streamers, by their number.
-    pub(super) fn subscriptions_behind(
-        &self, uplink: NetworkLink,
+    /// The subscriptions that use a link or an uplink, with their streamers, by their number.
+    pub(super) fn subscriptions_on(
+        &self, network_link: NetworkLink,
     ) -> Vec<(JobId, StreamerId, &Subscription)> {
-        let ids = self.placements.streamers().filter(|id| self.uplink(*id) == uplink);
-        let mut behind: Vec<_> = ids
+        let uses_link =
+            |id: &StreamerId| network_link == NetworkLink::Link(*id) || network_link == self.uplink(*id);
+        let mut users: Vec<_> = self
+            .placements
+            .streamers()
+            .filter(uses_link)
             .flat_map(|id| self.subscriptions_at(id).map(move |(job, subscription)| (job, id, subscription)))
             .collect();
-        behind.sort_unstable_by_key(|(job, ..)| *job);
-        behind
+        users.sort_unstable_by_key(|(job, ..)| *job);
+        users
     }
 
     /// Recomputes the own demand of all links: streamers may be listed only after their subscriptions are
--- a/crates/platform/src/handover_tests.rs
+++ b/crates/platform/src/handover_tests.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use badgerledge_reactor::SocketId;
-
 use crate::session_table::streamer_id;
 use crate::tests::Harness;
 
@@ -11,12 +9,6 @@
 const MAX_CLAIMS: u64 = 32 * 200;
 const RELEASE_AS_FAILED: (u8, u8) = (12, 41);
 
-/// Hands over a session that plays at the streamer 0.
-fn hand_over(harness: &mut Harness, connection: SocketId, wire_id: u64) {
-    let extras = "home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-00000000";
-    harness.set_up(connection, wire_id, &[("extras", extras), ("left", "4294967")]);
-}
-
 fn is_held(harness: &Harness, wire_id: u64) -> bool {
     harness.sessions.is_playing_at(streamer_id(0), wire_id)
 }
@@ -26,8 +18,8 @@
 #[test]
 fn a_handover_is_decided_on_once_its_streamer_speaks_of_it() {
     let mut harness = Harness::new();
-    (100..103).for_each(|wire_id| hand_over(&mut harness, 1, wire_id));
-    (200..203).for_each(|wire_id| hand_over(&mut harness, 2, wire_id));
+    (100..103).for_each(|wire_id| harness.hand_over(1, wire_id, streamer_id(0)));
+    (200..203).for_each(|wire_id| harness.hand_over(2, wire_id, streamer_id(0)));
     harness.advance(20);
     assert_eq!((harness.sessions.len(), harness.sessions.store.claims.len()), (6, 6));
     assert!(harness.transport.serving.is_empty());
@@ -35,7 +27,7 @@
     assert_eq!(harness.sessions.store.claims.len(), 6, "it plays at another streamer");
     harness.report(streamer_id(0), 100, "tier").unwrap();
     assert_eq!(harness.sessions.store.claims.len(), 3);
-    hand_over(&mut harness, 1, 103);
+    harness.hand_over(1, 103, streamer_id(0));
     assert_eq!(harness.sessions.store.claims.len(), 3);
     assert_eq!(harness.transport.serving.iter().copied().collect::<Vec<_>>(), [1]);
     // A viewer that is served does not make what is claimed on its connection true.
@@ -60,10 +52,10 @@
     let now = harness.now;
     harness.sessions.record_ready(now);
     harness.advance(9_900);
-    hand_over(&mut harness, 1, 100);
+    harness.hand_over(1, 100, streamer_id(0));
     harness.advance(200);
-    hand_over(&mut harness, 1, 101);
-    hand_over(&mut harness, 2, 100);
+    harness.hand_over(1, 101, streamer_id(0));
+    harness.hand_over(2, 100, streamer_id(0));
     assert!(is_held(&harness, 100) && !is_held(&harness, 101));
     assert_eq!(harness.transport.frames_of(101), [RELEASE_AS_FAILED]);
     assert_eq!(harness.transport.frames_of(100), []);
@@ -75,16 +67,16 @@
 fn a_flood_on_some_connections_leaves_room_for_others() {
     const FLOODS: u64 = 4;
     let mut harness = Harness::new();
-    hand_over(&mut harness, 1, 1);
+    harness.hand_over(1, 1, streamer_id(0));
     harness.report(streamer_id(0), 1, "tier").unwrap();
     for wire_id in 0..2 * MAX_CLAIMS {
-        hand_over(&mut harness, 10 + wire_id % FLOODS, 1_000_000 + wire_id);
+        harness.hand_over(10 + wire_id % FLOODS, 1_000_000 + wire_id, streamer_id(0));
     }
     assert_eq!(harness.sessions.store.claims.len() as u64, MAX_CLAIMS);
     // The front, on connections that nothing has confirmed yet.
     let front = |n: u64| (2 + n % 3, 100 + n);
     for (connection, wire_id) in (0..900).map(front) {
-        hand_over(&mut harness, connection, wire_id);
+        harness.hand_over(connection, wire_id, streamer_id(0));
     }
     assert!((0..900).map(front).all(|(_, wire_id)| is_held(&harness, wire_id)));
     assert!(is_held(&harness, 1));
@@ -99,7 +91,7 @@
 #[test]
 fn an_unconfirmed_handover_holds_its_seat() {
     let mut harness = Harness::with_seats(1);
-    hand_over(&mut harness, 1, 100);
+    harness.hand_over(1, 100, streamer_id(0));
     harness.set_up(2, 5, &[]);
     harness.advance(3_000);
     assert_eq!(harness.transport.frames_of(5), [(12, 42)], "its one seat is taken");
@@ -115,7 +107,7 @@
     let mut harness = Harness::new();
     let (now, streamer) = (harness.now, streamer_id(0));
     assert!(!harness.sessions.is_orphan(now, streamer, 100));
-    hand_over(&mut harness, 1, 100);
+    harness.hand_over(1, 100, streamer_id(0));
     assert_eq!(harness.sessions.store.claims.len(), 0);
     harness.advance(Duration::from_secs(1).as_millis() as u64);
     assert!(is_held(&harness, 100));
--- a/crates/platform/src/session_table.rs
+++ b/crates/platform/src/session_table.rs
@@ -16,7 +16,7 @@
 use badgerledge_core::interface::{Ending, Health, JobId, Listing, Start, StreamerId};
 use badgerledge_reactor::SocketId;
 use badgerledge_signalling::viewers::{self, Parameters};
-use badgerledge_signalling::{streamers, Fault};
+use badgerledge_signalling::Fault;
 use handovers::Handover;
 
 use crate::claims::Claims;
@@ -269,7 +269,7 @@
                 self.answer_failed(now, job, transport)
             }
             Phase::Playing(streamer) => {
-                transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
+                transport.end(streamer, wire_id);
                 if session.claim.is_some() {
                     self.store.ended.record_left(now, wire_id);
                 }
@@ -312,7 +312,7 @@
         if !message.is_some_and(|message| transport.answer(connection, &message)) {
             // The viewer cannot be answered, so the session must not play.
             self.store.count_unanswered(now, job, ClosedBy::Network, Some(Step::NotTaken));
-            transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
+            transport.end(streamer, wire_id);
             if let Some(session) = self.store.get_mut(job) {
                 session.phase = Phase::Waiting;
             }
@@ -522,7 +522,7 @@
         let Some(session) = self.store.get(job) else { return };
         let Phase::Moving(streamer) = session.phase else { return };
         let (wire_id, connection) = (session.wire_id, session.connection);
-        transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
+        transport.end(streamer, wire_id);
         transport.release(connection, wire_id, viewers::release(wire_id, NORMAL, Duration::ZERO));
         self.store.remove(now, job, NORMAL);
     }
--- a/crates/platform/src/session_table/handovers.rs
+++ b/crates/platform/src/session_table/handovers.rs
@@ -5,11 +5,11 @@
 
 use badgerledge_core::interface::{JobId, StreamerId, SubscriptionRequest};
 use badgerledge_reactor::SocketId;
-use badgerledge_signalling::{streamers, viewers};
+use badgerledge_signalling::viewers;
 
 use super::SessionTable;
 use crate::phase::Phase;
-use crate::release_causes::{FAILED, NORMAL};
+use crate::release_causes::FAILED;
 use crate::session_store::{trace_session, Session};
 use crate::transport::Transport;
 
@@ -134,7 +134,7 @@
         let Some(ended) = self.store.ended.find(now, wire_id, streamer) else { return false };
         trace_session(wire_id, "handed over after its end", (streamer, ended));
         if ended.plays_on {
-            transport.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
+            transport.end(streamer, wire_id);
         }
         let release = viewers::release(wire_id, ended.release_cause, Duration::ZERO);
         transport.release(connection, wire_id, release);
--- a/crates/platform/src/streamer_pool.rs
+++ b/crates/platform/src/streamer_pool.rs
@@ -28,6 +28,7 @@
 /// Fraction of the idle time in the settings after which a connection takes no join and is closed: a streamer
 /// that closes it at that very time would reset the join.
 const IDLE_FRACTION: f64 = 0.7;
+
 /// What became of joins, probes and streamers as connections closed or failed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PoolEvent {
@@ -133,6 +134,15 @@
         }
     }
 
+    /// Closes the connections to a streamer that is given up, and forgets what was known of it and waited for it.
+    fn forget(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
+        self.close_all(streamer, now, reactor);
+        self.streamers.entry(streamer).and_modify(|state| {
+            (state.unreachable, state.last_received_at, state.input_lost_at) = (None, now, None);
+            state.queued_messages.clear();
+        });
+    }
+
     fn close_all(&mut self, streamer: StreamerId, now: Duration, reactor: &mut Reactor) {
         let ids = self.streamers.get(&streamer).map_or_else(Vec::new, |state| state.connection_ids.clone());
         for connection_id in ids {
@@ -261,6 +271,11 @@
                 Duration::ZERO,
             ));
         };
+        self.test_connection(connection_id, now, reactor);
+    }
+
+    /// Asks a streamer for an answer on this connection, as soon as that is established.
+    fn test_connection(&mut self, connection_id: SocketId, now: Duration, reactor: &mut Reactor) {
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         self.last_probe_id = self.last_probe_id.wrapping_add(1);
         let probe_id = self.last_probe_id;
--- a/crates/platform/src/streamer_pool/listing.rs
+++ b/crates/platform/src/streamer_pool/listing.rs
@@ -80,11 +80,7 @@
         for connection_id in state.connection_ids.clone() {
             self.hand_to_successor(connection_id, by, since);
         }
-        self.close_all(streamer, now, reactor);
-        self.streamers.entry(streamer).and_modify(|state| {
-            (state.unreachable, state.last_received_at, state.input_lost_at) = (None, now, None);
-            state.queued_messages.clear();
-        });
+        self.forget(streamer, now, reactor);
         self.streamers.entry(by).and_modify(|state| state.queued_messages.append(&mut messages));
         self.events.push(PoolEvent::StreamerReplaced { streamer, by, since });
     }
--- a/crates/platform/src/streamer_pool/liveness.rs
+++ b/crates/platform/src/streamer_pool/liveness.rs
@@ -6,9 +6,8 @@
 
 use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::{Reactor, SocketId};
-use badgerledge_signalling::streamers;
 
-use super::StreamerPool;
+use super::{PoolEvent, StreamerPool};
 
 /// How much longer than the interval of progress reports a streamer may be silent before it is connected to;
 /// must exceed the delay of progress reports.
@@ -95,12 +94,8 @@
     pub(super) fn declare_lost(
         &mut self, streamer: StreamerId, reason: LossReason, now: Duration, reactor: &mut Reactor,
     ) {
-        self.close_all(streamer, now, reactor);
-        self.streamers.entry(streamer).and_modify(|state| {
-            (state.unreachable, state.last_received_at, state.input_lost_at) = (None, now, None);
-            state.queued_messages.clear();
-        });
-        self.events.push(super::PoolEvent::StreamerLost(streamer, reason));
+        self.forget(streamer, now, reactor);
+        self.events.push(PoolEvent::StreamerLost(streamer, reason));
     }
 
     /// The established connections to a streamer that are not being closed.
@@ -108,14 +103,4 @@
         let ids = self.streamers.get(&streamer).map_or(&[][..], |state| &state.connection_ids);
         ids.iter().copied().filter(|connection_id| self.is_open(*connection_id)).collect()
     }
-
-    /// Asks a streamer for an answer on this connection.
-    fn test_connection(&mut self, connection_id: SocketId, now: Duration, reactor: &mut Reactor) {
-        self.last_probe_id = self.last_probe_id.wrapping_add(1);
-        let probe_id = self.last_probe_id;
-        let Some(connection) = self.connections.get_mut(&connection_id) else { return };
-        if reactor.send(connection_id, &[&streamers::test(probe_id)]) {
-            connection.outstanding_probes.push((probe_id, now));
-        }
-    }
 }
--- a/crates/platform/src/streamer_pool/messages.rs
+++ b/crates/platform/src/streamer_pool/messages.rs
@@ -19,7 +19,7 @@
 /// How long the end of a session at a streamer that was given up waits for it to come back: as long as ended
 /// sessions are remembered.
 const FINAL_END_LIFETIME: Duration = Duration::from_secs(60);
-/// Maximum of bytes that wait for one streamer: about eight hundred ends.
+/// Maximum of bytes that wait for one streamer: over a thousand ends.
 const MAX_QUEUED_BYTES: usize = 4 * MAX_MESSAGE_BYTES;
 
 /// A message on a session.
@@ -42,8 +42,9 @@
 }
 
 impl SessionMessage {
-    fn new(at: Duration, wire_id: u64, bytes: Vec<u8>) -> Self {
-        Self { at, wire_id, bytes, kind: MessageKind::Ordinary }
+    /// The end of a session.
+    fn end(kind: MessageKind, at: Duration, wire_id: u64, cause: u8) -> Self {
+        Self { at, wire_id, bytes: streamers::end(wire_id, cause), kind }
     }
 
     /// Whether it is still worth sending.
@@ -73,7 +74,7 @@
         &mut self, streamer: StreamerId, wire_id: u64, bytes: Vec<u8>, now: Duration, reactor: &mut Reactor,
     ) {
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        state.queue_message(SessionMessage::new(now, wire_id, bytes), now);
+        state.queue_message(SessionMessage { at: now, wire_id, bytes, kind: MessageKind::Ordinary }, now);
         self.send_queued(streamer, now, reactor);
     }
 
@@ -82,8 +83,7 @@
         &mut self, streamer: StreamerId, wire_id: u64, now: Duration, reactor: &mut Reactor,
     ) {
         let Some(state) = self.streamers.get_mut(&streamer) else { return };
-        let end = SessionMessage::new(now, wire_id, streamers::end(wire_id, FAILED));
-        state.queue_message(SessionMessage { kind: MessageKind::FinalEnd, ..end }, now);
+        state.queue_message(SessionMessage::end(MessageKind::FinalEnd, now, wire_id, FAILED), now);
         self.send_queued(streamer, now, reactor);
     }
 
@@ -92,12 +92,12 @@
         &mut self, connection_id: SocketId, wire_id: u64, cause: u8, now: Duration, reactor: &mut Reactor,
     ) -> bool {
         let Some(connection) = self.connections.get_mut(&connection_id) else { return false };
-        let bytes = streamers::end(wire_id, cause);
-        if !reactor.send(connection_id, &[&bytes]) {
-            return false;
+        let end = SessionMessage::end(MessageKind::Ordinary, now, wire_id, cause);
+        let accepted = reactor.send(connection_id, &[&end.bytes]);
+        if accepted {
+            connection.record_sent(end, now);
         }
-        connection.record_sent(SessionMessage::new(now, wire_id, bytes), now);
-        true
+        accepted
     }
 
     /// Sends the queued messages in order if a connection is established, and otherwise starts one.
@@ -148,8 +148,7 @@
         let unread = recent.filter(|message| now < message.at + RESEND_WINDOW);
         unread.rev().for_each(|message| state.queued_messages.push_front(message));
         for (_, wire_id) in &connection.outstanding_joins {
-            let end = SessionMessage::new(now, *wire_id, streamers::end(*wire_id, NORMAL));
-            state.queue_message(SessionMessage { kind: MessageKind::EndOfLostJoin, ..end }, now);
+            state.queue_message(SessionMessage::end(MessageKind::EndOfLostJoin, now, *wire_id, NORMAL), now);
         }
     }
 
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Hands over a session that plays at a streamer.
+    pub fn hand_over(&mut self, connection: SocketId, wire_id: u64, streamer: StreamerId) {
+        let number = u32::from(*streamer.ip());
+        let extras = format!("home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-{number:08x}");
+        self.set_up(connection, wire_id, &[("extras", &extras), ("left", "4294967")]);
+    }
+
     pub fn answer(&mut self, wire_id: u64) -> Option<StreamerId> {
         let (join, streamer) = self.transport.outstanding.remove(&wire_id)?;
         self.sessions.join_answered(self.now, join, STREAMER_CONNECTION, "a500\r\nc=IN", &mut self.transport);
@@ -742,8 +749,7 @@
 /// A session that the decision module has just moved.
 fn moving() -> Harness {
     let mut harness = Harness::new();
-    let at = "home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-00000000";
-    harness.set_up(1, 5, &[("extras", at), ("left", "4294967")]);
+    harness.hand_over(1, 5, streamer_id(0));
     let job = harness.sessions.store.job(5).expect("the session exists");
     Dispatcher { now: harness.now, store: &mut harness.sessions.store, transport: &mut harness.transport }
         .move_subscription(job);
@@ -814,9 +820,7 @@
         harness.set_up(1, 5, &[]);
         harness.advance(10);
         let streamer = harness.answer(5).expect("a join");
-        let at =
-            format!("home:0;copies:4;top:2;viewer:00000000b4d65521;at:s-{:08x}", u32::from(*streamer.ip()));
-        harness.set_up(1, 6, &[("extras", at.leak()), ("left", "4294967")]);
+        harness.hand_over(1, 6, streamer);
         harness.sessions.streamer_lost(harness.now, streamer, reason, &mut harness.transport);
         let ended: Vec<u64> = harness.transport.ended_at_lost.iter().map(|(_, wire_id)| *wire_id).collect();
         assert_eq!(ended, told, "{reason:?}");
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -2,8 +2,10 @@
 
 use badgerledge_core::interface::StreamerId;
 use badgerledge_reactor::SocketId;
+use badgerledge_signalling::streamers;
 
 use crate::join_id::JoinId;
+use crate::release_causes::NORMAL;
 
 /// The sockets, as the session table sees them.
 pub trait Transport {
@@ -27,6 +29,10 @@
     fn withdraw_join(&mut self, join: JoinId, wire_id: u64, streamer: StreamerId);
     /// Sends a message on a session to a streamer, on any of its connections.
     fn send(&mut self, streamer: StreamerId, wire_id: u64, message: Vec<u8>);
+    /// Ends a session at its streamer.
+    fn end(&mut self, streamer: StreamerId, wire_id: u64) {
+        self.send(streamer, wire_id, streamers::end(wire_id, NORMAL));
+    }
     /// Ends a session at a streamer that was given up, as soon as it is reached again.
     fn end_at_lost_streamer(&mut self, streamer: StreamerId, wire_id: u64);
     /// Sends a probe to a streamer.
--- a/crates/reactor/src/reactor/transfer.rs
+++ b/crates/reactor/src/reactor/transfer.rs
@@ -129,11 +129,9 @@
     /// right behind a request is reported in the same wait and not in the next.
     pub(super) fn read_input(&mut self, id: SocketId, events: &mut Vec<ReactorEvent>) {
         let mut total = 0;
-        if let Some(connection) = self.connection_mut(id) {
-            connection.may_have_more_input = true;
-        }
         while total < MAX_READ_PER_WAIT {
             let Some(Source::Stream { socket, connection }) = self.sources.get_mut(&id) else { return };
+            connection.may_have_more_input = true;
             let limit =
                 connection.bounds.input.saturating_sub(connection.input.len()).min(MAX_READ_PER_WAIT - total);
             if connection.ended.is_some() || limit == 0 {
